Bound attempts per worker by its answers, queue here by aim, shed at the aim

Cause: under overload every full answer became another attempt (7 a request) and failed orders were repeated at once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -20,6 +20,14 @@
 const REPLACE_US: Micros = 1_000_000;
 /// Evidence against a worker fades to 1/e in this time.
 const FORGET_US: f64 = 4_000_000.0;
+/// Attempts of ours that a worker is first trusted with; the bound then follows its answers.
+const FIRST_BOUND: f64 = 4.0;
+/// A worker whose answers take this share of their aim, on average, is given fewer.
+const STRETCH: f64 = 0.5;
+/// Span over which a tenant's calls are held against its share.
+const FAIR_US: f64 = 3_000_000.0;
+/// Crowd notes and load reports fade to 1/e in this time.
+const CROWD_US: f64 = 1_000_000.0;
 /// How long a request waits for answers on where copies of its function stand.
 const ASK_US: Micros = 15_000;
 /// Share of the guessed cold budget that is used; the rest is for chance and for a wrong guess.
@@ -65,6 +73,10 @@
     /// Failed connections, resets, failed loads; fades.
     strain: Fading,
     heard: Micros,
+    /// Most attempts of ours at once: up by answers well inside their aim, down by late and full ones.
+    bound: f64,
+    /// Mean latency over aim of recent answers.
+    stretch: f64,
     /// Requests that others keep there, by its reports.
     others: Fading,
 }
@@ -96,9 +108,10 @@
     home: Option<WorkerId>,
     moving: Option<WorkerId>,
     places: BTreeMap<WorkerId, Place>,
-    waiting: VecDeque<RequestId>,
     asks_out: u32,
     ask_until: Micros,
+    /// No further order before this time, after one failed: answers of full would else echo as orders.
+    order_after: Micros,
 }
 
 /// One attempt of a request.
@@ -115,6 +128,11 @@
 struct Held {
     told: Request,
     deadline: Micros,
+    aim: Micros,
+    /// Past its tenant's share when it came.
+    excess: bool,
+    /// It waits although copies stand: their workers have as much as they may.
+    crowded: bool,
     attempts: Vec<Attempt>,
     done: bool,
     waiting: bool,
@@ -125,6 +143,7 @@
 enum Wake {
     Deadline(RequestId),
     Overdue(RequestId, usize),
+    Shed(RequestId),
 }
 
 /// Decides for one scheduler.
@@ -142,7 +161,11 @@
     /// Usual latency of each class, for functions not yet measured.
     class_usual: Vec<f64>,
     sends: Fading,
+    served: Fading,
     hedges: Fading,
+    tenants: Vec<Fading>,
+    waiting: Vec<RequestId>,
+    born: Micros,
     taken: VecDeque<Micros>,
     orders: VecDeque<Micros>,
 }
@@ -165,6 +188,10 @@
             ask_list: false,
             class_usual,
             sends: Fading::default(),
+            served: Fading::default(),
+            tenants: Vec::new(),
+            waiting: Vec::new(),
+            born: 0,
             hedges: Fading::default(),
             taken: VecDeque::new(),
             orders: VecDeque::new(),
@@ -187,6 +214,7 @@
             Event::Timer { token } => match self.wakes.remove(&token) {
                 Some(Wake::Deadline(id)) if self.requests.get(&id).is_none_or(|h| h.streaming) => {}
                 Some(Wake::Deadline(id)) => self.finish(id, Some(Action::Fail { id }), out),
+                Some(Wake::Shed(id)) => self.shed(id, out),
                 Some(Wake::Overdue(id, attempt)) => self.overdue(now, id, attempt, out),
                 None => {}
             },
@@ -233,7 +261,7 @@
             let told = kinds.get(w.member.kind).copied().unwrap_or(mean_mb);
             let left = (told - w.placed_mb).max(mb).max(told * 0.1) / mean_mb;
             let placed = if w.placed_mb > 0.0 { demand(w) } else { mean };
-            let present = w.due.len() as f64 + w.others.get(now, 1_000_000.0);
+            let present = w.due.len() as f64 + w.others.get(now, CROWD_US);
             (placed + present + added) * self.evidence(now, w) / left
         };
         usable().map(|(id, w)| (id, ratio(w))).collect()
@@ -291,13 +319,9 @@
 
     /// Sends a request where it should go, has it wait for a load, or ends it.
     fn route(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let Some(held) = self.requests.get(&id).filter(|h| !h.done) else {
-            return;
-        };
+        let Some(held) = self.requests.get(&id).filter(|h| !h.done) else { return };
         let name = held.told.function.clone();
-        let Some(function) = self.functions.get(&name) else {
-            return;
-        };
+        let Some(function) = self.functions.get(&name) else { return };
         let tried = |w: &WorkerId| held.attempts.iter().any(|a| a.worker == *w);
         let allowed = |w: &WorkerId| self.workers.get(w).is_some_and(|x| self.may_send(now, held, x));
         if !self.workers.keys().any(allowed) && !held.attempts.is_empty() {
@@ -314,47 +338,56 @@
             .filter_map(|(w, p)| ratios.get(w).map(|r| (w, p, *r)))
             .collect();
         let fresh = standing.iter().any(|(w, _, _)| !tried(w));
-        let open: Vec<_> = standing.into_iter().filter(|(w, _, _)| !fresh || !tried(w)).collect();
-        let room = |p: &Place| {
-            f64::from(p.out) + p.crowd.get(now, 1_000_000.0) < f64::from(function.lanes * p.copies.max(1))
-        };
-        let roomy = || open.iter().filter(|(_, p, _)| room(p)).map(|(w, _, r)| (*w, *r));
+        let open =
+            || standing.iter().filter(|(w, _, _)| (!fresh || !tried(w)) && has_room(&self.workers[*w]));
+        let lanes = |p: &Place| f64::from(function.lanes * p.copies.max(1));
+        let idle = |p: &Place| f64::from(p.out) + p.crowd.get(now, CROWD_US) < lanes(p);
+        let roomy = || open().filter(|(_, p, _)| idle(p)).map(|(w, _, r)| (*w, *r));
         let best = Self::lowest(&name, roomy());
-        let home = roomy().find(|(w, r)| {
-            Some(*w) == function.home.as_ref() && best.is_some_and(|(_, least)| *r <= least * GAIN)
-        });
-        let full = best.is_none();
+        let follows = |(w, r): &(&WorkerId, f64)| {
+            Some(*w) == function.home.as_ref() && best.is_some_and(|b| *r <= b.1 * GAIN)
+        };
         let onward = || {
-            open.iter()
-                .map(|(w, p, r)| (*w, *r * (1.0 + f64::from(p.out))))
-                .min_by(|a, b| a.1.total_cmp(&b.1))
+            let queued = open().map(|(w, p, r)| (*w, r * (1.0 + f64::from(p.out) / lanes(p))));
+            queued.min_by(|a, b| a.1.total_cmp(&b.1))
         };
-        let choice = home.or(best).or_else(onward).map(|(w, _)| w.clone());
+        let choice = roomy().find(follows).or(best).or_else(onward).map(|(w, _)| w.clone());
+        let (none, full) = (standing.is_empty(), best.is_none());
         match choice {
-            Some(worker) => {
-                self.send(now, id, &worker, out);
-                if full {
-                    self.grow(now, &name, out);
-                }
-            }
-            None => self.wait_or_load(now, id, &name, out),
+            Some(worker) => self.send(now, id, &worker, out),
+            None if none => return self.wait_or_load(now, id, &name, out),
+            None => self.hold(id, true),
+        }
+        if full {
+            self.grow(now, &name, out);
+        }
+    }
+
+    /// Keeps a request here until there is a copy or room for it.
+    fn hold(&mut self, id: RequestId, crowded: bool) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        held.crowded = crowded;
+        if !held.waiting {
+            held.waiting = true;
+            self.waiting.push(id);
+        }
+    }
+
+    /// Its aim can't be met any more where all copies are crowded: turned away now, it costs nobody time.
+    /// Could hurt where late answers are worth nearly as much.
+    fn shed(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(held) = self.requests.get(&id) else { return };
+        if held.waiting && held.crowded && self.may_refuse(held) {
+            self.give_up(id, out);
         }
     }
 
     /// No copy is known: wait for answers or a load under way, else cause a load where the ratio is lowest.
     fn wait_or_load(&mut self, now: Micros, id: RequestId, name: &FunctionId, out: &mut Vec<Action>) {
-        let Some(function) = self.functions.get_mut(name) else {
-            return;
-        };
-        let Some(held) = self.requests.get_mut(&id) else {
-            return;
-        };
+        self.hold(id, false);
+        let Some(function) = self.functions.get(name) else { return };
         let asking = function.asks_out > 0 && now < function.ask_until;
         let loading = function.places.values().any(|p| p.loading.is_some());
-        if !held.waiting {
-            held.waiting = true;
-            function.waiting.push_back(id);
-        }
         if asking || loading || self.grow(now, name, out) || !self.settings.family.load_on_miss {
             return;
         }
@@ -362,7 +395,7 @@
         let held = &self.requests[&id];
         let function = &self.functions[name];
         let ratios = self.ratios(now, function.usual * function.weight / WINDOW_US, function.mb);
-        let allowed = |w: &WorkerId| self.may_send(now, held, &self.workers[w]);
+        let allowed = |w: &WorkerId| self.may_send(now, held, &self.workers[w]) && has_room(&self.workers[w]);
         let target = Self::lowest(name, ratios.into_iter().filter(|(w, _)| allowed(w)));
         if let Some(worker) = target.map(|(w, _)| w.clone()) {
             self.send(now, id, &worker, out);
@@ -373,12 +406,10 @@
         let (Some(held), Some(known)) = (self.requests.get_mut(&id), self.workers.get_mut(worker)) else {
             return;
         };
-        let Some(function) = self.functions.get_mut(&held.told.function) else {
-            return;
-        };
+        let Some(function) = self.functions.get_mut(&held.told.function) else { return };
         if held.waiting {
             held.waiting = false;
-            function.waiting.retain(|w| *w != id);
+            self.waiting.retain(|w| *w != id);
         }
         let place = function.places.entry(worker.clone()).or_default();
         let mut patience = function.usual * 3.0;
@@ -411,15 +442,11 @@
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         for (calls, name) in order.into_iter().filter(|(calls, _)| *calls >= 2.0) {
             let function = &self.functions[&name];
-            let Some(home) = function.home.clone() else {
-                continue;
-            };
+            let Some(home) = function.home.clone() else { continue };
             let added = calls * function.usual * function.weight / WINDOW_US;
             let ratios = self.ratios(now, added, function.mb);
             let here = ratios.get(&home).copied().unwrap_or(f64::INFINITY);
-            let Some((best, least)) = Self::lowest(&name, ratios.into_iter()) else {
-                continue;
-            };
+            let Some((best, least)) = Self::lowest(&name, ratios.into_iter()) else { continue };
             if *best == home || here <= least * GAIN {
                 continue;
             }
@@ -436,12 +463,23 @@
         }
     }
 
+    // ---- fairness ----------------------------------------------------------------------------------------
+
+    /// Whether a tenant sends us more than our part of its share; such requests wait behind the others.
+    fn past_share(&mut self, now: Micros, tenant: usize) -> bool {
+        let Some(quota) = self.settings.tenant_quotas.get(tenant) else { return false };
+        let share = quota / f64::from(self.settings.schedulers) * FAIR_US / 1e6;
+        self.tenants.resize(self.settings.tenant_quotas.len(), Fading::default());
+        self.tenants[tenant].add(now, 1.0, FAIR_US);
+        self.tenants[tenant].get(now, FAIR_US) > share
+    }
+
     // ---- copies ------------------------------------------------------------------------------------------
 
     /// Orders one more instance of a function at the worker with the lowest ratio that lacks it.
     fn grow(&mut self, now: Micros, name: &FunctionId, out: &mut Vec<Action>) -> bool {
         let function = &self.functions[name];
-        if function.places.values().any(|p| p.loading.is_some()) {
+        if now < function.order_after || function.places.values().any(|p| p.loading.is_some()) {
             return true;
         }
         let added = function.rate.get(now, WINDOW_US) * function.usual * function.weight / WINDOW_US;
@@ -500,9 +538,7 @@
     /// instance, so that a function seen once does not push out an older, hotter copy. It could hurt
     /// where another scheduler uses that instance.
     fn make_room(&mut self, worker: &WorkerId, name: &FunctionId, out: &mut Vec<Action>) {
-        let Some(known) = self.workers.get(worker) else {
-            return;
-        };
+        let Some(known) = self.workers.get(worker) else { return };
         let told =
             self.settings.family.kind_memory_mb.get(known.member.kind).copied().unwrap_or(f64::INFINITY);
         let needed = self.functions.get(name).map_or(0.0, |f| f.mb);
@@ -521,9 +557,7 @@
 
     /// Records whether a function stands on a worker, and the memory that it takes in our account.
     fn stand(&mut self, worker: &WorkerId, name: &FunctionId, stands: bool, copies: u32, now: Micros) {
-        let Some(function) = self.functions.get_mut(name) else {
-            return;
-        };
+        let Some(function) = self.functions.get_mut(name) else { return };
         let place = function.places.entry(worker.clone()).or_default();
         let before = if place.standing { f64::from(place.copies.max(1)) } else { 0.0 };
         if stands && !place.standing {
@@ -561,9 +595,7 @@
         if !self.workers.contains_key(worker) {
             return;
         }
-        let Some(function) = self.functions.get_mut(name) else {
-            return;
-        };
+        let Some(function) = self.functions.get_mut(name) else { return };
         function.asks_out = function.asks_out.saturating_sub(1);
         let Some(place) = function.places.get_mut(worker).filter(|p| p.loading.is_some()) else {
             // An answer to a question.
@@ -572,7 +604,7 @@
                 self.stand(worker, name, true, count, now);
             }
             if self.functions[name].asks_out == 0 {
-                self.pump(now, name, out);
+                self.pump(now, out);
             }
             return;
         };
@@ -588,16 +620,20 @@
             self.stand(worker, name, true, count, now);
         } else if let Some(known) = self.workers.get_mut(worker) {
             known.strain.add(now, 1.0, FORGET_US);
+            function.order_after = now + function.load / 2;
         }
-        self.pump(now, name, out);
+        self.pump(now, out);
     }
 
-    /// Routes all requests that wait for a function.
-    fn pump(&mut self, now: Micros, name: &FunctionId, out: &mut Vec<Action>) {
-        let Some(function) = self.functions.get(name) else {
+    /// Routes what waits: within its tenant's share first, then by aim.
+    fn pump(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if self.waiting.is_empty() || !self.workers.values().any(|w| w.usable && has_room(w)) {
             return;
-        };
-        for id in function.waiting.clone() {
+        }
+        let key = |id: &RequestId| self.requests.get(id).map(|h| (h.excess, h.aim < now, h.aim, *id));
+        let mut order: Vec<_> = self.waiting.iter().filter_map(key).collect();
+        order.sort_unstable();
+        for (_, _, _, id) in order {
             self.route(now, id, out);
         }
     }
@@ -605,9 +641,7 @@
     /// Asks every worker whether it holds a function that we know no copy of: other schedulers may have
     /// brought it, or we did before a restart. Useless for functions seen once, where it costs some asks.
     fn ask(&mut self, now: Micros, name: &FunctionId, out: &mut Vec<Action>) {
-        let Some(function) = self.functions.get_mut(name) else {
-            return;
-        };
+        let Some(function) = self.functions.get_mut(name) else { return };
         for (worker, _) in self.workers.iter().filter(|(_, w)| w.usable) {
             function.asks_out += 1;
             out.push(Action::Load { worker: worker.clone(), function: name.clone(), count: 0 });
@@ -620,6 +654,7 @@
     fn members(&mut self, now: Micros, kind: MembersKind, members: Vec<Member>, out: &mut Vec<Action>) {
         if !self.started {
             self.started = true;
+            self.born = now;
             self.next_replace = now + REPLACE_US;
             out.push(Action::Timer { after: SWEEP_US, token: 0 });
             if self.settings.must_ask {
@@ -649,6 +684,8 @@
                 slowness: Fading::default(),
                 strain: Fading::default(),
                 heard: now,
+                bound: FIRST_BOUND,
+                stretch: 0.0,
                 others: Fading::default(),
             });
             let restarted = member.started > known.member.started;
@@ -701,7 +738,7 @@
         }
         let rules = &self.settings.rules;
         let warm = self.workers.values().filter(|w| w.usable && self.warmth(now, w) >= 1.0).count();
-        let each = self.sends.get(now, WINDOW_US) / warm.max(1) as f64 / WINDOW_US;
+        let each = self.served.get(now, WINDOW_US) / warm.max(1) as f64 / WINDOW_US;
         let budget = COLD_SHARE * rules.tip_multiple * warmth * each * rules.fall as f64;
         let recent = worker.cold_sends.iter().rev().take_while(|t| **t + rules.fall > now).count();
         (recent + 1) as f64 <= budget
@@ -742,31 +779,44 @@
             home: None,
             moving: None,
             places: BTreeMap::new(),
-            waiting: VecDeque::new(),
             asks_out: 0,
             ask_until: 0,
+            order_after: 0,
         });
         function.rate.add(now, 1.0, WINDOW_US);
         function.last = now;
         let deadline = now + told.patience;
+        let class_aim = class.aim;
+        let aim = now + class_aim;
+        let usual = function.usual as Micros;
+        let excess = self.past_share(now, told.tenant);
+        if aim < deadline {
+            self.wake(class_aim.saturating_sub(usual), Wake::Shed(id), out);
+        }
         self.wake(told.patience, Wake::Deadline(id), out);
         self.requests.insert(
             id,
-            Held { told, deadline, attempts: Vec::new(), done: false, waiting: false, streaming: false },
+            Held {
+                told,
+                deadline,
+                aim,
+                excess,
+                crowded: false,
+                attempts: Vec::new(),
+                done: false,
+                waiting: false,
+                streaming: false,
+            },
         );
-        if !known && self.settings.family.orders {
+        if !known && self.settings.family.orders && now < self.born + WINDOW_US as Micros {
             self.ask(now, &name, out);
         }
         self.route(now, id, out);
     }
 
     fn outcome(&mut self, now: Micros, told: Outcome, out: &mut Vec<Action>) {
-        let Some(held) = self.requests.get_mut(&told.id) else {
-            return;
-        };
-        let Some(attempt) = held.attempts.get_mut(told.attempt).filter(|a| a.ended.is_none()) else {
-            return;
-        };
+        let Some(held) = self.requests.get_mut(&told.id) else { return };
+        let Some(attempt) = held.attempts.get_mut(told.attempt).filter(|a| a.ended.is_none()) else { return };
         attempt.ended = Some(told.code);
         let (worker, due, class) = (attempt.worker.clone(), attempt.due, held.told.class);
         let name = held.told.function.clone();
@@ -780,9 +830,7 @@
         } else if quiet {
             self.route(now, told.id, out);
         }
-        if told.code == Code::Ok {
-            self.pump(now, &name, out);
-        }
+        self.pump(now, out);
     }
 
     /// Takes what an outcome tells of the worker, the copy and the function's usual time.
@@ -795,31 +843,28 @@
         key: (Micros, RequestId, usize),
         told: &Outcome,
     ) {
-        let Some(function) = self.functions.get_mut(name) else {
-            return;
-        };
+        let Some(function) = self.functions.get_mut(name) else { return };
         let place = function.places.entry(worker.clone()).or_default();
         place.out = place.out.saturating_sub(1);
-        let Some(known) = self.workers.get_mut(worker) else {
-            return;
-        };
+        let Some(known) = self.workers.get_mut(worker) else { return };
         known.due.remove(&key);
         if !matches!(told.code, Code::Timeout | Code::Cancelled | Code::ConnectFailed | Code::Moot) {
             known.heard = now;
         }
         if let Some(crowd) = told.crowd {
             let others = (f64::from(crowd) - f64::from(place.out)).max(0.0);
-            let before = place.crowd.get(now, 1_000_000.0);
+            let before = place.crowd.get(now, CROWD_US);
             place.crowd = Fading { value: before + 0.3 * (others - before), at: now };
         }
         let inflight = self.settings.report_names.iter().position(|n| n == "outstanding" || n == "inflight");
         if let Some(held) = inflight.and_then(|i| told.report.get(i)).filter(|v| v.is_finite()) {
             let others = (held.clamp(0.0, 1_000.0) - known.due.len() as f64).max(0.0);
-            let before = known.others.get(now, 1_000_000.0);
+            let before = known.others.get(now, CROWD_US);
             known.others = Fading { value: before + 0.3 * (others - before), at: now };
         }
         match told.code {
             Code::Ok => {
+                self.served.add(now, 1.0, WINDOW_US);
                 let copies = place.copies;
                 if matches!(told.copy, CopyNote::Stood | CopyNote::Untold) {
                     let latency = told.latency as f64;
@@ -827,6 +872,13 @@
                     let before = known.slowness.get(now, FORGET_US);
                     known.slowness = Fading { value: before + 0.15 * (slow - before), at: now };
                     function.usual += 0.05 * (latency.min(function.usual * 10.0) - function.usual);
+                    let share = (latency / self.settings.classes[class].aim as f64).min(4.0);
+                    known.stretch += 0.1 * (share - known.stretch);
+                    if known.stretch > STRETCH {
+                        known.bound = (known.bound * 0.97).max(1.0);
+                    } else if (known.due.len() + 2) as f64 > known.bound {
+                        known.bound += 0.5 / known.bound;
+                    }
                     let usual = &mut self.class_usual[class];
                     *usual += 0.02 * (latency.min(*usual * 10.0) - *usual);
                 }
@@ -837,7 +889,8 @@
             }
             Code::Miss => self.stand(worker, name, false, 0, now),
             Code::ConnectFailed | Code::Reset => known.strain.add(now, 3.0, FORGET_US),
-            Code::Full | Code::Error | Code::Unknown => known.strain.add(now, 0.5, FORGET_US),
+            Code::Full => known.bound = (known.bound.min(known.due.len() as f64 + 1.0) * 0.7).max(1.0),
+            Code::Error | Code::Unknown => known.strain.add(now, 0.5, FORGET_US),
             Code::Timeout | Code::Cancelled | Code::Moot => {}
         }
         if told.code != Code::Ok
@@ -850,9 +903,7 @@
 
     /// An attempt is overdue: try elsewhere while patience is left, where class and settings allow.
     fn overdue(&mut self, now: Micros, id: RequestId, number: usize, out: &mut Vec<Action>) {
-        let Some(held) = self.requests.get(&id).filter(|h| !h.done) else {
-            return;
-        };
+        let Some(held) = self.requests.get(&id).filter(|h| !h.done) else { return };
         if held.attempts.get(number).is_none_or(|a| a.ended.is_some()) || held.attempts.len() != number + 1 {
             return;
         }
@@ -891,18 +942,14 @@
 
     /// Closes a request once, with the final answer if one is still owed, and calls off what is out.
     fn finish(&mut self, id: RequestId, answer: Option<Action>, out: &mut Vec<Action>) {
-        let Some(held) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(held) = self.requests.get_mut(&id) else { return };
         if !held.done {
             held.done = true;
             out.extend(answer);
         }
         if held.waiting {
             held.waiting = false;
-            if let Some(function) = self.functions.get_mut(&held.told.function) {
-                function.waiting.retain(|w| *w != id);
-            }
+            self.waiting.retain(|w| *w != id);
         }
         if self.settings.limits.cancel {
             let open = held.attempts.iter().enumerate().filter(|(_, a)| a.ended.is_none());
@@ -932,10 +979,9 @@
                 self.stand(&worker, &name, false, 0, now);
                 self.functions.get_mut(&name).expect("listed above").places.remove(&worker);
             }
-            self.pump(now, &name, out);
         }
-        self.functions
-            .retain(|_, f| f.last + keep * 2 >= now || !f.places.is_empty() || !f.waiting.is_empty());
+        self.functions.retain(|_, f| f.last + keep * 2 >= now || !f.places.is_empty());
+        self.pump(now, out);
         for worker in self.workers.values_mut() {
             while worker.cold_sends.front().is_some_and(|t| t + self.settings.rules.fall < now) {
                 worker.cold_sends.pop_front();
@@ -951,6 +997,11 @@
     }
 }
 
+/// Whether a worker may be given one more attempt of ours.
+fn has_room(worker: &Worker) -> bool {
+    (worker.due.len() as f64) < worker.bound
+}
+
 fn may_have_run(attempt: &Attempt) -> bool {
     !attempt.ended.is_some_and(Code::never_ran)
 }
