--- a/src/control.rs
+++ b/src/control.rs
@@ -90,6 +90,8 @@
     loading: Option<Micros>,
     last: Micros,
     loaded_at: Micros,
+    /// When all copies were last needed.
+    needed: Micros,
     /// Requests of other schedulers for this function there, by crowd notes; fades.
     crowd: Fading,
 }
@@ -338,9 +340,10 @@
             .filter_map(|(w, p)| ratios.get(w).map(|r| (w, p, *r)))
             .collect();
         let fresh = standing.iter().any(|(w, _, _)| !tried(w));
-        let open =
-            || standing.iter().filter(|(w, _, _)| (!fresh || !tried(w)) && has_room(&self.workers[*w]));
+        // Past a copy's lanes a worker starts another by itself: what waits here instead causes no load.
         let lanes = |p: &Place| f64::from(function.lanes * p.copies.max(1));
+        let fits = |w: &WorkerId, p: &Place| has_room(&self.workers[w]) && f64::from(p.out) < lanes(p);
+        let open = || standing.iter().filter(|(w, p, _)| (!fresh || !tried(w)) && fits(w, p));
         let idle = |p: &Place| f64::from(p.out) + p.crowd.get(now, CROWD_US) < lanes(p);
         let roomy = || open().filter(|(_, p, _)| idle(p)).map(|(w, _, r)| (*w, *r));
         let best = Self::lowest(&name, roomy());
@@ -358,11 +361,23 @@
             None if none => return self.wait_or_load(now, id, &name, out),
             None => self.hold(id, true),
         }
-        if full {
+        if full && self.short_of_lanes(now, &name) {
             self.grow(now, &name, out);
         }
     }
 
+    /// Whether a function's demand, over all schedulers and with room for chance (twice the root of the
+    /// mean), is more than the lanes of the copies known. A momentary crowd alone loads nothing: copies
+    /// beyond the demand push out those of other functions.
+    fn short_of_lanes(&self, now: Micros, name: &FunctionId) -> bool {
+        let function = &self.functions[name];
+        let own = function.rate.get(now, WINDOW_US) * function.usual / WINDOW_US;
+        let busy = own * f64::from(self.settings.schedulers);
+        let stands = function.places.values().filter(|p| p.standing);
+        let lanes: u32 = stands.map(|p| function.lanes * p.copies.max(1)).sum();
+        busy + 2.0 * busy.sqrt() > f64::from(lanes)
+    }
+
     /// Keeps a request here until there is a copy or room for it.
     fn hold(&mut self, id: RequestId, crowded: bool) {
         let Some(held) = self.requests.get_mut(&id) else { return };
@@ -485,8 +500,12 @@
         let added = function.rate.get(now, WINDOW_US) * function.usual * function.weight / WINDOW_US;
         let ratios = self.ratios(now, added, function.mb);
         let lacks = |w: &WorkerId| !function.places.get(w).is_some_and(|p| p.standing || p.loading.is_some());
-        let target = Self::lowest(name, ratios.into_iter().filter(|(w, _)| lacks(w)));
-        match target.map(|(w, _)| w.clone()) {
+        let open = || ratios.iter().filter(|(w, _)| lacks(w)).map(|(w, r)| (*w, *r));
+        let target = Self::lowest(name, open());
+        // A function that comes back goes where it was: its copy may still stand there.
+        let back = open()
+            .find(|(w, r)| Some(*w) == function.home.as_ref() && target.is_some_and(|t| *r <= t.1 * GAIN));
+        match back.or(target).map(|(w, _)| w.clone()) {
             Some(worker) => self.order(now, name, &worker, 1, out),
             None => false,
         }
@@ -520,7 +539,7 @@
         if !usable || !self.settings.family.orders || !self.ration(now) {
             return false;
         }
-        self.make_room(worker, name, out);
+        self.make_room(now, worker, name, out);
         let Some(function) = self.functions.get_mut(name) else {
             return false;
         };
@@ -537,7 +556,7 @@
     /// Just before a load on a worker that our account shows short of memory: unload the youngest idle
     /// instance, so that a function seen once does not push out an older, hotter copy. It could hurt
     /// where another scheduler uses that instance.
-    fn make_room(&mut self, worker: &WorkerId, name: &FunctionId, out: &mut Vec<Action>) {
+    fn make_room(&mut self, now: Micros, worker: &WorkerId, name: &FunctionId, out: &mut Vec<Action>) {
         let Some(known) = self.workers.get(worker) else { return };
         let told =
             self.settings.family.kind_memory_mb.get(known.member.kind).copied().unwrap_or(f64::INFINITY);
@@ -547,7 +566,8 @@
         }
         let idle = self.functions.iter().filter(|(n, _)| *n != name).filter_map(|(n, f)| {
             let place = f.places.get(worker).filter(|p| p.standing && p.out == 0)?;
-            (f.home.as_ref() != Some(worker)).then_some((place.loaded_at, n))
+            let unused = place.last + self.settings.family.keep / 4 < now;
+            (unused && f.home.as_ref() != Some(worker)).then_some((place.loaded_at, n))
         });
         if let Some(victim) = idle.max().map(|(_, n)| n.clone()) {
             self.stand(worker, &victim, false, 0, 0);
@@ -560,6 +580,9 @@
         let Some(function) = self.functions.get_mut(name) else { return };
         let place = function.places.entry(worker.clone()).or_default();
         let before = if place.standing { f64::from(place.copies.max(1)) } else { 0.0 };
+        if copies > place.copies {
+            place.needed = now;
+        }
         if stands && !place.standing {
             place.loaded_at = now;
         }
@@ -882,7 +905,8 @@
                     let usual = &mut self.class_usual[class];
                     *usual += 0.02 * (latency.min(*usual * 10.0) - *usual);
                 }
-                let copies = if told.copy == CopyNote::Began { copies + 1 } else { copies.max(1) };
+                let copies =
+                    if told.copy == CopyNote::Began && place.standing { copies + 1 } else { copies.max(1) };
                 if known.usable {
                     self.stand(worker, name, true, copies, now);
                 }
@@ -973,11 +997,25 @@
                     function.moving = None;
                 }
             }
+            for (id, place) in function.places.iter_mut().filter(|(_, p)| p.standing && p.copies > 1) {
+                let crowd = f64::from(place.out) + place.crowd.get(now, CROWD_US);
+                if crowd > f64::from(function.lanes * (place.copies - 1)) {
+                    place.needed = now;
+                } else if place.needed + keep < now {
+                    (place.copies, place.needed) = (place.copies - 1, now);
+                    if let Some(known) = self.workers.get_mut(id) {
+                        known.placed_mb = (known.placed_mb - function.mb).max(0.0);
+                    }
+                }
+            }
             let idle = function.places.iter().filter(|(_, p)| p.out == 0 && p.loading.is_none());
             let idle: Vec<_> = idle.filter(|(_, p)| p.last + keep < now).map(|(w, _)| w.clone()).collect();
             for worker in idle {
+                let home = self.functions[&name].home.clone();
                 self.stand(&worker, &name, false, 0, now);
-                self.functions.get_mut(&name).expect("listed above").places.remove(&worker);
+                let function = self.functions.get_mut(&name).expect("listed above");
+                function.places.remove(&worker);
+                function.home = function.home.take().or(home);
             }
         }
         self.functions.retain(|_, f| f.last + keep * 2 >= now || !f.places.is_empty());
