Keep only as many holders of a function as demand and left-over memory call for

Cause: every scheduler kept using every copy it knew, so hot functions stood on 10 of 11 workers and pushed out the rest.

--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,12 @@
 const FIRST_BOUND: f64 = 4.0;
 /// A worker whose answers take this share of their aim, on average, is given fewer.
 const STRETCH: f64 = 0.5;
+/// Evidence past which a worker is used after the sound ones.
+const SUSPECT: f64 = 3.0;
+/// Calls in the window under which a function counts as rare.
+const RARE: f64 = 3.0;
+/// Share of all told memory reckoned with for copies; running work and others' placements take the rest.
+const USABLE: f64 = 0.5;
 /// Span over which a tenant's calls are held against its share.
 const FAIR_US: f64 = 3_000_000.0;
 /// Crowd notes and load reports fade to 1/e in this time.
@@ -168,6 +174,8 @@
     tenants: Vec<Fading>,
     waiting: Vec<RequestId>,
     born: Micros,
+    leftover_mb: f64,
+    total_demand: f64,
     taken: VecDeque<Micros>,
     orders: VecDeque<Micros>,
 }
@@ -194,6 +202,8 @@
             tenants: Vec::new(),
             waiting: Vec::new(),
             born: 0,
+            leftover_mb: 0.0,
+            total_demand: 0.0,
             hedges: Fading::default(),
             taken: VecDeque::new(),
             orders: VecDeque::new(),
@@ -340,10 +350,20 @@
             .filter_map(|(w, p)| ratios.get(w).map(|r| (w, p, *r)))
             .collect();
         let fresh = standing.iter().any(|(w, _, _)| !tried(w));
-        // Past a copy's lanes a worker starts another by itself: what waits here instead causes no load.
+        // Only so many copies as demand and memory call for are kept in use, the same ones by every
+        // scheduler; the others fall idle and give their memory back. Past a copy's lanes a worker starts
+        // another by itself: what waits here instead causes no load.
         let lanes = |p: &Place| f64::from(function.lanes * p.copies.max(1));
+        let sound = |w: &WorkerId| self.evidence(now, &self.workers[w]) < SUSPECT;
+        let mut kept: Vec<_> = standing.iter().filter(|(w, _, _)| !fresh || !tried(w)).collect();
+        kept.sort_by_key(|(w, _, _)| (!sound(w), Some(*w) != function.home.as_ref(), !rendezvous(&name, w)));
+        let wanted = self.spread(now, function);
         let fits = |w: &WorkerId, p: &Place| has_room(&self.workers[w]) && f64::from(p.out) < lanes(p);
-        let open = || standing.iter().filter(|(w, p, _)| (!fresh || !tried(w)) && fits(w, p));
+        let free = |c: &&&(&WorkerId, &Place, f64)| fits(c.0, c.1);
+        let first = kept.iter().take(wanted);
+        let beyond =
+            kept.iter().skip(wanted).take(usize::from(!first.clone().any(|c| free(&c))) * kept.len());
+        let open = || first.clone().chain(beyond.clone()).filter(free);
         let idle = |p: &Place| f64::from(p.out) + p.crowd.get(now, CROWD_US) < lanes(p);
         let roomy = || open().filter(|(_, p, _)| idle(p)).map(|(w, _, r)| (*w, *r));
         let best = Self::lowest(&name, roomy());
@@ -355,27 +375,50 @@
             queued.min_by(|a, b| a.1.total_cmp(&b.1))
         };
         let choice = roomy().find(follows).or(best).or_else(onward).map(|(w, _)| w.clone());
+        let kept_count = function.places.values().filter(|p| p.standing).count();
         let (none, full) = (standing.is_empty(), best.is_none());
         match choice {
             Some(worker) => self.send(now, id, &worker, out),
             None if none => return self.wait_or_load(now, id, &name, out),
             None => self.hold(id, true),
         }
-        if full && self.short_of_lanes(now, &name) {
+        if full && kept_count < wanted {
             self.grow(now, &name, out);
         }
     }
 
-    /// Whether a function's demand, over all schedulers and with room for chance (twice the root of the
-    /// mean), is more than the lanes of the copies known. A momentary crowd alone loads nothing: copies
-    /// beyond the demand push out those of other functions.
-    fn short_of_lanes(&self, now: Micros, name: &FunctionId) -> bool {
-        let function = &self.functions[name];
+    /// How many workers should hold a function: enough lanes for its demand over all schedulers with room
+    /// for chance (twice the root of the mean), and its part, by demand, of the memory left over once
+    /// every known function has that. Without it idle copies of hot functions push out the rarer ones.
+    fn spread(&self, now: Micros, function: &Function) -> usize {
+        let demand = function.rate.get(now, WINDOW_US) * function.usual / WINDOW_US;
+        let extra = demand / self.total_demand.max(demand).max(1e-9) * self.leftover_mb / function.mb;
+        (self.needed(now, function) + extra) as usize
+    }
+
+    /// Copies that a function's demand needs.
+    fn needed(&self, now: Micros, function: &Function) -> f64 {
         let own = function.rate.get(now, WINDOW_US) * function.usual / WINDOW_US;
         let busy = own * f64::from(self.settings.schedulers);
-        let stands = function.places.values().filter(|p| p.standing);
-        let lanes: u32 = stands.map(|p| function.lanes * p.copies.max(1)).sum();
-        busy + 2.0 * busy.sqrt() > f64::from(lanes)
+        ((busy + 2.0 * busy.sqrt()) / f64::from(function.lanes)).ceil().max(1.0)
+    }
+
+    /// Reckons the memory that is left once every function has what it needs. Functions called rarely
+    /// are taken to be as many at each other scheduler.
+    fn reckon(&mut self, now: Micros) {
+        let kinds = &self.settings.family.kind_memory_mb;
+        let usable = self.workers.values().filter(|w| w.usable);
+        let told: f64 = usable.filter_map(|w| kinds.get(w.member.kind)).sum();
+        let mut taken = 0.0;
+        let mut demand = 0.0;
+        for function in self.functions.values() {
+            let rare = function.rate.get(now, WINDOW_US) < RARE;
+            let times = if rare { f64::from(self.settings.schedulers) } else { 1.0 };
+            taken += self.needed(now, function) * function.mb * times;
+            demand += function.rate.get(now, WINDOW_US) * function.usual / WINDOW_US;
+        }
+        self.leftover_mb = (told * USABLE - taken).max(0.0);
+        self.total_demand = demand;
     }
 
     /// Keeps a request here until there is a copy or room for it.
@@ -894,7 +937,8 @@
                     let slow = (latency / function.usual.max(1.0)).clamp(0.1, 10.0) - 1.0;
                     let before = known.slowness.get(now, FORGET_US);
                     known.slowness = Fading { value: before + 0.15 * (slow - before), at: now };
-                    function.usual += 0.05 * (latency.min(function.usual * 10.0) - function.usual);
+                    // 1.3 times the median: a crowded spell must not pass for more work.
+                    function.usual *= if latency * 1.3 > function.usual { 1.03 } else { 1.0 / 1.03 };
                     let share = (latency / self.settings.classes[class].aim as f64).min(4.0);
                     known.stretch += 0.1 * (share - known.stretch);
                     if known.stretch > STRETCH {
@@ -1025,6 +1069,7 @@
                 worker.cold_sends.pop_front();
             }
         }
+        self.reckon(now);
         if now >= self.next_replace {
             self.next_replace = now + REPLACE_US;
             if std::mem::take(&mut self.ask_list) {
