--- a/src/control.rs
+++ b/src/control.rs
@@ -1,4 +1,5 @@
-//! The policy: every decision of a scheduler. Its types, events and actions stand in `src/interface.rs`.
+//! The policy: every decision of a scheduler. Its types, events and actions stand in `src/interface.rs`, the
+//! records that it keeps in `src/state.rs`.
 //!
 //! The ordinary path: each function is placed on the worker whose memory pressure ratio (weighted demand
 //! over memory left) would be lowest, its requests follow it there and overflow onward by the same rule, a
@@ -6,7 +7,8 @@
 //! routing, copies, health, request life, fairness.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use crate::state::*;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Span of the demand window (the paper's 60 s, shortened as keep-alive here is some ten seconds).
 const WINDOW_US: f64 = 10_000_000.0;
@@ -22,8 +24,10 @@
 const FORGET_US: f64 = 4_000_000.0;
 /// Attempts of ours that a worker is first trusted with; the bound then follows its answers.
 const FIRST_BOUND: f64 = 4.0;
+/// The bound never falls below this: a scheduler must keep hearing from a worker to raise it again.
+const LEAST_BOUND: f64 = 2.0;
 /// A worker whose answers take this share of their aim, on average, is given fewer.
-const STRETCH: f64 = 0.5;
+const STRETCH: f64 = 0.8;
 /// Evidence past which a worker is used after the sound ones.
 const SUSPECT: f64 = 3.0;
 /// Calls in the window under which a function counts as rare.
@@ -43,171 +47,13 @@
 
 // ---- demand ----------------------------------------------------------------------------------------------
 
-/// A sum that fades with time.
-#[derive(Clone, Copy, Default)]
-struct Fading {
-    value: f64,
-    at: Micros,
-}
-
-impl Fading {
-    fn get(&self, now: Micros, span: f64) -> f64 {
-        self.value * (-(now.saturating_sub(self.at) as f64) / span).exp()
-    }
-
-    fn add(&mut self, now: Micros, amount: f64, span: f64) {
-        self.value = self.get(now, span) + amount;
-        self.at = now;
-    }
-}
-
-/// What this scheduler knows of one worker.
-struct Worker {
-    member: Member,
-    /// In the list and active; all sends and loads stop the moment this turns false.
-    usable: bool,
-    /// Weighted busy time of our sends.
-    demand: Fading,
-    /// Sends, for the cold budget.
-    cold_sends: VecDeque<Micros>,
-    /// Our attempts out, by the time at which each becomes overdue.
-    due: BTreeSet<(Micros, RequestId, usize)>,
-    /// Memory of the instances that we placed there.
-    placed_mb: f64,
-    /// Latency over the function's usual latency, minus 1; fades.
-    slowness: Fading,
-    /// Failed connections, resets, failed loads; fades.
-    strain: Fading,
-    heard: Micros,
-    /// Most attempts of ours at once: up by answers well inside their aim, down by late and full ones.
-    bound: f64,
-    /// Mean latency over aim of recent answers.
-    stretch: f64,
-    /// Requests that others keep there, by its reports.
-    others: Fading,
-}
-
-/// One function on one worker.
-#[derive(Default)]
-struct Place {
-    standing: bool,
-    copies: u32,
-    out: u32,
-    loading: Option<Micros>,
-    last: Micros,
-    loaded_at: Micros,
-    /// When all copies were last needed.
-    needed: Micros,
-    /// Requests of other schedulers for this function there, by crowd notes; fades.
-    crowd: Fading,
-}
-
-/// What this scheduler knows of one function.
-struct Function {
-    mb: f64,
-    lanes: u32,
-    load: Micros,
-    /// Usual latency at a standing copy.
-    usual: f64,
-    /// Strictness of its class, 1 for the strictest.
-    weight: f64,
-    rate: Fading,
-    last: Micros,
-    home: Option<WorkerId>,
-    moving: Option<WorkerId>,
-    places: BTreeMap<WorkerId, Place>,
-    asks_out: u32,
-    ask_until: Micros,
-    /// No further order before this time, after one failed: answers of full would else echo as orders.
-    order_after: Micros,
-}
-
-/// One attempt of a request.
-struct Attempt {
-    worker: WorkerId,
-    zone: usize,
-    cell: u64,
-    sent: Micros,
-    due: Micros,
-    ended: Option<Code>,
-}
-
-/// A request, kept until it is answered and all its attempts have ended.
-struct Held {
-    told: Request,
-    deadline: Micros,
-    aim: Micros,
-    /// Past its tenant's share when it came.
-    excess: bool,
-    /// It waits although copies stand: their workers have as much as they may.
-    crowded: bool,
-    attempts: Vec<Attempt>,
-    done: bool,
-    waiting: bool,
-    /// The answer has begun to stream: no deadline runs and nothing more is sent.
-    streaming: bool,
-}
-
-enum Wake {
-    Deadline(RequestId),
-    Overdue(RequestId, usize),
-    Shed(RequestId),
-}
-
-/// Decides for one scheduler.
-pub struct Controller {
-    settings: Settings,
-    workers: BTreeMap<WorkerId, Worker>,
-    functions: BTreeMap<FunctionId, Function>,
-    requests: BTreeMap<RequestId, Held>,
-    wakes: BTreeMap<u64, Wake>,
-    next_token: u64,
-    started: bool,
-    next_replace: Micros,
-    /// The subscription to the list failed and is to be asked for again.
-    ask_list: bool,
-    /// Usual latency of each class, for functions not yet measured.
-    class_usual: Vec<f64>,
-    sends: Fading,
-    served: Fading,
-    hedges: Fading,
-    tenants: Vec<Fading>,
-    waiting: Vec<RequestId>,
-    born: Micros,
-    leftover_mb: f64,
-    total_demand: f64,
-    taken: VecDeque<Micros>,
-    orders: VecDeque<Micros>,
-}
-
 impl Controller {
     /// A controller that has heard nothing yet. The seed is accepted for policies that draw; this one
     /// breaks ties by hash so that schedulers agree.
     pub fn new(settings: Settings, _seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
         let class_usual = settings.classes.iter().map(|c| c.aim as f64 / 4.0).collect();
-        Ok(Self {
-            settings,
-            workers: BTreeMap::new(),
-            functions: BTreeMap::new(),
-            requests: BTreeMap::new(),
-            wakes: BTreeMap::new(),
-            next_token: 1,
-            started: false,
-            next_replace: 0,
-            ask_list: false,
-            class_usual,
-            sends: Fading::default(),
-            served: Fading::default(),
-            tenants: Vec::new(),
-            waiting: Vec::new(),
-            born: 0,
-            leftover_mb: 0.0,
-            total_demand: 0.0,
-            hedges: Fading::default(),
-            taken: VecDeque::new(),
-            orders: VecDeque::new(),
-        })
+        Ok(Self::blank(settings, class_usual))
     }
 
     /// Takes one event at time `now` and appends what is to be done. Events about unknown requests,
@@ -461,9 +307,7 @@
     }
 
     fn send(&mut self, now: Micros, id: RequestId, worker: &WorkerId, out: &mut Vec<Action>) {
-        let (Some(held), Some(known)) = (self.requests.get_mut(&id), self.workers.get_mut(worker)) else {
-            return;
-        };
+        let (Some(held), Some(known)) = (self.requests.get_mut(&id), self.workers.get_mut(worker)) else { return };
         let Some(function) = self.functions.get_mut(&held.told.function) else { return };
         if held.waiting {
             held.waiting = false;
@@ -699,8 +543,18 @@
         let key = |id: &RequestId| self.requests.get(id).map(|h| (h.excess, h.aim < now, h.aim, *id));
         let mut order: Vec<_> = self.waiting.iter().filter_map(key).collect();
         order.sort_unstable();
+        // What one request of a function could not have, the next can't either.
+        let mut stuck = BTreeSet::new();
         for (_, _, _, id) in order {
+            let Some(held) = self.requests.get(&id) else { continue };
+            let name = held.told.function.clone();
+            if stuck.contains(&name) {
+                continue;
+            }
             self.route(now, id, out);
+            if self.requests.get(&id).is_some_and(|h| h.waiting) {
+                stuck.insert(name);
+            }
         }
     }
 
@@ -740,20 +594,10 @@
         for member in members {
             let id = member.worker.clone();
             let usable = member.state == State::Active;
-            let known = self.workers.entry(id.clone()).or_insert_with(|| Worker {
-                member: member.clone(),
-                usable,
-                demand: Fading::default(),
-                cold_sends: VecDeque::new(),
-                due: BTreeSet::new(),
-                placed_mb: 0.0,
-                slowness: Fading::default(),
-                strain: Fading::default(),
-                heard: now,
-                bound: FIRST_BOUND,
-                stretch: 0.0,
-                others: Fading::default(),
-            });
+            let known = self
+                .workers
+                .entry(id.clone())
+                .or_insert_with(|| Worker::new(member.clone(), now, FIRST_BOUND));
             let restarted = member.started > known.member.started;
             known.usable = usable;
             known.member = member;
@@ -840,14 +684,7 @@
             load: told.load.unwrap_or(class.aim),
             usual: self.class_usual[told.class],
             weight: strictest / class.aim as f64,
-            rate: Fading::default(),
-            last: now,
-            home: None,
-            moving: None,
-            places: BTreeMap::new(),
-            asks_out: 0,
-            ask_until: 0,
-            order_after: 0,
+            ..Function::default()
         });
         function.rate.add(now, 1.0, WINDOW_US);
         function.last = now;
@@ -860,20 +697,7 @@
             self.wake(class_aim.saturating_sub(usual), Wake::Shed(id), out);
         }
         self.wake(told.patience, Wake::Deadline(id), out);
-        self.requests.insert(
-            id,
-            Held {
-                told,
-                deadline,
-                aim,
-                excess,
-                crowded: false,
-                attempts: Vec::new(),
-                done: false,
-                waiting: false,
-                streaming: false,
-            },
-        );
+        self.requests.insert(id, Held::new(told, deadline, aim, excess));
         if !known && self.settings.family.orders && now < self.born + WINDOW_US as Micros {
             self.ask(now, &name, out);
         }
@@ -942,7 +766,7 @@
                     let share = (latency / self.settings.classes[class].aim as f64).min(4.0);
                     known.stretch += 0.1 * (share - known.stretch);
                     if known.stretch > STRETCH {
-                        known.bound = (known.bound * 0.97).max(1.0);
+                        known.bound = (known.bound * 0.98).max(LEAST_BOUND);
                     } else if (known.due.len() + 2) as f64 > known.bound {
                         known.bound += 0.5 / known.bound;
                     }
@@ -957,7 +781,9 @@
             }
             Code::Miss => self.stand(worker, name, false, 0, now),
             Code::ConnectFailed | Code::Reset => known.strain.add(now, 3.0, FORGET_US),
-            Code::Full => known.bound = (known.bound.min(known.due.len() as f64 + 1.0) * 0.7).max(1.0),
+            Code::Full => {
+                known.bound = (known.bound.min(known.due.len() as f64 + 1.0) * 0.7).max(LEAST_BOUND)
+            }
             Code::Error | Code::Unknown => known.strain.add(now, 0.5, FORGET_US),
             Code::Timeout | Code::Cancelled | Code::Moot => {}
         }
@@ -991,9 +817,7 @@
 
     /// An answer has begun to stream: the other attempts are called off.
     fn first(&mut self, id: RequestId, attempt: usize, out: &mut Vec<Action>) {
-        let Some(held) = self.requests.get_mut(&id).filter(|h| !h.done && attempt < h.attempts.len()) else {
-            return;
-        };
+        let Some(held) = self.requests.get_mut(&id).filter(|h| !h.done && attempt < h.attempts.len()) else { return };
         held.streaming = true;
         let others = held.attempts.iter().enumerate().filter(|(i, a)| *i != attempt && a.ended.is_none());
         if self.settings.limits.cancel {
@@ -1088,13 +912,3 @@
 fn may_have_run(attempt: &Attempt) -> bool {
     !attempt.ended.is_some_and(Code::never_ran)
 }
-
-/// A hash of function and worker that every scheduler computes alike.
-fn rendezvous(function: &FunctionId, worker: &WorkerId) -> u64 {
-    let bytes = function.as_str().bytes().chain([0]).chain(worker.as_str().bytes());
-    let mut hash =
-        bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
-    hash ^= hash >> 33;
-    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
-    hash ^ (hash >> 33)
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod control;
 mod interface;
+mod state;
 
-pub use control::Controller;
 pub use interface::*;
+pub use state::Controller;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,205 @@
+//! The records that the policy keeps: plain data, a fading sum and a hash. Nothing here decides.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A sum that fades with time.
+#[derive(Clone, Copy, Default)]
+pub struct Fading {
+    pub value: f64,
+    pub at: Micros,
+}
+
+impl Fading {
+    pub fn get(&self, now: Micros, span: f64) -> f64 {
+        self.value * (-(now.saturating_sub(self.at) as f64) / span).exp()
+    }
+
+    pub fn add(&mut self, now: Micros, amount: f64, span: f64) {
+        self.value = self.get(now, span) + amount;
+        self.at = now;
+    }
+}
+
+/// What this scheduler knows of one worker.
+pub struct Worker {
+    pub member: Member,
+    /// In the list and active; all sends and loads stop the moment this turns false.
+    pub usable: bool,
+    /// Weighted busy time of our sends.
+    pub demand: Fading,
+    /// Sends, for the cold budget.
+    pub cold_sends: VecDeque<Micros>,
+    /// Our attempts out, by the time at which each becomes overdue.
+    pub due: BTreeSet<(Micros, RequestId, usize)>,
+    /// Memory of the instances that we placed there.
+    pub placed_mb: f64,
+    /// Latency over the function's usual latency, minus 1; fades.
+    pub slowness: Fading,
+    /// Failed connections, resets, failed loads; fades.
+    pub strain: Fading,
+    pub heard: Micros,
+    /// Most attempts of ours at once: up by answers well inside their aim, down by late and full ones.
+    pub bound: f64,
+    /// Mean latency over aim of recent answers.
+    pub stretch: f64,
+    /// Requests that others keep there, by its reports.
+    pub others: Fading,
+}
+
+/// One function on one worker.
+#[derive(Default)]
+pub struct Place {
+    pub standing: bool,
+    pub copies: u32,
+    pub out: u32,
+    pub loading: Option<Micros>,
+    pub last: Micros,
+    pub loaded_at: Micros,
+    /// When all copies were last needed.
+    pub needed: Micros,
+    /// Requests of other schedulers for this function there, by crowd notes; fades.
+    pub crowd: Fading,
+}
+
+/// What this scheduler knows of one function.
+#[derive(Default)]
+pub struct Function {
+    pub mb: f64,
+    pub lanes: u32,
+    pub load: Micros,
+    /// Usual latency at a standing copy.
+    pub usual: f64,
+    /// Strictness of its class, 1 for the strictest.
+    pub weight: f64,
+    pub rate: Fading,
+    pub last: Micros,
+    pub home: Option<WorkerId>,
+    pub moving: Option<WorkerId>,
+    pub places: BTreeMap<WorkerId, Place>,
+    pub asks_out: u32,
+    pub ask_until: Micros,
+    /// No further order before this time, after one failed: answers of full would else echo as orders.
+    pub order_after: Micros,
+}
+
+/// One attempt of a request.
+pub struct Attempt {
+    pub worker: WorkerId,
+    pub zone: usize,
+    pub cell: u64,
+    pub sent: Micros,
+    pub due: Micros,
+    pub ended: Option<Code>,
+}
+
+/// A request, kept until it is answered and all its attempts have ended.
+pub struct Held {
+    pub told: Request,
+    pub deadline: Micros,
+    pub aim: Micros,
+    /// Past its tenant's share when it came.
+    pub excess: bool,
+    /// It waits although copies stand: their workers have as much as they may.
+    pub crowded: bool,
+    pub attempts: Vec<Attempt>,
+    pub done: bool,
+    pub waiting: bool,
+    /// The answer has begun to stream: no deadline runs and nothing more is sent.
+    pub streaming: bool,
+}
+
+pub enum Wake {
+    Deadline(RequestId),
+    Overdue(RequestId, usize),
+    Shed(RequestId),
+}
+
+/// A hash of function and worker that every scheduler computes alike.
+pub fn rendezvous(function: &FunctionId, worker: &WorkerId) -> u64 {
+    let bytes = function.as_str().bytes().chain([0]).chain(worker.as_str().bytes());
+    let mut hash =
+        bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^ (hash >> 33)
+}
+
+impl Worker {
+    pub fn new(member: Member, now: Micros, bound: f64) -> Self {
+        Self {
+            usable: member.state == State::Active,
+            member,
+            demand: Fading::default(),
+            cold_sends: VecDeque::new(),
+            due: BTreeSet::new(),
+            placed_mb: 0.0,
+            slowness: Fading::default(),
+            strain: Fading::default(),
+            heard: now,
+            bound,
+            stretch: 0.0,
+            others: Fading::default(),
+        }
+    }
+}
+
+impl Held {
+    pub fn new(told: Request, deadline: Micros, aim: Micros, excess: bool) -> Self {
+        let (attempts, done, waiting, streaming, crowded) = (Vec::new(), false, false, false, false);
+        Self { told, deadline, aim, excess, crowded, attempts, done, waiting, streaming }
+    }
+}
+
+/// Decides for one scheduler.
+pub struct Controller {
+    pub(crate) settings: Settings,
+    pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    pub(crate) functions: BTreeMap<FunctionId, Function>,
+    pub(crate) requests: BTreeMap<RequestId, Held>,
+    pub(crate) wakes: BTreeMap<u64, Wake>,
+    pub(crate) next_token: u64,
+    pub(crate) started: bool,
+    pub(crate) next_replace: Micros,
+    /// The subscription to the list failed and is to be asked for again.
+    pub(crate) ask_list: bool,
+    /// Usual latency of each class, for functions not yet measured.
+    pub(crate) class_usual: Vec<f64>,
+    pub(crate) sends: Fading,
+    pub(crate) served: Fading,
+    pub(crate) hedges: Fading,
+    pub(crate) tenants: Vec<Fading>,
+    pub(crate) waiting: Vec<RequestId>,
+    pub(crate) born: Micros,
+    pub(crate) leftover_mb: f64,
+    pub(crate) total_demand: f64,
+    pub(crate) taken: VecDeque<Micros>,
+    pub(crate) orders: VecDeque<Micros>,
+}
+
+impl Controller {
+    pub(crate) fn blank(settings: Settings, class_usual: Vec<f64>) -> Self {
+        Self {
+            settings,
+            workers: BTreeMap::new(),
+            functions: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            wakes: BTreeMap::new(),
+            next_token: 1,
+            started: false,
+            next_replace: 0,
+            ask_list: false,
+            class_usual,
+            sends: Fading::default(),
+            served: Fading::default(),
+            tenants: Vec::new(),
+            waiting: Vec::new(),
+            born: 0,
+            leftover_mb: 0.0,
+            total_demand: 0.0,
+            hedges: Fading::default(),
+            taken: VecDeque::new(),
+            orders: VecDeque::new(),
+        }
+    }
+}
