--- a/src/control.rs
+++ b/src/control.rs
@@ -25,9 +25,9 @@
 /// Attempts of ours that a worker is first trusted with; the bound then follows its answers.
 const FIRST_BOUND: f64 = 4.0;
 /// The bound never falls below this: a scheduler must keep hearing from a worker to raise it again.
-const LEAST_BOUND: f64 = 2.0;
+const LEAST_BOUND: f64 = 1.0;
 /// A worker whose answers take this share of their aim, on average, is given fewer.
-const STRETCH: f64 = 0.8;
+const STRETCH: f64 = 0.5;
 /// Evidence past which a worker is used after the sound ones.
 const SUSPECT: f64 = 3.0;
 /// Calls in the window under which a function counts as rare.
@@ -766,7 +766,7 @@
                     let share = (latency / self.settings.classes[class].aim as f64).min(4.0);
                     known.stretch += 0.1 * (share - known.stretch);
                     if known.stretch > STRETCH {
-                        known.bound = (known.bound * 0.98).max(LEAST_BOUND);
+                        known.bound = (known.bound * 0.97).max(LEAST_BOUND);
                     } else if (known.due.len() + 2) as f64 > known.bound {
                         known.bound += 0.5 / known.bound;
                     }
