--- a/src/control.rs
+++ b/src/control.rs
@@ -802,6 +802,16 @@
             return;
         }
         let safe = self.settings.classes[held.told.class].repeat != Repeat::Unsafe;
+        // A worker that answers others is at work on this one: a second attempt would only add to a crowd.
+        let attempt = &held.attempts[number];
+        let Some(worker) = self.workers.get(&attempt.worker) else { return };
+        if worker.heard > attempt.sent && self.evidence(now, worker) < SUSPECT {
+            let again = (now - attempt.sent).max(1);
+            if now + again < held.deadline {
+                self.wake(again, Wake::Overdue(id, number), out);
+            }
+            return;
+        }
         let spent = self.hedges.get(now, WINDOW_US);
         if !safe || spent > HEDGE_SHARE * self.sends.get(now, WINDOW_US) + 1.0 {
             return;
