--- a/src/control.rs
+++ b/src/control.rs
@@ -33,7 +33,7 @@
 /// Calls in the window under which a function counts as rare.
 const RARE: f64 = 3.0;
 /// Share of all told memory reckoned with for copies; running work and others' placements take the rest.
-const USABLE: f64 = 0.3;
+const USABLE: f64 = 0.5;
 /// Span over which a tenant's calls are held against its share.
 const FAIR_US: f64 = 3_000_000.0;
 /// Crowd notes and load reports fade to 1/e in this time.
