--- a/src/control.rs
+++ b/src/control.rs
@@ -585,11 +585,9 @@
                 .entry(id.clone())
                 .or_insert_with(|| Worker::new(member.clone(), now, FIRST_BOUND));
             let restarted = member.started > known.member.started;
-            known.usable = usable;
-            known.member = member;
+            (known.usable, known.member) = (usable, member);
             if restarted {
-                known.slowness = Fading::default();
-                known.strain = Fading::default();
+                (known.slowness, known.strain) = Default::default();
             }
             if restarted || !usable {
                 self.empty(&id);
@@ -675,12 +673,10 @@
         function.rate.add(now, 1.0, WINDOW_US);
         function.last = now;
         let deadline = now + told.patience;
-        let class_aim = class.aim;
-        let aim = now + class_aim;
-        let usual = function.usual as Micros;
+        let (aim, shed) = (now + class.aim, class.aim.saturating_sub(function.usual as Micros));
         let excess = self.past_share(now, told.tenant);
         if aim < deadline {
-            self.wake(class_aim.saturating_sub(usual), Wake::Shed(id), out);
+            self.wake(shed, Wake::Shed(id), out);
         }
         self.wake(told.patience, Wake::Deadline(id), out);
         self.requests.insert(id, Held::new(told, deadline, aim, excess));
@@ -731,28 +727,34 @@
             let others = (held.clamp(0.0, 1_000.0) - known.due.len() as f64).max(0.0);
             known.others.ease(now, others, 0.3, CROWD_US);
         }
+        // Answers that came too late to be heard count too, or a jam would never close the bound.
+        let stood = told.code == Code::Ok && matches!(told.copy, CopyNote::Stood | CopyNote::Untold);
+        let share = told.latency as f64 / self.settings.classes[class].aim as f64;
+        if stood || matches!(told.code, Code::Timeout | Code::Cancelled) && share >= 1.0 {
+            known.stretch += 0.1 * (share.min(4.0) - known.stretch);
+            if known.stretch > STRETCH {
+                known.bound = (known.bound * 0.97).max(LEAST_BOUND);
+            } else if (known.due.len() + 2) as f64 > known.bound {
+                known.bound += 0.5 / known.bound;
+            }
+        }
         match told.code {
             Code::Ok => {
                 self.served.add(now, 1.0, WINDOW_US);
-                let copies = place.copies;
-                if matches!(told.copy, CopyNote::Stood | CopyNote::Untold) {
+                if stood {
                     let latency = told.latency as f64;
                     let slow = (latency / function.usual.max(1.0)).clamp(0.1, 10.0) - 1.0;
                     known.slowness.ease(now, slow, 0.15, FORGET_US);
                     // 1.3 times the median: a crowded spell must not pass for more work.
                     function.usual *= if latency * 1.3 > function.usual { 1.03 } else { 1.0 / 1.03 };
-                    let share = (latency / self.settings.classes[class].aim as f64).min(4.0);
-                    known.stretch += 0.1 * (share - known.stretch);
-                    if known.stretch > STRETCH {
-                        known.bound = (known.bound * 0.97).max(LEAST_BOUND);
-                    } else if (known.due.len() + 2) as f64 > known.bound {
-                        known.bound += 0.5 / known.bound;
-                    }
                     let usual = &mut self.class_usual[class];
                     *usual += 0.02 * (latency.min(*usual * 10.0) - *usual);
                 }
-                let copies =
-                    if told.copy == CopyNote::Began && place.standing { copies + 1 } else { copies.max(1) };
+                let copies = if told.copy == CopyNote::Began && place.standing {
+                    place.copies + 1
+                } else {
+                    place.copies.max(1)
+                };
                 if known.usable {
                     self.stand(worker, name, true, copies, now);
                 }
