--- a/src/control.rs
+++ b/src/control.rs
@@ -30,6 +30,8 @@
 const STRETCH: f64 = 0.5;
 /// Evidence past which a worker is used after the sound ones.
 const SUSPECT: f64 = 3.0;
+/// Most loads of one function that this scheduler has under way.
+const MOST_COMING: usize = 3;
 /// Calls in the window under which a function counts as rare.
 const RARE: f64 = 3.0;
 /// Share of all told memory reckoned with for copies; running work and others' placements take the rest.
@@ -38,7 +40,7 @@
 const FAIR_US: f64 = 3_000_000.0;
 /// Crowd notes and load reports fade to 1/e in this time.
 const CROWD_US: f64 = 1_000_000.0;
-/// How long a request waits for answers on where copies of its function stand.
+/// Patience with questions on where copies stand.
 const ASK_US: Micros = 15_000;
 /// Share of the guessed cold budget that is used; the rest is for chance and for a wrong guess.
 const COLD_SHARE: f64 = 0.5;
@@ -222,7 +224,7 @@
             queued.min_by(|a, b| a.1.total_cmp(&b.1))
         };
         let choice = roomy().find(follows).or(best).or_else(onward).map(|(w, _)| w.clone());
-        let kept_count = function.places.values().filter(|p| p.standing).count();
+        let kept_count = function.places.values().filter(|p| p.standing || p.loading.is_some()).count();
         let (none, full) = (standing.is_empty(), best.is_none());
         match choice {
             Some(worker) => self.send(now, id, &worker, out),
@@ -386,7 +388,10 @@
     /// Orders one more instance of a function at the worker with the lowest ratio that lacks it.
     fn grow(&mut self, now: Micros, name: &FunctionId, out: &mut Out) -> bool {
         let function = &self.functions[name];
-        if now < function.order_after || function.places.values().any(|p| p.loading.is_some()) {
+        // A function twice as hot doubles its copies; more loads at once would only share the store.
+        let coming = function.places.values().filter(|p| p.loading.is_some()).count();
+        let standing = function.places.values().filter(|p| p.standing).count();
+        if now < function.order_after || coming >= standing.clamp(1, MOST_COMING) {
             return true;
         }
         let added = function.rate.get(now, WINDOW_US) * function.usual * function.weight / WINDOW_US;
@@ -529,15 +534,13 @@
         let key = |id: &RequestId| self.requests.get(id).map(|h| (h.excess, h.aim < now, h.aim, *id));
         let mut order: Vec<_> = self.waiting.iter().filter_map(key).collect();
         order.sort_unstable();
-        // What one request of a function could not have, the next can't either.
         let mut stuck = BTreeSet::new();
         for (_, _, _, id) in order {
             let Some(held) = self.requests.get(&id) else { continue };
             let name = held.told.function.clone();
-            if stuck.contains(&name) {
-                continue;
+            if !stuck.contains(&name) {
+                self.route(now, id, out);
             }
-            self.route(now, id, out);
             if self.requests.get(&id).is_some_and(|h| h.waiting) {
                 stuck.insert(name);
             }
@@ -653,8 +656,7 @@
             return;
         }
         if told.class >= self.settings.classes.len() || !usable {
-            out.push(Action::Refuse { id, wait: None });
-            return;
+            return out.push(Action::Refuse { id, wait: None });
         }
         let strictest = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1) as f64;
         let class = &self.settings.classes[told.class];
@@ -727,10 +729,11 @@
             let others = (held.clamp(0.0, 1_000.0) - known.due.len() as f64).max(0.0);
             known.others.ease(now, others, 0.3, CROWD_US);
         }
-        // Answers that came too late to be heard count too, or a jam would never close the bound.
+        // Time-outs count too, or a jam would never close the bound; not where they may be a load's wait.
         let stood = told.code == Code::Ok && matches!(told.copy, CopyNote::Stood | CopyNote::Untold);
         let share = told.latency as f64 / self.settings.classes[class].aim as f64;
-        if stood || matches!(told.code, Code::Timeout | Code::Cancelled) && share >= 1.0 {
+        let unheard = matches!(told.code, Code::Timeout | Code::Cancelled) && share >= 1.0;
+        if stood || unheard && !self.settings.family.load_on_miss {
             known.stretch += 0.1 * (share.min(4.0) - known.stretch);
             if known.stretch > STRETCH {
                 known.bound = (known.bound * 0.97).max(LEAST_BOUND);
