--- a/src/control.rs
+++ b/src/control.rs
@@ -30,8 +30,6 @@
 const STRETCH: f64 = 0.5;
 /// Evidence past which a worker is used after the sound ones.
 const SUSPECT: f64 = 3.0;
-/// Most loads of one function that this scheduler has under way.
-const MOST_COMING: usize = 3;
 /// Calls in the window under which a function counts as rare.
 const RARE: f64 = 3.0;
 /// Share of all told memory reckoned with for copies; running work and others' placements take the rest.
@@ -224,7 +222,7 @@
             queued.min_by(|a, b| a.1.total_cmp(&b.1))
         };
         let choice = roomy().find(follows).or(best).or_else(onward).map(|(w, _)| w.clone());
-        let kept_count = function.places.values().filter(|p| p.standing || p.loading.is_some()).count();
+        let kept_count = function.places.values().filter(|p| p.standing).count();
         let (none, full) = (standing.is_empty(), best.is_none());
         match choice {
             Some(worker) => self.send(now, id, &worker, out),
@@ -388,10 +386,7 @@
     /// Orders one more instance of a function at the worker with the lowest ratio that lacks it.
     fn grow(&mut self, now: Micros, name: &FunctionId, out: &mut Out) -> bool {
         let function = &self.functions[name];
-        // A function twice as hot doubles its copies; more loads at once would only share the store.
-        let coming = function.places.values().filter(|p| p.loading.is_some()).count();
-        let standing = function.places.values().filter(|p| p.standing).count();
-        if now < function.order_after || coming >= standing.clamp(1, MOST_COMING) {
+        if now < function.order_after || function.places.values().any(|p| p.loading.is_some()) {
             return true;
         }
         let added = function.rate.get(now, WINDOW_US) * function.usual * function.weight / WINDOW_US;
