--- a/src/control.rs
+++ b/src/control.rs
@@ -278,8 +278,7 @@
         }
     }
 
-    /// It waited all that its aim leaves beside an answer's usual share, and all copies are crowded still:
-    /// turned away now, it costs nobody time and the client may yet be served elsewhere in time.
+    /// Its aim can't be met any more where all copies are crowded: turned away now, it costs nobody time.
     /// Could hurt where late answers are worth nearly as much.
     fn shed(&mut self, id: RequestId, out: &mut Out) {
         let Some(held) = self.requests.get(&id) else { return };
@@ -671,7 +670,7 @@
         function.rate.add(now, 1.0, WINDOW_US);
         function.last = now;
         let deadline = now + told.patience;
-        let (aim, shed) = (now + class.aim, (class.aim as f64 * (1.0 - STRETCH)) as Micros);
+        let (aim, shed) = (now + class.aim, class.aim.saturating_sub(function.usual as Micros));
         let excess = self.past_share(now, told.tenant);
         if aim < deadline {
             self.wake(shed, Wake::Shed(id), out);
