--- a/src/control.rs
+++ b/src/control.rs
@@ -10,7 +10,7 @@
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Span of the demand window (the paper's 60 s, shortened as keep-alive here is some ten seconds).
+/// Span of the demand window (the paper has 60 s; keep-alive here is some ten seconds).
 const WINDOW_US: f64 = 10_000_000.0;
 /// Ratios within this factor of the lowest count as tied and are ordered by rendezvous hash.
 const NEAR: f64 = 1.25;
@@ -91,9 +91,8 @@
             _ => 0.0,
         };
         let typical = self.class_usual.iter().sum::<f64>() / self.class_usual.len() as f64;
-        let silent = quiet / typical.max(1.0);
-        let cold = 1.0 / self.warmth(now, worker);
-        (1.0 + slow.max(silent) + worker.strain.get(now, FORGET_US)) * cold
+        let against = slow.max(quiet / typical.max(1.0)) + worker.strain.get(now, FORGET_US);
+        (1.0 + against) / self.warmth(now, worker)
     }
 
     /// The share of its capacity that a worker surely has by now.
@@ -238,15 +237,14 @@
     /// for chance (twice the root of the mean), and its part, by demand, of the memory left over once
     /// every known function has that. Without it idle copies of hot functions push out the rarer ones.
     fn spread(&self, now: Micros, function: &Function) -> usize {
-        let demand = function.rate.get(now, WINDOW_US) * function.usual / WINDOW_US;
+        let demand = busy(now, function);
         let extra = demand / self.total_demand.max(demand).max(1e-9) * self.leftover_mb / function.mb;
         (self.needed(now, function) + extra) as usize
     }
 
     /// Copies that a function's demand needs.
     fn needed(&self, now: Micros, function: &Function) -> f64 {
-        let own = function.rate.get(now, WINDOW_US) * function.usual / WINDOW_US;
-        let busy = own * f64::from(self.settings.schedulers);
+        let busy = busy(now, function) * f64::from(self.settings.schedulers);
         ((busy + 2.0 * busy.sqrt()) / f64::from(function.lanes)).ceil().max(1.0)
     }
 
@@ -254,15 +252,13 @@
     /// are taken to be as many at each other scheduler.
     fn reckon(&mut self, now: Micros) {
         let kinds = &self.settings.family.kind_memory_mb;
-        let usable = self.workers.values().filter(|w| w.usable);
-        let told: f64 = usable.filter_map(|w| kinds.get(w.member.kind)).sum();
-        let mut taken = 0.0;
-        let mut demand = 0.0;
+        let told =
+            self.workers.values().filter(|w| w.usable).filter_map(|w| kinds.get(w.member.kind)).sum::<f64>();
+        let (mut taken, mut demand) = (0.0, 0.0);
         for function in self.functions.values() {
-            let rare = function.rate.get(now, WINDOW_US) < RARE;
-            let times = if rare { f64::from(self.settings.schedulers) } else { 1.0 };
-            taken += self.needed(now, function) * function.mb * times;
-            demand += function.rate.get(now, WINDOW_US) * function.usual / WINDOW_US;
+            let times = if function.rate.get(now, WINDOW_US) < RARE { self.settings.schedulers } else { 1 };
+            taken += self.needed(now, function) * function.mb * f64::from(times);
+            demand += busy(now, function);
         }
         self.leftover_mb = (told * USABLE - taken).max(0.0);
         self.total_demand = demand;
@@ -397,10 +393,8 @@
         // A function that comes back goes where it was: its copy may still stand there.
         let back = open()
             .find(|(w, r)| Some(*w) == function.home.as_ref() && target.is_some_and(|t| *r <= t.1 * GAIN));
-        match back.or(target).map(|(w, _)| w.clone()) {
-            Some(worker) => self.order(now, name, &worker, out),
-            None => false,
-        }
+        let target = back.or(target).map(|(w, _)| w.clone());
+        target.is_some_and(|worker| self.order(now, name, &worker, out))
     }
 
     /// Whether the ration of load orders has one more.
@@ -665,6 +659,7 @@
             load: told.load.unwrap_or(class.aim),
             usual: self.class_usual[told.class],
             weight: strictest / class.aim as f64,
+            born: now,
             ..Function::default()
         });
         function.rate.add(now, 1.0, WINDOW_US);
@@ -889,6 +884,12 @@
     }
 }
 
+/// Lanes that our calls keep busy; a young function's window counts only as far as it is full.
+fn busy(now: Micros, function: &Function) -> f64 {
+    let age = now.saturating_sub(function.born).max(1_000_000) as f64;
+    function.rate.get(now, WINDOW_US) * function.usual / WINDOW_US / (1.0 - (-age / WINDOW_US).exp())
+}
+
 /// Whether a worker may be given one more attempt of ours.
 fn has_room(worker: &Worker) -> bool {
     (worker.due.len() as f64) < worker.bound
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,6 +82,7 @@
     /// Strictness of its class, 1 for the strictest.
     pub weight: f64,
     pub rate: Fading,
+    pub born: Micros,
     pub last: Micros,
     pub home: Option<WorkerId>,
     pub moving: Option<WorkerId>,
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -273,3 +273,154 @@
         assert!(line.chars().count() <= 110, "line {} is longer than 110 columns", number + 1);
     }
 }
+
+#[test]
+fn a_function_that_turns_hot_reaches_more_workers_at_once() {
+    // Its window is not full yet: ten calls in a quarter of a second call for more than one copy.
+    let mut bed = Bed::new(settings(Repeat::Safe), 4);
+    let asks = bed.request(1, "hot", 2 * S);
+    bed.answer_asks(&asks, "w0", 1);
+    let mut ordered = Vec::new();
+    for id in 2..40 {
+        ordered.extend(loads(&bed.request(id, "hot", 2 * S)));
+        bed.advance(10 * MS);
+    }
+    assert!(!ordered.is_empty(), "no copy was ordered");
+    assert!(ordered.iter().all(|w| w != "w0"), "{ordered:?}");
+}
+
+/// Events drawn from a seed, most of them bad news; the rules are checked on every action.
+#[test]
+fn the_rules_hold_under_drawn_events() {
+    for seed in 1..40u64 {
+        let mut draw = {
+            let mut x = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            move |n: u64| {
+                x ^= x << 13;
+                x ^= x >> 7;
+                x ^= x << 17;
+                x % n
+            }
+        };
+        let mut setup = settings(Repeat::Safe);
+        setup.classes.push(Class::new(300 * MS, 2 * S, Repeat::Unsafe));
+        setup.classes.push(Class::new(
+            300 * MS,
+            2 * S,
+            Repeat::Keyed { group: Group::Zone, window: 300 * MS },
+        ));
+        setup.family.load_on_miss = seed % 2 == 0;
+        setup.limits.second_copies = seed % 3 != 0;
+        let second_copies = setup.limits.second_copies;
+        let mut bed = Bed::new(setup, 5);
+        let mut active = vec![true; 5];
+        let mut born: Vec<(u64, Micros, usize)> = Vec::new(); // id, deadline, class
+        // For each attempt: request, worker, sent, and its code once ended.
+        let mut attempts: Vec<(u64, String, Micros, Option<Code>)> = Vec::new();
+        let mut finals = std::collections::BTreeMap::<u64, Micros>::new();
+        let mut read = 0;
+        for step in 0..1_500u64 {
+            match draw(10) {
+                0..=4 if step < 1_200 => {
+                    let (class, patience) = (draw(3) as usize, 100 * MS + draw(900) * MS);
+                    let mut request = Request::new(step, &format!("f{}", draw(6)), 500.0, 2, patience);
+                    request.class = class;
+                    born.push((step, bed.now + patience, class));
+                    bed.event(Event::Request(request));
+                }
+                5..=7 => {
+                    let open: Vec<usize> = (0..attempts.len()).filter(|i| attempts[*i].3.is_none()).collect();
+                    if !open.is_empty() {
+                        let pick = open[draw(open.len() as u64) as usize];
+                        let codes = [
+                            Code::Ok,
+                            Code::Ok,
+                            Code::Ok,
+                            Code::Full,
+                            Code::Miss,
+                            Code::Reset,
+                            Code::Unknown,
+                        ];
+                        let code = codes[draw(7) as usize];
+                        let (id, worker, sent, _) = attempts[pick].clone();
+                        let number = attempts[..pick].iter().filter(|a| a.0 == id).count();
+                        attempts[pick].3 = Some(code);
+                        if code == Code::Ok {
+                            finals.entry(id).or_insert(bed.now);
+                        }
+                        let last = finals.contains_key(&id);
+                        bed.event(Event::Outcome(Outcome {
+                            id: RequestId(id),
+                            attempt: number,
+                            worker: worker.as_str().into(),
+                            code,
+                            latency: bed.now - sent,
+                            last,
+                            copy: CopyNote::Untold,
+                            crowd: None,
+                            report: vec![f64::NAN],
+                        }));
+                    }
+                }
+                8 => {
+                    let at = draw(5) as usize;
+                    active[at] = draw(3) > 0;
+                    let state = if active[at] { State::Active } else { State::Leaving };
+                    let mut news = member(&format!("w{at}"), state, 0);
+                    news.zone = at % 2;
+                    bed.event(Event::Members { kind: MembersKind::Changes, members: vec![news] });
+                }
+                _ => {
+                    let (at, name) = (draw(5), format!("f{}", draw(6)));
+                    bed.loaded(&format!("w{at}").as_str().into(), &name, draw(2) as u32, Code::Ok);
+                    bed.advance(draw(40) * MS);
+                }
+            }
+            for (at, action) in bed.log[read..].iter().cloned() {
+                match action {
+                    Action::Send { id, worker, .. } => {
+                        let index: usize = worker.as_str()[1..].parse().expect("named by number");
+                        assert!(active[index], "sent to {worker}, which leaves");
+                        assert!(!finals.contains_key(&id.0), "sent after the final answer");
+                        let earlier: Vec<_> = attempts.iter().filter(|a| a.0 == id.0).collect();
+                        let maybe = earlier.iter().filter(|a| !a.3.is_some_and(Code::never_ran)).count();
+                        let class = born.iter().find(|b| b.0 == id.0).expect("asked for").2;
+                        assert!(class != 1 || maybe == 0, "unsafe work sent twice");
+                        let recent = earlier.iter().filter(|a| !a.3.is_some_and(Code::never_ran));
+                        assert!(
+                            class != 2 || recent.clone().all(|a| at <= a.2 + 300 * MS),
+                            "past the window"
+                        );
+                        assert!(second_copies || earlier.iter().all(|a| a.3.is_some()), "two at once");
+                        attempts.push((id.0, worker.to_string(), at, None));
+                    }
+                    Action::Load { worker, count, .. } if count > 0 => {
+                        let index: usize = worker.as_str()[1..].parse().expect("named by number");
+                        assert!(active[index], "load at {worker}, which leaves");
+                    }
+                    Action::Refuse { id, .. } | Action::Fail { id } => {
+                        let (_, deadline, class) = *born.iter().find(|b| b.0 == id.0).expect("asked for");
+                        assert!(at <= deadline + 8 * MS, "answered too late");
+                        assert!(finals.insert(id.0, at).is_none(), "answered twice");
+                        let proven =
+                            attempts.iter().filter(|a| a.0 == id.0).all(|a| a.3.is_some_and(Code::never_ran));
+                        assert!(
+                            class == 0 || proven || matches!(action, Action::Fail { .. }),
+                            "false refusal"
+                        );
+                    }
+                    _ => {}
+                }
+            }
+            read = bed.log.len();
+        }
+        assert!(attempts.len() > 100, "seed {seed}: only {} attempts", attempts.len());
+        bed.advance(3 * S);
+        for (at, action) in &bed.log[read..] {
+            if let Action::Refuse { id, .. } | Action::Fail { id } = action {
+                assert!(finals.insert(id.0, *at).is_none(), "answered twice");
+            }
+        }
+        assert!(born.iter().all(|b| finals.contains_key(&b.0)), "seed {seed}: a request was lost");
+    }
+}
