--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -424,3 +424,18 @@
         assert!(born.iter().all(|b| finals.contains_key(&b.0)), "seed {seed}: a request was lost");
     }
 }
+
+#[test]
+fn a_stream_that_has_begun_has_no_deadline_and_news_without_use_does_no_harm() {
+    let mut bed = Bed::new(settings(Repeat::Safe), 1);
+    let asks = bed.request(1, "f", 300 * MS);
+    bed.answer_asks(&asks, "w0", 1);
+    bed.event(Event::First { id: RequestId(1), attempt: 0 });
+    assert!(bed.advance(2 * S).is_empty());
+    let broken = bed.outcome(1, 0, "w0", Code::Reset, 2 * S);
+    assert_eq!(broken, [Action::Fail { id: RequestId(1) }]);
+    let (worker, report) = ("w0".into(), vec![f64::NAN, -1.0]);
+    assert!(bed.event(Event::Probed { worker, code: Code::Timeout, latency: S, report }).is_empty());
+    assert!(bed.event(Event::Peer { from: 3, payload: vec![1, 2] }).is_empty());
+    assert!(bed.event(Event::Members { kind: MembersKind::Failed, members: vec![] }).is_empty());
+}
