--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -313,7 +313,7 @@
         setup.limits.second_copies = seed % 3 != 0;
         let second_copies = setup.limits.second_copies;
         let mut bed = Bed::new(setup, 5);
-        let mut active = vec![true; 5];
+        let mut active = [true; 5];
         let mut born: Vec<(u64, Micros, usize)> = Vec::new(); // id, deadline, class
         // For each attempt: request, worker, sent, and its code once ended.
         let mut attempts: Vec<(u64, String, Micros, Option<Code>)> = Vec::new();
