--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -21,6 +21,8 @@
     round_us: f64,
     rules: WireRules,
     #[serde(default)]
+    self_index: u32,
+    #[serde(default)]
     zone: usize,
 }
 
@@ -160,6 +162,7 @@
         },
         report_names: options.report.names,
         schedulers: options.replicas_of_me,
+        self_index: options.self_index,
         zone: options.zone,
         tick: options.round_us as u64,
         must_ask: options.discovery == "ask",
--- a/src/control.rs
+++ b/src/control.rs
@@ -3,49 +3,62 @@
 //!
 //! The ordinary path: each function is placed on the worker whose memory pressure ratio (weighted demand
 //! over memory left) would be lowest, its requests follow it there and overflow onward by the same rule, a
-//! timer re-places it past a gain threshold, and idle placements are released. Sections: demand, pressure,
+//! timer re-places it past a gain threshold, and idle placements are released. Sections: pressure, demand,
 //! routing, copies, health, request life, fairness.
 
 use crate::interface::*;
 use crate::state::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// Span of the demand window (the paper has 60 s; keep-alive here is some ten seconds).
 const WINDOW_US: f64 = 10_000_000.0;
-/// Ratios within this factor of the lowest count as tied and are ordered by rendezvous hash.
-const NEAR: f64 = 1.25;
-/// A function leaves its home, for a request or for good, once another ratio is lower by this factor.
+/// How far a lower ratio outweighs the shared hash: at 1.25 times the ratio a worker comes first 3 times in 10.
+const SHARP: f64 = 4.0;
+/// A function leaves its home once another ratio is lower by this factor.
 const GAIN: f64 = 1.6;
-/// How often loads, waiting requests and idle placements are looked over.
+/// Calls a worker in the window at which our own account of demand counts as much as the fleet's mean.
+const TRUST: f64 = 4.0;
+/// Notes of crowds at which they count as much as our own calls times the schedulers.
+const PRIOR: f64 = 3.0;
+/// A function's holders are so many that it is at most one part in this of what each of them does.
+const SPREAD: f64 = 3.0;
+/// How often waiting requests are looked over.
 const SWEEP_US: Micros = 50_000;
+/// How often sums, idle placements and overdue loads are looked over.
+const WALK_US: Micros = 500_000;
 /// How often functions are re-placed.
 const REPLACE_US: Micros = 1_000_000;
 /// Evidence against a worker fades to 1/e in this time.
-const FORGET_US: f64 = 4_000_000.0;
+const FORGET_US: f64 = 6_000_000.0;
+/// Slowness below this is chance.
+const SLACK: f64 = 0.5;
 /// Attempts of ours that a worker is first trusted with; the bound then follows its answers.
 const FIRST_BOUND: f64 = 4.0;
 /// The bound never falls below this: a scheduler must keep hearing from a worker to raise it again.
 const LEAST_BOUND: f64 = 1.0;
 /// A worker whose answers take this share of their aim, on average, is given fewer.
 const STRETCH: f64 = 0.5;
-/// Evidence past which a worker is used after the sound ones.
+/// Evidence past which a worker is no place for a request.
 const SUSPECT: f64 = 3.0;
-/// Calls in the window under which a function counts as rare.
-const RARE: f64 = 3.0;
-/// Share of all told memory reckoned with for copies; running work and others' placements take the rest.
-const USABLE: f64 = 0.5;
 /// Span over which a tenant's calls are held against its share.
 const FAIR_US: f64 = 3_000_000.0;
 /// Crowd notes and load reports fade to 1/e in this time.
-const CROWD_US: f64 = 1_000_000.0;
-/// Patience with questions on where copies stand.
+const CROWD_US: f64 = 2_000_000.0;
+/// Patience with questions on where copies stand, and how many workers are asked.
 const ASK_US: Micros = 15_000;
+const ASK_MOST: usize = 3;
 /// Share of the guessed cold budget that is used; the rest is for chance and for a wrong guess.
 const COLD_SHARE: f64 = 0.5;
-/// Share of sends that may be second attempts on suspicion.
+/// Share of sends that may be second attempts which prove needless.
 const HEDGE_SHARE: f64 = 0.1;
 
-// ---- demand ----------------------------------------------------------------------------------------------
+/// A usable worker as a place for a function: lowest key first.
+struct Choice<'a> {
+    key: f64,
+    ratio: f64,
+    id: &'a WorkerId,
+    worker: &'a Worker,
+}
 
 impl Controller {
     /// A controller that has heard nothing yet. The seed is accepted for policies that draw; this one
@@ -82,17 +95,15 @@
 
     // ---- pressure ----------------------------------------------------------------------------------------
 
-    /// Evidence that a worker does less than its memory promises, 1 for none: slowness against each
-    /// function's usual time, silence past the time answers were due, broken connections, a cold start.
-    fn evidence(&self, now: Micros, worker: &Worker) -> f64 {
-        let slow = worker.slowness.get(now, FORGET_US).max(0.0);
-        let quiet = match worker.due.first() {
-            Some(&(due, _, _)) if due < now => (now - due.max(worker.heard).min(now)) as f64,
-            _ => 0.0,
-        };
-        let typical = self.class_usual.iter().sum::<f64>() / self.class_usual.len() as f64;
-        let against = slow.max(quiet / typical.max(1.0)) + worker.strain.get(now, FORGET_US);
-        (1.0 + against) / self.warmth(now, worker)
+    /// Evidence that a worker does less for a class than its memory promises, 1 for none: slowness against
+    /// each function's usual time, answers of this class that stay away (those of other classes count a
+    /// little: a worker may swallow one and serve the rest), broken connections, a cold start. It only
+    /// orders workers against each other, so where all look bad work still spreads.
+    fn evidence(&self, now: Micros, worker: &Worker, class: usize) -> f64 {
+        let slow = (worker.slowness.get(now, FORGET_US) - SLACK).max(0.0);
+        let missed = |c: usize| worker.missed.get(c).map_or(0.0, |m| m.get(now, FORGET_US));
+        let silent = missed(class) * 0.7 + (0..worker.missed.len()).map(missed).sum::<f64>() * 0.3;
+        (1.0 + slow + silent + worker.strain.get(now, FORGET_US)) / self.warmth(now, worker)
     }
 
     /// The share of its capacity that a worker surely has by now.
@@ -106,33 +117,56 @@
         from + (1.0 - from) * age / rules.warm_within as f64
     }
 
-    /// Every usable worker's pressure ratio if `added` demand and `mb` memory came to it.
-    fn ratios(&self, now: Micros, added: f64, mb: f64) -> BTreeMap<&WorkerId, f64> {
-        let usable = || self.workers.iter().filter(|(_, w)| w.usable);
-        let kinds = &self.settings.family.kind_memory_mb;
-        let mean_mb = kinds.iter().sum::<f64>() / kinds.len() as f64;
-        let demand = |w: &Worker| w.demand.get(now, WINDOW_US) / WINDOW_US;
-        let placed: Vec<f64> = usable().filter(|(_, w)| w.placed_mb > 0.0).map(|(_, w)| demand(w)).collect();
-        let mean = placed.iter().sum::<f64>() / placed.len().max(1) as f64;
-        let ratio = |w: &Worker| {
-            let told = kinds.get(w.member.kind).copied().unwrap_or(mean_mb);
-            let left = (told - w.placed_mb).max(mb).max(told * 0.1) / mean_mb;
-            let placed = if w.placed_mb > 0.0 { demand(w) } else { mean };
-            let present = w.due.len() as f64 + w.others.get(now, CROWD_US);
-            (placed + present + added) * self.evidence(now, w) / left
-        };
-        usable().map(|(id, w)| (id, ratio(w))).collect()
+    /// A worker's pressure ratio if `added` demand and `mb` memory came to it. Our own account of demand and
+    /// memory is drawn toward the fleet's mean where we have few calls: a scheduler of many would else see
+    /// noise, and each would place a function somewhere else.
+    fn ratio(&self, now: Micros, worker: &Worker, added: f64, mb: f64, class: usize) -> f64 {
+        let (fleet, kinds) = (&self.fleet, &self.settings.family.kind_memory_mb);
+        let told = kinds.get(worker.member.kind).copied().unwrap_or(fleet.memory_mb);
+        let left = (told - fleet.trust * worker.placed_mb).max(mb).max(told * 0.1) / fleet.memory_mb.max(1.0);
+        let own = if worker.placed_mb > 0.0 { worker.demand.get(now, WINDOW_US) } else { fleet.demand };
+        let drawn = fleet.demand + fleet.trust * (own - fleet.demand);
+        let placed = drawn / WINDOW_US * f64::from(self.settings.schedulers);
+        (placed + added).max(0.001) * self.evidence(now, worker, class) / (left * fleet.size(worker))
+    }
+
+    /// Every usable worker as a place for a function, best first: the lowest ratio, spread by a hash that all
+    /// schedulers share, so that those who see nearly the same ratios choose the same workers. The home
+    /// keeps its place until another ratio is lower past the threshold.
+    fn rank(&self, now: Micros, function: &Function) -> Vec<Choice<'_>> {
+        let added = function.rate.get(now, WINDOW_US) * function.usual * function.weight / WINDOW_US;
+        let mut ranked: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.usable)
+            .map(|(id, worker)| {
+                let ratio = self.ratio(now, worker, added, function.mb, function.class);
+                let held = if function.home.as_ref() == Some(id) { ratio / GAIN } else { ratio };
+                let key = held.powf(SHARP) * -unit(rendezvous(function.hash, worker.hash)).ln();
+                Choice { key, ratio, id, worker }
+            })
+            .collect();
+        ranked.sort_by(|a, b| a.key.total_cmp(&b.key));
+        ranked
     }
 
-    /// The lowest of the given ratios; near ties go to the highest rendezvous hash.
-    fn lowest<'a>(
-        function: &FunctionId,
-        choices: impl Iterator<Item = (&'a WorkerId, f64)>,
-    ) -> Option<(&'a WorkerId, f64)> {
-        let choices: Vec<_> = choices.collect();
-        let least = choices.iter().map(|c| c.1).fold(f64::INFINITY, f64::min);
-        let near = choices.into_iter().filter(|c| c.1 <= least * NEAR);
-        near.max_by_key(|c| rendezvous(function, c.0))
+    // ---- demand ------------------------------------------------------------------------------------------
+
+    /// Copies that a function needs in all, and the workers to hold them. Its calls in hand anywhere are
+    /// told by the notes of crowds, whoever called; until some have come they are taken as our own times
+    /// the schedulers, where a first call says nothing. Lanes for them, with room for chance (twice the
+    /// root), are the least; and a function that is a large part of all work is spread so far that no worker
+    /// does mostly that.
+    fn wanted(&self, now: Micros, function: &Function) -> (usize, usize) {
+        let workers = self.fleet.workers.max(1);
+        let busy = busy(now, function);
+        let notes = function.notes.get(now, WINDOW_US);
+        let prior = busy * f64::from(self.settings.schedulers);
+        let held = (PRIOR * prior + function.crowds.get(now, WINDOW_US)) / (PRIOR + notes);
+        let copies = ((held + 2.0 * held.sqrt()) / f64::from(function.lanes)).ceil().max(1.0);
+        let part = SPREAD * workers as f64 * busy / self.fleet.busy.max(busy).max(1e-9);
+        let holders = (copies.max(part) as usize).clamp(1, workers);
+        ((copies as usize).max(holders), holders)
     }
 
     // ---- routing -----------------------------------------------------------------------------------------
@@ -143,15 +177,11 @@
             || held.done
             || held.streaming
             || held.attempts.len() >= self.settings.limits.attempts as usize
+            || !self.settings.limits.second_copies && held.attempts.iter().any(|a| a.ended.is_none())
+            || self.cold_credit(now, worker) < 1.0
         {
             return false;
         }
-        if !self.settings.limits.second_copies && held.attempts.iter().any(|a| a.ended.is_none()) {
-            return false;
-        }
-        if !self.cold_budget(now, worker) {
-            return false;
-        }
         let mut maybe = held.attempts.iter().filter(|a| may_have_run(a));
         match self.settings.classes[held.told.class].repeat {
             Repeat::Safe => true,
@@ -180,90 +210,63 @@
         let Some(held) = self.requests.get(&id).filter(|h| !h.done) else { return };
         let name = held.told.function.clone();
         let Some(function) = self.functions.get(&name) else { return };
-        let tried = |w: &WorkerId| held.attempts.iter().any(|a| a.worker == *w);
-        let allowed = |w: &WorkerId| self.workers.get(w).is_some_and(|x| self.may_send(now, held, x));
-        if !self.workers.keys().any(allowed) && !held.attempts.is_empty() {
+        let ranked = self.rank(now, function);
+        let open: Vec<_> = ranked.iter().filter(|c| self.may_send(now, held, c.worker)).collect();
+        if open.is_empty() && !held.attempts.is_empty() {
             if held.attempts.iter().all(|a| a.ended.is_some()) {
                 self.give_up(id, out);
             }
             return;
         }
-        let ratios = self.ratios(now, function.usual * function.weight / WINDOW_US, function.mb);
-        let standing: Vec<(&WorkerId, &Place, f64)> = function
-            .places
+        let (copies, holders) = self.wanted(now, function);
+        let tried = |c: &Choice| held.attempts.iter().any(|a| a.worker == *c.id);
+        let sound = |c: &Choice| self.evidence(now, c.worker, held.told.class) < SUSPECT;
+        let standing: Vec<_> = open
             .iter()
-            .filter(|(w, p)| p.standing && allowed(w))
-            .filter_map(|(w, p)| ratios.get(w).map(|r| (w, p, *r)))
+            .filter_map(|c| function.places.get(c.id).filter(|p| p.standing).map(|p| (*c, p)))
+            .filter(|(c, _)| sound(c) && !tried(c))
             .collect();
-        let fresh = standing.iter().any(|(w, _, _)| !tried(w));
-        // Only so many copies as demand and memory call for are kept in use, the same ones by every
-        // scheduler; the others fall idle and give their memory back. Past a copy's lanes a worker starts
-        // another by itself: what waits here instead causes no load.
+        // Past a copy's lanes a worker starts another by itself: what waits here instead causes no load.
         let lanes = |p: &Place| f64::from(function.lanes * p.copies.max(1));
-        let sound = |w: &WorkerId| self.evidence(now, &self.workers[w]) < SUSPECT;
-        let mut kept: Vec<_> = standing.iter().filter(|(w, _, _)| !fresh || !tried(w)).collect();
-        kept.sort_by_key(|(w, _, _)| (!sound(w), Some(*w) != function.home.as_ref(), !rendezvous(&name, w)));
-        let wanted = self.spread(now, function);
-        let fits = |w: &WorkerId, p: &Place| has_room(&self.workers[w]) && f64::from(p.out) < lanes(p);
-        let free = |c: &&&(&WorkerId, &Place, f64)| fits(c.0, c.1);
-        let first = kept.iter().take(wanted);
-        let beyond =
-            kept.iter().skip(wanted).take(usize::from(!first.clone().any(|c| free(&c))) * kept.len());
-        let open = || first.clone().chain(beyond.clone()).filter(free);
-        let idle = |p: &Place| f64::from(p.out) + p.crowd.get(now, CROWD_US) < lanes(p);
-        let roomy = || open().filter(|(_, p, _)| idle(p)).map(|(w, _, r)| (*w, *r));
-        let best = Self::lowest(&name, roomy());
-        let follows = |(w, r): &(&WorkerId, f64)| {
-            Some(*w) == function.home.as_ref() && best.is_some_and(|b| *r <= b.1 * GAIN)
+        let own = |c: &Choice| unit(rendezvous(function.hash ^ self.own_hash, c.worker.hash));
+        let free = |(c, p): &&(&Choice, &Place)| has_room(c.worker) && f64::from(p.out) < lanes(p);
+        let crowd = |p: &Place| f64::from(p.out) + p.crowd.get(now, CROWD_US);
+        // Among the holders the least crowded comes first; our own hash parts what we can't tell apart, or
+        // all schedulers would crowd the same one.
+        let cost = |(c, p): &(&Choice, &Place)| {
+            let present = c.worker.due.len() as f64 + c.worker.others.get(now, CROWD_US);
+            let load = 1.0 + crowd(p) / lanes(p) + present / self.fleet.present.max(1.0);
+            c.ratio * load * (1.0 + own(c))
         };
-        let onward = || {
-            let queued = open().map(|(w, p, r)| (*w, r * (1.0 + f64::from(p.out) / lanes(p))));
-            queued.min_by(|a, b| a.1.total_cmp(&b.1))
+        let best = |range: &[(&Choice, &Place)], idle: bool| {
+            let usable = range.iter().filter(free).filter(|(_, p)| !idle || crowd(p) < lanes(p));
+            usable.min_by(|a, b| cost(a).total_cmp(&cost(b))).map(|(c, _)| c.id.clone())
         };
-        let choice = roomy().find(follows).or(best).or_else(onward).map(|(w, _)| w.clone());
-        let kept_count = function.places.values().filter(|p| p.standing).count();
-        let (none, full) = (standing.is_empty(), best.is_none());
+        let (kept, beyond) = standing.split_at(holders.min(standing.len()));
+        let roomy = best(kept, true).or_else(|| best(beyond, true));
+        let choice = roomy.clone().or_else(|| best(kept, false)).or_else(|| best(beyond, false));
+        // The part of the holders that is ours by our own hash is sought even while others have room, once
+        // there is more than a first call to go by: all holders serve, though each scheduler knows few.
+        let lacks = |c: &&Choice| {
+            let place = function.places.get(c.id);
+            !place.is_some_and(|p| p.loading.is_some() || p.standing && p.copies as usize * holders >= copies)
+        };
+        let set = || ranked.iter().take(holders);
+        let part = set().min_by(|a, b| own(a).total_cmp(&own(b))).filter(lacks);
+        let next = part.or_else(|| set().find(lacks).filter(|_| roomy.is_none()));
+        let next = next.filter(|_| holders > 1 || standing.is_empty()).map(|c| c.id.clone());
+        let (none, excess) = (standing.is_empty(), held.excess && roomy.is_none());
         match choice {
+            Some(_) | None if excess && !none && held.attempts.is_empty() => self.give_up(id, out),
             Some(worker) => self.send(now, id, &worker, out),
             None if none => return self.wait_or_load(now, id, &name, out),
             None => self.hold(id, true),
         }
-        if full && kept_count < wanted {
-            self.grow(now, &name, out);
+        if let Some(worker) = next {
+            self.grow(now, &name, &worker, copies.div_ceil(holders) as u32, out);
         }
     }
 
-    /// How many workers should hold a function: enough lanes for its demand over all schedulers with room
-    /// for chance (twice the root of the mean), and its part, by demand, of the memory left over once
-    /// every known function has that. Without it idle copies of hot functions push out the rarer ones.
-    fn spread(&self, now: Micros, function: &Function) -> usize {
-        let demand = busy(now, function);
-        let extra = demand / self.total_demand.max(demand).max(1e-9) * self.leftover_mb / function.mb;
-        (self.needed(now, function) + extra) as usize
-    }
-
-    /// Copies that a function's demand needs.
-    fn needed(&self, now: Micros, function: &Function) -> f64 {
-        let busy = busy(now, function) * f64::from(self.settings.schedulers);
-        ((busy + 2.0 * busy.sqrt()) / f64::from(function.lanes)).ceil().max(1.0)
-    }
-
-    /// Reckons the memory that is left once every function has what it needs. Functions called rarely
-    /// are taken to be as many at each other scheduler.
-    fn reckon(&mut self, now: Micros) {
-        let kinds = &self.settings.family.kind_memory_mb;
-        let told =
-            self.workers.values().filter(|w| w.usable).filter_map(|w| kinds.get(w.member.kind)).sum::<f64>();
-        let (mut taken, mut demand) = (0.0, 0.0);
-        for function in self.functions.values() {
-            let times = if function.rate.get(now, WINDOW_US) < RARE { self.settings.schedulers } else { 1 };
-            taken += self.needed(now, function) * function.mb * f64::from(times);
-            demand += busy(now, function);
-        }
-        self.leftover_mb = (told * USABLE - taken).max(0.0);
-        self.total_demand = demand;
-    }
-
     /// Keeps a request here until there is a copy or room for it.
     fn hold(&mut self, id: RequestId, crowded: bool) {
         let Some(held) = self.requests.get_mut(&id) else { return };
@@ -286,24 +289,26 @@
     /// No copy is known: wait for answers or a load under way, else cause a load where the ratio is lowest.
     fn wait_or_load(&mut self, now: Micros, id: RequestId, name: &FunctionId, out: &mut Out) {
         self.hold(id, false);
-        let Some(function) = self.functions.get(name) else { return };
+        let (Some(function), Some(held)) = (self.functions.get(name), self.requests.get(&id)) else { return };
         let asking = function.asks_out > 0 && now < function.ask_until;
-        let loading = function.places.values().any(|p| p.loading.is_some());
-        if asking || loading || self.grow(now, name, out) || !self.settings.family.load_on_miss {
+        if asking || function.places.values().any(|p| p.loading.is_some()) {
+            return;
+        }
+        let ranked = self.rank(now, function);
+        let allowed = |c: &&Choice| self.may_send(now, held, c.worker) && has_room(c.worker);
+        let Some(first) = ranked.iter().find(allowed).or(ranked.first()) else { return };
+        let (target, direct) = (first.id.clone(), ranked.iter().find(allowed).map(|c| c.id.clone()));
+        if self.grow(now, name, &target, 1, out) || !self.settings.family.load_on_miss {
             return;
         }
         // No order is to be had: the request itself brings the copy.
-        let held = &self.requests[&id];
-        let function = &self.functions[name];
-        let ratios = self.ratios(now, function.usual * function.weight / WINDOW_US, function.mb);
-        let allowed = |w: &WorkerId| self.may_send(now, held, &self.workers[w]) && has_room(&self.workers[w]);
-        let target = Self::lowest(name, ratios.into_iter().filter(|(w, _)| allowed(w)));
-        if let Some(worker) = target.map(|(w, _)| w.clone()) {
+        if let Some(worker) = direct {
             self.send(now, id, &worker, out);
         }
     }
 
     fn send(&mut self, now: Micros, id: RequestId, worker: &WorkerId, out: &mut Out) {
+        let rate = self.workers.get(worker).map(|w| (self.cold_credit(now, w), self.cold_rate(now, w)));
         let (Some(held), Some(known)) = (self.requests.get_mut(&id), self.workers.get_mut(worker)) else {
             return;
         };
@@ -321,17 +326,25 @@
         place.out += 1;
         place.last = now;
         function.home.get_or_insert_with(|| worker.clone());
-        let aim = self.settings.classes[held.told.class].aim as f64;
+        let aim = held.aim.saturating_sub(now) as f64;
         let after =
             patience.min((aim - function.usual * 1.5).max(function.usual * 1.5)).max(20_000.0) as Micros;
         let (number, due) = (held.attempts.len(), now + after);
         let (zone, cell) = (known.member.zone, known.member.cell);
-        held.attempts.push(Attempt { worker: worker.clone(), zone, cell, sent: now, due, ended: None });
+        let worker_id = worker.clone();
+        held.attempts.push(Attempt {
+            worker: worker_id,
+            zone,
+            cell,
+            sent: now,
+            due,
+            missed: false,
+            ended: None,
+        });
         known.due.insert((due, id, number));
         known.demand.add(now, function.usual * function.weight, WINDOW_US);
-        known.cold_sends.push_back(now);
-        while known.cold_sends.front().is_some_and(|t| t + self.settings.rules.fall < now) {
-            known.cold_sends.pop_front();
+        if let Some((credit, _)) = rate {
+            (known.cold_credit, known.cold_at) = (credit - 1.0, now);
         }
         self.sends.add(now, 1.0, WINDOW_US);
         out.push(Action::Send { id, worker: worker.clone(), until: None });
@@ -343,19 +356,18 @@
     fn replace(&mut self, now: Micros, out: &mut Out) {
         let mut order: Vec<_> =
             self.functions.iter().map(|(n, f)| (f.rate.get(now, WINDOW_US), n.clone())).collect();
+        order.retain(|(calls, _)| *calls >= 2.0);
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        for (calls, name) in order.into_iter().filter(|(calls, _)| *calls >= 2.0) {
+        for (_, name) in order {
             let function = &self.functions[&name];
             let Some(home) = function.home.clone() else { continue };
-            let added = calls * function.usual * function.weight / WINDOW_US;
-            let ratios = self.ratios(now, added, function.mb);
-            let here = ratios.get(&home).copied().unwrap_or(f64::INFINITY);
-            let Some((best, least)) = Self::lowest(&name, ratios.into_iter()) else { continue };
-            if *best == home || here <= least * GAIN {
+            let ranked = self.rank(now, function);
+            let here = ranked.iter().find(|c| *c.id == home).map_or(f64::INFINITY, |c| c.ratio);
+            let Some(best) = ranked.first().filter(|c| *c.id != home && here > c.ratio * GAIN) else {
                 continue;
-            }
-            let (best, stands) = (best.clone(), function.places.get(best).is_some_and(|p| p.standing));
-            let ordered = !stands && function.moving.is_none() && self.order(now, &name, &best, out);
+            };
+            let (best, stands) = (best.id.clone(), function.places.get(best.id).is_some_and(|p| p.standing));
+            let ordered = !stands && function.moving.is_none() && self.order(now, &name, &best, 1, out);
             let Some(function) = self.functions.get_mut(&name) else { continue };
             if stands {
                 function.home = Some(best);
@@ -368,33 +380,26 @@
 
     // ---- fairness ----------------------------------------------------------------------------------------
 
-    /// Whether a tenant sends us more than our part of its share; such requests wait behind the others.
+    /// Whether a tenant sends us clearly more than our part of its share; such requests wait behind the
+    /// others and are turned away where no lane is idle.
     fn past_share(&mut self, now: Micros, tenant: usize) -> bool {
         let Some(quota) = self.settings.tenant_quotas.get(tenant) else { return false };
         let share = quota / f64::from(self.settings.schedulers) * FAIR_US / 1e6;
         self.tenants.resize(self.settings.tenant_quotas.len(), Fading::default());
         self.tenants[tenant].add(now, 1.0, FAIR_US);
-        self.tenants[tenant].get(now, FAIR_US) > share
+        self.tenants[tenant].get(now, FAIR_US) > share + 2.0 * share.sqrt()
     }
 
     // ---- copies ------------------------------------------------------------------------------------------
 
-    /// Orders one more instance of a function at the worker with the lowest ratio that lacks it.
-    fn grow(&mut self, now: Micros, name: &FunctionId, out: &mut Out) -> bool {
+    /// Orders copies of a function at a worker, one order of a function at a time: true while one is under
+    /// way or on hold after a failure.
+    fn grow(&mut self, now: Micros, name: &FunctionId, worker: &WorkerId, count: u32, out: &mut Out) -> bool {
         let function = &self.functions[name];
         if now < function.order_after || function.places.values().any(|p| p.loading.is_some()) {
             return true;
         }
-        let added = function.rate.get(now, WINDOW_US) * function.usual * function.weight / WINDOW_US;
-        let ratios = self.ratios(now, added, function.mb);
-        let lacks = |w: &WorkerId| !function.places.get(w).is_some_and(|p| p.standing || p.loading.is_some());
-        let open = || ratios.iter().filter(|(w, _)| lacks(w)).map(|(w, r)| (*w, *r));
-        let target = Self::lowest(name, open());
-        // A function that comes back goes where it was: its copy may still stand there.
-        let back = open()
-            .find(|(w, r)| Some(*w) == function.home.as_ref() && target.is_some_and(|t| *r <= t.1 * GAIN));
-        let target = back.or(target).map(|(w, _)| w.clone());
-        target.is_some_and(|worker| self.order(now, name, &worker, out))
+        self.order(now, name, worker, count, out)
     }
 
     /// Whether the ration of load orders has one more.
@@ -413,7 +418,14 @@
         (self.orders.len() + 1) as f64 <= most
     }
 
-    fn order(&mut self, now: Micros, name: &FunctionId, worker: &WorkerId, out: &mut Out) -> bool {
+    fn order(
+        &mut self,
+        now: Micros,
+        name: &FunctionId,
+        worker: &WorkerId,
+        count: u32,
+        out: &mut Out,
+    ) -> bool {
         let usable = self.workers.get(worker).is_some_and(|w| w.usable);
         if !usable || !self.settings.family.orders || !self.ration(now) {
             return false;
@@ -426,7 +438,7 @@
         if self.settings.family.load_window > 0 {
             self.orders.push_back(now);
         }
-        out.push(Action::Load { worker: worker.clone(), function: name.clone(), count: 1 });
+        out.push(Action::Load { worker: worker.clone(), function: name.clone(), count: count.clamp(1, 16) });
         true
     }
 
@@ -496,7 +508,7 @@
                 self.stand(worker, name, true, count, now);
             }
             if self.functions[name].asks_out == 0 {
-                self.pump(now, out);
+                self.pump(now, Some(worker), out);
             }
             return;
         };
@@ -512,16 +524,21 @@
             known.strain.add(now, 1.0, FORGET_US);
             function.order_after = now + function.load / 2;
         }
-        self.pump(now, out);
+        self.pump(now, None, out);
     }
 
-    /// Routes what waits: within its tenant's share first, then by aim.
-    fn pump(&mut self, now: Micros, out: &mut Out) {
-        if self.waiting.is_empty() || !self.workers.values().any(|w| w.usable && has_room(w)) {
+    /// Routes what waits, within its tenant's share first, then by aim; after an answer only functions that
+    /// have a place on the worker that may have room now.
+    fn pump(&mut self, now: Micros, freed: Option<&WorkerId>, out: &mut Out) {
+        if self.waiting.is_empty() {
             return;
         }
-        let key = |id: &RequestId| self.requests.get(id).map(|h| (h.excess, h.aim < now, h.aim, *id));
-        let mut order: Vec<_> = self.waiting.iter().filter_map(key).collect();
+        let here = |h: &Held| {
+            let function = self.functions.get(&h.told.function);
+            freed.is_none_or(|w| function.is_some_and(|f| f.places.contains_key(w)))
+        };
+        let held = self.waiting.iter().filter_map(|id| self.requests.get(id)).filter(|h| here(h));
+        let mut order: Vec<_> = held.map(|h| (h.excess, h.aim < now, h.aim, h.told.id)).collect();
         order.sort_unstable();
         let mut stuck = BTreeSet::new();
         for (_, _, _, id) in order {
@@ -536,15 +553,15 @@
         }
     }
 
-    /// Asks every worker whether it holds a function that we know no copy of: other schedulers may have
+    /// Asks the first few workers whether they hold a function that we know no copy of: others may have
     /// brought it, or we did before a restart. Useless for functions seen once, where it costs some asks.
     fn ask(&mut self, now: Micros, name: &FunctionId, out: &mut Out) {
+        let ranked = self.rank(now, &self.functions[name]);
+        let asked: Vec<_> = ranked.iter().take(ASK_MOST).map(|c| c.id.clone()).collect();
         let Some(function) = self.functions.get_mut(name) else { return };
-        for (worker, _) in self.workers.iter().filter(|(_, w)| w.usable) {
-            function.asks_out += 1;
-            out.push(Action::Load { worker: worker.clone(), function: name.clone(), count: 0 });
-        }
-        function.ask_until = now + ASK_US;
+        (function.asks_out, function.ask_until) = (asked.len() as u32, now + ASK_US);
+        let ask = |worker| Action::Load { worker, function: name.clone(), count: 0 };
+        out.extend(asked.into_iter().map(ask));
     }
 
     // ---- health ------------------------------------------------------------------------------------------
@@ -554,6 +571,7 @@
             self.started = true;
             self.born = now;
             self.next_replace = now + REPLACE_US;
+            self.own_hash = rendezvous(u64::from(self.settings.self_index) + 1, 1);
             out.push(Action::Timer { after: SWEEP_US, token: 0 });
             if self.settings.must_ask {
                 out.push(Action::Watch);
@@ -569,17 +587,21 @@
                 worker.usable = false;
             }
         }
+        let classes = self.settings.classes.len();
         for member in members {
             let id = member.worker.clone();
             let usable = member.state == State::Active;
             let known = self
                 .workers
                 .entry(id.clone())
-                .or_insert_with(|| Worker::new(member.clone(), now, FIRST_BOUND));
+                .or_insert_with(|| Worker::new(member.clone(), now, FIRST_BOUND, classes));
             let restarted = member.started > known.member.started;
             (known.usable, known.member) = (usable, member);
             if restarted {
                 (known.slowness, known.strain) = Default::default();
+                known.missed.fill(Fading::default());
+                let phase = rendezvous(self.own_hash ^ known.member.started, known.hash);
+                (known.cold_credit, known.cold_at) = (unit(phase), now);
             }
             if restarted || !usable {
                 self.empty(&id);
@@ -588,6 +610,7 @@
         let lost: Vec<_> = self.workers.iter().filter(|(_, w)| !w.usable).map(|(id, _)| id.clone()).collect();
         lost.iter().for_each(|id| self.empty(id));
         self.workers.retain(|_, w| w.usable || !w.due.is_empty());
+        self.walk(now);
     }
 
     /// Forgets all that we believed loaded on a worker.
@@ -614,20 +637,29 @@
         }
     }
 
-    /// Whether the cold budget of a started worker has one more send for us: the told multiple of its
-    /// guessed present capacity, shared among the schedulers. Its capacity is guessed from what we send
-    /// to warm workers, which bear at most theirs.
-    fn cold_budget(&self, now: Micros, worker: &Worker) -> bool {
-        let warmth = self.warmth(now, worker);
-        if warmth >= 1.0 {
-            return true;
+    /// Sends a second that we may add to a started worker: our part of the told multiple of its guessed
+    /// present capacity. Capacity is guessed from what we see warm workers serve, which bear at most theirs.
+    fn cold_rate(&self, now: Micros, worker: &Worker) -> f64 {
+        let each = self.served.get(now, WINDOW_US) / self.fleet.warm.max(1) as f64 / WINDOW_US * 1e6;
+        COLD_SHARE * self.settings.rules.tip_multiple * self.warmth(now, worker) * each
+    }
+
+    /// Sends that have accrued for us at a started worker, endless once it is warm. Where our part of the
+    /// budget is under one a window, schedulers begin at different fractions of a send, and one left unused is
+    /// lost again, so that not all of them save theirs for the same moment.
+    fn cold_credit(&self, now: Micros, worker: &Worker) -> f64 {
+        if self.warmth(now, worker) >= 1.0 {
+            return f64::INFINITY;
         }
-        let rules = &self.settings.rules;
-        let warm = self.workers.values().filter(|w| w.usable && self.warmth(now, w) >= 1.0).count();
-        let each = self.served.get(now, WINDOW_US) / warm.max(1) as f64 / WINDOW_US;
-        let budget = COLD_SHARE * rules.tip_multiple * warmth * each * rules.fall as f64;
-        let recent = worker.cold_sends.iter().rev().take_while(|t| **t + rules.fall > now).count();
-        (recent + 1) as f64 <= budget
+        let window = self.settings.rules.fall as f64 / 1e6;
+        let (rate, since) = (self.cold_rate(now, worker), now.saturating_sub(worker.cold_at) as f64 / 1e6);
+        let most = (rate * window / 2.0).max(1.0);
+        let credit = worker.cold_credit + rate * since;
+        if rate * window >= 1.0 {
+            return credit.min(most);
+        }
+        let usable = most + 2.0 * rate * window;
+        if credit < usable { credit } else { (credit - most) % usable }
     }
 
     // ---- request life ------------------------------------------------------------------------------------
@@ -653,23 +685,28 @@
             self.taken.push_back(now);
         }
         let known = self.functions.contains_key(&name);
+        let holders = self.functions.get(&name).map_or(1, |f| self.wanted(now, f).1);
         let function = self.functions.entry(name.clone()).or_insert_with(|| Function {
             mb: told.memory_mb,
             lanes: told.lanes,
             load: told.load.unwrap_or(class.aim),
             usual: self.class_usual[told.class],
             weight: strictest / class.aim as f64,
+            class: told.class,
+            holders: 1.0,
+            hash: text_hash(name.as_str()),
             born: now,
             ..Function::default()
         });
         function.rate.add(now, 1.0, WINDOW_US);
         function.last = now;
+        function.holders = holders as f64;
         let deadline = now + told.patience;
-        let (aim, shed) = (now + class.aim, class.aim.saturating_sub(function.usual as Micros));
+        // Told less patience than the aim, what is left of it is the aim.
+        let within = class.aim.min(told.patience);
+        let (aim, shed) = (now + within, within.saturating_sub(function.usual as Micros));
         let excess = self.past_share(now, told.tenant);
-        if aim < deadline {
-            self.wake(shed, Wake::Shed(id), out);
-        }
+        self.wake(shed, Wake::Shed(id), out);
         self.wake(told.patience, Wake::Deadline(id), out);
         self.requests.insert(id, Held::new(told, deadline, aim, excess));
         if !known && self.settings.family.orders && now < self.born + WINDOW_US as Micros {
@@ -684,11 +721,16 @@
             held.attempts.get_mut(told.attempt).filter(|a| a.ended.is_none() && a.worker == told.worker);
         let Some(attempt) = attempt else { return };
         attempt.ended = Some(told.code);
-        let (due, class) = (attempt.due, held.told.class);
+        let (due, class, missed) = (attempt.due, held.told.class, attempt.missed);
         let name = held.told.function.clone();
         held.done |= told.last;
         let (done, quiet) = (held.done, held.attempts.iter().all(|a| a.ended.is_some()));
-        self.learn(now, &name, class, due, &told);
+        // A second attempt that answered while the first stays silent was not needless.
+        let earlier = &held.attempts[..told.attempt.min(held.attempts.len())];
+        if told.code == Code::Ok && earlier.iter().any(|a| a.missed && a.ended.is_none()) {
+            self.hedges.add(now, -1.0, WINDOW_US);
+        }
+        self.learn(now, &name, (class, due, missed), &told);
         if done {
             self.finish(told.id, None, out);
         } else if self.requests.get(&told.id).is_some_and(|h| now + self.settings.tick >= h.deadline) {
@@ -696,11 +738,12 @@
         } else if quiet {
             self.route(now, told.id, out);
         }
-        self.pump(now, out);
+        self.pump(now, Some(&told.worker), out);
     }
 
     /// Takes what an outcome tells of the worker, the copy and the function's usual time.
-    fn learn(&mut self, now: Micros, name: &FunctionId, class: usize, due: Micros, told: &Outcome) {
+    fn learn(&mut self, now: Micros, name: &FunctionId, of: (usize, Micros, bool), told: &Outcome) {
+        let (class, due, missed) = of;
         let (worker, key) = (&told.worker, (due, told.id, told.attempt));
         let Some(function) = self.functions.get_mut(name) else { return };
         let place = function.places.entry(worker.clone()).or_default();
@@ -708,11 +751,16 @@
         let Some(known) = self.workers.get_mut(worker) else { return };
         known.due.remove(&key);
         if !matches!(told.code, Code::Timeout | Code::Cancelled | Code::ConnectFailed | Code::Moot) {
-            known.heard = now;
+            known.heard[class] = now;
+            known.missed[class].ease(now, 0.0, 0.7, FORGET_US);
         }
         if let Some(crowd) = told.crowd {
             let others = (f64::from(crowd) - f64::from(place.out)).max(0.0);
-            place.crowd.ease(now, others, 0.3, CROWD_US);
+            place.crowd.ease(now, others, 0.5, CROWD_US);
+            if !matches!(told.copy, CopyNote::Began | CopyNote::Waited) {
+                function.notes.add(now, 1.0, WINDOW_US);
+                function.crowds.add(now, f64::from(crowd) * function.holders, WINDOW_US);
+            }
         }
         let inflight = self.settings.report_names.iter().position(|n| n == "outstanding" || n == "inflight");
         if let Some(held) = inflight.and_then(|i| told.report.get(i)).filter(|v| v.is_finite()) {
@@ -758,6 +806,7 @@
                 known.bound = (known.bound.min(known.due.len() as f64 + 1.0) * 0.7).max(LEAST_BOUND)
             }
             Code::Error | Code::Unknown => known.strain.add(now, 0.5, FORGET_US),
+            Code::Timeout | Code::Cancelled if missed => known.missed[class].add(now, 1.0, FORGET_US),
             Code::Timeout | Code::Cancelled | Code::Moot => {}
         }
         if told.code != Code::Ok
@@ -768,32 +817,34 @@
         }
     }
 
-    /// An attempt is overdue: try elsewhere while patience is left, where class and settings allow.
+    /// An attempt is overdue: evidence against its worker for this class, and a try elsewhere while patience
+    /// is left, where class and settings allow. One that answers others of this class is at work: a second
+    /// attempt would only add to a crowd. Tries that prove needless are rationed, so a jam stays as it is.
     fn overdue(&mut self, now: Micros, id: RequestId, number: usize, out: &mut Out) {
-        let Some(held) = self.requests.get(&id).filter(|h| !h.done) else { return };
-        if held.attempts.get(number).is_none_or(|a| a.ended.is_some()) || held.attempts.len() != number + 1 {
-            return;
-        }
-        let safe = self.settings.classes[held.told.class].repeat != Repeat::Unsafe;
-        // A worker that answers others is at work on this one: a second attempt would only add to a crowd.
-        let attempt = &held.attempts[number];
-        let Some(worker) = self.workers.get(&attempt.worker) else { return };
-        if worker.heard > attempt.sent && self.evidence(now, worker) < SUSPECT {
+        let Some(held) = self.requests.get_mut(&id).filter(|h| !h.done) else { return };
+        let (last, class) = (held.attempts.len() == number + 1, held.told.class);
+        let Some(attempt) = held.attempts.get_mut(number).filter(|a| a.ended.is_none()) else { return };
+        let Some(worker) = self.workers.get_mut(&attempt.worker) else { return };
+        if worker.heard[class] > attempt.sent {
             let again = (now - attempt.sent).max(1);
             if now + again < held.deadline {
                 self.wake(again, Wake::Overdue(id, number), out);
             }
             return;
         }
+        if !std::mem::replace(&mut attempt.missed, true) {
+            worker.missed[class].add(now, 1.0, FORGET_US);
+        }
+        let safe = self.settings.classes[class].repeat != Repeat::Unsafe;
         let spent = self.hedges.get(now, WINDOW_US);
-        if !safe || spent > HEDGE_SHARE * self.sends.get(now, WINDOW_US) + 1.0 {
+        if !last || !safe || spent > HEDGE_SHARE * self.sends.get(now, WINDOW_US) + 1.0 {
             return;
         }
         self.hedges.add(now, 1.0, WINDOW_US);
+        let more = held.attempts.len() < self.settings.limits.attempts as usize;
         if self.settings.limits.second_copies {
             self.route(now, id, out);
-        } else if self.settings.limits.cancel && held.attempts.len() < self.settings.limits.attempts as usize
-        {
+        } else if self.settings.limits.cancel && more {
             out.push(Action::Cancel { id, attempt: number });
         }
     }
@@ -839,6 +890,22 @@
 
     fn sweep(&mut self, now: Micros, out: &mut Out) {
         out.push(Action::Timer { after: SWEEP_US, token: 0 });
+        if now >= self.next_walk {
+            self.next_walk = now + WALK_US;
+            self.walk(now);
+        }
+        self.pump(now, None, out);
+        if now >= self.next_replace {
+            self.next_replace = now + REPLACE_US;
+            if std::mem::take(&mut self.ask_list) {
+                out.push(Action::Watch);
+            }
+            self.replace(now, out);
+        }
+    }
+
+    /// Gives up loads that never ended, releases idle copies and placements, and takes the fleet's sums.
+    fn walk(&mut self, now: Micros) {
         let keep = self.settings.family.keep;
         let names: Vec<_> = self.functions.keys().cloned().collect();
         for name in names {
@@ -872,22 +939,31 @@
             }
         }
         self.functions.retain(|_, f| f.last + keep * 2 >= now || !f.places.is_empty());
-        self.pump(now, out);
-        self.reckon(now);
-        if now >= self.next_replace {
-            self.next_replace = now + REPLACE_US;
-            if std::mem::take(&mut self.ask_list) {
-                out.push(Action::Watch);
-            }
-            self.replace(now, out);
-        }
+        let busy = self.functions.values().map(|f| busy(now, f)).sum();
+        let usable: Vec<&Worker> = self.workers.values().filter(|w| w.usable).collect();
+        let count = usable.len().max(1) as f64;
+        let mean = |of: &dyn Fn(&Worker) -> f64| usable.iter().map(|w| of(w)).sum::<f64>() / count;
+        let calls = self.sends.get(now, WINDOW_US) / count;
+        let kinds = &self.settings.family.kind_memory_mb;
+        self.fleet = Fleet {
+            workers: usable.len(),
+            warm: usable.iter().filter(|w| self.warmth(now, w) >= 1.0).count(),
+            memory_mb: kinds.iter().sum::<f64>() / kinds.len() as f64,
+            hint: mean(&|w| w.hint()),
+            demand: mean(&|w| w.demand.get(now, WINDOW_US)),
+            present: mean(&|w| w.due.len() as f64 + w.others.get(now, CROWD_US)),
+            trust: calls / (calls + TRUST),
+            busy,
+        };
     }
 }
 
-/// Lanes that our calls keep busy; a young function's window counts only as far as it is full.
+/// Lanes that our calls keep busy, the first call left out; a young function's window counts only as far as
+/// it is full.
 fn busy(now: Micros, function: &Function) -> f64 {
     let age = now.saturating_sub(function.born).max(1_000_000) as f64;
-    function.rate.get(now, WINDOW_US) * function.usual / WINDOW_US / (1.0 - (-age / WINDOW_US).exp())
+    let calls = (function.rate.get(now, WINDOW_US) - 1.0).max(0.0);
+    calls * function.usual / WINDOW_US / (1.0 - (-age / WINDOW_US).exp())
 }
 
 /// Whether a worker may be given one more attempt of ours.
@@ -898,3 +974,16 @@
 fn may_have_run(attempt: &Attempt) -> bool {
     !attempt.ended.is_some_and(Code::never_ran)
 }
+
+/// A hash of function and worker that every scheduler computes alike.
+fn rendezvous(function: u64, worker: u64) -> u64 {
+    let mut hash = (function ^ worker.rotate_left(23)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
+
+/// A hash as a number above 0 and at most 1.
+fn unit(hash: u64) -> f64 {
+    ((hash >> 11) + 1) as f64 / (1u64 << 53) as f64
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -165,6 +165,8 @@
     pub report_names: Vec<String>,
     /// Number of schedulers, this one included.
     pub schedulers: u32,
+    /// This scheduler's number among them, from 0.
+    pub self_index: u32,
     /// The zone this scheduler stands in.
     pub zone: usize,
     /// Shortest gap between two batches of events.
@@ -207,6 +209,7 @@
             },
             report_names: Vec::new(),
             schedulers: 1,
+            self_index: 0,
             zone: 0,
             tick: 1_000,
             must_ask: false,
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,8 +37,11 @@
     pub usable: bool,
     /// Weighted busy time of our sends.
     pub demand: Fading,
-    /// Sends, for the cold budget.
-    pub cold_sends: VecDeque<Micros>,
+    /// Hash of its id.
+    pub hash: u64,
+    /// Sends accrued while it is cold, as of `cold_at`.
+    pub cold_credit: f64,
+    pub cold_at: Micros,
     /// Our attempts out, by the time at which each becomes overdue.
     pub due: BTreeSet<(Micros, RequestId, usize)>,
     /// Memory of the instances that we placed there.
@@ -47,7 +50,10 @@
     pub slowness: Fading,
     /// Failed connections, resets, failed loads; fades.
     pub strain: Fading,
-    pub heard: Micros,
+    /// When each class was last answered.
+    pub heard: Vec<Micros>,
+    /// Overdue attempts of each class; fades, and falls with each answer.
+    pub missed: Vec<Fading>,
     /// Most attempts of ours at once: up by answers well inside their aim, down by late and full ones.
     pub bound: f64,
     /// Mean latency over aim of recent answers.
@@ -82,6 +88,12 @@
     /// Strictness of its class, 1 for the strictest.
     pub weight: f64,
     pub rate: Fading,
+    pub class: usize,
+    pub hash: u64,
+    /// Notes of crowds, and the calls in hand that each stood for: the crowd times the holders.
+    pub notes: Fading,
+    pub crowds: Fading,
+    pub holders: f64,
     pub born: Micros,
     pub last: Micros,
     pub home: Option<WorkerId>,
@@ -100,6 +112,8 @@
     pub cell: u64,
     pub sent: Micros,
     pub due: Micros,
+    /// It was counted as evidence of silence.
+    pub missed: bool,
     pub ended: Option<Code>,
 }
 
@@ -125,28 +139,55 @@
     Shed(RequestId),
 }
 
-/// A hash of function and worker that every scheduler computes alike.
-pub fn rendezvous(function: &FunctionId, worker: &WorkerId) -> u64 {
-    let bytes = function.as_str().bytes().chain([0]).chain(worker.as_str().bytes());
-    let mut hash =
-        bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
-    hash ^= hash >> 33;
-    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
-    hash ^ (hash >> 33)
+/// A hash of an id.
+pub fn text_hash(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+}
+
+/// Sums over the fleet, taken now and then.
+#[derive(Default)]
+pub struct Fleet {
+    /// Usable workers, and those of them that are warm.
+    pub workers: usize,
+    pub warm: usize,
+    /// Means over the usable workers: told memory, told size, our demand, requests held.
+    pub memory_mb: f64,
+    pub hint: f64,
+    pub demand: f64,
+    pub present: f64,
+    /// How far our own account of a worker is to be believed, 0 to 1.
+    pub trust: f64,
+    /// Lanes that all our calls keep busy.
+    pub busy: f64,
+}
+
+impl Fleet {
+    /// A worker's told size against the mean.
+    pub fn size(&self, worker: &Worker) -> f64 {
+        if self.hint > 0.0 { (worker.hint() / self.hint).clamp(0.25, 4.0) } else { 1.0 }
+    }
 }
 
 impl Worker {
-    pub fn new(member: Member, now: Micros, bound: f64) -> Self {
+    /// Its told size, 1 where none that makes sense was told.
+    pub fn hint(&self) -> f64 {
+        if self.member.hint.is_finite() && self.member.hint > 0.0 { self.member.hint } else { 1.0 }
+    }
+
+    pub fn new(member: Member, now: Micros, bound: f64, classes: usize) -> Self {
         Self {
+            hash: text_hash(member.worker.as_str()),
             usable: member.state == State::Active,
             member,
             demand: Fading::default(),
-            cold_sends: VecDeque::new(),
+            cold_credit: 0.0,
+            cold_at: now,
             due: BTreeSet::new(),
             placed_mb: 0.0,
             slowness: Fading::default(),
             strain: Fading::default(),
-            heard: now,
+            heard: vec![0; classes],
+            missed: vec![Fading::default(); classes],
             bound,
             stretch: 0.0,
             others: Fading::default(),
@@ -181,8 +222,9 @@
     pub(crate) tenants: Vec<Fading>,
     pub(crate) waiting: Vec<RequestId>,
     pub(crate) born: Micros,
-    pub(crate) leftover_mb: f64,
-    pub(crate) total_demand: f64,
+    pub(crate) fleet: Fleet,
+    pub(crate) own_hash: u64,
+    pub(crate) next_walk: Micros,
     pub(crate) taken: VecDeque<Micros>,
     pub(crate) orders: VecDeque<Micros>,
 }
@@ -205,8 +247,9 @@
             tenants: Vec::new(),
             waiting: Vec::new(),
             born: 0,
-            leftover_mb: 0.0,
-            total_demand: 0.0,
+            fleet: Fleet::default(),
+            own_hash: 0,
+            next_walk: 0,
             hedges: Fading::default(),
             taken: VecDeque::new(),
             orders: VecDeque::new(),
