--- a/src/control.rs
+++ b/src/control.rs
@@ -296,7 +296,10 @@
         }
         let ranked = self.rank(now, function);
         let allowed = |c: &&Choice| self.may_send(now, held, c.worker) && has_room(c.worker);
-        let Some(first) = ranked.iter().find(allowed).or(ranked.first()) else { return };
+        // Copies may stand where nothing may be sent for now: an order there would only be repeated.
+        let lacks = |c: &&Choice| !function.places.get(c.id).is_some_and(|p| p.standing);
+        let first = ranked.iter().filter(lacks).find(allowed).or(ranked.iter().find(lacks));
+        let Some(first) = first else { return };
         let (target, direct) = (first.id.clone(), ranked.iter().find(allowed).map(|c| c.id.clone()));
         if self.grow(now, name, &target, 1, out) || !self.settings.family.load_on_miss {
             return;
