--- a/src/control.rs
+++ b/src/control.rs
@@ -106,6 +106,12 @@
         (1.0 + slow + silent + worker.strain.get(now, FORGET_US)) / self.warmth(now, worker)
     }
 
+    /// Evidence past which a worker is no place for a request of a class: against the better quarter of the
+    /// fleet, for where nearly all look bad at once it is the evidence that is to be doubted.
+    fn suspect(&self, class: usize) -> f64 {
+        SUSPECT * self.fleet.evidence.get(class).copied().unwrap_or(1.0)
+    }
+
     /// The share of its capacity that a worker surely has by now.
     fn warmth(&self, now: Micros, worker: &Worker) -> f64 {
         let rules = &self.settings.rules;
@@ -220,7 +226,8 @@
         }
         let (copies, holders) = self.wanted(now, function);
         let tried = |c: &Choice| held.attempts.iter().any(|a| a.worker == *c.id);
-        let sound = |c: &Choice| self.evidence(now, c.worker, held.told.class) < SUSPECT;
+        let sound =
+            |c: &Choice| self.evidence(now, c.worker, held.told.class) < self.suspect(held.told.class);
         let standing: Vec<_> = open
             .iter()
             .filter_map(|c| function.places.get(c.id).filter(|p| p.standing).map(|p| (*c, p)))
@@ -947,6 +954,11 @@
         let count = usable.len().max(1) as f64;
         let mean = |of: &dyn Fn(&Worker) -> f64| usable.iter().map(|w| of(w)).sum::<f64>() / count;
         let calls = self.sends.get(now, WINDOW_US) / count;
+        let better = |class: usize| {
+            let mut all: Vec<_> = usable.iter().map(|w| self.evidence(now, w, class)).collect();
+            all.sort_by(f64::total_cmp);
+            all.get(all.len() / 4).copied().unwrap_or(1.0)
+        };
         let kinds = &self.settings.family.kind_memory_mb;
         self.fleet = Fleet {
             workers: usable.len(),
@@ -956,6 +968,7 @@
             demand: mean(&|w| w.demand.get(now, WINDOW_US)),
             present: mean(&|w| w.due.len() as f64 + w.others.get(now, CROWD_US)),
             trust: calls / (calls + TRUST),
+            evidence: (0..self.settings.classes.len()).map(better).collect(),
             busy,
         };
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -157,6 +157,8 @@
     pub present: f64,
     /// How far our own account of a worker is to be believed, 0 to 1.
     pub trust: f64,
+    /// Evidence that the better quarter of the workers stay under, for each class.
+    pub evidence: Vec<f64>,
     /// Lanes that all our calls keep busy.
     pub busy: f64,
 }
