--- a/src/control.rs
+++ b/src/control.rs
@@ -21,7 +21,7 @@
 /// Notes of crowds at which they count as much as our own calls times the schedulers.
 const PRIOR: f64 = 3.0;
 /// A function's holders are so many that it is at most one part in this of what each of them does.
-const SPREAD: f64 = 8.0;
+const SPREAD: f64 = 3.0;
 /// How often waiting requests are looked over.
 const SWEEP_US: Micros = 50_000;
 /// How often sums, idle placements and overdue loads are looked over.
