--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,7 @@
 /// A function leaves its home once another ratio is lower by this factor.
 const GAIN: f64 = 1.6;
 /// Calls a worker in the window at which our own account of demand counts as much as the fleet's mean.
-const TRUST: f64 = 4.0;
+const TRUST: f64 = 20.0;
 /// Notes of crowds at which they count as much as our own calls times the schedulers.
 const PRIOR: f64 = 3.0;
 /// A function's holders are so many that it is at most one part in this of what each of them does.
@@ -297,6 +297,9 @@
     fn wait_or_load(&mut self, now: Micros, id: RequestId, name: &FunctionId, out: &mut Out) {
         self.hold(id, false);
         let (Some(function), Some(held)) = (self.functions.get(name), self.requests.get(&id)) else { return };
+        if self.settings.family.orders && now >= function.ask_until + function.load {
+            return self.ask(now, name, out);
+        }
         let asking = function.asks_out > 0 && now < function.ask_until;
         if asking || function.places.values().any(|p| p.loading.is_some()) {
             return;
@@ -517,7 +520,7 @@
                 function.places.entry(worker.clone()).or_default().last = now;
                 self.stand(worker, name, true, count, now);
             }
-            if self.functions[name].asks_out == 0 {
+            if count > 0 || self.functions[name].asks_out == 0 {
                 self.pump(now, Some(worker), out);
             }
             return;
@@ -563,8 +566,10 @@
         }
     }
 
-    /// Asks the first few workers whether they hold a function that we know no copy of: others may have
-    /// brought it, or we did before a restart. Useless for functions seen once, where it costs some asks.
+    /// Asks the first few workers whether they hold a function that we know no copy of, and again while a
+    /// load of it is late: others may have brought it, or we did before a restart. A scheduler of many hears
+    /// of most functions more rarely than copies are kept, though others use them all the time. Useless for
+    /// functions seen once, where it costs some asks.
     fn ask(&mut self, now: Micros, name: &FunctionId, out: &mut Out) {
         let ranked = self.rank(now, &self.functions[name]);
         let asked: Vec<_> = ranked.iter().take(ASK_MOST).map(|c| c.id.clone()).collect();
@@ -694,7 +699,6 @@
         if self.settings.family.load_window > 0 {
             self.taken.push_back(now);
         }
-        let known = self.functions.contains_key(&name);
         let holders = self.functions.get(&name).map_or(1, |f| self.wanted(now, f).1);
         let function = self.functions.entry(name.clone()).or_insert_with(|| Function {
             mb: told.memory_mb,
@@ -719,9 +723,6 @@
         self.wake(shed, Wake::Shed(id), out);
         self.wake(told.patience, Wake::Deadline(id), out);
         self.requests.insert(id, Held::new(told, deadline, aim, excess));
-        if !known && self.settings.family.orders && now < self.born + WINDOW_US as Micros {
-            self.ask(now, &name, out);
-        }
         self.route(now, id, out);
     }
 
