--- a/src/control.rs
+++ b/src/control.rs
@@ -18,10 +18,8 @@
 const GAIN: f64 = 1.6;
 /// Calls a worker in the window at which our own account of demand counts as much as the fleet's mean.
 const TRUST: f64 = 20.0;
-/// Notes of crowds at which they count as much as our own calls times the schedulers.
+/// Our own calls of a function count for no more than so many notes of crowds.
 const PRIOR: f64 = 3.0;
-/// A function's holders are so many that it is at most one part in this of what each of them does.
-const SPREAD: f64 = 3.0;
 /// How often waiting requests are looked over.
 const SWEEP_US: Micros = 50_000;
 /// How often sums, idle placements and overdue loads are looked over.
@@ -160,19 +158,16 @@
 
     /// Copies that a function needs in all, and the workers to hold them. Its calls in hand anywhere are
     /// told by the notes of crowds, whoever called; until some have come they are taken as our own times
-    /// the schedulers, where a first call says nothing. Lanes for them, with room for chance (twice the
-    /// root), are the least; and a function that is a large part of all work is spread so far that no worker
-    /// does mostly that.
+    /// the schedulers, where a first call says nothing. There is a holder for each such call with room for
+    /// chance (twice the root), as a worker's cores serve other functions too, and lanes for all.
     fn wanted(&self, now: Micros, function: &Function) -> (usize, usize) {
-        let workers = self.fleet.workers.max(1);
-        let busy = busy(now, function);
-        let notes = function.notes.get(now, WINDOW_US);
-        let prior = busy * f64::from(self.settings.schedulers);
-        let held = (PRIOR * prior + function.crowds.get(now, WINDOW_US)) / (PRIOR + notes);
-        let copies = ((held + 2.0 * held.sqrt()) / f64::from(function.lanes)).ceil().max(1.0);
-        let part = SPREAD * workers as f64 * busy / self.fleet.busy.max(busy).max(1e-9);
-        let holders = (copies.max(part) as usize).clamp(1, workers);
-        ((copies as usize).max(holders), holders)
+        let calls = (function.rate.get(now, WINDOW_US) - 1.0).clamp(0.0, PRIOR);
+        let own = busy(now, function) * f64::from(self.settings.schedulers);
+        let told = (function.notes.get(now, WINDOW_US), function.crowds.get(now, WINDOW_US));
+        let held = (calls * own + told.1) / (calls + told.0).max(0.1);
+        let room = held + 2.0 * held.sqrt();
+        let holders = (room as usize).clamp(1, self.fleet.workers.max(1));
+        (((room / f64::from(function.lanes)).ceil() as usize).max(holders), holders)
     }
 
     // ---- routing -----------------------------------------------------------------------------------------
@@ -258,10 +253,11 @@
             let place = function.places.get(c.id);
             !place.is_some_and(|p| p.loading.is_some() || p.standing && p.copies as usize * holders >= copies)
         };
-        let set = || ranked.iter().take(holders);
-        let part = set().min_by(|a, b| own(a).total_cmp(&own(b))).filter(lacks);
-        let next = part.or_else(|| set().find(lacks).filter(|_| roomy.is_none()));
-        let next = next.filter(|_| holders > 1 || standing.is_empty()).map(|c| c.id.clone());
+        let set = || ranked.iter().take(holders).filter(|_| holders > 1 || standing.is_empty());
+        let by_own = |a: &&Choice, b: &&Choice| own(a).total_cmp(&own(b));
+        let part = set().min_by(by_own).filter(lacks);
+        let next = part.or_else(|| set().filter(lacks).min_by(by_own).filter(|_| roomy.is_none()));
+        let next = next.map(|c| c.id.clone());
         let (none, excess) = (standing.is_empty(), held.excess && roomy.is_none());
         match choice {
             Some(_) | None if excess && !none && held.attempts.is_empty() => self.give_up(id, out),
@@ -950,7 +946,6 @@
             }
         }
         self.functions.retain(|_, f| f.last + keep * 2 >= now || !f.places.is_empty());
-        let busy = self.functions.values().map(|f| busy(now, f)).sum();
         let usable: Vec<&Worker> = self.workers.values().filter(|w| w.usable).collect();
         let count = usable.len().max(1) as f64;
         let mean = |of: &dyn Fn(&Worker) -> f64| usable.iter().map(|w| of(w)).sum::<f64>() / count;
@@ -970,7 +965,6 @@
             present: mean(&|w| w.due.len() as f64 + w.others.get(now, CROWD_US)),
             trust: calls / (calls + TRUST),
             evidence: (0..self.settings.classes.len()).map(better).collect(),
-            busy,
         };
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -159,8 +159,6 @@
     pub trust: f64,
     /// Evidence that the better quarter of the workers stay under, for each class.
     pub evidence: Vec<f64>,
-    /// Lanes that all our calls keep busy.
-    pub busy: f64,
 }
 
 impl Fleet {
