--- a/src/control.rs
+++ b/src/control.rs
@@ -134,6 +134,13 @@
         (placed + added).max(0.001) * self.evidence(now, worker, class) / (left * fleet.size(worker))
     }
 
+    /// A holder's ratio, spread by our own hash the more the less we know: it parts what we can't tell apart,
+    /// or all schedulers would crowd the same holder.
+    fn own_key(&self, function: &Function, c: &Choice) -> f64 {
+        let spread = -unit(rendezvous(function.hash ^ self.own_hash, c.worker.hash)).ln();
+        c.ratio * spread.powf(1.0 - self.fleet.trust)
+    }
+
     /// Every usable worker as a place for a function, best first: the lowest ratio, spread by a hash that all
     /// schedulers share, so that those who see nearly the same ratios choose the same workers. The home
     /// keeps its place until another ratio is lower past the threshold.
@@ -230,15 +237,14 @@
             .collect();
         // Past a copy's lanes a worker starts another by itself: what waits here instead causes no load.
         let lanes = |p: &Place| f64::from(function.lanes * p.copies.max(1));
-        let own = |c: &Choice| unit(rendezvous(function.hash ^ self.own_hash, c.worker.hash));
+        let own = |c: &Choice| self.own_key(function, c);
         let free = |(c, p): &&(&Choice, &Place)| has_room(c.worker) && f64::from(p.out) < lanes(p);
         let crowd = |p: &Place| f64::from(p.out) + p.crowd.get(now, CROWD_US);
-        // Among the holders the least crowded comes first; our own hash parts what we can't tell apart, or
-        // all schedulers would crowd the same one.
+        // Among the holders the least crowded comes first.
         let cost = |(c, p): &(&Choice, &Place)| {
             let present = c.worker.due.len() as f64 + c.worker.others.get(now, CROWD_US);
             let load = 1.0 + crowd(p) / lanes(p) + present / self.fleet.present.max(1.0);
-            c.ratio * load * (1.0 + own(c))
+            own(c) * load
         };
         let best = |range: &[(&Choice, &Place)], idle: bool| {
             let usable = range.iter().filter(free).filter(|(_, p)| !idle || crowd(p) < lanes(p));
@@ -567,7 +573,14 @@
     /// of most functions more rarely than copies are kept, though others use them all the time. Useless for
     /// functions seen once, where it costs some asks.
     fn ask(&mut self, now: Micros, name: &FunctionId, out: &mut Out) {
-        let ranked = self.rank(now, &self.functions[name]);
+        let function = &self.functions[name];
+        let mut ranked = self.rank(now, function);
+        // Where many should hold it, ours are asked besides the first.
+        ranked.truncate(self.wanted(now, function).1.max(ASK_MOST));
+        ranked
+            .get_mut(1..)
+            .unwrap_or_default()
+            .sort_by(|a, b| self.own_key(function, a).total_cmp(&self.own_key(function, b)));
         let asked: Vec<_> = ranked.iter().take(ASK_MOST).map(|c| c.id.clone()).collect();
         let Some(function) = self.functions.get_mut(name) else { return };
         (function.asks_out, function.ask_until) = (asked.len() as u32, now + ASK_US);
@@ -945,7 +958,7 @@
                 function.home = function.home.take().or(home);
             }
         }
-        self.functions.retain(|_, f| f.last + keep * 2 >= now || !f.places.is_empty());
+        self.functions.retain(|_, f| f.last + keep * 4 >= now || !f.places.is_empty());
         let usable: Vec<&Worker> = self.workers.values().filter(|w| w.usable).collect();
         let count = usable.len().max(1) as f64;
         let mean = |of: &dyn Fn(&Worker) -> f64| usable.iter().map(|w| of(w)).sum::<f64>() / count;
