--- a/src/control.rs
+++ b/src/control.rs
@@ -18,8 +18,8 @@
 const GAIN: f64 = 1.6;
 /// Calls a worker in the window at which our own account of demand counts as much as the fleet's mean.
 const TRUST: f64 = 20.0;
-/// Our own calls of a function count for no more than so many notes of crowds.
-const PRIOR: f64 = 3.0;
+/// Notes of crowds in the window from which on they are believed.
+const HEARSAY: f64 = 0.1;
 /// How often waiting requests are looked over.
 const SWEEP_US: Micros = 50_000;
 /// How often sums, idle placements and overdue loads are looked over.
@@ -138,7 +138,7 @@
     /// or all schedulers would crowd the same holder.
     fn own_key(&self, function: &Function, c: &Choice) -> f64 {
         let spread = -unit(rendezvous(function.hash ^ self.own_hash, c.worker.hash)).ln();
-        c.ratio * spread.powf(1.0 - self.fleet.trust)
+        c.ratio * spread.powf((1.0 - self.fleet.trust).powi(2))
     }
 
     /// Every usable worker as a place for a function, best first: the lowest ratio, spread by a hash that all
@@ -164,14 +164,16 @@
     // ---- demand ------------------------------------------------------------------------------------------
 
     /// Copies that a function needs in all, and the workers to hold them. Its calls in hand anywhere are
-    /// told by the notes of crowds, whoever called; until some have come they are taken as our own times
-    /// the schedulers, where a first call says nothing. There is a holder for each such call with room for
-    /// chance (twice the root), as a worker's cores serve other functions too, and lanes for all.
+    /// taken as our own times the schedulers, where a first call says nothing. One that carries far more
+    /// than the others would take itself for the average: the notes of crowds, times the holders, are a bound
+    /// from above, whoever called, and the mean crowd at one worker is one from below. There is a holder for
+    /// each such call with room for chance (twice the root), as a worker's cores serve other functions too,
+    /// and lanes for all.
     fn wanted(&self, now: Micros, function: &Function) -> (usize, usize) {
-        let calls = (function.rate.get(now, WINDOW_US) - 1.0).clamp(0.0, PRIOR);
         let own = busy(now, function) * f64::from(self.settings.schedulers);
-        let told = (function.notes.get(now, WINDOW_US), function.crowds.get(now, WINDOW_US));
-        let held = (calls * own + told.1) / (calls + told.0).max(0.1);
+        let notes = function.notes.get(now, WINDOW_US);
+        let crowd = function.crowds.get(now, WINDOW_US) / notes.max(1e-9);
+        let held = if notes > HEARSAY { own.min(crowd * function.holders).max(crowd) } else { own };
         let room = held + 2.0 * held.sqrt();
         let holders = (room as usize).clamp(1, self.fleet.workers.max(1));
         (((room / f64::from(function.lanes)).ceil() as usize).max(holders), holders)
@@ -779,7 +781,7 @@
             place.crowd.ease(now, others, 0.5, CROWD_US);
             if !matches!(told.copy, CopyNote::Began | CopyNote::Waited) {
                 function.notes.add(now, 1.0, WINDOW_US);
-                function.crowds.add(now, f64::from(crowd) * function.holders, WINDOW_US);
+                function.crowds.add(now, f64::from(crowd), WINDOW_US);
             }
         }
         let inflight = self.settings.report_names.iter().position(|n| n == "outstanding" || n == "inflight");
@@ -855,13 +857,19 @@
         if !std::mem::replace(&mut attempt.missed, true) {
             worker.missed[class].add(now, 1.0, FORGET_US);
         }
+        let at = attempt.worker.clone();
+        let more = held.attempts.len() < self.settings.limits.attempts as usize;
         let safe = self.settings.classes[class].repeat != Repeat::Unsafe;
         let spent = self.hedges.get(now, WINDOW_US);
         if !last || !safe || spent > HEDGE_SHARE * self.sends.get(now, WINDOW_US) + 1.0 {
             return;
         }
+        // Called off, its work is lost and done again: only where the worker is suspect for more than this.
+        let suspect = self.evidence(now, &self.workers[&at], class);
+        if !self.settings.limits.second_copies && suspect < self.suspect(class) {
+            return;
+        }
         self.hedges.add(now, 1.0, WINDOW_US);
-        let more = held.attempts.len() < self.settings.limits.attempts as usize;
         if self.settings.limits.second_copies {
             self.route(now, id, out);
         } else if self.settings.limits.cancel && more {
