--- a/src/control.rs
+++ b/src/control.rs
@@ -18,6 +18,8 @@
 const GAIN: f64 = 1.6;
 /// Calls a worker in the window at which our own account of demand counts as much as the fleet's mean.
 const TRUST: f64 = 20.0;
+/// Share of all told memory reckoned with for copies; running work and others' placements take the rest.
+const USABLE: f64 = 0.5;
 /// Notes of crowds in the window from which on they are believed.
 const HEARSAY: f64 = 0.1;
 /// How often waiting requests are looked over.
@@ -166,17 +168,24 @@
     /// Copies that a function needs in all, and the workers to hold them. Its calls in hand anywhere are
     /// taken as our own times the schedulers, where a first call says nothing. One that carries far more
     /// than the others would take itself for the average: the notes of crowds, times the holders, are a bound
-    /// from above, whoever called, and the mean crowd at one worker is one from below. There is a holder for
-    /// each such call with room for chance (twice the root), as a worker's cores serve other functions too,
-    /// and lanes for all.
+    /// from above, whoever called, and the mean crowd at one worker is one from below. Lanes for them,
+    /// with room for chance (twice the root), are needed; where the fleet's memory allows it there is a
+    /// holder for each, as a worker's cores serve other functions too.
     fn wanted(&self, now: Micros, function: &Function) -> (usize, usize) {
+        let (least, most) = self.copies(now, function);
+        let holders = (least + (most - least) * self.fleet.room) as usize;
+        let holders = holders.clamp(1, self.fleet.workers.max(1));
+        ((least as usize).max(holders), holders)
+    }
+
+    /// Copies that a function needs at least, and those that it is given where memory is no concern.
+    fn copies(&self, now: Micros, function: &Function) -> (f64, f64) {
         let own = busy(now, function) * f64::from(self.settings.schedulers);
         let notes = function.notes.get(now, WINDOW_US);
         let crowd = function.crowds.get(now, WINDOW_US) / notes.max(1e-9);
         let held = if notes > HEARSAY { own.min(crowd * function.holders).max(crowd) } else { own };
         let room = held + 2.0 * held.sqrt();
-        let holders = (room as usize).clamp(1, self.fleet.workers.max(1));
-        (((room / f64::from(function.lanes)).ceil() as usize).max(holders), holders)
+        ((room / f64::from(function.lanes)).ceil().max(1.0), room.max(1.0))
     }
 
     // ---- routing -----------------------------------------------------------------------------------------
@@ -969,6 +978,12 @@
         self.functions.retain(|_, f| f.last + keep * 4 >= now || !f.places.is_empty());
         let usable: Vec<&Worker> = self.workers.values().filter(|w| w.usable).collect();
         let count = usable.len().max(1) as f64;
+        let (mut needed, mut more) = (0.0, 0.0);
+        for function in self.functions.values() {
+            let (least, most) = self.copies(now, function);
+            needed += least * function.mb;
+            more += (most - least).max(0.0) * function.mb;
+        }
         let mean = |of: &dyn Fn(&Worker) -> f64| usable.iter().map(|w| of(w)).sum::<f64>() / count;
         let calls = self.sends.get(now, WINDOW_US) / count;
         let better = |class: usize| {
@@ -977,7 +992,9 @@
             all.get(all.len() / 4).copied().unwrap_or(1.0)
         };
         let kinds = &self.settings.family.kind_memory_mb;
+        let told: f64 = usable.iter().filter_map(|w| kinds.get(w.member.kind)).sum();
         self.fleet = Fleet {
+            room: ((told * USABLE - needed) / more.max(1.0)).clamp(0.0, 1.0),
             workers: usable.len(),
             warm: usable.iter().filter(|w| self.warmth(now, w) >= 1.0).count(),
             memory_mb: kinds.iter().sum::<f64>() / kinds.len() as f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -150,6 +150,8 @@
     /// Usable workers, and those of them that are warm.
     pub workers: usize,
     pub warm: usize,
+    /// How far memory allows more copies than lanes are needed, 0 to 1.
+    pub room: f64,
     /// Means over the usable workers: told memory, told size, our demand, requests held.
     pub memory_mb: f64,
     pub hint: f64,
