--- a/src/control.rs
+++ b/src/control.rs
@@ -469,8 +469,8 @@
     }
 
     /// Just before a load on a worker that our account shows short of memory: unload the youngest idle
-    /// instance, so that a function seen once does not push out an older, hotter copy. It could hurt
-    /// where another scheduler uses that instance.
+    /// instance of a function that we saw once, so that it does not push out an older, hotter copy. Copies of
+    /// others stay: what we do not use there another scheduler may.
     fn make_room(&mut self, now: Micros, worker: &WorkerId, name: &FunctionId, out: &mut Out) {
         let (Some(known), kinds) = (self.workers.get(worker), &self.settings.family.kind_memory_mb) else {
             return;
@@ -482,7 +482,8 @@
         let idle = self.functions.iter().filter(|(n, _)| *n != name).filter_map(|(n, f)| {
             let place = f.places.get(worker).filter(|p| p.standing && p.out == 0)?;
             let unused = place.last + self.settings.family.keep / 4 < now;
-            (unused && f.home.as_ref() != Some(worker)).then_some((place.loaded_at, n))
+            let once = f.rate.get(now, WINDOW_US) <= 1.0;
+            (unused && once).then_some((place.loaded_at, n))
         });
         if let Some(victim) = idle.max().map(|(_, n)| n.clone()) {
             self.stand(worker, &victim, false, 0, 0);
