--- a/src/control.rs
+++ b/src/control.rs
@@ -849,36 +849,36 @@
         }
     }
 
-    /// An attempt is overdue: evidence against its worker for this class, and a try elsewhere while patience
-    /// is left, where class and settings allow. One that answers others of this class is at work: a second
-    /// attempt would only add to a crowd. Tries that prove needless are rationed, so a jam stays as it is.
+    /// An attempt is overdue: evidence against its worker for this class unless it answered that class since,
+    /// and a try elsewhere while patience is left, where class and settings allow. A worker that answers
+    /// others is at work, and a second attempt would only add to a crowd, until it is suspect for this
+    /// class. Tries that prove needless are rationed, so a jam stays as it is.
     fn overdue(&mut self, now: Micros, id: RequestId, number: usize, out: &mut Out) {
         let Some(held) = self.requests.get_mut(&id).filter(|h| !h.done) else { return };
-        let (last, class) = (held.attempts.len() == number + 1, held.told.class);
+        let (last, class, deadline) = (held.attempts.len() == number + 1, held.told.class, held.deadline);
+        let more = held.attempts.len() < self.settings.limits.attempts as usize;
         let Some(attempt) = held.attempts.get_mut(number).filter(|a| a.ended.is_none()) else { return };
         let Some(worker) = self.workers.get_mut(&attempt.worker) else { return };
-        if worker.heard[class] > attempt.sent {
-            let again = (now - attempt.sent).max(1);
-            if now + again < held.deadline {
+        let silent = worker.heard[class] <= attempt.sent;
+        if silent && !std::mem::replace(&mut attempt.missed, true) {
+            worker.missed[class].add(now, 1.0, FORGET_US);
+        }
+        let (sent, worker) = (attempt.sent, &self.workers[&attempt.worker]);
+        let suspect = self.evidence(now, worker, class) >= self.suspect(class);
+        // Called off, its work is lost and done again: there only suspicion will do.
+        let busy = worker.heard.iter().any(|h| *h > sent) || !self.settings.limits.second_copies;
+        if busy && !suspect {
+            let again = (now - sent).max(1);
+            if now + again < deadline {
                 self.wake(again, Wake::Overdue(id, number), out);
             }
             return;
         }
-        if !std::mem::replace(&mut attempt.missed, true) {
-            worker.missed[class].add(now, 1.0, FORGET_US);
-        }
-        let at = attempt.worker.clone();
-        let more = held.attempts.len() < self.settings.limits.attempts as usize;
         let safe = self.settings.classes[class].repeat != Repeat::Unsafe;
         let spent = self.hedges.get(now, WINDOW_US);
         if !last || !safe || spent > HEDGE_SHARE * self.sends.get(now, WINDOW_US) + 1.0 {
             return;
         }
-        // Called off, its work is lost and done again: only where the worker is suspect for more than this.
-        let suspect = self.evidence(now, &self.workers[&at], class);
-        if !self.settings.limits.second_copies && suspect < self.suspect(class) {
-            return;
-        }
         self.hedges.add(now, 1.0, WINDOW_US);
         if self.settings.limits.second_copies {
             self.route(now, id, out);
