--- a/src/control.rs
+++ b/src/control.rs
@@ -40,6 +40,8 @@
 const STRETCH: f64 = 0.5;
 /// Evidence past which a worker is no place for a request.
 const SUSPECT: f64 = 3.0;
+/// Share of attempts that fail or come late from which on what is past a tenant's share is turned away.
+const JAM: f64 = 0.15;
 /// Span over which a tenant's calls are held against its share.
 const FAIR_US: f64 = 3_000_000.0;
 /// Crowd notes and load reports fade to 1/e in this time.
@@ -275,9 +277,12 @@
         let part = set().min_by(by_own).filter(lacks);
         let next = part.or_else(|| set().filter(lacks).min_by(by_own).filter(|_| roomy.is_none()));
         let next = next.map(|c| c.id.clone());
-        let (none, excess) = (standing.is_empty(), held.excess && roomy.is_none());
+        // Where answers come late or not at all, what is past a tenant's share is turned away.
+        let jam = self.jam.get(now, FORGET_US) > JAM;
+        let (none, excess) =
+            (standing.is_empty(), held.excess && held.attempts.is_empty() && (jam || roomy.is_none()));
         match choice {
-            Some(_) | None if excess && !none && held.attempts.is_empty() => self.give_up(id, out),
+            _ if excess => self.give_up(id, out),
             Some(worker) => self.send(now, id, &worker, out),
             None if none => return self.wait_or_load(now, id, &name, out),
             None => self.hold(id, true),
@@ -757,11 +762,6 @@
         let name = held.told.function.clone();
         held.done |= told.last;
         let (done, quiet) = (held.done, held.attempts.iter().all(|a| a.ended.is_some()));
-        // A second attempt that answered while the first stays silent was not needless.
-        let earlier = &held.attempts[..told.attempt.min(held.attempts.len())];
-        if told.code == Code::Ok && earlier.iter().any(|a| a.missed && a.ended.is_none()) {
-            self.hedges.add(now, -1.0, WINDOW_US);
-        }
         self.learn(now, &name, (class, due, missed), &told);
         if done {
             self.finish(told.id, None, out);
@@ -811,6 +811,8 @@
                 known.bound += 0.5 / known.bound;
             }
         }
+        let failed = matches!(told.code, Code::Full | Code::Timeout | Code::Error | Code::Reset);
+        self.jam.ease(now, f64::from(u8::from(failed || share > 1.0)), 0.1, FORGET_US);
         match told.code {
             Code::Ok => {
                 self.served.add(now, 1.0, WINDOW_US);
--- a/src/state.rs
+++ b/src/state.rs
@@ -221,6 +221,8 @@
     pub(crate) sends: Fading,
     pub(crate) served: Fading,
     pub(crate) hedges: Fading,
+    /// Share of attempts that failed or came late; fades.
+    pub(crate) jam: Fading,
     pub(crate) tenants: Vec<Fading>,
     pub(crate) waiting: Vec<RequestId>,
     pub(crate) born: Micros,
@@ -253,6 +255,7 @@
             own_hash: 0,
             next_walk: 0,
             hedges: Fading::default(),
+            jam: Fading::default(),
             taken: VecDeque::new(),
             orders: VecDeque::new(),
         }
