--- a/src/control.rs
+++ b/src/control.rs
@@ -277,10 +277,10 @@
         let part = set().min_by(by_own).filter(lacks);
         let next = part.or_else(|| set().filter(lacks).min_by(by_own).filter(|_| roomy.is_none()));
         let next = next.map(|c| c.id.clone());
-        // Where answers come late or not at all, what is past a tenant's share is turned away.
-        let jam = self.jam.get(now, FORGET_US) > JAM;
-        let (none, excess) =
-            (standing.is_empty(), held.excess && held.attempts.is_empty() && (jam || roomy.is_none()));
+        // Where answers come late or not at all, or no lane is idle, what is past a tenant's share goes first.
+        let none = standing.is_empty();
+        let jam = self.jam.get(now, FORGET_US) > JAM || roomy.is_none() && !none;
+        let excess = held.excess && held.attempts.is_empty() && jam;
         match choice {
             _ if excess => self.give_up(id, out),
             Some(worker) => self.send(now, id, &worker, out),
@@ -411,14 +411,17 @@
 
     // ---- fairness ----------------------------------------------------------------------------------------
 
-    /// Whether a tenant sends us clearly more than our part of its share; such requests wait behind the
-    /// others and are turned away where no lane is idle.
+    /// Whether a request is past our part of its tenant's share: the share itself is always let in, however
+    /// many repeats come on top. Such requests wait behind the others and go first where there is no room.
     fn past_share(&mut self, now: Micros, tenant: usize) -> bool {
         let Some(quota) = self.settings.tenant_quotas.get(tenant) else { return false };
         let share = quota / f64::from(self.settings.schedulers) * FAIR_US / 1e6;
         self.tenants.resize(self.settings.tenant_quotas.len(), Fading::default());
-        self.tenants[tenant].add(now, 1.0, FAIR_US);
-        self.tenants[tenant].get(now, FAIR_US) > share + 2.0 * share.sqrt()
+        let past = self.tenants[tenant].get(now, FAIR_US) > share + share.sqrt();
+        if !past {
+            self.tenants[tenant].add(now, 1.0, FAIR_US);
+        }
+        past
     }
 
     // ---- copies ------------------------------------------------------------------------------------------
