--- a/src/control.rs
+++ b/src/control.rs
@@ -40,8 +40,9 @@
 const STRETCH: f64 = 0.5;
 /// Evidence past which a worker is no place for a request.
 const SUSPECT: f64 = 3.0;
-/// Share of attempts that fail or come late from which on what is past a tenant's share is turned away.
+/// Share of attempts that come back full or late from which on requests are turned away, and the most of them.
 const JAM: f64 = 0.15;
+const MOST_AWAY: f64 = 0.8;
 /// Span over which a tenant's calls are held against its share.
 const FAIR_US: f64 = 3_000_000.0;
 /// Crowd notes and load reports fade to 1/e in this time.
@@ -277,12 +278,8 @@
         let part = set().min_by(by_own).filter(lacks);
         let next = part.or_else(|| set().filter(lacks).min_by(by_own).filter(|_| roomy.is_none()));
         let next = next.map(|c| c.id.clone());
-        // Where answers come late or not at all, or no lane is idle, what is past a tenant's share goes first.
         let none = standing.is_empty();
-        let jam = self.jam.get(now, FORGET_US) > JAM || roomy.is_none() && !none;
-        let excess = held.excess && held.attempts.is_empty() && jam;
         match choice {
-            _ if excess => self.give_up(id, out),
             Some(worker) => self.send(now, id, &worker, out),
             None if none => return self.wait_or_load(now, id, &name, out),
             None => self.hold(id, true),
@@ -424,6 +421,22 @@
         past
     }
 
+    /// Whether a new request is turned away at once. Where attempts come back full or late, all schedulers
+    /// together send more than the fleet can do, though each sends little: what is past a tenant's share goes
+    /// first, then a part of the rest that grows with the jam, or all would be served late. It lets go as
+    /// answers come in time, or after some seconds without any. Could hurt where one jammed worker has most
+    /// of our calls.
+    fn turned_away(&mut self, now: Micros, excess: bool) -> bool {
+        let over = self.jam.get(now, FORGET_US) - JAM;
+        if over <= 0.0 || excess {
+            return over > 0.0;
+        }
+        self.admitted += 1.0 - (2.0 * over).min(MOST_AWAY);
+        let away = self.admitted < 1.0;
+        self.admitted -= if away { 0.0 } else { 1.0 };
+        away
+    }
+
     // ---- copies ------------------------------------------------------------------------------------------
 
     /// Orders copies of a function at a worker, one order of a function at a time: true while one is under
@@ -752,7 +765,7 @@
         self.wake(shed, Wake::Shed(id), out);
         self.wake(told.patience, Wake::Deadline(id), out);
         self.requests.insert(id, Held::new(told, deadline, aim, excess));
-        self.route(now, id, out);
+        if self.turned_away(now, excess) { self.give_up(id, out) } else { self.route(now, id, out) }
     }
 
     fn outcome(&mut self, now: Micros, told: Outcome, out: &mut Out) {
@@ -814,8 +827,15 @@
                 known.bound += 0.5 / known.bound;
             }
         }
-        let failed = matches!(told.code, Code::Full | Code::Timeout | Code::Error | Code::Reset);
-        self.jam.ease(now, f64::from(u8::from(failed || share > 1.0)), 0.1, FORGET_US);
+        let jammed = match told.code {
+            Code::Full => Some(1.0),
+            Code::Ok => Some(f64::from(u8::from(share > 1.0))),
+            Code::Timeout => Some(0.5),
+            _ => None,
+        };
+        if let Some(jammed) = jammed {
+            self.jam.ease(now, jammed, 0.1, FORGET_US);
+        }
         match told.code {
             Code::Ok => {
                 self.served.add(now, 1.0, WINDOW_US);
--- a/src/state.rs
+++ b/src/state.rs
@@ -223,6 +223,8 @@
     pub(crate) hedges: Fading,
     /// Share of attempts that failed or came late; fades.
     pub(crate) jam: Fading,
+    /// Requests let in so far as by their part, not yet come.
+    pub(crate) admitted: f64,
     pub(crate) tenants: Vec<Fading>,
     pub(crate) waiting: Vec<RequestId>,
     pub(crate) born: Micros,
@@ -256,6 +258,7 @@
             next_walk: 0,
             hedges: Fading::default(),
             jam: Fading::default(),
+            admitted: 1.0,
             taken: VecDeque::new(),
             orders: VecDeque::new(),
         }
