--- a/src/control.rs
+++ b/src/control.rs
@@ -830,7 +830,6 @@
         let jammed = match told.code {
             Code::Full => Some(1.0),
             Code::Ok => Some(f64::from(u8::from(share > 1.0))),
-            Code::Timeout => Some(0.5),
             _ => None,
         };
         if let Some(jammed) = jammed {
