--- a/src/control.rs
+++ b/src/control.rs
@@ -32,12 +32,6 @@
 const FORGET_US: f64 = 6_000_000.0;
 /// Slowness below this is chance.
 const SLACK: f64 = 0.5;
-/// Attempts of ours that a worker is first trusted with; the bound then follows its answers.
-const FIRST_BOUND: f64 = 4.0;
-/// The bound never falls below this: a scheduler must keep hearing from a worker to raise it again.
-const LEAST_BOUND: f64 = 1.0;
-/// A worker whose answers take this share of their aim, on average, is given fewer.
-const STRETCH: f64 = 0.5;
 /// Evidence past which a worker is no place for a request.
 const SUSPECT: f64 = 3.0;
 /// Share of attempts that come back full or late from which on requests are turned away, and the most of them.
@@ -252,7 +246,7 @@
         // Past a copy's lanes a worker starts another by itself: what waits here instead causes no load.
         let lanes = |p: &Place| f64::from(function.lanes * p.copies.max(1));
         let own = |c: &Choice| self.own_key(function, c);
-        let free = |(c, p): &&(&Choice, &Place)| has_room(c.worker) && f64::from(p.out) < lanes(p);
+        let free = |(_, p): &&(&Choice, &Place)| f64::from(p.out) < lanes(p);
         let crowd = |p: &Place| f64::from(p.out) + p.crowd.get(now, CROWD_US);
         // Among the holders the least crowded comes first.
         let cost = |(c, p): &(&Choice, &Place)| {
@@ -320,7 +314,7 @@
             return;
         }
         let ranked = self.rank(now, function);
-        let allowed = |c: &&Choice| self.may_send(now, held, c.worker) && has_room(c.worker);
+        let allowed = |c: &&Choice| self.may_send(now, held, c.worker);
         // Copies may stand where nothing may be sent for now: an order there would only be repeated.
         let lacks = |c: &&Choice| !function.places.get(c.id).is_some_and(|p| p.standing);
         let first = ranked.iter().filter(lacks).find(allowed).or(ranked.iter().find(lacks));
@@ -517,7 +511,6 @@
         let Some(function) = self.functions.get_mut(name) else { return };
         let place = function.places.entry(worker.clone()).or_default();
         let before = if place.standing { f64::from(place.copies.max(1)) } else { 0.0 };
-        place.needed = if copies > place.copies { now } else { place.needed };
         place.loaded_at = if stands && !place.standing { now } else { place.loaded_at };
         (place.standing, place.copies) = (stands, copies);
         let after = if stands { f64::from(copies.max(1)) } else { 0.0 };
@@ -648,10 +641,8 @@
         for member in members {
             let id = member.worker.clone();
             let usable = member.state == State::Active;
-            let known = self
-                .workers
-                .entry(id.clone())
-                .or_insert_with(|| Worker::new(member.clone(), now, FIRST_BOUND, classes));
+            let known =
+                self.workers.entry(id.clone()).or_insert_with(|| Worker::new(member.clone(), now, classes));
             let restarted = member.started > known.member.started;
             (known.usable, known.member) = (usable, member);
             if restarted {
@@ -672,25 +663,16 @@
 
     /// Forgets all that we believed loaded on a worker.
     fn empty(&mut self, worker: &WorkerId) {
-        let names: Vec<_> = self
-            .functions
-            .iter()
-            .filter(|(_, f)| f.places.contains_key(worker))
-            .map(|(n, _)| n.clone())
-            .collect();
+        let held = self.functions.iter().filter(|(_, f)| f.places.contains_key(worker));
+        let names: Vec<_> = held.map(|(n, _)| n.clone()).collect();
         for name in names {
             self.stand(worker, &name, false, 0, 0);
-            if let Some(function) = self.functions.get_mut(&name) {
-                if function.moving.as_ref() == Some(worker) {
-                    function.moving = None;
-                }
-                if let Some(place) = function.places.get_mut(worker) {
-                    place.loading = None;
-                    if place.out == 0 {
-                        function.places.remove(worker);
-                    }
-                }
+            let Some(function) = self.functions.get_mut(&name) else { continue };
+            function.moving.take_if(|w| *w == *worker);
+            if let Some(place) = function.places.get_mut(worker) {
+                place.loading = None;
             }
+            function.places.retain(|w, p| w != worker || p.out > 0);
         }
     }
 
@@ -815,18 +797,8 @@
             let others = (held.clamp(0.0, 1_000.0) - known.due.len() as f64).max(0.0);
             known.others.ease(now, others, 0.3, CROWD_US);
         }
-        // Time-outs count too, or a jam would never close the bound; not where they may be a load's wait.
         let stood = told.code == Code::Ok && matches!(told.copy, CopyNote::Stood | CopyNote::Untold);
         let share = told.latency as f64 / self.settings.classes[class].aim as f64;
-        let unheard = matches!(told.code, Code::Timeout | Code::Cancelled) && share >= 1.0;
-        if stood || unheard && !self.settings.family.load_on_miss {
-            known.stretch += 0.1 * (share.min(4.0) - known.stretch);
-            if known.stretch > STRETCH {
-                known.bound = (known.bound * 0.97).max(LEAST_BOUND);
-            } else if (known.due.len() + 2) as f64 > known.bound {
-                known.bound += 0.5 / known.bound;
-            }
-        }
         let jammed = match told.code {
             Code::Full => Some(1.0),
             Code::Ok => Some(f64::from(u8::from(share > 1.0))),
@@ -847,23 +819,17 @@
                     let usual = &mut self.class_usual[class];
                     *usual += 0.02 * (latency.min(*usual * 10.0) - *usual);
                 }
-                let copies = if told.copy == CopyNote::Began && place.standing {
-                    place.copies + 1
-                } else {
-                    place.copies.max(1)
-                };
+                let began = told.copy == CopyNote::Began && place.standing;
+                let copies = (place.copies + u32::from(began)).max(1);
                 if known.usable {
                     self.stand(worker, name, true, copies, now);
                 }
             }
             Code::Miss => self.stand(worker, name, false, 0, now),
             Code::ConnectFailed | Code::Reset => known.strain.add(now, 3.0, FORGET_US),
-            Code::Full => {
-                known.bound = (known.bound.min(known.due.len() as f64 + 1.0) * 0.7).max(LEAST_BOUND)
-            }
             Code::Error | Code::Unknown => known.strain.add(now, 0.5, FORGET_US),
             Code::Timeout | Code::Cancelled if missed => known.missed[class].add(now, 1.0, FORGET_US),
-            Code::Timeout | Code::Cancelled | Code::Moot => {}
+            Code::Full | Code::Timeout | Code::Cancelled | Code::Moot => {}
         }
         if told.code != Code::Ok
             && let Some(place) = self.functions.get_mut(name).and_then(|f| f.places.get_mut(worker))
@@ -979,12 +945,10 @@
                     function.moving = None;
                 }
             }
+            // Further copies fall idle one after another once a worker's crowd is gone.
             for (id, place) in function.places.iter_mut().filter(|(_, p)| p.standing && p.copies > 1) {
-                let crowd = f64::from(place.out) + place.crowd.get(now, CROWD_US);
-                if crowd > f64::from(function.lanes * (place.copies - 1)) {
-                    place.needed = now;
-                } else if place.needed + keep < now {
-                    (place.copies, place.needed) = (place.copies - 1, now);
+                if place.last + keep / 2 < now {
+                    place.copies -= 1;
                     if let Some(known) = self.workers.get_mut(id) {
                         known.placed_mb = (known.placed_mb - function.mb).max(0.0);
                     }
@@ -1040,11 +1004,6 @@
     calls * function.usual / WINDOW_US / (1.0 - (-age / WINDOW_US).exp())
 }
 
-/// Whether a worker may be given one more attempt of ours.
-fn has_room(worker: &Worker) -> bool {
-    (worker.due.len() as f64) < worker.bound
-}
-
 fn may_have_run(attempt: &Attempt) -> bool {
     !attempt.ended.is_some_and(Code::never_ran)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,10 +54,6 @@
     pub heard: Vec<Micros>,
     /// Overdue attempts of each class; fades, and falls with each answer.
     pub missed: Vec<Fading>,
-    /// Most attempts of ours at once: up by answers well inside their aim, down by late and full ones.
-    pub bound: f64,
-    /// Mean latency over aim of recent answers.
-    pub stretch: f64,
     /// Requests that others keep there, by its reports.
     pub others: Fading,
 }
@@ -71,8 +67,6 @@
     pub loading: Option<Micros>,
     pub last: Micros,
     pub loaded_at: Micros,
-    /// When all copies were last needed.
-    pub needed: Micros,
     /// Requests of other schedulers for this function there, by crowd notes; fades.
     pub crowd: Fading,
 }
@@ -176,7 +170,7 @@
         if self.member.hint.is_finite() && self.member.hint > 0.0 { self.member.hint } else { 1.0 }
     }
 
-    pub fn new(member: Member, now: Micros, bound: f64, classes: usize) -> Self {
+    pub fn new(member: Member, now: Micros, classes: usize) -> Self {
         Self {
             hash: text_hash(member.worker.as_str()),
             usable: member.state == State::Active,
@@ -190,8 +184,6 @@
             strain: Fading::default(),
             heard: vec![0; classes],
             missed: vec![Fading::default(); classes],
-            bound,
-            stretch: 0.0,
             others: Fading::default(),
         }
     }
