--- a/src/control.rs
+++ b/src/control.rs
@@ -1,10 +1,8 @@
 //! The policy: every decision of a scheduler. Its types, events and actions stand in `src/interface.rs`, the
 //! records that it keeps in `src/state.rs`.
-//!
-//! The ordinary path: each function is placed on the worker whose memory pressure ratio (weighted demand
-//! over memory left) would be lowest, its requests follow it there and overflow onward by the same rule, a
-//! timer re-places it past a gain threshold, and idle placements are released. Sections: pressure, demand,
-//! routing, copies, health, request life, fairness.
+//! The ordinary path: each function is placed on the worker whose memory pressure ratio (weighted demand over
+//! memory left) would be lowest, its requests follow it there and overflow onward by the same rule, a timer
+//! re-places it past a gain threshold, and idle placements are released.
 
 use crate::interface::*;
 use crate::state::*;
@@ -12,21 +10,19 @@
 
 /// Span of the demand window (the paper has 60 s; keep-alive here is some ten seconds).
 const WINDOW_US: f64 = 10_000_000.0;
-/// How far a lower ratio outweighs the shared hash: at 1.25 times the ratio a worker comes first 3 times in 10.
+/// How far a lower ratio outweighs the shared hash: at 1.25 times the ratio a worker comes first 3 times in
+/// 10.
 const SHARP: f64 = 4.0;
 /// A function leaves its home once another ratio is lower by this factor.
 const GAIN: f64 = 1.6;
-/// Calls a worker in the window at which our own account of demand counts as much as the fleet's mean.
+/// Calls a worker in the window at which our own account of demand counts as much as the fleet's mean, for
+/// one of many.
 const TRUST: f64 = 20.0;
 /// Share of all told memory reckoned with for copies; running work and others' placements take the rest.
 const USABLE: f64 = 0.5;
-/// Notes of crowds in the window from which on they are believed.
-const HEARSAY: f64 = 0.1;
-/// How often waiting requests are looked over.
+/// How often what waits is looked over, sums and idle placements are, and functions are re-placed.
 const SWEEP_US: Micros = 50_000;
-/// How often sums, idle placements and overdue loads are looked over.
 const WALK_US: Micros = 500_000;
-/// How often functions are re-placed.
 const REPLACE_US: Micros = 1_000_000;
 /// Evidence against a worker fades to 1/e in this time.
 const FORGET_US: f64 = 6_000_000.0;
@@ -34,9 +30,8 @@
 const SLACK: f64 = 0.5;
 /// Evidence past which a worker is no place for a request.
 const SUSPECT: f64 = 3.0;
-/// Share of attempts that come back full or late from which on requests are turned away, and the most of them.
+/// Share of attempts that come back full or late from which on requests are turned away.
 const JAM: f64 = 0.15;
-const MOST_AWAY: f64 = 0.8;
 /// Span over which a tenant's calls are held against its share.
 const FAIR_US: f64 = 3_000_000.0;
 /// Crowd notes and load reports fade to 1/e in this time.
@@ -57,17 +52,18 @@
     worker: &'a Worker,
 }
 
+type At<'a> = (&'a WorkerId, &'a FunctionId);
+
 impl Controller {
-    /// A controller that has heard nothing yet. The seed is accepted for policies that draw; this one
-    /// breaks ties by hash so that schedulers agree.
+    /// A controller that has heard nothing yet. It draws nothing: ties are broken by hash.
     pub fn new(settings: Settings, _seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
         let class_usual = settings.classes.iter().map(|c| c.aim as f64 / 4.0).collect();
         Ok(Self::blank(settings, class_usual))
     }
 
-    /// Takes one event at time `now` and appends what is to be done. Events about unknown requests,
-    /// attempts, workers, functions or timers change nothing.
+    /// Takes one event at time `now` and appends what is to be done. Events about unknown things change
+    /// nothing.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Members { kind, members } => self.members(now, kind, members, out),
@@ -82,7 +78,13 @@
             Event::Timer { token } => match self.wakes.remove(&token) {
                 Some(Wake::Deadline(id)) if self.requests.get(&id).is_none_or(|h| h.streaming) => {}
                 Some(Wake::Deadline(id)) => self.finish(id, Some(Action::Fail { id }), out),
-                Some(Wake::Shed(id)) => self.shed(id, out),
+                Some(Wake::Shed(id)) => {
+                    // All copies are crowded, the aim is past. Could hurt where late answers are worth much.
+                    let sheds = |h: &Held| h.waiting && h.crowded && self.may_refuse(h);
+                    if self.requests.get(&id).is_some_and(sheds) {
+                        self.give_up(id, out);
+                    }
+                }
                 Some(Wake::Overdue(id, attempt)) => self.overdue(now, id, attempt, out),
                 None => {}
             },
@@ -93,9 +95,8 @@
     // ---- pressure ----------------------------------------------------------------------------------------
 
     /// Evidence that a worker does less for a class than its memory promises, 1 for none: slowness against
-    /// each function's usual time, answers of this class that stay away (those of other classes count a
-    /// little: a worker may swallow one and serve the rest), broken connections, a cold start. It only
-    /// orders workers against each other, so where all look bad work still spreads.
+    /// usual times, answers of this class that stay away (those of others count a little: a worker may
+    /// swallow one class and serve the rest), broken connections, a cold start. It only orders workers.
     fn evidence(&self, now: Micros, worker: &Worker, class: usize) -> f64 {
         let slow = (worker.slowness.get(now, FORGET_US) - SLACK).max(0.0);
         let missed = |c: usize| worker.missed.get(c).map_or(0.0, |m| m.get(now, FORGET_US));
@@ -111,13 +112,10 @@
 
     /// The share of its capacity that a worker surely has by now.
     fn warmth(&self, now: Micros, worker: &Worker) -> f64 {
-        let rules = &self.settings.rules;
-        let age = now.saturating_sub(worker.member.started) as f64;
-        if worker.member.started == 0 || age >= rules.warm_within as f64 {
-            return 1.0;
-        }
+        let (rules, started) = (&self.settings.rules, worker.member.started);
+        let age = now.saturating_sub(started) as f64 / rules.warm_within.max(1) as f64;
         let from = rules.cold_from.min(1.0);
-        from + (1.0 - from) * age / rules.warm_within as f64
+        if started == 0 { 1.0 } else { (from + (1.0 - from) * age).min(1.0) }
     }
 
     /// A worker's pressure ratio if `added` demand and `mb` memory came to it. Our own account of demand and
@@ -133,29 +131,26 @@
         (placed + added).max(0.001) * self.evidence(now, worker, class) / (left * fleet.size(worker))
     }
 
-    /// A holder's ratio, spread by our own hash the more the less we know: it parts what we can't tell apart,
-    /// or all schedulers would crowd the same holder.
+    /// A holder's ratio, spread by our own hash the more the less we know, or all would crowd the same
+    /// holder.
     fn own_key(&self, function: &Function, c: &Choice) -> f64 {
         let spread = -unit(rendezvous(function.hash ^ self.own_hash, c.worker.hash)).ln();
         c.ratio * spread.powf((1.0 - self.fleet.trust).powi(2))
     }
 
     /// Every usable worker as a place for a function, best first: the lowest ratio, spread by a hash that all
-    /// schedulers share, so that those who see nearly the same ratios choose the same workers. The home
-    /// keeps its place until another ratio is lower past the threshold.
+    /// schedulers share, so that those who see nearly the same ratios choose the same workers. The home keeps
+    /// its place until another ratio is lower past the threshold.
     fn rank(&self, now: Micros, function: &Function) -> Vec<Choice<'_>> {
         let added = function.rate.get(now, WINDOW_US) * function.usual * function.weight / WINDOW_US;
-        let mut ranked: Vec<_> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| w.usable)
-            .map(|(id, worker)| {
-                let ratio = self.ratio(now, worker, added, function.mb, function.class);
-                let held = if function.home.as_ref() == Some(id) { ratio / GAIN } else { ratio };
-                let key = held.powf(SHARP) * -unit(rendezvous(function.hash, worker.hash)).ln();
-                Choice { key, ratio, id, worker }
-            })
-            .collect();
+        let usable = self.workers.iter().filter(|(_, w)| w.usable);
+        let choices = usable.map(|(id, worker)| {
+            let ratio = self.ratio(now, worker, added, function.mb, function.class);
+            let held = if function.home.as_ref() == Some(id) { ratio / GAIN } else { ratio };
+            let key = held.powf(SHARP) * -unit(rendezvous(function.hash, worker.hash)).ln();
+            Choice { key, ratio, id, worker }
+        });
+        let mut ranked: Vec<_> = choices.collect();
         ranked.sort_by(|a, b| a.key.total_cmp(&b.key));
         ranked
     }
@@ -163,11 +158,11 @@
     // ---- demand ------------------------------------------------------------------------------------------
 
     /// Copies that a function needs in all, and the workers to hold them. Its calls in hand anywhere are
-    /// taken as our own times the schedulers, where a first call says nothing. One that carries far more
-    /// than the others would take itself for the average: the notes of crowds, times the holders, are a bound
-    /// from above, whoever called, and the mean crowd at one worker is one from below. Lanes for them,
-    /// with room for chance (twice the root), are needed; where the fleet's memory allows it there is a
-    /// holder for each, as a worker's cores serve other functions too.
+    /// taken as our own times the schedulers, where a first call says nothing. One that carries far more than
+    /// the others would take itself for the average: notes of crowds times the holders are a bound from
+    /// above, the mean crowd at one worker is one from below. They need lanes, with room for chance (twice
+    /// the root); where memory allows there is a holder for each, as a worker's cores serve other functions
+    /// too.
     fn wanted(&self, now: Micros, function: &Function) -> (usize, usize) {
         let (least, most) = self.copies(now, function);
         let holders = (least + (most - least) * self.fleet.room) as usize;
@@ -180,7 +175,7 @@
         let own = busy(now, function) * f64::from(self.settings.schedulers);
         let notes = function.notes.get(now, WINDOW_US);
         let crowd = function.crowds.get(now, WINDOW_US) / notes.max(1e-9);
-        let held = if notes > HEARSAY { own.min(crowd * function.holders).max(crowd) } else { own };
+        let held = if notes > 0.1 { own.min(crowd * function.holders).max(crowd) } else { own };
         let room = held + 2.0 * held.sqrt();
         ((room / f64::from(function.lanes)).ceil().max(1.0), room.max(1.0))
     }
@@ -198,16 +193,13 @@
         {
             return false;
         }
-        let mut maybe = held.attempts.iter().filter(|a| may_have_run(a));
+        let mut maybe = held.attempts.iter().filter(|a| a.may_have_run());
+        let (zone, cell) = (worker.member.zone, worker.member.cell);
         match self.settings.classes[held.told.class].repeat {
             Repeat::Safe => true,
             Repeat::Unsafe => maybe.next().is_none(),
             Repeat::Keyed { group, window } => maybe.all(|a| {
-                let same = match group {
-                    Group::All => true,
-                    Group::Zone => a.zone == worker.member.zone,
-                    Group::Cell => a.cell == worker.member.cell && a.zone == worker.member.zone,
-                };
+                let same = group == Group::All || a.zone == zone && (group == Group::Zone || a.cell == cell);
                 same && now + self.settings.tick < a.sent + window
             }),
         }
@@ -217,7 +209,7 @@
     fn may_refuse(&self, held: &Held) -> bool {
         match self.settings.classes[held.told.class].repeat {
             Repeat::Safe | Repeat::Keyed { group: Group::All, .. } => true,
-            _ => !held.attempts.iter().any(may_have_run),
+            _ => !held.attempts.iter().any(Attempt::may_have_run),
         }
     }
 
@@ -238,11 +230,9 @@
         let tried = |c: &Choice| held.attempts.iter().any(|a| a.worker == *c.id);
         let class = held.told.class;
         let sound = |c: &Choice| self.evidence(now, c.worker, class) < self.suspect(class);
-        let standing: Vec<_> = open
-            .iter()
-            .filter_map(|c| function.places.get(c.id).filter(|p| p.standing).map(|p| (*c, p)))
-            .filter(|(c, _)| sound(c) && !tried(c))
-            .collect();
+        let stands = |c: &Choice| function.places.get(c.id).filter(|p| p.standing);
+        let standing = open.iter().filter_map(|c| stands(c).map(|p| (*c, p)));
+        let standing: Vec<_> = standing.filter(|(c, _)| sound(c) && !tried(c)).collect();
         // Past a copy's lanes a worker starts another by itself: what waits here instead causes no load.
         let lanes = |p: &Place| f64::from(function.lanes * p.copies.max(1));
         let own = |c: &Choice| self.own_key(function, c);
@@ -251,8 +241,7 @@
         // Among the holders the least crowded comes first.
         let cost = |(c, p): &(&Choice, &Place)| {
             let present = c.worker.due.len() as f64 + c.worker.others.get(now, CROWD_US);
-            let load = 1.0 + crowd(p) / lanes(p) + present / self.fleet.present.max(1.0);
-            own(c) * load
+            own(c) * (1.0 + crowd(p) / lanes(p) + present / self.fleet.present.max(1.0))
         };
         let best = |range: &[(&Choice, &Place)], idle: bool| {
             let usable = range.iter().filter(free).filter(|(_, p)| !idle || crowd(p) < lanes(p));
@@ -261,8 +250,8 @@
         let (kept, beyond) = standing.split_at(holders.min(standing.len()));
         let roomy = best(kept, true).or_else(|| best(beyond, true));
         let choice = roomy.clone().or_else(|| best(kept, false)).or_else(|| best(beyond, false));
-        // The part of the holders that is ours by our own hash is sought even while others have room, once
-        // there is more than a first call to go by: all holders serve, though each scheduler knows few.
+        // The holder that is ours by our own hash is sought even while others have room: so all holders
+        // serve, though each scheduler knows few.
         let lacks = |c: &&Choice| {
             let place = function.places.get(c.id);
             !place.is_some_and(|p| p.loading.is_some() || p.standing && p.copies as usize * holders >= copies)
@@ -283,25 +272,6 @@
         }
     }
 
-    /// Keeps a request here until there is a copy or room for it.
-    fn hold(&mut self, id: RequestId, crowded: bool) {
-        let Some(held) = self.requests.get_mut(&id) else { return };
-        held.crowded = crowded;
-        if !held.waiting {
-            held.waiting = true;
-            self.waiting.push(id);
-        }
-    }
-
-    /// Its aim can't be met any more where all copies are crowded: turned away now, it costs nobody time.
-    /// Could hurt where late answers are worth nearly as much.
-    fn shed(&mut self, id: RequestId, out: &mut Out) {
-        let Some(held) = self.requests.get(&id) else { return };
-        if held.waiting && held.crowded && self.may_refuse(held) {
-            self.give_up(id, out);
-        }
-    }
-
     /// No copy is known: wait for answers or a load under way, else cause a load where the ratio is lowest.
     fn wait_or_load(&mut self, now: Micros, id: RequestId, name: &FunctionId, out: &mut Out) {
         self.hold(id, false);
@@ -318,27 +288,23 @@
         // Copies may stand where nothing may be sent for now: an order there would only be repeated.
         let lacks = |c: &&Choice| !function.places.get(c.id).is_some_and(|p| p.standing);
         let first = ranked.iter().filter(lacks).find(allowed).or(ranked.iter().find(lacks));
-        let Some(first) = first else { return };
-        let (target, direct) = (first.id.clone(), ranked.iter().find(allowed).map(|c| c.id.clone()));
-        if self.grow(now, name, &target, 1, out) || !self.settings.family.load_on_miss {
-            return;
-        }
+        let Some(target) = first.map(|c| c.id.clone()) else { return };
+        let direct = ranked.iter().find(allowed).map(|c| c.id.clone());
+        let ordered = self.grow(now, name, &target, 1, out);
         // No order is to be had: the request itself brings the copy.
-        if let Some(worker) = direct {
+        if let Some(worker) = direct.filter(|_| !ordered && self.settings.family.load_on_miss) {
             self.send(now, id, &worker, out);
         }
     }
 
     fn send(&mut self, now: Micros, id: RequestId, worker: &WorkerId, out: &mut Out) {
-        let rate = self.workers.get(worker).map(|w| (self.cold_credit(now, w), self.cold_rate(now, w)));
+        let credit = self.workers.get(worker).map_or(0.0, |w| self.cold_credit(now, w));
         let (Some(held), Some(known)) = (self.requests.get_mut(&id), self.workers.get_mut(worker)) else {
             return;
         };
         let Some(function) = self.functions.get_mut(&held.told.function) else { return };
-        if held.waiting {
-            held.waiting = false;
-            self.waiting.retain(|w| *w != id);
-        }
+        held.waiting = false;
+        self.waiting.retain(|w| *w != id);
         let place = function.places.entry(worker.clone()).or_default();
         let mut patience = function.usual * 3.0;
         if !place.standing {
@@ -349,54 +315,39 @@
         place.last = now;
         function.home.get_or_insert_with(|| worker.clone());
         let aim = held.aim.saturating_sub(now) as f64;
-        let after =
-            patience.min((aim - function.usual * 1.5).max(function.usual * 1.5)).max(20_000.0) as Micros;
+        let left = (aim - function.usual * 1.5).max(function.usual * 1.5);
+        let after = patience.min(left).max(20_000.0) as Micros;
         let (number, due) = (held.attempts.len(), now + after);
-        let (zone, cell) = (known.member.zone, known.member.cell);
-        let worker_id = worker.clone();
-        held.attempts.push(Attempt {
-            worker: worker_id,
-            zone,
-            cell,
-            sent: now,
-            due,
-            missed: false,
-            ended: None,
-        });
+        held.attempts.push(Attempt::new(&known.member, now, due));
         known.due.insert((due, id, number));
         known.demand.add(now, function.usual * function.weight, WINDOW_US);
-        if let Some((credit, _)) = rate {
-            (known.cold_credit, known.cold_at) = (credit - 1.0, now);
-        }
+        (known.cold_credit, known.cold_at) = (credit - 1.0, now);
         self.sends.add(now, 1.0, WINDOW_US);
         out.push(Action::Send { id, worker: worker.clone(), until: None });
         self.wake(after, Wake::Overdue(id, number), out);
     }
 
-    /// Looks over every function in falling demand and moves those that gain past the threshold: the load
-    /// is ordered at the target, the source serves on, and the home switches once the copy stands.
+    /// Moves functions, in falling demand, that gain past the threshold: the load is ordered at the target,
+    /// the source serves on, and the home switches once the copy stands.
     fn replace(&mut self, now: Micros, out: &mut Out) {
-        let mut order: Vec<_> =
-            self.functions.iter().map(|(n, f)| (f.rate.get(now, WINDOW_US), n.clone())).collect();
-        order.retain(|(calls, _)| *calls >= 2.0);
+        let calls = self.functions.iter().map(|(n, f)| (f.rate.get(now, WINDOW_US), n.clone()));
+        let mut order: Vec<_> = calls.filter(|(calls, _)| *calls >= 2.0).collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         for (_, name) in order {
             let function = &self.functions[&name];
             let Some(home) = function.home.clone() else { continue };
             let ranked = self.rank(now, function);
             let here = ranked.iter().find(|c| *c.id == home).map_or(f64::INFINITY, |c| c.ratio);
-            let Some(best) = ranked.first().filter(|c| *c.id != home && here > c.ratio * GAIN) else {
-                continue;
-            };
+            let gains = |c: &&Choice| *c.id != home && here > c.ratio * GAIN;
+            let Some(best) = ranked.first().filter(gains) else { continue };
             let (best, stands) = (best.id.clone(), function.places.get(best.id).is_some_and(|p| p.standing));
-            let ordered = !stands && function.moving.is_none() && self.order(now, &name, &best, 1, out);
+            let ordered = !stands && function.moving.is_none() && self.order(now, (&best, &name), 1, out);
             let Some(function) = self.functions.get_mut(&name) else { continue };
-            if stands {
-                function.home = Some(best);
-            } else if ordered {
+            if ordered {
                 function.moving = Some(best);
                 return;
             }
+            function.home = if stands { Some(best) } else { Some(home) };
         }
     }
 
@@ -407,25 +358,21 @@
     fn past_share(&mut self, now: Micros, tenant: usize) -> bool {
         let Some(quota) = self.settings.tenant_quotas.get(tenant) else { return false };
         let share = quota / f64::from(self.settings.schedulers) * FAIR_US / 1e6;
-        self.tenants.resize(self.settings.tenant_quotas.len(), Fading::default());
         let past = self.tenants[tenant].get(now, FAIR_US) > share + share.sqrt();
-        if !past {
-            self.tenants[tenant].add(now, 1.0, FAIR_US);
-        }
+        self.tenants[tenant].add(now, if past { 0.0 } else { 1.0 }, FAIR_US);
         past
     }
 
     /// Whether a new request is turned away at once. Where attempts come back full or late, all schedulers
     /// together send more than the fleet can do, though each sends little: what is past a tenant's share goes
-    /// first, then a part of the rest that grows with the jam, or all would be served late. It lets go as
-    /// answers come in time, or after some seconds without any. Could hurt where one jammed worker has most
-    /// of our calls.
+    /// first, then a part of the rest that grows with the jam, or all would be late. It lets go as answers
+    /// come in time, or after seconds without any. Could hurt where one jammed worker has most of our calls.
     fn turned_away(&mut self, now: Micros, excess: bool) -> bool {
         let over = self.jam.get(now, FORGET_US) - JAM;
         if over <= 0.0 || excess {
             return over > 0.0;
         }
-        self.admitted += 1.0 - (2.0 * over).min(MOST_AWAY);
+        self.admitted += 1.0 - (2.0 * over).min(0.8);
         let away = self.admitted < 1.0;
         self.admitted -= if away { 0.0 } else { 1.0 };
         away
@@ -433,40 +380,26 @@
 
     // ---- copies ------------------------------------------------------------------------------------------
 
-    /// Orders copies of a function at a worker, one order of a function at a time: true while one is under
-    /// way or on hold after a failure.
+    /// Orders copies, one order of a function at a time: true while one is out or on hold after a failure.
     fn grow(&mut self, now: Micros, name: &FunctionId, worker: &WorkerId, count: u32, out: &mut Out) -> bool {
         let function = &self.functions[name];
         if now < function.order_after || function.places.values().any(|p| p.loading.is_some()) {
             return true;
         }
-        self.order(now, name, worker, count, out)
+        self.order(now, (worker, name), count, out)
     }
 
     /// Whether the ration of load orders has one more.
     fn ration(&mut self, now: Micros) -> bool {
         let family = &self.settings.family;
-        if family.load_window == 0 {
-            return true;
-        }
-        while self.orders.front().is_some_and(|t| t + family.load_window < now) {
-            self.orders.pop_front();
-        }
-        while self.taken.front().is_some_and(|t| t + family.load_window <= now) {
-            self.taken.pop_front();
-        }
+        self.orders.retain(|t| t + family.load_window >= now);
+        self.taken.retain(|t| t + family.load_window > now);
         let most = family.load_free + family.load_share * self.taken.len() as f64;
-        (self.orders.len() + 1) as f64 <= most
+        family.load_window == 0 || (self.orders.len() + 1) as f64 <= most
     }
 
-    fn order(
-        &mut self,
-        now: Micros,
-        name: &FunctionId,
-        worker: &WorkerId,
-        count: u32,
-        out: &mut Out,
-    ) -> bool {
+    fn order(&mut self, now: Micros, at: At, count: u32, out: &mut Out) -> bool {
+        let (worker, name) = at;
         let usable = self.workers.get(worker).is_some_and(|w| w.usable);
         if !usable || !self.settings.family.orders || !self.ration(now) {
             return false;
@@ -476,9 +409,7 @@
         let place = function.places.entry(worker.clone()).or_default();
         place.loading = Some(now);
         place.last = now;
-        if self.settings.family.load_window > 0 {
-            self.orders.push_back(now);
-        }
+        self.orders.push_back(now);
         out.push(Action::Load { worker: worker.clone(), function: name.clone(), count: count.clamp(1, 16) });
         true
     }
@@ -487,11 +418,11 @@
     /// instance of a function that we saw once, so that it does not push out an older, hotter copy. Copies of
     /// others stay: what we do not use there another scheduler may.
     fn make_room(&mut self, now: Micros, worker: &WorkerId, name: &FunctionId, out: &mut Out) {
-        let (Some(known), kinds) = (self.workers.get(worker), &self.settings.family.kind_memory_mb) else {
+        let (Some(known), Some(function)) = (self.workers.get(worker), self.functions.get(name)) else {
             return;
         };
-        let left = kinds.get(known.member.kind).map_or(f64::INFINITY, |told| told - known.placed_mb);
-        if left >= self.functions.get(name).map_or(0.0, |f| f.mb) {
+        let told = self.settings.family.kind_memory_mb.get(known.member.kind);
+        if told.is_none_or(|told| told - known.placed_mb >= function.mb) {
             return;
         }
         let idle = self.functions.iter().filter(|(n, _)| *n != name).filter_map(|(n, f)| {
@@ -529,13 +460,7 @@
     }
 
     /// Takes the answer to an order or a question: copies standing, how it ended, after how long.
-    fn loaded(
-        &mut self,
-        now: Micros,
-        at: (&WorkerId, &FunctionId),
-        told: (u32, Code, Micros),
-        out: &mut Out,
-    ) {
+    fn loaded(&mut self, now: Micros, at: At, told: (u32, Code, Micros), out: &mut Out) {
         let ((worker, name), (count, code, latency)) = (at, told);
         if !self.workers.contains_key(worker) {
             return;
@@ -558,8 +483,8 @@
             function.moving = None;
         }
         if code == Code::Ok && count > 0 {
-            function.load =
-                if latency > 20_000 { (function.load * 7 + latency * 3) / 10 } else { function.load };
+            let took = if latency > 20_000 { latency } else { function.load };
+            function.load = (function.load * 7 + took * 3) / 10;
             self.stand(worker, name, true, count, now);
         } else if let Some(known) = self.workers.get_mut(worker) {
             known.strain.add(now, 1.0, FORGET_US);
@@ -568,17 +493,13 @@
         self.pump(now, None, out);
     }
 
-    /// Routes what waits, within its tenant's share first, then by aim; after an answer only functions that
-    /// have a place on the worker that may have room now.
+    /// Routes what waits, within its tenant's share first, then by aim; after an answer only what it may
+    /// free.
     fn pump(&mut self, now: Micros, freed: Option<&WorkerId>, out: &mut Out) {
-        if self.waiting.is_empty() {
-            return;
-        }
-        let here = |h: &Held| {
-            let function = self.functions.get(&h.told.function);
-            freed.is_none_or(|w| function.is_some_and(|f| f.places.contains_key(w)))
-        };
-        let held = self.waiting.iter().filter_map(|id| self.requests.get(id)).filter(|h| here(h));
+        let placed =
+            |h: &Held, w| self.functions.get(&h.told.function).is_some_and(|f| f.places.contains_key(w));
+        let held = self.waiting.iter().filter_map(|id| self.requests.get(id));
+        let held = held.filter(|h| freed.is_none_or(|w| placed(h, w)));
         let mut order: Vec<_> = held.map(|h| (h.excess, h.aim < now, h.aim, h.told.id)).collect();
         order.sort_unstable();
         let mut stuck = BTreeSet::new();
@@ -594,19 +515,16 @@
         }
     }
 
-    /// Asks the first few workers whether they hold a function that we know no copy of, and again while a
-    /// load of it is late: others may have brought it, or we did before a restart. A scheduler of many hears
-    /// of most functions more rarely than copies are kept, though others use them all the time. Useless for
-    /// functions seen once, where it costs some asks.
+    /// Asks the first few workers whether they hold a function that we know no copy of, again while a load is
+    /// late. A scheduler of many hears of most functions more rarely than copies are kept, though others use
+    /// them all the time. Useless for functions seen once, where it costs some asks.
     fn ask(&mut self, now: Micros, name: &FunctionId, out: &mut Out) {
         let function = &self.functions[name];
         let mut ranked = self.rank(now, function);
         // Where many should hold it, ours are asked besides the first.
         ranked.truncate(self.wanted(now, function).1.max(ASK_MOST));
-        ranked
-            .get_mut(1..)
-            .unwrap_or_default()
-            .sort_by(|a, b| self.own_key(function, a).total_cmp(&self.own_key(function, b)));
+        let own = |c: &Choice| self.own_key(function, c);
+        ranked.get_mut(1..).unwrap_or_default().sort_by(|a, b| own(a).total_cmp(&own(b)));
         let asked: Vec<_> = ranked.iter().take(ASK_MOST).map(|c| c.id.clone()).collect();
         let Some(function) = self.functions.get_mut(name) else { return };
         (function.asks_out, function.ask_until) = (asked.len() as u32, now + ASK_US);
@@ -619,13 +537,10 @@
     fn members(&mut self, now: Micros, kind: MembersKind, members: Vec<Member>, out: &mut Out) {
         if !self.started {
             self.started = true;
-            self.born = now;
             self.next_replace = now + REPLACE_US;
             self.own_hash = rendezvous(u64::from(self.settings.self_index) + 1, 1);
             out.push(Action::Timer { after: SWEEP_US, token: 0 });
-            if self.settings.must_ask {
-                out.push(Action::Watch);
-            }
+            out.extend(self.settings.must_ask.then_some(Action::Watch));
         }
         if kind == MembersKind::Failed {
             self.ask_list = self.settings.must_ask;
@@ -640,20 +555,17 @@
         let classes = self.settings.classes.len();
         for member in members {
             let id = member.worker.clone();
-            let usable = member.state == State::Active;
-            let known =
-                self.workers.entry(id.clone()).or_insert_with(|| Worker::new(member.clone(), now, classes));
-            let restarted = member.started > known.member.started;
-            (known.usable, known.member) = (usable, member);
-            if restarted {
-                (known.slowness, known.strain) = Default::default();
-                known.missed.fill(Fading::default());
-                let phase = rendezvous(self.own_hash ^ known.member.started, known.hash);
-                (known.cold_credit, known.cold_at) = (unit(phase), now);
-            }
-            if restarted || !usable {
+            let started = self.workers.get(&id).map(|w| w.member.started);
+            if started.is_none_or(|s| s < member.started) {
+                let due = self.workers.remove(&id).map_or(BTreeSet::new(), |w| w.due);
+                let mut fresh = Worker::new(member.clone(), now, classes, due);
+                fresh.cold_credit = unit(rendezvous(self.own_hash ^ member.started, fresh.hash));
+                self.workers.insert(id.clone(), fresh);
                 self.empty(&id);
             }
+            if let Some(known) = self.workers.get_mut(&id) {
+                (known.usable, known.member) = (member.state == State::Active, member);
+            }
         }
         let lost: Vec<_> = self.workers.iter().filter(|(_, w)| !w.usable).map(|(id, _)| id.clone()).collect();
         lost.iter().for_each(|id| self.empty(id));
@@ -676,53 +588,40 @@
         }
     }
 
-    /// Sends a second that we may add to a started worker: our part of the told multiple of its guessed
-    /// present capacity. Capacity is guessed from what we see warm workers serve, which bear at most theirs.
-    fn cold_rate(&self, now: Micros, worker: &Worker) -> f64 {
-        let each = self.served.get(now, WINDOW_US) / self.fleet.warm.max(1) as f64 / WINDOW_US * 1e6;
-        COLD_SHARE * self.settings.rules.tip_multiple * self.warmth(now, worker) * each
-    }
-
-    /// Sends that have accrued for us at a started worker, endless once it is warm. Where our part of the
-    /// budget is under one a window, schedulers begin at different fractions of a send, and one left unused is
-    /// lost again, so that not all of them save theirs for the same moment.
+    /// Sends accrued for us at a started worker, endless once it is warm: our part of the told multiple of
+    /// its present capacity, guessed from what warm workers serve for us. Where our part is under one a
+    /// window, schedulers begin at different fractions of a send, and one left unused is lost again, so that
+    /// not all of them save theirs for the same moment.
     fn cold_credit(&self, now: Micros, worker: &Worker) -> f64 {
-        if self.warmth(now, worker) >= 1.0 {
+        let (rules, warmth) = (&self.settings.rules, self.warmth(now, worker));
+        if warmth >= 1.0 {
             return f64::INFINITY;
         }
-        let window = self.settings.rules.fall as f64 / 1e6;
-        let (rate, since) = (self.cold_rate(now, worker), now.saturating_sub(worker.cold_at) as f64 / 1e6);
-        let most = (rate * window / 2.0).max(1.0);
-        let credit = worker.cold_credit + rate * since;
-        if rate * window >= 1.0 {
-            return credit.min(most);
+        let each = self.served.get(now, WINDOW_US) / WINDOW_US / self.fleet.warm.max(1) as f64;
+        let rate = COLD_SHARE * rules.tip_multiple * warmth * each;
+        let budget = rate * rules.fall as f64;
+        let credit = worker.cold_credit + rate * now.saturating_sub(worker.cold_at) as f64;
+        let usable = 1.0 + 2.0 * budget;
+        match budget >= 1.0 {
+            true => credit.min((budget / 2.0).max(1.0)),
+            false if credit < usable => credit,
+            false => (credit - 1.0) % usable,
         }
-        let usable = most + 2.0 * rate * window;
-        if credit < usable { credit } else { (credit - most) % usable }
     }
 
     // ---- request life ------------------------------------------------------------------------------------
 
-    fn wake(&mut self, after: Micros, wake: Wake, out: &mut Out) {
-        self.wakes.insert(self.next_token, wake);
-        out.push(Action::Timer { after, token: self.next_token });
-        self.next_token += 1;
-    }
-
     fn request(&mut self, now: Micros, told: Request, out: &mut Out) {
         let (id, name) = (told.id, told.function.clone());
         let usable = told.memory_mb.is_finite() && told.memory_mb > 0.0 && told.lanes > 0;
         if self.requests.contains_key(&id) {
             return;
-        }
-        if told.class >= self.settings.classes.len() || !usable {
+        } else if told.class >= self.settings.classes.len() || !usable {
             return out.push(Action::Refuse { id, wait: None });
         }
         let strictest = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1) as f64;
         let class = &self.settings.classes[told.class];
-        if self.settings.family.load_window > 0 {
-            self.taken.push_back(now);
-        }
+        self.taken.push_back(now);
         let holders = self.functions.get(&name).map_or(1, |f| self.wanted(now, f).1);
         let function = self.functions.entry(name.clone()).or_insert_with(|| Function {
             mb: told.memory_mb,
@@ -752,9 +651,8 @@
 
     fn outcome(&mut self, now: Micros, told: Outcome, out: &mut Out) {
         let Some(held) = self.requests.get_mut(&told.id) else { return };
-        let attempt =
-            held.attempts.get_mut(told.attempt).filter(|a| a.ended.is_none() && a.worker == told.worker);
-        let Some(attempt) = attempt else { return };
+        let open = |a: &&mut Attempt| a.ended.is_none() && a.worker == told.worker;
+        let Some(attempt) = held.attempts.get_mut(told.attempt).filter(open) else { return };
         attempt.ended = Some(told.code);
         let (due, class, missed) = (attempt.due, held.told.class, attempt.missed);
         let name = held.told.function.clone();
@@ -792,22 +690,19 @@
                 function.crowds.add(now, f64::from(crowd), WINDOW_US);
             }
         }
-        let inflight = self.settings.report_names.iter().position(|n| n == "outstanding" || n == "inflight");
-        if let Some(held) = inflight.and_then(|i| told.report.get(i)).filter(|v| v.is_finite()) {
+        let names = &self.settings.report_names;
+        let at = names.iter().position(|n| n == "outstanding" || n == "inflight");
+        if let Some(held) = at.and_then(|i| told.report.get(i)).filter(|v| v.is_finite()) {
             let others = (held.clamp(0.0, 1_000.0) - known.due.len() as f64).max(0.0);
             known.others.ease(now, others, 0.3, CROWD_US);
         }
         let stood = told.code == Code::Ok && matches!(told.copy, CopyNote::Stood | CopyNote::Untold);
         let share = told.latency as f64 / self.settings.classes[class].aim as f64;
-        let jammed = match told.code {
-            Code::Full => Some(1.0),
-            Code::Ok => Some(f64::from(u8::from(share > 1.0))),
-            // One that answers others of the class meanwhile is jammed; one that does not is silent.
-            Code::Timeout if known.heard[class] + told.latency > now => Some(1.0),
-            _ => None,
-        };
-        if let Some(jammed) = jammed {
-            self.jam.ease(now, jammed, 0.1, FORGET_US);
+        // A time-out of a worker that answers others of the class meanwhile is jam, else silence.
+        let working = known.heard[class] + told.latency > now;
+        if matches!(told.code, Code::Full | Code::Ok) || told.code == Code::Timeout && working {
+            let jammed = told.code != Code::Ok || share > 1.0;
+            self.jam.ease(now, f64::from(u8::from(jammed)), 0.1, FORGET_US);
         }
         match told.code {
             Code::Ok => {
@@ -833,18 +728,16 @@
             Code::Timeout | Code::Cancelled if missed => known.missed[class].add(now, 1.0, FORGET_US),
             Code::Full | Code::Timeout | Code::Cancelled | Code::Moot => {}
         }
-        if told.code != Code::Ok
-            && let Some(place) = self.functions.get_mut(name).and_then(|f| f.places.get_mut(worker))
-            && !place.standing
-        {
+        let place = self.functions.get_mut(name).and_then(|f| f.places.get_mut(worker));
+        if let Some(place) = place.filter(|p| told.code != Code::Ok && !p.standing) {
             place.loading = None;
         }
     }
 
-    /// An attempt is overdue: evidence against its worker for this class unless it answered that class since,
-    /// and a try elsewhere while patience is left, where class and settings allow. A worker that answers
-    /// others is at work, and a second attempt would only add to a crowd, until it is suspect for this
-    /// class. Tries that prove needless are rationed, so a jam stays as it is.
+    /// An attempt is overdue: evidence against its worker unless it answered this class since, and a try
+    /// elsewhere where class and settings allow. A worker that answers others is at work, and a second
+    /// attempt would only add to a crowd, until it is suspect for this class. Tries are rationed, so a jam
+    /// stays one.
     fn overdue(&mut self, now: Micros, id: RequestId, number: usize, out: &mut Out) {
         let Some(held) = self.requests.get_mut(&id).filter(|h| !h.done) else { return };
         let (last, class, deadline) = (held.attempts.len() == number + 1, held.told.class, held.deadline);
@@ -866,9 +759,11 @@
             }
             return;
         }
-        let safe = self.settings.classes[class].repeat != Repeat::Unsafe;
         let spent = self.hedges.get(now, WINDOW_US);
-        if !last || !safe || spent > HEDGE_SHARE * self.sends.get(now, WINDOW_US) + 1.0 {
+        if !last
+            || self.settings.classes[class].repeat == Repeat::Unsafe
+            || spent > HEDGE_SHARE * self.sends.get(now, WINDOW_US) + 1.0
+        {
             return;
         }
         self.hedges.add(now, 1.0, WINDOW_US);
@@ -881,9 +776,8 @@
 
     /// An answer has begun to stream: the other attempts are called off.
     fn first(&mut self, id: RequestId, attempt: usize, out: &mut Out) {
-        let Some(held) = self.requests.get_mut(&id).filter(|h| !h.done && attempt < h.attempts.len()) else {
-            return;
-        };
+        let begun = self.requests.get_mut(&id).filter(|h| !h.done && attempt < h.attempts.len());
+        let Some(held) = begun else { return };
         held.streaming = true;
         let others = held.attempts.iter().enumerate().filter(|(i, a)| *i != attempt && a.ended.is_none());
         if self.settings.limits.cancel {
@@ -894,8 +788,11 @@
     /// No further attempt is allowed.
     fn give_up(&mut self, id: RequestId, out: &mut Out) {
         let refuse = self.requests.get(&id).is_some_and(|h| self.may_refuse(h));
-        let answer = if refuse { Action::Refuse { id, wait: None } } else { Action::Fail { id } };
-        self.finish(id, Some(answer), out);
+        self.finish(
+            id,
+            Some(if refuse { Action::Refuse { id, wait: None } } else { Action::Fail { id } }),
+            out,
+        );
     }
 
     /// Closes a request once, with the final answer if one is still owed, and calls off what is out.
@@ -905,10 +802,8 @@
             held.done = true;
             out.extend(answer);
         }
-        if held.waiting {
-            held.waiting = false;
-            self.waiting.retain(|w| *w != id);
-        }
+        held.waiting = false;
+        self.waiting.retain(|w| *w != id);
         if self.settings.limits.cancel {
             let open = held.attempts.iter().enumerate().filter(|(_, a)| a.ended.is_none());
             out.extend(open.map(|(attempt, _)| Action::Cancel { id, attempt }));
@@ -922,14 +817,13 @@
         out.push(Action::Timer { after: SWEEP_US, token: 0 });
         if now >= self.next_walk {
             self.next_walk = now + WALK_US;
+            self.ration(now);
             self.walk(now);
         }
         self.pump(now, None, out);
         if now >= self.next_replace {
             self.next_replace = now + REPLACE_US;
-            if std::mem::take(&mut self.ask_list) {
-                out.push(Action::Watch);
-            }
+            out.extend(std::mem::take(&mut self.ask_list).then_some(Action::Watch));
             self.replace(now, out);
         }
     }
@@ -939,44 +833,32 @@
         let keep = self.settings.family.keep;
         let names: Vec<_> = self.functions.keys().cloned().collect();
         for name in names {
-            let function = self.functions.get_mut(&name).expect("listed above");
+            let Some(function) = self.functions.get_mut(&name) else { continue };
             let late = function.load * 3 + 1_000_000;
             for place in function.places.values_mut() {
-                if place.loading.is_some_and(|since| since + late < now) {
-                    place.loading = None;
+                if place.loading.take_if(|since| *since + late < now).is_some() {
                     function.moving = None;
                 }
             }
-            // Further copies fall idle one after another once a worker's crowd is gone.
-            for (id, place) in function.places.iter_mut().filter(|(_, p)| p.standing && p.copies > 1) {
-                if place.last + keep / 2 < now {
-                    place.copies -= 1;
-                    if let Some(known) = self.workers.get_mut(id) {
-                        known.placed_mb = (known.placed_mb - function.mb).max(0.0);
-                    }
-                }
-            }
             let idle = function.places.iter().filter(|(_, p)| p.out == 0 && p.loading.is_none());
             let idle: Vec<_> = idle.filter(|(_, p)| p.last + keep < now).map(|(w, _)| w.clone()).collect();
-            for worker in idle {
-                let home = self.functions[&name].home.clone();
-                self.stand(&worker, &name, false, 0, now);
-                let function = self.functions.get_mut(&name).expect("listed above");
-                function.places.remove(&worker);
-                function.home = function.home.take().or(home);
-            }
+            let home = function.home.clone();
+            idle.iter().for_each(|worker| self.stand(worker, &name, false, 0, now));
+            let Some(function) = self.functions.get_mut(&name) else { continue };
+            function.places.retain(|w, _| !idle.contains(w));
+            function.home = function.home.take().or(home);
         }
         self.functions.retain(|_, f| f.last + keep * 4 >= now || !f.places.is_empty());
         let usable: Vec<&Worker> = self.workers.values().filter(|w| w.usable).collect();
         let count = usable.len().max(1) as f64;
-        let (mut needed, mut more) = (0.0, 0.0);
-        for function in self.functions.values() {
-            let (least, most) = self.copies(now, function);
-            needed += least * function.mb;
-            more += (most - least).max(0.0) * function.mb;
-        }
+        let sum = |(least, most), f: &Function| {
+            let copies = self.copies(now, f);
+            (least + copies.0 * f.mb, most + copies.1.max(copies.0) * f.mb)
+        };
+        let (least, most) = self.functions.values().fold((0.0, 0.0), sum);
         let mean = |of: &dyn Fn(&Worker) -> f64| usable.iter().map(|w| of(w)).sum::<f64>() / count;
         let calls = self.sends.get(now, WINDOW_US) / count;
+        let others = 1.0 - 1.0 / f64::from(self.settings.schedulers);
         let better = |class: usize| {
             let mut all: Vec<_> = usable.iter().map(|w| self.evidence(now, w, class)).collect();
             all.sort_by(f64::total_cmp);
@@ -985,14 +867,14 @@
         let kinds = &self.settings.family.kind_memory_mb;
         let told: f64 = usable.iter().filter_map(|w| kinds.get(w.member.kind)).sum();
         self.fleet = Fleet {
-            room: ((told * USABLE - needed) / more.max(1.0)).clamp(0.0, 1.0),
+            room: ((told * USABLE - least) / (most - least).max(1.0)).clamp(0.0, 1.0),
             workers: usable.len(),
             warm: usable.iter().filter(|w| self.warmth(now, w) >= 1.0).count(),
             memory_mb: kinds.iter().sum::<f64>() / kinds.len() as f64,
             hint: mean(&|w| w.hint()),
             demand: mean(&|w| w.demand.get(now, WINDOW_US)),
             present: mean(&|w| w.due.len() as f64 + w.others.get(now, CROWD_US)),
-            trust: calls / (calls + TRUST),
+            trust: calls / (calls + TRUST * others).max(1e-9),
             evidence: (0..self.settings.classes.len()).map(better).collect(),
         };
     }
@@ -1006,15 +888,10 @@
     calls * function.usual / WINDOW_US / (1.0 - (-age / WINDOW_US).exp())
 }
 
-fn may_have_run(attempt: &Attempt) -> bool {
-    !attempt.ended.is_some_and(Code::never_ran)
-}
-
 /// A hash of function and worker that every scheduler computes alike.
 fn rendezvous(function: u64, worker: u64) -> u64 {
-    let mut hash = (function ^ worker.rotate_left(23)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    hash ^= hash >> 33;
-    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    let hash = (function ^ worker.rotate_left(23)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     hash ^ (hash >> 33)
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,6 +30,9 @@
     }
 }
 
+/// Attempts out at a worker, by the time at which each becomes overdue.
+pub type Due = BTreeSet<(Micros, RequestId, usize)>;
+
 /// What this scheduler knows of one worker.
 pub struct Worker {
     pub member: Member,
@@ -43,7 +46,7 @@
     pub cold_credit: f64,
     pub cold_at: Micros,
     /// Our attempts out, by the time at which each becomes overdue.
-    pub due: BTreeSet<(Micros, RequestId, usize)>,
+    pub due: Due,
     /// Memory of the instances that we placed there.
     pub placed_mb: f64,
     /// Latency over the function's usual latency, minus 1; fades.
@@ -170,7 +173,7 @@
         if self.member.hint.is_finite() && self.member.hint > 0.0 { self.member.hint } else { 1.0 }
     }
 
-    pub fn new(member: Member, now: Micros, classes: usize) -> Self {
+    pub fn new(member: Member, now: Micros, classes: usize, due: Due) -> Self {
         Self {
             hash: text_hash(member.worker.as_str()),
             usable: member.state == State::Active,
@@ -178,7 +181,7 @@
             demand: Fading::default(),
             cold_credit: 0.0,
             cold_at: now,
-            due: BTreeSet::new(),
+            due,
             placed_mb: 0.0,
             slowness: Fading::default(),
             strain: Fading::default(),
@@ -189,6 +192,17 @@
     }
 }
 
+impl Attempt {
+    pub fn new(member: &Member, sent: Micros, due: Micros) -> Self {
+        let worker = member.worker.clone();
+        Self { worker, zone: member.zone, cell: member.cell, sent, due, missed: false, ended: None }
+    }
+
+    pub fn may_have_run(&self) -> bool {
+        !self.ended.is_some_and(Code::never_ran)
+    }
+}
+
 impl Held {
     pub fn new(told: Request, deadline: Micros, aim: Micros, excess: bool) -> Self {
         let (attempts, done, waiting, streaming, crowded) = (Vec::new(), false, false, false, false);
@@ -219,7 +233,6 @@
     pub(crate) admitted: f64,
     pub(crate) tenants: Vec<Fading>,
     pub(crate) waiting: Vec<RequestId>,
-    pub(crate) born: Micros,
     pub(crate) fleet: Fleet,
     pub(crate) own_hash: u64,
     pub(crate) next_walk: Micros,
@@ -229,6 +242,7 @@
 
 impl Controller {
     pub(crate) fn blank(settings: Settings, class_usual: Vec<f64>) -> Self {
+        let tenants = vec![Fading::default(); settings.tenant_quotas.len()];
         Self {
             settings,
             workers: BTreeMap::new(),
@@ -242,9 +256,8 @@
             class_usual,
             sends: Fading::default(),
             served: Fading::default(),
-            tenants: Vec::new(),
+            tenants,
             waiting: Vec::new(),
-            born: 0,
             fleet: Fleet::default(),
             own_hash: 0,
             next_walk: 0,
@@ -255,4 +268,20 @@
             orders: VecDeque::new(),
         }
     }
+
+    /// Keeps a request here until there is a copy or room for it.
+    pub(crate) fn hold(&mut self, id: RequestId, crowded: bool) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        held.crowded = crowded;
+        if !held.waiting {
+            held.waiting = true;
+            self.waiting.push(id);
+        }
+    }
+
+    pub(crate) fn wake(&mut self, after: Micros, wake: Wake, out: &mut Out) {
+        self.wakes.insert(self.next_token, wake);
+        out.push(Action::Timer { after, token: self.next_token });
+        self.next_token += 1;
+    }
 }
