--- a/src/control.rs
+++ b/src/control.rs
@@ -258,7 +258,7 @@
         };
         let set = || ranked.iter().take(holders).filter(|_| holders > 1 || standing.is_empty());
         let by_own = |a: &&Choice, b: &&Choice| own(a).total_cmp(&own(b));
-        let part = set().min_by(by_own).filter(lacks);
+        let part = set().min_by(by_own).filter(lacks).filter(|_| self.fleet.trust < 0.5);
         let next = part.or_else(|| set().filter(lacks).min_by(by_own).filter(|_| roomy.is_none()));
         let next = next.map(|c| c.id.clone());
         let none = standing.is_empty();
