--- a/src/control.rs
+++ b/src/control.rs
@@ -31,7 +31,7 @@
 /// Evidence past which a worker is no place for a request.
 const SUSPECT: f64 = 3.0;
 /// Share of attempts that come back full or late from which on requests are turned away.
-const JAM: f64 = 0.15;
+const JAM: f64 = 0.25;
 /// Span over which a tenant's calls are held against its share.
 const FAIR_US: f64 = 3_000_000.0;
 /// Crowd notes and load reports fade to 1/e in this time.
