--- a/src/control.rs
+++ b/src/control.rs
@@ -31,7 +31,7 @@
 /// Evidence past which a worker is no place for a request.
 const SUSPECT: f64 = 3.0;
 /// Share of attempts that come back full or late from which on requests are turned away.
-const JAM: f64 = 0.25;
+const JAM: f64 = 0.15;
 /// Span over which a tenant's calls are held against its share.
 const FAIR_US: f64 = 3_000_000.0;
 /// Crowd notes and load reports fade to 1/e in this time.
@@ -372,7 +372,7 @@
         if over <= 0.0 || excess {
             return over > 0.0;
         }
-        self.admitted += 1.0 - (2.0 * over).min(0.8);
+        self.admitted += 1.0 - (2.0 * over - JAM).clamp(0.0, 0.8);
         let away = self.admitted < 1.0;
         self.admitted -= if away { 0.0 } else { 1.0 };
         away
