--- a/src/control.rs
+++ b/src/control.rs
@@ -236,8 +236,11 @@
         // Past a copy's lanes a worker starts another by itself: what waits here instead causes no load.
         let lanes = |p: &Place| f64::from(function.lanes * p.copies.max(1));
         let own = |c: &Choice| self.own_key(function, c);
-        let free = |(_, p): &&(&Choice, &Place)| f64::from(p.out) < lanes(p);
         let crowd = |p: &Place| f64::from(p.out) + p.crowd.get(now, CROWD_US);
+        // A queue that outlasts the aim is no room.
+        let left = held.aim.checked_sub(now).unwrap_or(held.deadline.saturating_sub(now)) as f64;
+        let soon = |p: &Place| crowd(p) / lanes(p) * function.usual <= left;
+        let free = |(_, p): &&(&Choice, &Place)| f64::from(p.out) < lanes(p) && soon(p);
         // Among the holders the least crowded comes first.
         let cost = |(c, p): &(&Choice, &Place)| {
             let present = c.worker.due.len() as f64 + c.worker.others.get(now, CROWD_US);
@@ -276,7 +279,8 @@
     fn wait_or_load(&mut self, now: Micros, id: RequestId, name: &FunctionId, out: &mut Out) {
         self.hold(id, false);
         let (Some(function), Some(held)) = (self.functions.get(name), self.requests.get(&id)) else { return };
-        if self.settings.family.orders && now >= function.ask_until + function.load {
+        let since = (function.ask_until, function.ask_until + function.load);
+        if self.settings.family.orders && (since.0 == 0 || now >= since.1) {
             return self.ask(now, name, out);
         }
         let asking = function.asks_out > 0 && now < function.ask_until;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -441,3 +441,292 @@
     assert!(bed.event(Event::Peer { from: 3, payload: vec![1, 2] }).is_empty());
     assert!(bed.event(Event::Members { kind: MembersKind::Failed, members: vec![] }).is_empty());
 }
+
+/// Two classes, of which the second may be repeated too.
+fn two_classes() -> Settings {
+    let mut both = settings(Repeat::Safe);
+    both.classes.push(Class::new(500 * MS, 2 * S, Repeat::Safe));
+    both
+}
+
+/// Answers every send, order and question in the log from `read` on; tells which requests were sent.
+fn answer_all(bed: &mut Bed, read: &mut usize, latency: impl Fn(u64) -> Micros) -> Vec<u64> {
+    let mut sent = Vec::new();
+    while *read < bed.log.len() {
+        let (_, action) = bed.log[*read].clone();
+        *read += 1;
+        match action {
+            Action::Send { id, worker, .. } => {
+                sent.push(id.0);
+                bed.outcome(id.0, 0, worker.as_str(), Code::Ok, latency(id.0));
+            }
+            Action::Load { worker, function, count } => {
+                bed.loaded(&worker, function.as_str(), count, Code::Ok);
+            }
+            _ => {}
+        }
+    }
+    sent
+}
+
+fn request_of(id: u64, function: &str, class: usize) -> Event {
+    let mut request = Request::new(id, function, 400.0, 2, 2 * S);
+    request.class = class;
+    Event::Request(request)
+}
+
+#[test]
+fn schedulers_that_have_learnt_nothing_choose_the_same_workers() {
+    // Each of 200 schedulers once placed a rare function by its own noise, and loaded it anew.
+    let mut first = std::collections::BTreeSet::new();
+    for number in 0..50 {
+        let mut one = settings(Repeat::Safe);
+        (one.schedulers, one.self_index) = (200, number);
+        let mut bed = Bed::new(one, 40);
+        // Some traffic of its own, different for each.
+        for id in 0..10 {
+            let asks = bed.request(id, &format!("own{number}-{id}"), S);
+            if let Some(Action::Load { worker, .. }) = asks.first() {
+                let holder = worker.to_string();
+                for (sent, at) in sends(&bed.answer_asks(&asks, &holder, 1)) {
+                    bed.outcome(sent, 0, &at, Code::Ok, 50 * MS);
+                }
+            }
+            bed.advance(100 * MS);
+        }
+        let asks = bed.request(99, "shared", S);
+        let ordered = loads(&bed.answer_asks(&asks, "nowhere", 0));
+        first.insert(ordered[0].clone());
+    }
+    assert!(first.len() <= 4, "50 schedulers placed one function on {first:?}");
+}
+
+#[test]
+fn a_hot_function_is_sought_at_different_holders_by_different_schedulers() {
+    // All schedulers once sent to the same three workers, whose answers were full.
+    let mut used = std::collections::BTreeSet::new();
+    for number in 0..40 {
+        let mut one = settings(Repeat::Safe);
+        (one.schedulers, one.self_index) = (200, number);
+        let mut bed = Bed::new(one, 40);
+        let asks = bed.request(0, "hot", S);
+        let Some(Action::Load { worker, .. }) = asks.first() else { panic!("no question: {asks:?}") };
+        let holder = worker.to_string();
+        let mut out = bed.answer_asks(&asks, &holder, 1);
+        for id in 1..6 {
+            for (sent, worker) in sends(&out) {
+                bed.event(Event::Outcome(Outcome {
+                    id: RequestId(sent),
+                    attempt: 0,
+                    worker: worker.as_str().into(),
+                    code: Code::Ok,
+                    latency: 60 * MS,
+                    last: true,
+                    copy: CopyNote::Stood,
+                    crowd: Some(8),
+                    report: Vec::new(),
+                }));
+            }
+            bed.advance(200 * MS);
+            out = bed.request(id, "hot", S);
+            used.extend(loads(&out));
+        }
+    }
+    assert!(used.len() >= 8, "only {used:?} were sought");
+}
+
+#[test]
+fn one_that_carries_much_does_not_take_itself_for_the_average() {
+    // Twenty calls of ours stand for a crowd of thousands only until the notes say that nobody else calls.
+    for (crowd, many) in [(0, false), (12, true)] {
+        let mut one = settings(Repeat::Safe);
+        one.schedulers = 200;
+        let mut bed = Bed::new(one, 40);
+        let asks = bed.request(0, "f", S);
+        let Some(Action::Load { worker, .. }) = asks.first() else { panic!("no question: {asks:?}") };
+        let holder = worker.to_string();
+        let mut out = bed.answer_asks(&asks, &holder, 1);
+        let mut ordered = Vec::new();
+        for id in 1..20 {
+            for (sent, at) in sends(&out) {
+                bed.event(Event::Outcome(Outcome {
+                    id: RequestId(sent),
+                    attempt: 0,
+                    worker: at.as_str().into(),
+                    code: Code::Ok,
+                    latency: 60 * MS,
+                    last: true,
+                    copy: CopyNote::Stood,
+                    crowd: Some(crowd),
+                    report: Vec::new(),
+                }));
+            }
+            bed.advance(100 * MS);
+            out = bed.request(id, "f", S);
+            for worker in loads(&out) {
+                bed.loaded(&worker.as_str().into(), "f", 1, Code::Ok);
+                ordered.push(worker);
+            }
+        }
+        assert_eq!(!ordered.is_empty(), many, "crowd {crowd}: {ordered:?}");
+    }
+}
+
+#[test]
+fn a_worker_that_swallows_one_class_keeps_the_other_and_gets_the_first_back() {
+    let mut bed = Bed::new(two_classes(), 2);
+    for (id, class, function) in [(1, 0, "plain"), (2, 1, "swallowed")] {
+        let asks = bed.event(request_of(id, function, class));
+        bed.answer_asks(&asks, "w0", 1);
+        bed.outcome(id, 0, "w0", Code::Ok, 50 * MS);
+        bed.loaded(&"w1".into(), function, 1, Code::Ok);
+    }
+    let mut id = 10;
+    let mut sent = |bed: &mut Bed, swallow: bool, rounds: u64| {
+        let mut to = Vec::new();
+        for _ in 0..rounds {
+            for (class, function) in [(0, "plain"), (1, "swallowed")] {
+                id += 1;
+                for (request, worker) in sends(&bed.event(request_of(id, function, class))) {
+                    to.push((class, worker.clone()));
+                    if !(swallow && class == 1 && worker == "w0") {
+                        bed.advance(40 * MS);
+                        bed.outcome(request, 0, &worker, Code::Ok, 40 * MS);
+                    }
+                }
+            }
+            bed.advance(300 * MS);
+        }
+        to
+    };
+    sent(&mut bed, true, 12);
+    let during = sent(&mut bed, true, 6);
+    let swallowed = during.iter().filter(|d| **d == (1, "w0".to_string())).count();
+    assert!(swallowed <= 2, "the swallowed class stays away: {during:?}");
+    assert!(during.iter().any(|(class, _)| *class == 0), "the other is served: {during:?}");
+    // It passes; the other worker leaves, and the first serves both classes again.
+    bed.advance(25 * S);
+    for request in 10..60 {
+        bed.outcome(request, 0, "w0", Code::Cancelled, 2 * S);
+    }
+    let members = vec![member("w1", State::Leaving, 0)];
+    bed.event(Event::Members { kind: MembersKind::Changes, members });
+    let asks = bed.event(request_of(900, "swallowed", 1));
+    let mut found = bed.answer_asks(&asks, "w0", 1);
+    found.extend(asks);
+    assert_eq!(sends(&found), [(900, "w0".to_string())]);
+}
+
+#[test]
+fn orders_are_not_repeated_at_copies_that_may_not_be_used_yet() {
+    // A copy stood on a worker still cold: every request once ordered it again, 100,000 orders a second.
+    let mut one = settings(Repeat::Safe);
+    one.schedulers = 200;
+    let mut bed = Bed::new(one, 1);
+    let members = vec![member("w0", State::Active, bed.now)];
+    bed.event(Event::Members { kind: MembersKind::Changes, members });
+    let mut orders = 0;
+    for id in 0..40 {
+        let mut out = bed.request(id, "f", S);
+        for _ in 0..5 {
+            let asked: Vec<_> = out.iter().filter(|a| matches!(a, Action::Load { .. })).cloned().collect();
+            orders += loads(&asked).len();
+            out = Vec::new();
+            for action in asked {
+                let Action::Load { worker, function, .. } = action else { continue };
+                out.extend(bed.loaded(&worker, function.as_str(), 1, Code::Ok));
+            }
+        }
+        bed.advance(20 * MS);
+    }
+    assert!(orders <= 2, "{orders} orders of one copy");
+}
+
+#[test]
+fn many_schedulers_together_warm_a_started_worker_within_its_budget() {
+    // One of 200 has far less than one send in the window: none may mean that nobody warms it, one each too much.
+    let mut starts = Vec::new();
+    let begin = 100 * S;
+    for number in 0..200 {
+        let mut one = settings(Repeat::Safe);
+        (one.schedulers, one.self_index) = (200, number);
+        (one.family.load_on_miss, one.family.orders) = (true, false);
+        let mut bed = Bed::new(one, 2);
+        for id in 0..20 {
+            for (sent, at) in sends(&bed.request(id, &format!("f{id}"), S)) {
+                bed.outcome(sent, 0, &at, Code::Ok, 50 * MS);
+            }
+            bed.advance(250 * MS);
+        }
+        let members = vec![member("w0", State::Active, bed.now)];
+        let since = bed.now;
+        bed.event(Event::Members { kind: MembersKind::Changes, members });
+        for id in 100..148 {
+            for (sent, at) in sends(&bed.request(id, &format!("g{id}"), S)) {
+                bed.outcome(sent, 0, &at, Code::Ok, 50 * MS);
+                if at == "w0" {
+                    starts.push(bed.now - since);
+                }
+            }
+            bed.advance(250 * MS);
+        }
+        assert!(since > begin);
+    }
+    // Each serves 4 a second; the rule allows 3 x 0.2 (rising to 1) x 400 a second at the least.
+    assert!(starts.len() > 100, "warm-up gets {} sends", starts.len());
+    for from in (0..10).map(|s| s * S) {
+        let within = starts.iter().filter(|t| **t >= from && **t < from + 2 * S).count() as f64;
+        let present = 0.2 + 0.8 * (from as f64 / 15e6);
+        assert!(within < 3.0 * present * 400.0 * 2.0, "{within} sends from {from}");
+    }
+}
+
+#[test]
+fn a_jam_turns_a_part_away_and_lets_go() {
+    let mut bed = Bed::new(settings(Repeat::Safe), 3);
+    let asks = bed.request(0, "f", S);
+    let Some(Action::Load { worker, .. }) = asks.first() else { panic!("no question: {asks:?}") };
+    let holder = worker.to_string();
+    bed.answer_asks(&asks, &holder, 1);
+    let mut read = 0;
+    let mut refused = |bed: &mut Bed, ids: std::ops::Range<u64>, latency: Micros| {
+        let mut count = 0;
+        for id in ids {
+            let out = bed.request(id, "f", S);
+            count += out.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+            answer_all(bed, &mut read, |_| latency);
+            bed.advance(20 * MS);
+        }
+        count
+    };
+    assert_eq!(refused(&mut bed, 1..30, 50 * MS), 0, "answers in time: all are let in");
+    let jam = refused(&mut bed, 30..90, 900 * MS);
+    assert!((20..55).contains(&jam), "{jam} of 60 turned away in a jam");
+    bed.advance(20 * S);
+    assert_eq!(refused(&mut bed, 101..120, 50 * MS), 0, "and none once it has passed");
+}
+
+#[test]
+fn a_tenants_repeats_leave_the_other_its_place_and_its_own_share() {
+    let mut one = settings(Repeat::Safe);
+    one.tenant_quotas = vec![10.0, 10.0];
+    let mut bed = Bed::new(one, 3);
+    let asks = bed.request(0, "f", S);
+    let Some(Action::Load { worker, .. }) = asks.first() else { panic!("no question: {asks:?}") };
+    let holder = worker.to_string();
+    bed.answer_asks(&asks, &holder, 1);
+    let (mut served, mut read) = ([0, 0], bed.log.len());
+    for id in 1..600u64 {
+        let mut request = Request::new(id, "f", 400.0, 2, S);
+        request.tenant = usize::from(id % 10 == 0);
+        bed.event(Event::Request(request));
+        // One in three comes late: a jam, though a mild one.
+        for id in answer_all(&mut bed, &mut read, |id| if id % 3 == 0 { 700 * MS } else { 50 * MS }) {
+            served[usize::from(id % 10 == 0)] += 1;
+        }
+        bed.advance(10 * MS);
+    }
+    // Six seconds: 54 calls of the second tenant, 540 of the first, whose share is some 60.
+    assert!(served[1] >= 25, "the other tenant got {}", served[1]);
+    assert!((20..200).contains(&served[0]), "the repeating one got {}", served[0]);
+}
