--- a/src/control.rs
+++ b/src/control.rs
@@ -37,8 +37,7 @@
 /// Crowd notes and load reports fade to 1/e in this time.
 const CROWD_US: f64 = 2_000_000.0;
 /// Patience with questions on where copies stand, and how many workers are asked.
-const ASK_US: Micros = 15_000;
-const ASK_MOST: usize = 3;
+const ASK: (Micros, usize) = (15_000, 3);
 /// Share of the guessed cold budget that is used; the rest is for chance and for a wrong guess.
 const COLD_SHARE: f64 = 0.5;
 /// Share of sends that may be second attempts which prove needless.
@@ -239,9 +238,8 @@
         let crowd = |p: &Place| f64::from(p.out) + p.crowd.get(now, CROWD_US);
         // A queue that outlasts the aim is no room.
         let left = held.aim.checked_sub(now).unwrap_or(held.deadline.saturating_sub(now)) as f64;
-        let soon = |p: &Place| crowd(p) / lanes(p) * function.usual <= left;
+        let soon = |p: &Place| crowd(p) * function.usual <= left * lanes(p);
         let free = |(_, p): &&(&Choice, &Place)| f64::from(p.out) < lanes(p) && soon(p);
-        // Among the holders the least crowded comes first.
         let cost = |(c, p): &(&Choice, &Place)| {
             let present = c.worker.due.len() as f64 + c.worker.others.get(now, CROWD_US);
             own(c) * (1.0 + crowd(p) / lanes(p) + present / self.fleet.present.max(1.0))
@@ -279,8 +277,8 @@
     fn wait_or_load(&mut self, now: Micros, id: RequestId, name: &FunctionId, out: &mut Out) {
         self.hold(id, false);
         let (Some(function), Some(held)) = (self.functions.get(name), self.requests.get(&id)) else { return };
-        let since = (function.ask_until, function.ask_until + function.load);
-        if self.settings.family.orders && (since.0 == 0 || now >= since.1) {
+        let last = function.ask_until;
+        if self.settings.family.orders && (last == 0 || now >= last + function.load) {
             return self.ask(now, name, out);
         }
         let asking = function.asks_out > 0 && now < function.ask_until;
@@ -526,12 +524,12 @@
         let function = &self.functions[name];
         let mut ranked = self.rank(now, function);
         // Where many should hold it, ours are asked besides the first.
-        ranked.truncate(self.wanted(now, function).1.max(ASK_MOST));
+        ranked.truncate(self.wanted(now, function).1.max(ASK.1));
         let own = |c: &Choice| self.own_key(function, c);
         ranked.get_mut(1..).unwrap_or_default().sort_by(|a, b| own(a).total_cmp(&own(b)));
-        let asked: Vec<_> = ranked.iter().take(ASK_MOST).map(|c| c.id.clone()).collect();
+        let asked: Vec<_> = ranked.iter().take(ASK.1).map(|c| c.id.clone()).collect();
         let Some(function) = self.functions.get_mut(name) else { return };
-        (function.asks_out, function.ask_until) = (asked.len() as u32, now + ASK_US);
+        (function.asks_out, function.ask_until) = (asked.len() as u32, now + ASK.0);
         let ask = |worker| Action::Load { worker, function: name.clone(), count: 0 };
         out.extend(asked.into_iter().map(ask));
     }
@@ -556,13 +554,12 @@
                 worker.usable = false;
             }
         }
-        let classes = self.settings.classes.len();
         for member in members {
             let id = member.worker.clone();
             let started = self.workers.get(&id).map(|w| w.member.started);
             if started.is_none_or(|s| s < member.started) {
                 let due = self.workers.remove(&id).map_or(BTreeSet::new(), |w| w.due);
-                let mut fresh = Worker::new(member.clone(), now, classes, due);
+                let mut fresh = Worker::new(member.clone(), now, self.class_usual.len(), due);
                 fresh.cold_credit = unit(rendezvous(self.own_hash ^ member.started, fresh.hash));
                 self.workers.insert(id.clone(), fresh);
                 self.empty(&id);
