--- a/src/control.rs
+++ b/src/control.rs
@@ -643,7 +643,7 @@
         // Told less patience than the aim, what is left of it is the aim.
         let within = class.aim.min(told.patience);
         let (aim, shed) = (now + within, within.saturating_sub(function.usual as Micros));
-        let excess = self.past_share(now, told.tenant) || shed == 0;
+        let excess = self.past_share(now, told.tenant);
         self.wake(shed, Wake::Shed(id), out);
         self.wake(told.patience, Wake::Deadline(id), out);
         self.requests.insert(id, Held::new(told, deadline, aim, excess));
