Workspace of crates; HTTP/1.1 decoders and writers, epoll loop

The program around the module needs protocol code free of I/O and one thin loop. Requests and responses decode the same in pieces of any size; 29 cases on which two parsers could disagree are errors.

--- /dev/null
+++ b/crates/cloudevents/src/lib.rs
@@ -0,0 +1,1 @@
+//! cloudevents
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! gateway
--- /dev/null
+++ b/crates/http/src/error.rs
@@ -0,0 +1,69 @@
+use thiserror::Error;
+
+/// Why bytes are not a message that this program reads. After any of them the connection is of no more use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Error {
+    /// The start line is not `method SP target SP version` or `version SP status SP reason`.
+    #[error("malformed start line")]
+    StartLine,
+    /// The start line is longer than [`Limits::line`](crate::Limits::line).
+    #[error("start line longer than the limit")]
+    LineTooLong,
+    /// A version other than 1.0 and 1.1.
+    #[error("HTTP version not supported")]
+    Version,
+    /// A field line without a name, with white space before the colon, or with a forbidden byte.
+    #[error("malformed header field")]
+    Field,
+    /// A field continued on the next line (RFC 9112 section 5.2).
+    #[error("obsolete line folding")]
+    Folding,
+    /// CR without LF, or LF without CR.
+    #[error("bare CR or LF")]
+    BareLineEnd,
+    /// The head is longer than [`Limits::head`](crate::Limits::head).
+    #[error("header section longer than the limit")]
+    HeadTooLong,
+    /// More fields than [`Limits::fields`](crate::Limits::fields).
+    #[error("more header fields than the limit")]
+    TooManyFields,
+    /// No `Host` in a 1.1 request, or more than one (RFC 9112 section 3.2).
+    #[error("Host must be given exactly once")]
+    Host,
+    /// `Content-Length` is not one number, is told twice, or does not fit 64 bits.
+    #[error("unusable Content-Length")]
+    ContentLength,
+    /// Both `Content-Length` and `Transfer-Encoding` (RFC 9112 section 6.3).
+    #[error("both Content-Length and Transfer-Encoding")]
+    TwoLengths,
+    /// A transfer coding other than a single `chunked`, or one in HTTP/1.0.
+    #[error("transfer coding not supported")]
+    TransferCoding,
+    /// A chunk size, its line end or the trailer section is malformed.
+    #[error("malformed chunk")]
+    Chunk,
+    /// An `Expect` other than `100-continue`.
+    #[error("expectation not supported")]
+    Expectation,
+    /// The body is longer than [`Limits::body`](crate::Limits::body).
+    #[error("body longer than the limit")]
+    BodyTooLong,
+    /// The connection ended within a message.
+    #[error("connection ended within a message")]
+    Truncated,
+}
+
+impl Error {
+    /// The status with which a server answers before it closes.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::LineTooLong => 414,
+            Self::HeadTooLong | Self::TooManyFields => 431,
+            Self::BodyTooLong => 413,
+            Self::Expectation => 417,
+            Self::TransferCoding => 501,
+            Self::Version => 505,
+            _ => 400,
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/tests/messages.rs
@@ -0,0 +1,111 @@
+//! Requests and responses as a peer would send them, whole and byte by byte.
+use basaltward_http::{Decoded, Error, Limits, Method, Request, RequestDecoder, ResponseDecoder};
+use bytes::BytesMut;
+
+fn limits() -> Limits {
+    Limits { line: 64, head: 256, fields: 8, body: 32 }
+}
+
+/// Decodes all requests, fed in pieces of `step` bytes.
+fn requests(text: &[u8], step: usize) -> Result<Vec<Request>, Error> {
+    let (mut decoder, mut input, mut out) = (RequestDecoder::new(limits()), BytesMut::new(), Vec::new());
+    for piece in text.chunks(step) {
+        input.extend_from_slice(piece);
+        loop {
+            match decoder.decode(&mut input)? {
+                Decoded::Message(request) => out.push(request),
+                Decoded::More | Decoded::Continue => break,
+            }
+        }
+    }
+    Ok(out)
+}
+
+#[test]
+fn messages_are_the_same_however_the_bytes_are_cut() {
+    let text = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello\
+        GET /b HTTP/1.1\r\nhOST:  h \r\n\r\n\
+        POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;x=1\r\nabc\r\n02\r\nde\r\n0\r\nT: 1\r\n\r\n";
+    for step in 1..=text.len() {
+        let all = requests(text, step).expect("readable");
+        let told: Vec<_> = all.iter().map(|r| (r.target(), &r.body[..])).collect();
+        assert_eq!(told, [("/a", &b"hello"[..]), ("/b", b""), ("/c", b"abcde")], "pieces of {step}");
+        assert_eq!(all[1].headers.get("host"), Some("h"));
+    }
+}
+
+#[test]
+fn what_two_parsers_could_read_differently_is_an_error() {
+    let post = "POST / HTTP/1.1\r\nHost: h\r\n";
+    let long = "x".repeat(70);
+    let cases: Vec<(String, Error)> = vec![
+        (format!("{post}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"), Error::TwoLengths),
+        (format!("{post}Content-Length: 3\r\nContent-Length: 3\r\n\r\n"), Error::ContentLength),
+        (format!("{post}Content-Length: 3, 3\r\n\r\n"), Error::ContentLength),
+        (format!("{post}Content-Length: +3\r\n\r\n"), Error::ContentLength),
+        (format!("{post}Content-Length: 99999999999999999999\r\n\r\n"), Error::ContentLength),
+        (format!("{post}Content-Length: 33\r\n\r\n"), Error::BodyTooLong),
+        (format!("{post}Content-Length : 3\r\n\r\n"), Error::Field),
+        (format!("{post}: 3\r\n\r\n"), Error::Field),
+        (format!("{post}A: b\0\r\n\r\n"), Error::Field),
+        (format!("{post}A: b\r\n c\r\n\r\n"), Error::Folding),
+        (format!("{post}A: b\n\r\n"), Error::BareLineEnd),
+        (format!("{post}A: b\rc\r\n\r\n"), Error::BareLineEnd),
+        (format!("{post}Transfer-Encoding: gzip, chunked\r\n\r\n"), Error::TransferCoding),
+        (format!("{post}Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"), Error::TransferCoding),
+        (format!("{post}Transfer-Encoding: chunked\r\n\r\nx\r\n"), Error::Chunk),
+        (format!("{post}Transfer-Encoding: chunked\r\n\r\n 3\r\nabc"), Error::Chunk),
+        (format!("{post}Transfer-Encoding: chunked\r\n\r\n3\nabc"), Error::Chunk),
+        (format!("{post}Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n"), Error::Chunk),
+        (format!("{post}Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n"), Error::Chunk),
+        (format!("{post}Transfer-Encoding: chunked\r\n\r\n21\r\n"), Error::BodyTooLong),
+        (format!("{post}Expect: miracles\r\n\r\n"), Error::Expectation),
+        ("POST / HTTP/1.1\r\n\r\n".into(), Error::Host),
+        (format!("{post}Host: h\r\n\r\n"), Error::Host),
+        ("POST  / HTTP/1.1\r\n\r\n".into(), Error::StartLine),
+        ("POST / HTTP/2.0\r\n\r\n".into(), Error::Version),
+        ("\r\nPOST / HTTP/1.1\r\n".into(), Error::StartLine),
+        (format!("POST /{long}"), Error::LineTooLong),
+        (format!("{post}{}\r\n", "A: b\r\n".repeat(9)), Error::TooManyFields),
+        (format!("{post}A: {}", "b".repeat(300)), Error::HeadTooLong),
+    ];
+    for (text, expected) in cases {
+        for step in [1, 7, text.len()] {
+            assert_eq!(requests(text.as_bytes(), step).err(), Some(expected), "{text:?} in pieces of {step}");
+        }
+    }
+}
+
+#[test]
+fn a_client_that_waits_is_told_to_go_on_once() {
+    let (mut decoder, mut input) = (RequestDecoder::new(limits()), BytesMut::new());
+    input.extend_from_slice(b"PUT / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    assert!(matches!(decoder.decode(&mut input), Ok(Decoded::Continue)));
+    assert!(matches!(decoder.decode(&mut input), Ok(Decoded::More)));
+    input.extend_from_slice(b"ok");
+    assert!(matches!(decoder.decode(&mut input), Ok(Decoded::Message(r)) if &r.body[..] == b"ok"));
+}
+
+#[test]
+fn responses_end_by_length_chunks_close_or_not_at_all() {
+    let cases: [(&[u8], Method, &[u8], bool); 5] = [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Method::Post, b"ok", true),
+        (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 \r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", Method::Post, b"x", true),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", Method::Head, b"", true),
+        (b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n", Method::Post, b"", false),
+        (b"HTTP/1.0 200 OK\r\n\r\nall of it", Method::Post, b"all of it", false),
+    ];
+    for (text, method, body, reusable) in cases {
+        let (mut decoder, mut input) = (ResponseDecoder::new(limits()), BytesMut::from(text));
+        let response = match decoder.decode(&mut input, method).expect("readable") {
+            Decoded::Message(response) => response,
+            _ => decoder.end(&mut input).expect("ended by the connection"),
+        };
+        assert_eq!((&response.body[..], response.keep_alive()), (body, reusable));
+    }
+    let mut cut = BytesMut::from(&b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"[..]);
+    let mut decoder = ResponseDecoder::new(limits());
+    assert!(matches!(decoder.decode(&mut cut, Method::Post), Ok(Decoded::More)));
+    assert_eq!(decoder.end(&mut cut).err(), Some(Error::Truncated));
+    assert!(decoder.begun());
+}
--- /dev/null
+++ b/crates/net/src/clock.rs
@@ -0,0 +1,40 @@
+use rustix::time::{ClockId, clock_gettime};
+
+/// Microseconds.
+pub type Micros = u64;
+
+/// The machine's monotonic clock, the same for all processes on it, in microseconds.
+pub fn monotonic() -> Micros {
+    micros(ClockId::Monotonic)
+}
+
+fn micros(id: ClockId) -> Micros {
+    let now = clock_gettime(id);
+    now.tv_sec.unsigned_abs() * 1_000_000 + now.tv_nsec.unsigned_abs() / 1_000
+}
+
+/// Both clocks, read once: places wall times on the monotonic clock, so that a step of the wall clock later
+/// on moves nothing.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    monotonic: Micros,
+    wall: Micros,
+}
+
+impl Clock {
+    /// Reads both clocks.
+    pub fn read() -> Self {
+        Self { monotonic: monotonic(), wall: micros(ClockId::Realtime) }
+    }
+
+    /// When this wall time (microseconds since 1970) is or was, on the monotonic clock; 0 where that is
+    /// before the clock's own zero.
+    pub fn place(&self, wall: Micros) -> Micros {
+        (self.monotonic + wall).saturating_sub(self.wall)
+    }
+
+    /// The wall time at which the clocks were read.
+    pub fn wall(&self) -> Micros {
+        self.wall
+    }
+}
--- /dev/null
+++ b/crates/net/src/io.rs
@@ -0,0 +1,571 @@
+use crate::wake::{Signals, Waker, drain};
+use crate::{Micros, monotonic};
+use bytes::{Buf, BytesMut};
+use rustix::buffer::spare_capacity;
+use rustix::event::{Timespec, epoll};
+use rustix::net::{AddressFamily, Shutdown, SocketFlags, SocketType, sockopt};
+use slab::Slab;
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::net::UnixStream;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Why the loop itself failed; what goes wrong with one connection is an [`End`].
+#[derive(Debug, Error)]
+pub enum NetError {
+    /// The system refused a call.
+    #[error("system call failed: {0}")]
+    System(#[from] io::Error),
+}
+
+impl From<rustix::io::Errno> for NetError {
+    fn from(errno: rustix::io::Errno) -> Self {
+        Self::System(errno.into())
+    }
+}
+
+/// Names a connection for as long as it lasts; never given to another one later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId {
+    slot: u32,
+    generation: u32,
+}
+
+/// How a connection ended, when the owner did not end it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The peer sends no more.
+    Closed,
+    /// It broke.
+    Reset,
+    /// It was never established: no byte has left.
+    ConnectFailed,
+}
+
+/// What a turn of the loop brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Happened {
+    /// A connection came in at a listener, by its number.
+    Accepted {
+        /// The new connection.
+        conn: ConnId,
+        /// Which listener.
+        listener: usize,
+    },
+    /// A connection begun with [`Io::connect`] stands.
+    Connected(ConnId),
+    /// Bytes were added to the input.
+    Data(ConnId),
+    /// All output has been written, after some of it had to wait.
+    Drained(ConnId),
+    /// The connection is gone, its id void once this has been handled; the input may still hold bytes.
+    Ended(ConnId, End),
+    /// A signal came.
+    Signal(i32),
+    /// The loop's [`Waker`] was used.
+    Woken,
+}
+
+/// Bounds of one loop.
+#[derive(Clone, Copy, Debug)]
+pub struct IoLimits {
+    /// Most connections; beyond it none are accepted until some end.
+    pub connections: usize,
+    /// Most bytes of input held for one connection; beyond it reading stops until some are taken.
+    pub input: usize,
+    /// How long a connection that was closed here may take to end, in microseconds.
+    pub linger: Micros,
+}
+
+impl Default for IoLimits {
+    fn default() -> Self {
+        Self { connections: 10_000, input: 256 << 10, linger: 1_000_000 }
+    }
+}
+
+struct Conn {
+    stream: TcpStream,
+    generation: u32,
+    input: BytesMut,
+    output: BytesMut,
+    /// What epoll is asked for.
+    interest: epoll::EventFlags,
+    connecting: bool,
+    /// Output waits for the peer.
+    stuck: bool,
+    dirty: bool,
+    /// Closed by the owner: what comes in is thrown away.
+    closing: bool,
+    accepted: bool,
+    ended: bool,
+}
+
+const KIND: u64 = 60;
+const CONN: u64 = 0;
+const LISTENER: u64 = 1;
+const SIGNAL: u64 = 2;
+const WAKE: u64 = 3;
+/// Connections accepted from one listener before others get their turn.
+const ACCEPT_BATCH: usize = 64;
+
+/// The loop.
+///
+/// epoll is used level-triggered: on the ordinary path there is one read for each message and no call that
+/// changes interest, as with edges, while a pause in reading can lose no event.
+pub struct Io {
+    epoll: OwnedFd,
+    limits: IoLimits,
+    conns: Slab<Conn>,
+    generation: u32,
+    listeners: Vec<Option<TcpListener>>,
+    accepting: bool,
+    accepted: usize,
+    signals: Vec<(i32, UnixStream)>,
+    waker: Waker,
+    woken: UnixStream,
+    scratch: Box<[u8]>,
+    events: Vec<epoll::Event>,
+    dirty: Vec<u32>,
+    ended: Vec<u32>,
+    /// Connections closed here, by the time at which their patience ends.
+    closing: VecDeque<(Micros, ConnId)>,
+}
+
+impl Io {
+    /// A loop without connections.
+    ///
+    /// # Errors
+    /// Where the system refuses the descriptors.
+    pub fn new(limits: IoLimits) -> Result<Self, NetError> {
+        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
+        let (waker, woken) = Waker::pair()?;
+        epoll::add(&epoll, &woken, data(WAKE, 0, 0), epoll::EventFlags::IN)?;
+        Ok(Self {
+            epoll,
+            limits,
+            conns: Slab::new(),
+            generation: 0,
+            listeners: Vec::new(),
+            accepting: true,
+            accepted: 0,
+            signals: Vec::new(),
+            waker,
+            woken,
+            scratch: vec![0; 64 << 10].into_boxed_slice(),
+            events: Vec::with_capacity(1024),
+            dirty: Vec::new(),
+            ended: Vec::new(),
+            closing: VecDeque::new(),
+        })
+    }
+
+    /// Wakes this loop from other threads.
+    pub fn waker(&self) -> Waker {
+        self.waker.clone()
+    }
+
+    /// Has these signals told by this loop.
+    ///
+    /// # Errors
+    /// Where the system refuses them.
+    pub fn watch_signals(&mut self, signals: Signals) -> Result<(), NetError> {
+        for (signal, pipe) in signals.pipes {
+            epoll::add(&self.epoll, &pipe, data(SIGNAL, self.signals.len() as u32, 0), epoll::EventFlags::IN)?;
+            self.signals.push((signal, pipe));
+        }
+        Ok(())
+    }
+
+    /// Accepts connections from a listener made by [`bind`](crate::bind); gives its number and address.
+    ///
+    /// # Errors
+    /// Where the system refuses to watch it.
+    pub fn listen(&mut self, listener: TcpListener) -> Result<(usize, SocketAddr), NetError> {
+        let (number, address) = (self.listeners.len(), listener.local_addr()?);
+        epoll::add(&self.epoll, &listener, data(LISTENER, number as u32, 0), epoll::EventFlags::IN)?;
+        self.listeners.push(Some(listener));
+        Ok((number, address))
+    }
+
+    /// Stops accepting, at one listener or all. Connections that stand are not touched.
+    pub fn stop_listening(&mut self, which: Option<usize>) {
+        for (number, slot) in self.listeners.iter_mut().enumerate() {
+            if which.is_none_or(|w| w == number) {
+                *slot = None;
+            }
+        }
+    }
+
+    /// Begins a connection; [`Happened::Connected`] or [`Happened::Ended`] follows.
+    ///
+    /// # Errors
+    /// Where no socket can be had.
+    pub fn connect(&mut self, to: SocketAddr) -> Result<ConnId, NetError> {
+        let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+        let failed = match rustix::net::connect(&socket, &to) {
+            Ok(()) | Err(rustix::io::Errno::INPROGRESS) => false,
+            Err(_) => true,
+        };
+        let interest = if failed { epoll::EventFlags::empty() } else { epoll::EventFlags::OUT };
+        let conn = self.add(TcpStream::from(socket), interest, false)?;
+        self.conns[conn.slot as usize].connecting = true;
+        if failed {
+            // Told by the next turn, as any other failure.
+            self.ended.push(conn.slot);
+        }
+        Ok(conn)
+    }
+
+    fn add(
+        &mut self,
+        stream: TcpStream,
+        interest: epoll::EventFlags,
+        accepted: bool,
+    ) -> Result<ConnId, NetError> {
+        let _ = sockopt::set_tcp_nodelay(&stream, true);
+        self.generation = (self.generation + 1) & 0x0fff_ffff;
+        let generation = self.generation;
+        let slot = self.conns.vacant_key() as u32;
+        epoll::add(&self.epoll, &stream, data(CONN, slot, generation), interest)?;
+        self.conns.insert(Conn {
+            stream,
+            generation,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            interest,
+            connecting: false,
+            stuck: false,
+            dirty: false,
+            closing: false,
+            accepted,
+            ended: false,
+        });
+        self.accepted += usize::from(accepted);
+        Ok(ConnId { slot, generation })
+    }
+
+    fn get(&mut self, id: ConnId) -> Option<&mut Conn> {
+        let conn = self.conns.get_mut(id.slot as usize)?;
+        (conn.generation == id.generation).then_some(conn)
+    }
+
+    /// Whether the connection is still usable.
+    pub fn is_open(&mut self, id: ConnId) -> bool {
+        self.get(id).is_some_and(|c| !c.ended && !c.closing)
+    }
+
+    /// Connections that stand, closing ones included.
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// Whether there is no connection.
+    pub fn is_empty(&self) -> bool {
+        self.conns.is_empty()
+    }
+
+    /// The bytes received and not yet taken; `None` for one that is gone.
+    pub fn input(&mut self, id: ConnId) -> Option<&mut BytesMut> {
+        self.get(id).map(|c| &mut c.input)
+    }
+
+    /// Gives back the memory of an input that has been taken whole: an idle connection holds none.
+    pub fn release_input(&mut self, id: ConnId) {
+        if let Some(conn) = self.get(id).filter(|c| c.input.is_empty()) {
+            conn.input = BytesMut::new();
+        }
+    }
+
+    /// Where bytes to send are put; written at the next turn. `None` for one that is gone.
+    pub fn output(&mut self, id: ConnId) -> Option<&mut BytesMut> {
+        let conn = self.conns.get_mut(id.slot as usize)?;
+        if conn.generation != id.generation || conn.closing || conn.ended {
+            return None;
+        }
+        if !conn.dirty {
+            conn.dirty = true;
+            self.dirty.push(id.slot);
+        }
+        Some(&mut conn.output)
+    }
+
+    /// Bytes given to [`Io::output`] and not yet written.
+    pub fn unsent(&mut self, id: ConnId) -> usize {
+        self.get(id).map_or(0, |c| c.output.len())
+    }
+
+    /// Stops or resumes reading: with it stopped the peer soon can't send on.
+    pub fn pause(&mut self, id: ConnId, paused: bool) {
+        let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
+        let epoll = self.epoll.as_fd();
+        let Some(conn) = self.conns.get_mut(id.slot as usize) else { return };
+        if conn.generation == id.generation && !conn.connecting && !conn.ended {
+            let wanted = if paused { conn.interest - read } else { conn.interest | read };
+            set_interest(epoll, conn, id.slot, wanted);
+        }
+    }
+
+    /// Whether the peer has ended an idle connection, or sent what nobody asked for, without this having
+    /// been told yet: asks the socket itself.
+    pub fn is_stale(&mut self, id: ConnId) -> bool {
+        let Some(conn) = self.get(id).filter(|c| !c.ended && !c.closing) else { return true };
+        let mut byte = [0];
+        !matches!(conn.stream.peek(&mut byte), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Writes what is left, then ends the connection, waiting a bounded time for the peer to read it.
+    pub fn close(&mut self, id: ConnId) {
+        let until = monotonic() + self.limits.linger;
+        let Some(conn) = self.get(id).filter(|c| !c.closing && !c.ended) else { return };
+        conn.closing = true;
+        conn.input = BytesMut::new();
+        if conn.output.is_empty() {
+            let _ = rustix::net::shutdown(&conn.stream, Shutdown::Write);
+        }
+        self.pause(id, false);
+        self.closing.push_back((until, id));
+    }
+
+    /// Ends the connection at once; what was not written is lost.
+    pub fn abort(&mut self, id: ConnId) {
+        if self.get(id).is_some() {
+            self.remove(id.slot);
+        }
+    }
+
+    /// Ends the connection at once with a reset in place of an orderly end.
+    pub fn reset(&mut self, id: ConnId) {
+        if let Some(conn) = self.get(id) {
+            let _ = sockopt::set_socket_linger(&conn.stream, Some(Duration::ZERO));
+            self.remove(id.slot);
+        }
+    }
+
+    fn remove(&mut self, slot: u32) {
+        if let Some(conn) = self.conns.try_remove(slot as usize) {
+            self.accepted -= usize::from(conn.accepted);
+        }
+    }
+
+    /// Writes what is to be sent, waits for at most `wait` (`None`: until something happens), and adds what
+    /// happened.
+    ///
+    /// # Errors
+    /// Where waiting itself fails.
+    pub fn turn(&mut self, wait: Option<Micros>, out: &mut Vec<Happened>) -> Result<(), NetError> {
+        self.flush(out);
+        self.expire(monotonic());
+        let wait = if out.is_empty() && self.ended.is_empty() { wait } else { Some(0) };
+        let wait = match (wait, self.closing.front()) {
+            (Some(wait), Some(_)) => Some(wait.min(self.limits.linger)),
+            (None, Some(_)) => Some(self.limits.linger),
+            (wait, None) => wait,
+        };
+        self.watch_listeners();
+        let wait = wait.map(|w| Timespec {
+            tv_sec: (w / 1_000_000) as i64,
+            tv_nsec: (w % 1_000_000 * 1_000) as i64,
+        });
+        self.events.clear();
+        match epoll::wait(&self.epoll, spare_capacity(&mut self.events), wait.as_ref()) {
+            Ok(_) | Err(rustix::io::Errno::INTR) => {}
+            Err(errno) => return Err(errno.into()),
+        }
+        for slot in std::mem::take(&mut self.ended) {
+            if let Some(conn) = self.conns.get(slot as usize).filter(|c| c.connecting && !c.ended) {
+                let id = ConnId { slot, generation: conn.generation };
+                self.end(id, End::ConnectFailed, out);
+            }
+        }
+        let events = std::mem::take(&mut self.events);
+        for event in &events {
+            let (data, flags) = (event.data.u64(), event.flags);
+            let (slot, generation) = (data as u32, (data >> 32) as u32 & 0x0fff_ffff);
+            match data >> KIND {
+                LISTENER => self.accept(slot as usize, out),
+                SIGNAL => {
+                    if let Some((signal, pipe)) = self.signals.get(slot as usize) {
+                        drain(pipe);
+                        out.push(Happened::Signal(*signal));
+                    }
+                }
+                WAKE => {
+                    drain(&self.woken);
+                    out.push(Happened::Woken);
+                }
+                _ => self.ready(ConnId { slot, generation }, flags, out),
+            }
+        }
+        self.events = events;
+        Ok(())
+    }
+
+    /// Frees the connections whose end has been told; called by the owner after each turn's events.
+    pub fn forget_ended(&mut self) {
+        for slot in std::mem::take(&mut self.ended) {
+            if self.conns.get(slot as usize).is_some_and(|c| c.ended) {
+                self.remove(slot);
+            } else {
+                self.ended.push(slot);
+            }
+        }
+    }
+
+    fn end(&mut self, id: ConnId, how: End, out: &mut Vec<Happened>) {
+        let Some(conn) = self.get(id).filter(|c| !c.ended) else { return };
+        if conn.closing {
+            return self.remove(id.slot);
+        }
+        conn.ended = true;
+        let _ = epoll::delete(&self.epoll, &self.conns[id.slot as usize].stream);
+        self.ended.push(id.slot);
+        out.push(Happened::Ended(id, how));
+    }
+
+    /// Connections at the limit are not accepted: they wait in the system's queue.
+    fn watch_listeners(&mut self) {
+        let wanted = self.accepted < self.limits.connections;
+        if wanted != self.accepting {
+            self.accepting = wanted;
+            let flags = if wanted { epoll::EventFlags::IN } else { epoll::EventFlags::empty() };
+            for (number, listener) in self.listeners.iter().enumerate() {
+                if let Some(listener) = listener {
+                    let _ = epoll::modify(&self.epoll, listener, data(LISTENER, number as u32, 0), flags);
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self, number: usize, out: &mut Vec<Happened>) {
+        for _ in 0..ACCEPT_BATCH {
+            if self.accepted >= self.limits.connections {
+                return;
+            }
+            let Some(Some(listener)) = self.listeners.get(number) else { return };
+            let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+            match rustix::net::accept_with(listener, flags) {
+                Ok(socket) => {
+                    let interest = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
+                    if let Ok(conn) = self.add(TcpStream::from(socket), interest, true) {
+                        out.push(Happened::Accepted { conn, listener: number });
+                    }
+                }
+                // No more waiting, or no descriptors left: level-triggered, so this comes again.
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn ready(&mut self, id: ConnId, flags: epoll::EventFlags, out: &mut Vec<Happened>) {
+        let Some(conn) = self.get(id).filter(|c| !c.ended) else { return };
+        if conn.connecting {
+            let failed = flags.intersects(epoll::EventFlags::ERR | epoll::EventFlags::HUP)
+                || !matches!(sockopt::socket_error(&conn.stream), Ok(Ok(())));
+            if failed {
+                return self.end(id, End::ConnectFailed, out);
+            }
+            conn.connecting = false;
+            conn.interest = epoll::EventFlags::empty();
+            self.pause(id, false);
+            out.push(Happened::Connected(id));
+            return;
+        }
+        if flags.contains(epoll::EventFlags::OUT) && self.write(id.slot, out) {
+            return;
+        }
+        let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
+        let broken = epoll::EventFlags::ERR | epoll::EventFlags::HUP;
+        if flags.intersects(read | broken) {
+            self.read(id, out);
+        }
+    }
+
+    fn read(&mut self, id: ConnId, out: &mut Vec<Happened>) {
+        let most = self.limits.input;
+        let Some(conn) = self.conns.get_mut(id.slot as usize).filter(|c| c.generation == id.generation)
+        else {
+            return;
+        };
+        match conn.stream.read(&mut self.scratch) {
+            Ok(0) => self.end(id, End::Closed, out),
+            Ok(_) if conn.closing => {}
+            Ok(read) => {
+                conn.input.extend_from_slice(&self.scratch[..read]);
+                if conn.input.len() > most {
+                    self.pause(id, true);
+                }
+                out.push(Happened::Data(id));
+            }
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(_) => self.end(id, End::Reset, out),
+        }
+    }
+
+    /// Writes the output of connections that got some since the last turn.
+    fn flush(&mut self, out: &mut Vec<Happened>) {
+        for slot in std::mem::take(&mut self.dirty) {
+            let Some(conn) = self.conns.get_mut(slot as usize).filter(|c| c.dirty) else { continue };
+            conn.dirty = false;
+            if !conn.connecting && !conn.ended && !conn.stuck {
+                self.write(slot, out);
+            }
+        }
+    }
+
+    /// Writes what the socket takes; true where the connection ended over it.
+    fn write(&mut self, slot: u32, out: &mut Vec<Happened>) -> bool {
+        let epoll = self.epoll.as_fd();
+        let Some(conn) = self.conns.get_mut(slot as usize) else { return true };
+        let id = ConnId { slot, generation: conn.generation };
+        while !conn.output.is_empty() {
+            match (&conn.stream).write(&conn.output) {
+                Ok(written) => conn.output.advance(written),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    conn.stuck = true;
+                    let wanted = conn.interest | epoll::EventFlags::OUT;
+                    set_interest(epoll, conn, slot, wanted);
+                    return false;
+                }
+                Err(_) => {
+                    self.end(id, End::Reset, out);
+                    return true;
+                }
+            }
+        }
+        conn.output = BytesMut::new();
+        if std::mem::take(&mut conn.stuck) {
+            let wanted = conn.interest - epoll::EventFlags::OUT;
+            set_interest(epoll, conn, slot, wanted);
+            out.push(Happened::Drained(id));
+        }
+        if conn.closing {
+            let _ = rustix::net::shutdown(&conn.stream, Shutdown::Write);
+        }
+        false
+    }
+
+    /// Ends connections that were closed here and whose peer takes too long.
+    fn expire(&mut self, now: Micros) {
+        while let Some((_, id)) = self.closing.front().filter(|(until, _)| *until <= now).copied() {
+            self.closing.pop_front();
+            self.abort(id);
+        }
+    }
+}
+
+fn set_interest(epoll: std::os::fd::BorrowedFd, conn: &mut Conn, slot: u32, wanted: epoll::EventFlags) {
+    if wanted != conn.interest {
+        conn.interest = wanted;
+        let _ = epoll::modify(epoll, &conn.stream, data(CONN, slot, conn.generation), wanted);
+    }
+}
+
+fn data(kind: u64, slot: u32, generation: u32) -> epoll::EventData {
+    epoll::EventData::new_u64(kind << KIND | u64::from(generation) << 32 | u64::from(slot))
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,17 @@
+//! A loop over non-blocking sockets on epoll: it moves bytes and tells what happened, and decides nothing.
+//!
+//! The owner calls [`Io::turn`] and goes through what [`Happened`]; it takes received bytes from
+//! [`Io::input`] and puts bytes to send into [`Io::output`], which are written together at the next turn.
+#![warn(missing_docs)]
+
+mod clock;
+mod io;
+mod listen;
+mod timers;
+mod wake;
+
+pub use clock::{Clock, Micros, monotonic};
+pub use io::{ConnId, End, Happened, Io, IoLimits, NetError};
+pub use listen::bind;
+pub use timers::Timers;
+pub use wake::{Signals, Waker};
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! standins
