CloudEvents model and binding; engine with repeats, deadlines and margin

Calls need identity above the controller's requests: repeats join the call in hand or get the recorded answer, per tenant and bounded; keyed and unsafe events are guarded so that none runs twice. All three content modes are read and written.

--- a/crates/cloudevents/src/lib.rs
+++ b/crates/cloudevents/src/lib.rs
@@ -1,1 +1,18 @@
-//! cloudevents
+//! CloudEvents 1.0: the event model, its JSON format and its HTTP protocol binding (binary, structured and
+//! batched content mode). Free of I/O: messages in, events out, and the other way round.
+#![warn(missing_docs)]
+
+mod error;
+mod event;
+mod http;
+mod json;
+
+pub use error::EventError;
+pub use event::{Attribute, Event};
+pub use http::{Incoming, Mode, accepted_mode, read, write_binary_fields};
+pub use json::{from_json, to_json};
+
+/// Media type of one event in the JSON format.
+pub const STRUCTURED: &str = "application/cloudevents+json";
+/// Media type of a batch in the JSON format.
+pub const BATCH: &str = "application/cloudevents-batch+json";
--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,495 @@
+use crate::repeats::{Ended, Identity, Repeats, Verdict};
+use crate::{
+    Answer, AttemptEnd, AttemptId, CallId, EngineSettings, Failure, Function, Input, Margin, NewCall, OrderId,
+    Output, Path, Refusal, Reply, WaiterId,
+};
+use basaltward::{
+    Action, Code, Controller, CopyNote, Event, FunctionId, Micros, Outcome, Repeat, Request, RequestId,
+    SettingsError, WorkerId,
+};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::sync::Arc;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Waiter(WaiterId),
+    Linger(CallId),
+    Order(OrderId),
+}
+
+struct Waiter {
+    call: CallId,
+    answer_by: Micros,
+    path: Path,
+}
+
+struct Call<P> {
+    identity: Arc<Identity>,
+    payload: Arc<P>,
+    waiters: Vec<WaiterId>,
+    current: RequestId,
+    attempts: u32,
+    worker: Option<WorkerId>,
+}
+
+struct Sent {
+    worker: WorkerId,
+    at: Micros,
+    ended: Option<Code>,
+}
+
+/// One request as the controller knows it. A call has a new one only when its client is more patient than
+/// the one whose event began it.
+struct Try {
+    call: CallId,
+    identity: Arc<Identity>,
+    deadline: Micros,
+    sent: Vec<Sent>,
+    done: bool,
+}
+
+impl Try {
+    /// When the first attempt was sent that is not known never to have run.
+    fn may_have_run(&self) -> Option<Micros> {
+        self.sent.iter().filter(|s| !s.ended.is_some_and(Code::never_ran)).map(|s| s.at).min()
+    }
+
+    fn over(&self) -> bool {
+        self.done && self.sent.iter().all(|s| s.ended.is_some())
+    }
+}
+
+enum Order {
+    Load { worker: WorkerId, function: FunctionId, sent: Micros },
+    Probe { worker: WorkerId, sent: Micros },
+}
+
+/// The calls of one loop, around one controller.
+pub struct Engine<P, R> {
+    settings: EngineSettings,
+    controller: Controller,
+    repeats: Repeats<CallId, R>,
+    margin: Margin,
+    calls: HashMap<CallId, Call<P>>,
+    tries: HashMap<RequestId, Try>,
+    waiters: HashMap<WaiterId, Waiter>,
+    orders: HashMap<OrderId, Order>,
+    due: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    sequence: u64,
+    stopping: bool,
+    actions: Vec<Action>,
+    /// Events that carrying out actions gave rise to.
+    events: VecDeque<Event>,
+}
+
+type Out<P, R> = Vec<Output<P, R>>;
+
+impl<P, R: Reply> Engine<P, R> {
+    /// An engine that knows no workers yet.
+    ///
+    /// # Errors
+    /// Where the controller can't decide by its settings.
+    pub fn new(settings: EngineSettings, seed: u64) -> Result<Self, SettingsError> {
+        Ok(Self {
+            controller: Controller::new(settings.module.clone(), seed)?,
+            repeats: Repeats::new(settings.repeats),
+            margin: Margin::new(settings.margin),
+            settings,
+            calls: HashMap::new(),
+            tries: HashMap::new(),
+            waiters: HashMap::new(),
+            orders: HashMap::new(),
+            due: BinaryHeap::new(),
+            sequence: 0,
+            stopping: false,
+            actions: Vec::new(),
+            events: VecDeque::new(),
+        })
+    }
+
+    /// The functions that may be called.
+    pub fn catalog(&self) -> &[Function] {
+        &self.settings.catalog
+    }
+
+    /// Calls in hand.
+    pub fn in_hand(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// When [`Engine::wake`] is due next.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.due.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// Takes one input at time `now` and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, input: Input<P, R>, out: &mut Out<P, R>) {
+        match input {
+            Input::Call(call) => self.call(now, call, out),
+            Input::Left(waiter) => self.left(now, waiter, out),
+            Input::Ended(attempt, end) => self.ended(now, attempt, end, out),
+            Input::Ordered(order, code, count) => self.ordered(now, order, code, count),
+            Input::Probed(order, code, report) => self.probed(now, order, code, report),
+            Input::Members(kind, members) => self.events.push_back(Event::Members { kind, members }),
+            Input::Stop => self.stopping = true,
+        }
+        self.settle(now, out);
+    }
+
+    /// Does what is due by `now`.
+    pub fn wake(&mut self, now: Micros, out: &mut Out<P, R>) {
+        while let Some(Reverse((at, _, due))) = self.due.peek().filter(|d| d.0.0 <= now).copied() {
+            self.due.pop();
+            self.margin.woke(now, at);
+            match due {
+                Due::Module(token) => self.events.push_back(Event::Timer { token }),
+                Due::Waiter(id) => self.out_of_time(now, id, out),
+                Due::Linger(call) => self.abandon(now, call),
+                Due::Order(order) => self.overdue(now, order, out),
+            }
+            self.settle(now, out);
+        }
+    }
+
+    fn set(&mut self, at: Micros, due: Due) {
+        self.due.push(Reverse((at, self.sequence, due)));
+        self.sequence += 1;
+    }
+
+    fn repeat_of(&self, identity: &Identity) -> Repeat {
+        self.settings.module.classes[self.settings.catalog[identity.function].class].repeat
+    }
+
+    // ---- clients -----------------------------------------------------------------------------------------
+
+    fn call(&mut self, now: Micros, told: NewCall<P>, out: &mut Out<P, R>) {
+        let patience = told.deadline.saturating_sub(now);
+        let answer_by = told.deadline.saturating_sub(self.margin.of(now, patience));
+        let repeat = self.repeat_of(&told.identity);
+        let direct = |answer| Output::Answer {
+            waiter: told.waiter,
+            answer,
+            attempts: 0,
+            worker: None,
+            path: Path::Direct,
+        };
+        // A recorded answer or a call in hand may serve even who has little time or comes while we stop.
+        let refused = |why| Answer::Refused(why, None);
+        let verdict = self.repeats.judge(now, &told.identity, repeat);
+        let fresh = matches!(verdict, Verdict::Fresh | Verdict::FreshUntil(_));
+        let until = match verdict {
+            Verdict::Recorded(reply) => return out.push(direct(Answer::Served(reply))),
+            Verdict::Blocked => return out.push(direct(Answer::Failed(Failure::MayHaveRun))),
+            Verdict::NoRoom => return out.push(direct(refused(Refusal::Guards))),
+            // Not refused: the call in hand may run, and only of a safe one is trying again harmless.
+            Verdict::Join(_) if answer_by <= now => return out.push(direct(Answer::Failed(Failure::Deadline))),
+            _ if answer_by <= now => return out.push(direct(refused(Refusal::TooLate))),
+            Verdict::Join(id) => {
+                let Some(call) = self.calls.get_mut(&id) else { return };
+                if call.waiters.len() >= self.settings.waiters {
+                    // The call in hand may run: of a safe one alone is it no lie that trying again is harmless.
+                    let safe = repeat == Repeat::Safe;
+                    let full = if safe { refused(Refusal::InHand) } else { Answer::Failed(Failure::MayHaveRun) };
+                    return out.push(direct(full));
+                }
+                call.waiters.push(told.waiter);
+                return self.wait(told.waiter, id, answer_by, Path::Joined);
+            }
+            _ if fresh && self.stopping => return out.push(direct(refused(Refusal::Stopping))),
+            _ if self.calls.len() >= self.settings.in_hand => return out.push(direct(refused(Refusal::InHand))),
+            Verdict::FreshUntil(until) => until,
+            Verdict::Fresh => Micros::MAX,
+        };
+        let id = CallId(self.sequence);
+        self.sequence += 1;
+        let identity = Arc::new(told.identity);
+        self.repeats.open(&identity, repeat, id);
+        let (waiters, payload) = (vec![told.waiter], told.payload);
+        let call = Call { identity, payload, waiters, current: RequestId(0), attempts: 0, worker: None };
+        self.calls.insert(id, call);
+        self.begin(now, id, answer_by.min(until));
+        self.wait(told.waiter, id, answer_by, Path::First);
+    }
+
+    fn wait(&mut self, waiter: WaiterId, call: CallId, answer_by: Micros, path: Path) {
+        self.waiters.insert(waiter, Waiter { call, answer_by, path });
+        self.set(answer_by, Due::Waiter(waiter));
+    }
+
+    /// Tells the controller of a request for the call that ends by `deadline`.
+    fn begin(&mut self, now: Micros, id: CallId, deadline: Micros) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let function = &self.settings.catalog[call.identity.function];
+        let request = RequestId(self.sequence);
+        self.sequence += 1;
+        call.current = request;
+        let identity = call.identity.clone();
+        self.events.push_back(Event::Request(Request {
+            id: request,
+            tenant: identity.tenant,
+            class: function.class,
+            function: function.name.clone(),
+            patience: deadline.saturating_sub(now),
+            memory_mb: function.memory_mb,
+            lanes: function.lanes,
+            load: function.load,
+        }));
+        self.tries.insert(request, Try { call: id, identity, deadline, sent: Vec::new(), done: false });
+    }
+
+    /// A client's own time is up. The call goes on for those who wait longer, or linger for a repeat.
+    fn out_of_time(&mut self, now: Micros, id: WaiterId, out: &mut Out<P, R>) {
+        if self.waiters.get(&id).is_some_and(|w| w.answer_by <= now) {
+            let Some(waiter) = self.waiters.remove(&id) else { return };
+            let Some(call) = self.calls.get_mut(&waiter.call) else { return };
+            call.waiters.retain(|w| *w != id);
+            out.push(Output::Answer {
+                waiter: id,
+                answer: Answer::Failed(Failure::Deadline),
+                attempts: call.attempts,
+                worker: call.worker.clone(),
+                path: waiter.path,
+            });
+            self.linger(now, waiter.call);
+        }
+    }
+
+    fn left(&mut self, now: Micros, id: WaiterId, _: &mut Out<P, R>) {
+        let Some(waiter) = self.waiters.remove(&id) else { return };
+        if let Some(call) = self.calls.get_mut(&waiter.call) {
+            call.waiters.retain(|w| *w != id);
+            self.linger(now, waiter.call);
+        }
+    }
+
+    /// Nobody waits any more: the call goes on for a while, as clients that leave early repeat. Wasted where
+    /// the client is gone for good; without it a crowd of early leavers would have each try begun and none
+    /// finished.
+    fn linger(&mut self, now: Micros, id: CallId) {
+        if self.calls.get(&id).is_some_and(|c| c.waiters.is_empty()) {
+            self.set(now + self.settings.linger, Due::Linger(id));
+        }
+    }
+
+    /// Nobody came back for the call.
+    fn abandon(&mut self, now: Micros, id: CallId) {
+        let Some(call) = self.calls.get(&id).filter(|c| c.waiters.is_empty()) else { return };
+        let request = call.current;
+        self.events.push_back(Event::Gone { id: request });
+        self.close(now, request, None);
+    }
+
+    // ---- ends --------------------------------------------------------------------------------------------
+
+    /// Ends the call of a try: every client that still waits is answered, the record kept.
+    fn conclude(&mut self, now: Micros, request: RequestId, answer: Answer<R>, out: &mut Out<P, R>) {
+        let Some(open) = self.tries.get(&request).filter(|t| !t.done) else { return };
+        let (id, deadline) = (open.call, open.deadline);
+        let late = matches!(answer, Answer::Failed(_)) && now + self.settings.module.tick >= deadline;
+        let answer = if late { Answer::Failed(Failure::Deadline) } else { answer };
+        let reply = if let Answer::Served(reply) = &answer { Some(reply.clone()) } else { None };
+        let Some(mut call) = self.close(now, request, reply) else { return };
+        let longest = call.waiters.iter().filter_map(|w| self.waiters.get(w)).map(|w| w.answer_by).max();
+        if late && longest.is_some_and(|by| by > now + self.settings.margin.least) {
+            // The one whose event began the call had less patience than others who joined: for them it is
+            // as if they repeated the event now.
+            let waiting = std::mem::take(&mut call.waiters);
+            let stay = |w: &WaiterId| self.waiters.get(w).is_some_and(|w| w.answer_by > now);
+            let (stay, go): (Vec<_>, Vec<_>) = waiting.into_iter().partition(stay);
+            let (attempts, worker) = (call.attempts, call.worker.clone());
+            self.answer_all(go, &answer, (attempts, worker.clone()), out);
+            let repeat = self.repeat_of(&call.identity);
+            let until = match self.repeats.judge(now, &call.identity, repeat) {
+                Verdict::Fresh => Micros::MAX,
+                Verdict::FreshUntil(until) => until,
+                _ => return self.answer_all(stay, &Answer::Failed(Failure::MayHaveRun), (attempts, worker), out),
+            };
+            call.waiters = stay;
+            self.repeats.open(&call.identity, repeat, id);
+            self.calls.insert(id, call);
+            return self.begin(now, id, longest.unwrap_or(now).min(until));
+        }
+        let waiters = std::mem::take(&mut call.waiters);
+        self.answer_all(waiters, &answer, (call.attempts, call.worker), out);
+    }
+
+    fn answer_all(
+        &mut self,
+        waiters: Vec<WaiterId>,
+        answer: &Answer<R>,
+        of: (u32, Option<WorkerId>),
+        out: &mut Out<P, R>,
+    ) {
+        for waiter in waiters {
+            let Some(known) = self.waiters.remove(&waiter) else { continue };
+            let (answer, attempts, worker, path) = (answer.clone(), of.0, of.1.clone(), known.path);
+            out.push(Output::Answer { waiter, answer, attempts, worker, path });
+        }
+    }
+
+    /// Marks a try done and takes its call out of hand, with a record of how it ended.
+    fn close(&mut self, now: Micros, request: RequestId, reply: Option<R>) -> Option<Call<P>> {
+        let open = self.tries.get_mut(&request).filter(|t| !t.done)?;
+        open.done = true;
+        let call = self.calls.remove(&open.call)?;
+        let ended = match (reply, open.may_have_run()) {
+            (Some(reply), _) => Ended::Served(reply.clone(), reply.bytes()),
+            (None, Some(sent)) => Ended::MayHaveRun(sent),
+            (None, None) => Ended::NeverRan,
+        };
+        if open.over() {
+            self.tries.remove(&request);
+        }
+        let repeat = self.repeat_of(&call.identity);
+        self.repeats.close(now, &call.identity, repeat, ended);
+        Some(call)
+    }
+
+    fn ended(&mut self, now: Micros, id: AttemptId, end: AttemptEnd<R>, out: &mut Out<P, R>) {
+        let Some(open) = self.tries.get_mut(&id.request) else { return };
+        let Some(sent) = open.sent.get_mut(id.number).filter(|s| s.ended.is_none()) else { return };
+        // Served without a reply can't be passed on.
+        let code = if end.code == Code::Ok && end.reply.is_none() { Code::Unknown } else { end.code };
+        sent.ended = Some(code);
+        let (worker, latency, done, over) =
+            (sent.worker.clone(), now.saturating_sub(sent.at), open.done, open.over());
+        let identity = open.identity.clone();
+        if code == Code::Ok {
+            match end.reply {
+                Some(reply) if !done => self.conclude(now, id.request, Answer::Served(reply), out),
+                // Too late for its client, but a repeat may still come for it.
+                Some(reply) => {
+                    let (repeat, bytes) = (self.repeat_of(&identity), reply.bytes());
+                    if !matches!(self.repeats.judge(now, &identity, repeat), Verdict::Join(_)) {
+                        self.repeats.close(now, &identity, repeat, Ended::Served(reply, bytes));
+                    }
+                }
+                None => {}
+            }
+        }
+        if over {
+            self.tries.remove(&id.request);
+        }
+        self.events.push_back(Event::Outcome(Outcome {
+            id: id.request,
+            attempt: id.number,
+            worker,
+            code,
+            latency,
+            last: done || code == Code::Ok,
+            copy: end.copy,
+            crowd: end.crowd,
+            report: end.report,
+        }));
+    }
+
+    // ---- orders ------------------------------------------------------------------------------------------
+
+    fn ordered(&mut self, now: Micros, id: OrderId, code: Code, count: u32) {
+        if let Some(Order::Load { worker, function, sent }) = self.orders.remove(&id) {
+            let latency = now.saturating_sub(sent);
+            self.events.push_back(Event::Loaded { worker, function, count, code, latency });
+        }
+    }
+
+    fn probed(&mut self, now: Micros, id: OrderId, code: Code, report: Vec<f64>) {
+        if let Some(Order::Probe { worker, sent }) = self.orders.remove(&id) {
+            let latency = now.saturating_sub(sent);
+            self.events.push_back(Event::Probed { worker, code, latency, report });
+        }
+    }
+
+    fn overdue(&mut self, now: Micros, id: OrderId, out: &mut Out<P, R>) {
+        match self.orders.get(&id) {
+            Some(Order::Load { .. }) => self.ordered(now, id, Code::Timeout, 0),
+            Some(Order::Probe { .. }) => self.probed(now, id, Code::Timeout, Vec::new()),
+            None => return,
+        }
+        out.push(Output::AbortOrder(id));
+    }
+
+    // ---- the controller ----------------------------------------------------------------------------------
+
+    /// Hands the controller what has happened, and carries out its actions, until there is no more.
+    fn settle(&mut self, now: Micros, out: &mut Out<P, R>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.controller.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, out);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action, out: &mut Out<P, R>) {
+        match action {
+            Action::Send { id, worker, until } => self.send(now, id, worker, until, out),
+            Action::Cancel { id, attempt } => {
+                let open = |t: &Try| t.sent.get(attempt).is_some_and(|s| s.ended.is_none());
+                if self.tries.get(&id).is_some_and(open) {
+                    out.push(Output::Abort(AttemptId { request: id, number: attempt }));
+                }
+            }
+            Action::Refuse { id, wait } => {
+                self.conclude(now, id, Answer::Refused(Refusal::Overload, wait), out);
+            }
+            Action::Fail { id } => self.conclude(now, id, Answer::Failed(Failure::Attempts), out),
+            Action::Timer { after, token } => self.set(now + after, Due::Module(token)),
+            Action::Probe { worker } => {
+                let order = self.order(now, Order::Probe { worker: worker.clone(), sent: now });
+                out.push(Output::Probe(order, worker));
+            }
+            Action::Load { worker, function, count } => {
+                let load = Order::Load { worker: worker.clone(), function: function.clone(), sent: now };
+                let order = self.order(now, load);
+                out.push(Output::Order { order, worker, function, count });
+            }
+            Action::Drop { worker, function } => out.push(Output::Drop(worker, function)),
+            Action::Watch => out.push(Output::Watch),
+        }
+    }
+
+    fn order(&mut self, now: Micros, order: Order) -> OrderId {
+        let id = OrderId(self.sequence);
+        self.sequence += 1;
+        self.orders.insert(id, order);
+        self.set(now + self.settings.module.family.order_timeout, Due::Order(id));
+        id
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        worker: WorkerId,
+        until: Option<Micros>,
+        out: &mut Out<P, R>,
+    ) {
+        let Some(open) = self.tries.get_mut(&id) else { return };
+        let number = open.sent.len();
+        open.sent.push(Sent { worker: worker.clone(), at: now, ended: None });
+        let call = self.calls.get_mut(&open.call).filter(|_| !open.done);
+        let Some(call) = call else {
+            // The controller knows better than to send for what is done; if ever, nothing leaves.
+            if let Some(sent) = open.sent.last_mut() {
+                sent.ended = Some(Code::Moot);
+            }
+            let (code, copy) = (Code::Moot, CopyNote::Untold);
+            let (latency, last, crowd, report) = (0, true, None, Vec::new());
+            let moot = Outcome { id, attempt: number, worker, code, latency, last, copy, crowd, report };
+            return self.events.push_back(Event::Outcome(moot));
+        };
+        call.attempts += 1;
+        call.worker = Some(worker.clone());
+        out.push(Output::Start {
+            attempt: AttemptId { request: id, number },
+            worker,
+            identity: call.identity.clone(),
+            payload: call.payload.clone(),
+            until: until.unwrap_or(open.deadline).min(open.deadline),
+        });
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,1 +1,19 @@
-//! engine
+//! The calls in hand around one [`basaltward::Controller`]: identity of events, their repeats, who waits for
+//! which answer until when, and the attempts that carry a call. It drives the controller, which decides
+//! where and when a call runs, and carries its actions out as [`Output`]s.
+//!
+//! No I/O, no clock, no threads: inputs and a time in, outputs and a next time out. The same engine runs over
+//! sockets, in tests and in virtual time.
+#![warn(missing_docs)]
+
+mod engine;
+mod margin;
+mod repeats;
+mod settings;
+mod types;
+
+pub use engine::Engine;
+pub use margin::{Margin, MarginSettings};
+pub use repeats::{Ended, Identity, Repeats, RepeatLimits, Verdict};
+pub use settings::{EngineSettings, Function};
+pub use types::*;
--- /dev/null
+++ b/crates/engine/src/margin.rs
@@ -0,0 +1,77 @@
+//! How much of a client's patience is kept back for the way of the answer.
+
+use basaltward::Micros;
+
+/// Evidence of a late loop fades to 1/e in this time.
+const FORGET_US: f64 = 5_000_000.0;
+
+/// Bounds on the margin.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MarginSettings {
+    /// Part of the patience kept back.
+    pub share: f64,
+    /// But at least this.
+    pub least: Micros,
+    /// And, before the loop's own lateness is added, at most this.
+    pub most: Micros,
+}
+
+impl Default for MarginSettings {
+    fn default() -> Self {
+        Self { share: 0.02, least: 2_000, most: 25_000 }
+    }
+}
+
+/// The margin between the time at which a call is answered at the latest and the client's deadline.
+///
+/// A client counts from before it sent until it has read the answer, so what stands between must be kept
+/// back: a share of the patience for the way there and back (who allows little stands near), and the worst
+/// lateness with which this loop lately woke for its timers, for the answer at the deadline is such a timer.
+/// A margin too large turns calls away that could be served; one too small breaks the promise of an answer.
+#[derive(Clone, Debug)]
+pub struct Margin {
+    settings: MarginSettings,
+    late: f64,
+    at: Micros,
+}
+
+impl Margin {
+    /// A margin that has seen no lateness.
+    pub fn new(settings: MarginSettings) -> Self {
+        Self { settings, late: 0.0, at: 0 }
+    }
+
+    fn lateness(&self, now: Micros) -> f64 {
+        self.late * (-(now.saturating_sub(self.at) as f64) / FORGET_US).exp()
+    }
+
+    /// Takes note that a timer due at `due` was handled at `now`.
+    pub fn woke(&mut self, now: Micros, due: Micros) {
+        let late = now.saturating_sub(due) as f64;
+        if late > self.lateness(now) {
+            (self.late, self.at) = (late, now);
+        }
+    }
+
+    /// What is to be kept back of this patience.
+    pub fn of(&self, now: Micros, patience: Micros) -> Micros {
+        let share = (patience as f64 * self.settings.share) as Micros;
+        share.clamp(self.settings.least, self.settings.most.max(self.settings.least)) + self.lateness(now) as Micros
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_loop_that_woke_late_keeps_more_back_until_it_is_forgotten() {
+        let mut margin = Margin::new(MarginSettings { share: 0.02, least: 2_000, most: 25_000 });
+        let table = [(3_000, 2_000), (500_000, 10_000), (60_000_000, 25_000)];
+        assert!(table.iter().all(|(patience, kept)| margin.of(0, *patience) == *kept));
+        margin.woke(1_000_000, 960_000);
+        margin.woke(1_000_100, 1_000_050);
+        assert_eq!(margin.of(1_000_000, 500_000), 50_000);
+        assert!(margin.of(31_000_000, 500_000) < 10_200);
+    }
+}
--- /dev/null
+++ b/crates/engine/src/repeats.rs
@@ -0,0 +1,334 @@
+//! What a repeated event gets: the call in hand, the recorded answer, a new try, or neither.
+//!
+//! An event is named by tenant, function, `source` and `id`. What is remembered of one that has ended depends
+//! on its class:
+//!
+//! | ended | safe | keyed | unsafe |
+//! | --- | --- | --- | --- |
+//! | served | its answer | its answer, guarded | its answer, guarded |
+//! | may have run | nothing | a new try within group `all` and the window, else failed | failed |
+//! | never ran | nothing | nothing | nothing |
+//!
+//! A guarded record is never pushed out by others: forgetting it could run an effect twice. Each tenant has a
+//! number of its own, and past it new keyed and unsafe calls of this tenant alone are refused, which is
+//! harmless as they never ran. Answers to safe calls go, oldest first, when the tenant's own room is short.
+
+use basaltward::{Group, Micros, Repeat};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// Names an event.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Identity {
+    /// Position of the tenant.
+    pub tenant: usize,
+    /// Position of the function.
+    pub function: usize,
+    /// The event's `source`.
+    pub source: Arc<str>,
+    /// The event's `id`.
+    pub id: Arc<str>,
+}
+
+/// Bounds on what is remembered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RepeatLimits {
+    /// How long an ended event is remembered; a keyed one at least for its window.
+    pub remember: Micros,
+    /// Most ended safe events of one tenant.
+    pub answers: usize,
+    /// Most keyed and unsafe events of one tenant, in hand or ended.
+    pub guards: usize,
+    /// Most bytes of recorded answers of one tenant.
+    pub bytes: usize,
+}
+
+impl Default for RepeatLimits {
+    fn default() -> Self {
+        Self { remember: 10_000_000, answers: 4_096, guards: 16_384, bytes: 16 << 20 }
+    }
+}
+
+/// What is to be done with an event that arrives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict<C, R> {
+    /// Nothing stands against a first or a new try.
+    Fresh,
+    /// A new try whose sends all come before this time, while the workers still drop repeats.
+    FreshUntil(Micros),
+    /// It is in hand: wait for its answer.
+    Join(C),
+    /// It was served: this is the answer.
+    Recorded(R),
+    /// It may have run, or was served and the answer is gone: only a failure may be told.
+    Blocked,
+    /// No room to guard another one of this tenant: refuse.
+    NoRoom,
+}
+
+/// How an event's try ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended<R> {
+    /// Served with this answer, of so many bytes.
+    Served(R, usize),
+    /// Not served, and an attempt first sent at this time may have run.
+    MayHaveRun(Micros),
+    /// Not served, and every attempt is known not to have run.
+    NeverRan,
+}
+
+enum Known<C, R> {
+    Open { call: C, earlier: Option<Micros> },
+    Served(Option<(R, usize)>),
+    MayHaveRun(Micros),
+}
+
+struct Entry<C, R> {
+    known: Known<C, R>,
+    guarded: bool,
+    until: Micros,
+}
+
+struct Tenant<C, R> {
+    entries: HashMap<Arc<Identity>, Entry<C, R>>,
+    /// Ended events by the time at which they are forgotten.
+    ended: BTreeMap<(Micros, u64), Arc<Identity>>,
+    /// Those with a recorded answer, oldest first.
+    answers: BTreeMap<u64, Arc<Identity>>,
+    guards: usize,
+    bytes: usize,
+}
+
+impl<C, R> Default for Tenant<C, R> {
+    fn default() -> Self {
+        Self {
+            entries: HashMap::new(),
+            ended: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            guards: 0,
+            bytes: 0,
+        }
+    }
+}
+
+/// The events in hand and those remembered.
+pub struct Repeats<C, R> {
+    limits: RepeatLimits,
+    tenants: BTreeMap<usize, Tenant<C, R>>,
+    sequence: u64,
+}
+
+impl<C: Copy, R: Clone> Repeats<C, R> {
+    /// Nothing known yet.
+    pub fn new(limits: RepeatLimits) -> Self {
+        Self { limits, tenants: BTreeMap::new(), sequence: 0 }
+    }
+
+    /// What is to be done with an event of a class with this `repeat`.
+    pub fn judge(&mut self, now: Micros, event: &Identity, repeat: Repeat) -> Verdict<C, R> {
+        self.expire(now, event.tenant);
+        let tenant = self.tenants.entry(event.tenant).or_default();
+        match tenant.entries.get(event).map(|e| &e.known) {
+            Some(Known::Open { call, .. }) => Verdict::Join(*call),
+            Some(Known::Served(Some((answer, _)))) => Verdict::Recorded(answer.clone()),
+            Some(Known::Served(None)) => Verdict::Blocked,
+            Some(Known::MayHaveRun(sent)) => match repeat {
+                Repeat::Safe => Verdict::Fresh,
+                Repeat::Keyed { group: Group::All, window } if now < sent + window => {
+                    Verdict::FreshUntil(sent + window)
+                }
+                _ => Verdict::Blocked,
+            },
+            None if repeat != Repeat::Safe && tenant.guards >= self.limits.guards => Verdict::NoRoom,
+            None => Verdict::Fresh,
+        }
+    }
+
+    /// A try of this event begins; [`Repeats::judge`] has allowed it.
+    pub fn open(&mut self, event: &Arc<Identity>, repeat: Repeat, call: C) {
+        let tenant = self.tenants.entry(event.tenant).or_default();
+        let before = tenant.entries.remove(event);
+        let earlier = match before.as_ref().map(|e| &e.known) {
+            Some(Known::MayHaveRun(sent)) => Some(*sent),
+            _ => None,
+        };
+        let guarded = repeat != Repeat::Safe;
+        tenant.guards += usize::from(guarded && before.is_none());
+        tenant.entries.insert(event.clone(), Entry { known: Known::Open { call, earlier }, guarded, until: 0 });
+    }
+
+    /// The event's try has ended.
+    pub fn close(&mut self, now: Micros, event: &Arc<Identity>, repeat: Repeat, how: Ended<R>) {
+        let Some(tenant) = self.tenants.get_mut(&event.tenant) else { return };
+        let Some(entry) = tenant.entries.get_mut(event) else { return };
+        // An earlier try that may have run is not undone by a later one that did not.
+        let earlier = match entry.known {
+            Known::Open { earlier, .. } => earlier,
+            Known::MayHaveRun(sent) => Some(sent),
+            Known::Served(_) => return,
+        };
+        let window = if let Repeat::Keyed { window, .. } = repeat { window } else { 0 };
+        entry.until = now + self.limits.remember.max(window);
+        entry.known = match (how, earlier) {
+            (Ended::Served(answer, bytes), _) if bytes <= self.limits.bytes => {
+                Known::Served(Some((answer, bytes)))
+            }
+            (Ended::Served(..), _) => Known::Served(None),
+            (Ended::MayHaveRun(sent), earlier) if entry.guarded => {
+                Known::MayHaveRun(earlier.map_or(sent, |e| e.min(sent)))
+            }
+            (Ended::NeverRan, Some(sent)) if entry.guarded => Known::MayHaveRun(sent),
+            _ => {
+                tenant.guards -= usize::from(entry.guarded);
+                tenant.entries.remove(event);
+                return;
+            }
+        };
+        self.sequence += 1;
+        tenant.ended.insert((entry.until, self.sequence), event.clone());
+        if let Known::Served(Some((_, bytes))) = &entry.known {
+            tenant.bytes += bytes;
+            tenant.answers.insert(self.sequence, event.clone());
+        }
+        tenant.shrink(&self.limits);
+    }
+
+    /// Forgets what is past its time.
+    fn expire(&mut self, now: Micros, tenant: usize) {
+        let Some(tenant) = self.tenants.get_mut(&tenant) else { return };
+        while let Some(oldest) = tenant.ended.first_entry().filter(|e| e.key().0 <= now) {
+            let ((until, sequence), event) = oldest.remove_entry();
+            tenant.answers.remove(&sequence);
+            // Opened or ended anew since: another record speaks for it.
+            let same = |e: &Entry<C, R>| e.until == until && !matches!(e.known, Known::Open { .. });
+            if tenant.entries.get(&event).is_some_and(same) {
+                tenant.drop_entry(&event);
+            }
+        }
+    }
+
+    /// Events in hand or remembered, and bytes of recorded answers.
+    pub fn size(&self) -> (usize, usize) {
+        let sum = |(n, b), t: &Tenant<C, R>| (n + t.entries.len(), b + t.bytes);
+        self.tenants.values().fold((0, 0), sum)
+    }
+}
+
+impl<C, R> Tenant<C, R> {
+    fn drop_entry(&mut self, event: &Identity) {
+        if let Some(entry) = self.entries.remove(event) {
+            self.guards -= usize::from(entry.guarded);
+            if let Known::Served(Some((_, bytes))) = entry.known {
+                self.bytes -= bytes;
+            }
+        }
+    }
+
+    /// Lets recorded answers go, oldest first, until the tenant keeps its bounds. Of a guarded event only
+    /// the answer goes, the record that it was served stays.
+    fn shrink(&mut self, limits: &RepeatLimits) {
+        while self.bytes > limits.bytes || self.answers.len() > limits.answers {
+            let Some((_, event)) = self.answers.pop_first() else { return };
+            match self.entries.get_mut(&event) {
+                Some(entry) if entry.guarded => {
+                    if let Known::Served(answer) = &mut entry.known {
+                        self.bytes -= answer.take().map_or(0, |(_, bytes)| bytes);
+                    }
+                }
+                Some(entry) if matches!(entry.known, Known::Served(Some(_))) => self.drop_entry(&event),
+                _ => {}
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Micros = 1_000_000;
+    const KEYED: Repeat = Repeat::Keyed { group: Group::All, window: 3 * S };
+    const ZONE: Repeat = Repeat::Keyed { group: Group::Zone, window: 3 * S };
+
+    fn event(tenant: usize, id: &str) -> Arc<Identity> {
+        Arc::new(Identity { tenant, function: 0, source: "s".into(), id: id.into() })
+    }
+
+    fn small() -> Repeats<u32, &'static str> {
+        Repeats::new(RepeatLimits { remember: 10 * S, answers: 2, guards: 2, bytes: 10 })
+    }
+
+    #[test]
+    fn what_a_repeat_gets_follows_from_class_and_end() {
+        use Verdict::*;
+        let may = Ended::MayHaveRun(S);
+        let served = Ended::Served("yes", 3);
+        let cases = [
+            (Repeat::Safe, served.clone(), 2 * S, Recorded("yes")),
+            (Repeat::Safe, served.clone(), 12 * S, Fresh),
+            (Repeat::Safe, may.clone(), 2 * S, Fresh),
+            (Repeat::Safe, Ended::NeverRan, 2 * S, Fresh),
+            (KEYED, served.clone(), 2 * S, Recorded("yes")),
+            (KEYED, may.clone(), 2 * S, FreshUntil(4 * S)),
+            (KEYED, may.clone(), 4 * S, Blocked),
+            (KEYED, Ended::NeverRan, 2 * S, Fresh),
+            (ZONE, may.clone(), 2 * S, Blocked),
+            (Repeat::Unsafe, served, 2 * S, Recorded("yes")),
+            (Repeat::Unsafe, may.clone(), 2 * S, Blocked),
+            (Repeat::Unsafe, may, 12 * S, Fresh),
+            (Repeat::Unsafe, Ended::NeverRan, 2 * S, Fresh),
+        ];
+        for (repeat, how, later, expected) in cases {
+            let (mut repeats, event) = (small(), event(0, "a"));
+            assert_eq!(repeats.judge(0, &event, repeat), Fresh);
+            repeats.open(&event, repeat, 7);
+            assert_eq!(repeats.judge(S, &event, repeat), Join(7));
+            repeats.close(S, &event, repeat, how.clone());
+            assert_eq!(repeats.judge(later, &event, repeat), expected, "{repeat:?} {how:?}");
+        }
+    }
+
+    #[test]
+    fn a_second_try_that_never_ran_does_not_clear_the_first() {
+        let (mut repeats, event) = (small(), event(0, "a"));
+        repeats.open(&event, KEYED, 1);
+        repeats.close(S, &event, KEYED, Ended::MayHaveRun(S / 2));
+        repeats.open(&event, KEYED, 2);
+        repeats.close(2 * S, &event, KEYED, Ended::NeverRan);
+        assert_eq!(repeats.judge(2 * S, &event, KEYED), Verdict::FreshUntil(3 * S + S / 2));
+        repeats.open(&event, KEYED, 3);
+        repeats.close(3 * S, &event, KEYED, Ended::MayHaveRun(3 * S));
+        assert_eq!(repeats.judge(4 * S, &event, KEYED), Verdict::Blocked);
+        // The first record's time has come, the last one's has not.
+        assert_eq!(repeats.judge(11 * S + S / 2, &event, KEYED), Verdict::Blocked);
+        assert_eq!(repeats.judge(13 * S, &event, KEYED), Verdict::Fresh);
+        assert_eq!(repeats.size(), (0, 0));
+    }
+
+    #[test]
+    fn one_tenants_repeats_push_out_its_own_answers_only_and_no_guard() {
+        let mut repeats = small();
+        let other = event(1, "kept");
+        repeats.open(&other, Repeat::Safe, 0);
+        repeats.close(0, &other, Repeat::Safe, Ended::Served("kept", 4));
+        for id in ["a", "b", "c"] {
+            let event = event(0, id);
+            repeats.open(&event, Repeat::Safe, 0);
+            repeats.close(0, &event, Repeat::Safe, Ended::Served("x", 4));
+        }
+        assert_eq!(repeats.judge(1, &event(0, "a"), Repeat::Safe), Verdict::Fresh);
+        assert_eq!(repeats.judge(1, &event(0, "c"), Repeat::Safe), Verdict::Recorded("x"));
+        assert_eq!(repeats.judge(1, &other, Repeat::Safe), Verdict::Recorded("kept"));
+        for id in ["u", "v"] {
+            let event = event(0, id);
+            repeats.open(&event, Repeat::Unsafe, 0);
+            repeats.close(1, &event, Repeat::Unsafe, Ended::Served("y", 8));
+        }
+        // The older answer had to go, the record that it ran had not.
+        assert_eq!(repeats.judge(2, &event(0, "u"), Repeat::Unsafe), Verdict::Blocked);
+        assert_eq!(repeats.judge(2, &event(0, "v"), Repeat::Unsafe), Verdict::Recorded("y"));
+        assert_eq!(repeats.judge(2, &event(0, "w"), Repeat::Unsafe), Verdict::NoRoom);
+        assert_eq!(repeats.judge(2, &event(1, "w"), Repeat::Unsafe), Verdict::Fresh);
+        assert!(repeats.size().1 <= 14);
+    }
+}
--- /dev/null
+++ b/crates/engine/src/settings.rs
@@ -0,0 +1,36 @@
+use crate::{MarginSettings, RepeatLimits};
+use basaltward::{FunctionId, Micros, Settings};
+
+/// A function that may be called.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Function {
+    /// Its name.
+    pub name: FunctionId,
+    /// Its class, a position in the module's settings.
+    pub class: usize,
+    /// Memory of one copy, MB.
+    pub memory_mb: f64,
+    /// Calls that one copy runs at once.
+    pub lanes: u32,
+    /// How long a load usually takes, where known.
+    pub load: Option<Micros>,
+}
+
+/// What an engine is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineSettings {
+    /// For the controller.
+    pub module: Settings,
+    /// Every function that may be called; positions name them in [`NewCall`](crate::NewCall).
+    pub catalog: Vec<Function>,
+    /// Most calls in hand; further ones are refused.
+    pub in_hand: usize,
+    /// Most connections that wait for one call; further repeats are refused.
+    pub waiters: usize,
+    /// How long a call goes on after its last client left, so that a repeat finds it.
+    pub linger: Micros,
+    /// Bounds on remembered repeats.
+    pub repeats: RepeatLimits,
+    /// How much earlier than the client's deadline an answer is due.
+    pub margin: MarginSettings,
+}
