--- /dev/null
+++ b/crates/config/src/xml.rs
@@ -0,0 +1,106 @@
+//! XML documents checked by a schema, and typed attributes with a place to point at.
+
+use crate::{ConfigError, Fault};
+use std::str::FromStr;
+use uppsala::{Document, NodeId, XmlError, XsdValidator};
+
+/// Faults listed for one file at most.
+const MOST_FAULTS: usize = 20;
+
+/// Parses a document, checks it by a schema and hands its root to `take`, which may add faults of its own.
+///
+/// # Errors
+/// All faults, in the order of lines.
+pub fn checked<T>(
+    text: &str,
+    path: &str,
+    schema: &str,
+    take: impl FnOnce(Node, &mut Vec<Fault>) -> T,
+) -> Result<T, ConfigError> {
+    let broken = |error: XmlError| ConfigError::Schema(error.to_string());
+    let schema = uppsala::parse(schema).map_err(broken)?;
+    let validator = XsdValidator::from_schema(&schema).map_err(broken)?;
+    let wrong = |faults| ConfigError::Faults { path: path.to_owned(), faults };
+    let document = uppsala::parse(text).map_err(|error| wrong(vec![not_well_formed(error)]))?;
+    let found = validator.validate(&document);
+    let mut faults: Vec<_> = found
+        .into_iter()
+        .map(|e| Fault { line: e.line.unwrap_or(0), column: e.column.unwrap_or(0), message: e.message })
+        .collect();
+    if let (true, Some(root)) = (faults.is_empty(), document.document_element()) {
+        let taken = take(Node { document: &document, id: root }, &mut faults);
+        if faults.is_empty() {
+            return Ok(taken);
+        }
+    }
+    faults.sort_by_key(|fault| (fault.line, fault.column));
+    faults.dedup();
+    faults.truncate(MOST_FAULTS);
+    Err(wrong(faults))
+}
+
+fn not_well_formed(error: XmlError) -> Fault {
+    let (line, column, message) = match error {
+        XmlError::WellFormedness(e) => (e.line, e.column, e.message),
+        XmlError::Namespace(e) => (e.line, e.column, e.message),
+        XmlError::Parse(e) => (e.line, e.column, e.message),
+        other => (0, 0, other.to_string()),
+    };
+    Fault { line, column, message: format!("not well-formed XML: {message}") }
+}
+
+/// An element.
+#[derive(Clone, Copy)]
+pub struct Node<'a> {
+    document: &'a Document<'a>,
+    id: NodeId,
+}
+
+impl<'a> Node<'a> {
+    /// Its name without prefix.
+    pub fn name(&self) -> String {
+        self.document.element(self.id).map(|e| e.name.local_name.to_string()).unwrap_or_default()
+    }
+
+    /// Its child elements of this name.
+    pub fn children(&self, name: &str) -> Vec<Node<'a>> {
+        self.elements().into_iter().filter(|n| n.name() == name).collect()
+    }
+
+    /// All child elements.
+    pub fn elements(&self) -> Vec<Node<'a>> {
+        let all = self.document.children(self.id).into_iter().map(|id| Node { document: self.document, id });
+        all.filter(|n| n.document.element(n.id).is_some()).collect()
+    }
+
+    /// The first child element of this name.
+    pub fn child(&self, name: &str) -> Option<Node<'a>> {
+        self.children(name).into_iter().next()
+    }
+
+    /// An attribute's text.
+    pub fn text(&self, name: &str) -> Option<&'a str> {
+        self.document.get_attribute(self.id, name)
+    }
+
+    /// An attribute as a type; `None` where it is absent. The schema has checked its form.
+    pub fn value<T: FromStr>(&self, name: &str, faults: &mut Vec<Fault>) -> Option<T> {
+        let text = self.text(name)?.trim();
+        let value = text.parse().ok();
+        if value.is_none() {
+            faults.push(self.fault(format!("{name}: {text:?} is out of range")));
+        }
+        value
+    }
+
+    /// An attribute as a truth value.
+    pub fn flag(&self, name: &str) -> Option<bool> {
+        self.text(name).map(|text| matches!(text.trim(), "true" | "1"))
+    }
+
+    /// A fault at this element.
+    pub fn fault(&self, message: impl Into<String>) -> Fault {
+        let (line, column) = (self.document.node_line(self.id), self.document.node_column(self.id));
+        Fault { line, column, message: message.into() }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,430 @@
+//! The CloudEvents front: clients' connections, their requests turned into calls, answers written back.
+
+use crate::links::Reply;
+use crate::problem::Problem;
+use basaltward::{Micros, Repeat};
+use basaltward_cloudevents::{Attribute, BATCH, Event, Incoming, Mode, STRUCTURED, accepted_mode, read, to_json, write_binary_fields};
+use basaltward_config::Config;
+use basaltward_engine::{Answer, Identity, NewCall, WaiterId};
+use basaltward_http::{Body, Decoded, HeadWriter, Limits, Method, Request, RequestDecoder};
+use basaltward_net::{ConnId, Io, Timers};
+use bytes::BytesMut;
+use slab::Slab;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// Extension attributes that the gateway reads.
+pub mod extensions {
+    /// The client's remaining patience in milliseconds, bounded by the class's deadline.
+    pub const TIMEOUT: &str = "timeoutms";
+    /// The tenant's name.
+    pub const TENANT: &str = "tenant";
+    /// In a batch of answers: `served`, `refused` or `failed`.
+    pub const OUTCOME: &str = "outcome";
+    /// In a batch of answers: the HTTP status that the event alone would have got.
+    pub const STATUS: &str = "status";
+}
+
+/// A request whose answers are awaited.
+struct Busy {
+    mode: Mode,
+    keep_alive: bool,
+    /// Answers still missing.
+    missing: usize,
+    answers: Vec<Option<Result<Reply, Problem>>>,
+    waiters: Vec<WaiterId>,
+}
+
+struct Client {
+    decoder: RequestDecoder,
+    busy: Option<Busy>,
+    /// When the first byte of the request now arriving came.
+    began: Option<Micros>,
+    /// When patience with the peer ends: for the head, the body, or while idle.
+    until: Micros,
+}
+
+/// Who waits, and for which event; the log line of a call is made of it.
+pub struct Waiting {
+    conn: ConnId,
+    index: usize,
+    /// The event.
+    pub event: Arc<Event>,
+    /// Position of its function.
+    pub function: usize,
+    /// When its request began to arrive.
+    pub began: Micros,
+}
+
+/// Where a client's request leads.
+pub enum Asked {
+    /// Calls for the engine.
+    Calls(Vec<NewCall<Event>>),
+    /// Answered already.
+    Answered,
+}
+
+/// The front of one loop.
+pub struct Front {
+    limits: Limits,
+    most_batch: usize,
+    unsent: usize,
+    spans: (Micros, Micros, Micros),
+    functions: BTreeMap<String, (usize, Micros, Repeat)>,
+    tenants: Vec<String>,
+    clients: HashMap<ConnId, Client>,
+    waiting: Slab<Waiting>,
+    due: Timers<ConnId>,
+    stopping: bool,
+}
+
+impl Front {
+    /// A front without clients.
+    pub fn new(config: &Config) -> Self {
+        let front = &config.front;
+        let class = |c: usize| (config.module.classes[c].deadline, config.module.classes[c].repeat);
+        let functions = config.functions.iter().enumerate().map(|(i, f)| {
+            let (deadline, repeat) = class(f.class);
+            (f.name.to_string(), (i, deadline, repeat))
+        });
+        Self {
+            limits: Limits {
+                line: front.line_bytes,
+                head: front.head_bytes,
+                fields: front.fields,
+                body: front.body_bytes,
+            },
+            most_batch: front.batch,
+            unsent: front.unsent_bytes,
+            spans: (front.head, front.body, front.idle),
+            functions: functions.collect(),
+            tenants: config.tenants.clone(),
+            clients: HashMap::new(),
+            waiting: Slab::new(),
+            due: Timers::default(),
+            stopping: false,
+        }
+    }
+
+    /// When [`Front::wake`] is due next.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.due.next()
+    }
+
+    /// Clients connected.
+    pub fn clients(&self) -> usize {
+        self.clients.len()
+    }
+
+    /// A client has connected.
+    pub fn accepted(&mut self, now: Micros, conn: ConnId) {
+        let until = now + self.spans.2;
+        self.due.set(until, conn);
+        let decoder = RequestDecoder::new(self.limits);
+        self.clients.insert(conn, Client { decoder, busy: None, began: None, until });
+    }
+
+    /// A client's connection has ended: who waited on it.
+    pub fn ended(&mut self, conn: ConnId) -> Vec<WaiterId> {
+        let busy = self.clients.remove(&conn).and_then(|c| c.busy);
+        let waiters = busy.map(|b| b.waiters).unwrap_or_default();
+        waiters.into_iter().filter(|w| self.waiting.try_remove(w.0 as usize).is_some()).collect()
+    }
+
+    /// Takes the next request of a connection, if it is all there and the one before is answered.
+    pub fn next_request(&mut self, io: &mut Io, now: Micros, conn: ConnId) -> Option<Asked> {
+        let unsent = io.unsent(conn);
+        let client = self.clients.get_mut(&conn)?;
+        if client.busy.is_some() || unsent > self.unsent {
+            return None;
+        }
+        let input = io.input(conn)?;
+        let decoded = client.decoder.decode(input);
+        let (within, within_body) = (client.decoder.within_message(input), client.decoder.within_body());
+        match decoded {
+            Ok(Decoded::Message(request)) => {
+                io.release_input(conn);
+                let began = client.began.take().unwrap_or(now);
+                Some(self.request(io, now, conn, &request, began))
+            }
+            Ok(told) => {
+                if within && client.began.is_none() {
+                    client.began = Some(now);
+                    client.until = now + self.spans.0;
+                    self.due.set(client.until, conn);
+                }
+                if let (true, Some(began)) = (within_body, client.began) {
+                    // Past the head: the body has a time of its own, from the request's first byte too.
+                    let until = began + self.spans.0 + self.spans.1;
+                    if client.until != until {
+                        client.until = until;
+                        self.due.set(until, conn);
+                    }
+                }
+                io.pause(conn, false);
+                if let (Decoded::Continue, Some(out)) = (told, io.output(conn)) {
+                    HeadWriter::response(out, 100).body(Body::None);
+                }
+                None
+            }
+            Err(error) => {
+                let problem = Problem::rejected(error.status(), error.to_string());
+                self.refuse_connection(io, conn, &problem);
+                None
+            }
+        }
+    }
+
+    /// Answers with a problem and closes: what follows on the connection can't be read.
+    fn refuse_connection(&mut self, io: &mut Io, conn: ConnId, problem: &Problem) {
+        if let Some(out) = io.output(conn) {
+            write_problem(out, problem, false, false);
+        }
+        self.clients.remove(&conn);
+        io.close(conn);
+    }
+
+    fn request(&mut self, io: &mut Io, now: Micros, conn: ConnId, request: &Request, began: Micros) -> Asked {
+        let keep_alive = request.keep_alive() && !self.stopping;
+        match self.calls(now, conn, request, began) {
+            Ok((mode, calls)) => {
+                let waiters: Vec<_> = calls.iter().map(|c| c.waiter).collect();
+                let answers = calls.iter().map(|_| None).collect();
+                let busy = Busy { mode, keep_alive, missing: calls.len(), answers, waiters };
+                let empty = calls.is_empty();
+                if let Some(client) = self.clients.get_mut(&conn) {
+                    client.busy = Some(busy);
+                    client.until = Micros::MAX;
+                }
+                if empty {
+                    self.write_answer(io, now, conn);
+                    return Asked::Answered;
+                }
+                Asked::Calls(calls)
+            }
+            Err(problem) => {
+                if let Some(out) = io.output(conn) {
+                    write_problem(out, &problem, keep_alive, request.method == Method::Head);
+                }
+                self.idle(io, now, conn, keep_alive);
+                Asked::Answered
+            }
+        }
+    }
+
+    /// The events of a request as calls, all or none.
+    fn calls(
+        &mut self,
+        now: Micros,
+        conn: ConnId,
+        request: &Request,
+        began: Micros,
+    ) -> Result<(Mode, Vec<NewCall<Event>>), Problem> {
+        let path = request.target().split('?').next().unwrap_or_default();
+        let named = match path.strip_prefix("/functions/") {
+            Some(name) if !name.is_empty() && !name.contains('/') => Some(name),
+            _ if path == "/" => None,
+            _ => return Err(Problem::rejected(404, "no such path: POST to /functions/NAME or to /")),
+        };
+        if request.method != Method::Post {
+            return Err(Problem::rejected(405, "calls are made with POST"));
+        }
+        let read = read(&request.headers, request.body.clone(), self.most_batch);
+        let (mode, incoming) = read.map_err(|error| Problem::rejected(error.status(), error.to_string()))?;
+        let events = match incoming {
+            Incoming::One(event) => vec![event],
+            Incoming::Batch(events) => events,
+        };
+        let many = mode == Mode::Batch;
+        let mut calls = Vec::with_capacity(events.len());
+        for (index, event) in events.into_iter().enumerate() {
+            match self.one_call(event, named, began) {
+                Ok(call) => calls.push(call),
+                Err(problem) if many => {
+                    let detail = format!("event {index} of the batch, of which none was taken: {}", problem.detail);
+                    return Err(Problem { detail, ..problem });
+                }
+                Err(problem) => return Err(problem),
+            }
+        }
+        let answer = match (mode, accepted_mode(&request.headers)) {
+            (Mode::Batch, _) => Mode::Batch,
+            (mode, told) => told.unwrap_or(mode),
+        };
+        let _ = now;
+        for (index, call) in calls.iter_mut().enumerate() {
+            let (event, function) = (call.payload.clone(), call.identity.function);
+            let waiting = Waiting { conn, index, event, function, began };
+            call.waiter = WaiterId(self.waiting.insert(waiting) as u64);
+        }
+        Ok((answer, calls))
+    }
+
+    fn one_call(&self, event: Event, named: Option<&str>, began: Micros) -> Result<NewCall<Event>, Problem> {
+        let Some(name) = named.or(event.subject.as_deref()) else {
+            return Err(Problem::rejected(400, "name the function in the path or in the event's subject"));
+        };
+        let Some((function, deadline, _)) = self.functions.get(name) else {
+            return Err(Problem::rejected(404, format!("function {name:?} is not known here")));
+        };
+        let patience = match event.extension(extensions::TIMEOUT) {
+            None => *deadline,
+            Some(told) => match told.to_string().parse::<u64>() {
+                Ok(ms) if ms > 0 => ms.saturating_mul(1_000).min(*deadline),
+                _ => return Err(Problem::rejected(400, "timeoutms must be a whole number above 0")),
+            },
+        };
+        let tenant = match (event.extension(extensions::TENANT), self.tenants.is_empty()) {
+            (_, true) => 0,
+            (None, false) => return Err(Problem::rejected(400, "the extension tenant is required here")),
+            (Some(told), false) => {
+                let told = if let Attribute::Text(text) = told { text.as_str() } else { "" };
+                let known = self.tenants.iter().position(|t| t == told);
+                known.ok_or_else(|| Problem::rejected(400, format!("tenant {told:?} is not known here")))?
+            }
+        };
+        let identity =
+            Identity { tenant, function: *function, source: event.source.as_str().into(), id: event.id.as_str().into() };
+        Ok(NewCall { waiter: WaiterId(0), identity, deadline: began + patience, payload: Arc::new(event) })
+    }
+
+    /// Takes the engine's final answer for one event. Gives what the log line needs, and whether the
+    /// connection is free for its next request.
+    pub fn answer(
+        &mut self,
+        io: &mut Io,
+        now: Micros,
+        waiter: WaiterId,
+        answer: Answer<Reply>,
+    ) -> Option<(Waiting, u16, Option<ConnId>)> {
+        let waiting = self.waiting.try_remove(waiter.0 as usize)?;
+        let conn = waiting.conn;
+        let repeat = self.functions.values().find(|f| f.0 == waiting.function).map_or(Repeat::Unsafe, |f| f.2);
+        let answer = match answer {
+            Answer::Served(reply) => Ok(reply),
+            Answer::Refused(why, wait) => Err(Problem::refused(why, wait)),
+            Answer::Failed(why) => Err(Problem::failed(why, repeat)),
+        };
+        let status = answer.as_ref().map_or_else(|p| p.status, |_| 200);
+        let busy = self.clients.get_mut(&conn).and_then(|c| c.busy.as_mut())?;
+        busy.missing -= 1;
+        busy.answers[waiting.index] = Some(answer);
+        let whole = busy.missing == 0;
+        if whole {
+            self.write_answer(io, now, conn);
+        }
+        Some((waiting, status, whole.then_some(conn)))
+    }
+
+    /// Writes the answer of a request whose every event has one.
+    fn write_answer(&mut self, io: &mut Io, now: Micros, conn: ConnId) {
+        let Some(busy) = self.clients.get_mut(&conn).and_then(|c| c.busy.take()) else { return };
+        let keep_alive = busy.keep_alive && !self.stopping;
+        if let Some(out) = io.output(conn) {
+            let mut answers = busy.answers.into_iter().flatten();
+            match (busy.mode, answers.next()) {
+                (Mode::Batch, first) => write_batch(out, first.into_iter().chain(answers), keep_alive),
+                (mode, Some(Ok(reply))) => write_reply(out, &reply.0, mode, keep_alive),
+                (_, Some(Err(problem))) => write_problem(out, &problem, keep_alive, false),
+                (_, None) => {}
+            }
+        }
+        self.idle(io, now, conn, keep_alive);
+    }
+
+    fn idle(&mut self, io: &mut Io, now: Micros, conn: ConnId, keep_alive: bool) {
+        if !keep_alive {
+            self.clients.remove(&conn);
+            return io.close(conn);
+        }
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        client.until = now + self.spans.2;
+        self.due.set(client.until, conn);
+        io.pause(conn, false);
+    }
+
+    /// Ends connections whose patience is over: idle ones silently, slow senders with 408.
+    pub fn wake(&mut self, io: &mut Io, now: Micros) {
+        while let Some(conn) = self.due.due(now) {
+            let Some(client) = self.clients.get(&conn).filter(|c| c.busy.is_none() && c.until <= now) else {
+                continue;
+            };
+            if client.began.is_some() {
+                let problem = Problem::rejected(408, "the request did not arrive in time");
+                self.refuse_connection(io, conn, &problem);
+            } else if io.unsent(conn) > 0 {
+                // It does not read its answer.
+                self.clients.remove(&conn);
+                io.abort(conn);
+            } else {
+                self.clients.remove(&conn);
+                io.close(conn);
+            }
+        }
+    }
+
+    /// From now on each connection ends with its answer; idle ones end at once.
+    pub fn stop(&mut self, io: &mut Io) {
+        self.stopping = true;
+        let idle = |c: &Client| c.busy.is_none() && c.began.is_none();
+        let idle: Vec<_> = self.clients.iter().filter(|(_, c)| idle(c)).map(|(id, _)| *id).collect();
+        for conn in idle {
+            self.clients.remove(&conn);
+            io.close(conn);
+        }
+    }
+}
+
+fn connection(head: HeadWriter, keep_alive: bool) -> HeadWriter {
+    if keep_alive { head } else { head.field("Connection", "close") }
+}
+
+fn write_problem(out: &mut BytesMut, problem: &Problem, keep_alive: bool, head_only: bool) {
+    let body = problem.body();
+    let head = HeadWriter::response(out, problem.status).field("Content-Type", "application/problem+json");
+    let head = match problem.retry_after {
+        Some(seconds) => head.shown("Retry-After", seconds),
+        None => head,
+    };
+    let head = if problem.status == 405 { head.field("Allow", "POST") } else { head };
+    let body = if head_only { Body::Length(body.len()) } else { Body::Whole(&body) };
+    connection(head, keep_alive).body(body);
+}
+
+fn write_reply(out: &mut BytesMut, event: &Event, mode: Mode, keep_alive: bool) {
+    let head = connection(HeadWriter::response(out, 200), keep_alive);
+    match mode {
+        Mode::Binary => write_binary_fields(event, head).body(Body::Whole(&event.data)),
+        _ => {
+            let mut body = Vec::with_capacity(event.data.len() + 256);
+            to_json(event, &mut body);
+            head.field("Content-Type", STRUCTURED).body(Body::Whole(&body));
+        }
+    }
+}
+
+/// Each event's answer as an event of the batch, in the order asked; problems as events that hold them.
+fn write_batch(out: &mut BytesMut, answers: impl Iterator<Item = Result<Reply, Problem>>, keep_alive: bool) {
+    let mut body = vec![b'['];
+    for (index, answer) in answers.enumerate() {
+        if index > 0 {
+            body.push(b',');
+        }
+        let (event, outcome, status) = match answer {
+            Ok(reply) => (Event::clone(&reply.0), "served", 200),
+            Err(problem) => {
+                let mut event = Event::new(index.to_string(), "/", "basaltward.problem");
+                event.content_type = Some("application/problem+json".into());
+                event.data = problem.body().into();
+                (event, problem.outcome, i32::from(problem.status))
+            }
+        };
+        let event = event
+            .with(extensions::OUTCOME, Attribute::Text(outcome.into()))
+            .with(extensions::STATUS, Attribute::Integer(status));
+        to_json(&event, &mut body);
+    }
+    body.push(b']');
+    let head = HeadWriter::response(out, 200).field("Content-Type", BATCH);
+    connection(head, keep_alive).body(Body::Whole(&body));
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,1 +1,15 @@
-//! gateway
+//! The running gateway: a CloudEvents front, the engine with the controller, and links to the workers, joined
+//! by one loop for each thread. Nothing here decides about a call.
+#![warn(missing_docs)]
+
+mod front;
+mod links;
+mod problem;
+mod run;
+mod scheduler;
+mod worker_wire;
+
+pub use front::extensions;
+pub use links::Reply;
+pub use run::{Gateway, GatewayError};
+pub use worker_wire::fields;
--- /dev/null
+++ b/crates/gateway/src/links.rs
@@ -0,0 +1,347 @@
+//! Connections to the workers: a pool for each, one job on a connection at a time.
+
+use crate::worker_wire;
+use basaltward::{Code, Micros, Repeat, WorkerId};
+use basaltward_cloudevents::Event;
+use basaltward_config::LinkConfig;
+use basaltward_engine::{AttemptEnd, AttemptId, Function, Identity, OrderId};
+use basaltward_http::{Decoded, Limits, Method, Response, ResponseDecoder};
+use basaltward_net::{ConnId, End, Io, Timers};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// An unsafe or keyed call goes only on a connection used this lately: an older one may be closed by the
+/// worker at this very moment, and the call then counts as one that may have run.
+const FRESH_US: Micros = 1_000_000;
+
+/// A worker's reply event, shared by all who wait for it.
+#[derive(Clone, Debug)]
+pub struct Reply(pub Arc<Event>);
+
+impl basaltward_engine::Reply for Reply {
+    fn bytes(&self) -> usize {
+        self.0.data.len() + 512
+    }
+}
+
+/// What a connection is used for.
+pub enum Job {
+    /// A call.
+    Attempt { id: AttemptId, event: Arc<Event>, function: Function, repeat: Repeat, until: Micros, identity: Arc<Identity> },
+    /// An order, or a question where `count` is 0.
+    Order { id: OrderId, function: Function, count: u32 },
+    /// A probe.
+    Probe(OrderId),
+    /// Idle copies are to go; nobody waits for the answer.
+    Drop(String),
+}
+
+/// How a job ended.
+pub enum Done {
+    /// An attempt.
+    Attempt(AttemptId, AttemptEnd<Reply>),
+    /// An order or a question: copies standing.
+    Order(OrderId, Code, u32),
+    /// A probe.
+    Probe(OrderId, Code, Vec<f64>),
+    /// Something nobody waits for.
+    Nothing,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+enum Name {
+    Attempt(AttemptId),
+    Order(OrderId),
+}
+
+enum Stage {
+    Connecting,
+    /// The job's bytes are with the socket.
+    Waiting,
+    Idle,
+}
+
+struct LinkConn {
+    worker: WorkerId,
+    decoder: ResponseDecoder,
+    stage: Stage,
+    job: Option<Job>,
+    since: Micros,
+}
+
+#[derive(Default)]
+struct Link {
+    /// Most lately used last.
+    idle: Vec<ConnId>,
+    open: usize,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Connect,
+    Until,
+    Idle,
+}
+
+/// What the loop is told when bytes of a job leave, for its records.
+pub struct Sent {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The attempt with its event, or nothing.
+    pub attempt: Option<(AttemptId, Arc<Identity>)>,
+    /// An order to load with its function, or nothing.
+    pub order: Option<(Function, u32)>,
+}
+
+/// All links of one loop.
+pub struct Links {
+    config: LinkConfig,
+    limits: Limits,
+    report: Vec<String>,
+    links: HashMap<WorkerId, Link>,
+    conns: HashMap<ConnId, LinkConn>,
+    jobs: HashMap<Name, ConnId>,
+    due: Timers<(ConnId, Due)>,
+    /// Jobs whose bytes have gone to a socket since this was last taken; kept only for records.
+    pub sent: Vec<Sent>,
+}
+
+fn name(job: &Job) -> Option<Name> {
+    match job {
+        Job::Attempt { id, .. } => Some(Name::Attempt(*id)),
+        Job::Order { id, .. } | Job::Probe(id) => Some(Name::Order(*id)),
+        Job::Drop(_) => None,
+    }
+}
+
+/// The end of a job that got no whole response.
+fn cut(job: Job, code: Code) -> Done {
+    match job {
+        Job::Attempt { id, .. } => Done::Attempt(id, AttemptEnd::bare(code)),
+        Job::Order { id, .. } => Done::Order(id, code, 0),
+        Job::Probe(id) => Done::Probe(id, code, Vec::new()),
+        Job::Drop(_) => Done::Nothing,
+    }
+}
+
+impl Links {
+    /// Links without connections; `report` names the values of load reports.
+    pub fn new(config: LinkConfig, report: Vec<String>) -> Self {
+        let limits = Limits { body: config.response_bytes, ..Limits::default() };
+        let (links, conns, jobs) = (HashMap::new(), HashMap::new(), HashMap::new());
+        Self { config, limits, report, links, conns, jobs, due: Timers::default(), sent: Vec::new() }
+    }
+
+    /// When [`Links::wake`] is due next.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.due.next()
+    }
+
+    /// Whether this connection is one to a worker.
+    pub fn owns(&self, conn: ConnId) -> bool {
+        self.conns.contains_key(&conn)
+    }
+
+    /// Begins a job, on an idle connection or a new one. Gives its end at once where no byte can leave.
+    pub fn start(&mut self, io: &mut Io, now: Micros, worker: &WorkerId, job: Job) -> Option<Done> {
+        let fresh = !matches!(&job, Job::Attempt { repeat: Repeat::Unsafe | Repeat::Keyed { .. }, .. });
+        while let Some(conn) = self.links.get_mut(worker).and_then(|l| l.idle.pop()) {
+            let age = self.conns.get(&conn).map_or(Micros::MAX, |c| now.saturating_sub(c.since));
+            if age <= self.config.idle.min(if fresh { Micros::MAX } else { FRESH_US }) && !io.is_stale(conn) {
+                self.write(io, now, conn, job);
+                return None;
+            }
+            self.discard(io, conn);
+        }
+        let link = self.links.entry(worker.clone()).or_default();
+        if link.open >= self.config.connections {
+            return Some(cut(job, Code::Full));
+        }
+        let address = worker.as_str().parse::<SocketAddr>().ok();
+        let Some(conn) = address.and_then(|address| io.connect(address).ok()) else {
+            return Some(cut(job, Code::ConnectFailed));
+        };
+        link.open += 1;
+        if let Some(name) = name(&job) {
+            self.jobs.insert(name, conn);
+        }
+        let decoder = ResponseDecoder::new(self.limits);
+        let (worker, stage, job) = (worker.clone(), Stage::Connecting, Some(job));
+        self.conns.insert(conn, LinkConn { worker, decoder, stage, job, since: now });
+        self.due.set(now + self.config.connect_timeout, (conn, Due::Connect));
+        None
+    }
+
+    fn write(&mut self, io: &mut Io, now: Micros, conn: ConnId, job: Job) {
+        let (Some(known), Some(out)) = (self.conns.get_mut(&conn), io.output(conn)) else { return };
+        let host = known.worker.as_str();
+        let mut sent = Sent { worker: known.worker.clone(), attempt: None, order: None };
+        match &job {
+            Job::Attempt { id, event, function, repeat, until, identity } => {
+                let patience_ms = until.saturating_sub(now) / 1_000;
+                let told = worker_wire::Attempt { host, name: attempt_name(*id), patience_ms };
+                worker_wire::call(out, event, function, *repeat, &told);
+                self.due.set((*until).max(now + 1), (conn, Due::Until));
+                sent.attempt = Some((*id, identity.clone()));
+            }
+            Job::Order { function, count, .. } => {
+                worker_wire::order(out, host, function, *count);
+                sent.order = (*count > 0).then(|| (function.clone(), *count));
+            }
+            Job::Probe(_) => worker_wire::probe(out, host),
+            Job::Drop(function) => worker_wire::drop_idle(out, host, function),
+        }
+        if let Some(name) = name(&job) {
+            self.jobs.insert(name, conn);
+        }
+        (known.stage, known.job, known.since) = (Stage::Waiting, Some(job), now);
+        self.sent.push(sent);
+    }
+
+    /// Calls an attempt or an order off: its connection is closed, which tells the worker.
+    pub fn abort_attempt(&mut self, io: &mut Io, id: AttemptId) -> Option<Done> {
+        self.abort(io, Name::Attempt(id), Code::Cancelled)
+    }
+
+    /// See [`Links::abort_attempt`].
+    pub fn abort_order(&mut self, io: &mut Io, id: OrderId) {
+        self.abort(io, Name::Order(id), Code::Cancelled);
+    }
+
+    fn abort(&mut self, io: &mut Io, name: Name, code: Code) -> Option<Done> {
+        let conn = *self.jobs.get(&name)?;
+        // Without a byte sent the call is known not to have run.
+        let unsent = matches!(self.conns.get(&conn)?.stage, Stage::Connecting);
+        self.discard(io, conn).map(|job| cut(job, if unsent { Code::Moot } else { code }))
+    }
+
+    /// Ends a connection; gives the job that was on it.
+    fn discard(&mut self, io: &mut Io, conn: ConnId) -> Option<Job> {
+        io.abort(conn);
+        self.forget(conn)
+    }
+
+    fn forget(&mut self, conn: ConnId) -> Option<Job> {
+        let known = self.conns.remove(&conn)?;
+        if let Some(link) = self.links.get_mut(&known.worker) {
+            link.open -= 1;
+            link.idle.retain(|c| *c != conn);
+            if link.open == 0 {
+                self.links.remove(&known.worker);
+            }
+        }
+        let job = known.job?;
+        if let Some(name) = name(&job) {
+            self.jobs.remove(&name);
+        }
+        Some(job)
+    }
+
+    /// A connection stands.
+    pub fn connected(&mut self, io: &mut Io, now: Micros, conn: ConnId) {
+        if let Some(job) = self.conns.get_mut(&conn).and_then(|c| c.job.take()) {
+            self.write(io, now, conn, job);
+        }
+    }
+
+    /// Bytes have come.
+    pub fn data(&mut self, io: &mut Io, now: Micros, conn: ConnId) -> Option<Done> {
+        let known = self.conns.get_mut(&conn)?;
+        let method = match &known.job {
+            // Bytes that answer nothing: the connection can't be trusted.
+            None => {
+                self.discard(io, conn);
+                return None;
+            }
+            Some(Job::Attempt { .. }) => Method::Post,
+            Some(Job::Order { count, .. }) if *count > 0 => Method::Put,
+            Some(Job::Drop(_)) => Method::Delete,
+            Some(_) => Method::Get,
+        };
+        let input = io.input(conn)?;
+        match known.decoder.decode(input, method) {
+            Ok(Decoded::Message(response)) => {
+                let left = !input.is_empty();
+                io.release_input(conn);
+                let reusable = response.keep_alive() && !left;
+                self.finish(io, now, conn, response, reusable)
+            }
+            Ok(_) => {
+                io.pause(conn, false);
+                None
+            }
+            // Not an answer by the protocol, or longer than is taken: nothing is proven.
+            Err(_) => self.discard(io, conn).map(|job| cut(job, Code::Error)),
+        }
+    }
+
+    fn finish(&mut self, io: &mut Io, now: Micros, conn: ConnId, told: Response, reusable: bool) -> Option<Done> {
+        let known = self.conns.get_mut(&conn)?;
+        let job = known.job.take()?;
+        if let Some(name) = name(&job) {
+            self.jobs.remove(&name);
+        }
+        (known.stage, known.since) = (Stage::Idle, now);
+        if reusable {
+            if let Some(link) = self.links.get_mut(&known.worker) {
+                link.idle.push(conn);
+                self.due.set(now + self.config.idle + 1, (conn, Due::Idle));
+            }
+        } else {
+            self.discard(io, conn);
+        }
+        Some(match job {
+            Job::Attempt { id, event, .. } => {
+                Done::Attempt(id, worker_wire::attempt_end(told, &event, &self.report))
+            }
+            Job::Order { id, .. } => {
+                let copies = told.headers.get(worker_wire::fields::COPIES).and_then(|t| t.parse().ok());
+                match (worker_wire::code(&told), copies) {
+                    (Code::Ok, None) => Done::Order(id, Code::Unknown, 0),
+                    (code, copies) => Done::Order(id, code, copies.unwrap_or(0)),
+                }
+            }
+            Job::Probe(id) => {
+                Done::Probe(id, worker_wire::code(&told), worker_wire::report(&told, &self.report))
+            }
+            Job::Drop(_) => Done::Nothing,
+        })
+    }
+
+    /// A connection has ended, by the worker or on the way.
+    pub fn ended(&mut self, io: &mut Io, now: Micros, conn: ConnId, how: End) -> Option<Done> {
+        let known = self.conns.get_mut(&conn)?;
+        // A response may run until its connection's end.
+        let input = io.input(conn).filter(|_| how == End::Closed);
+        if let Some(Ok(response)) = input.map(|input| known.decoder.end(input)) {
+            return self.finish(io, now, conn, response, false);
+        }
+        let sent = matches!(known.stage, Stage::Waiting);
+        let code = if sent { Code::Reset } else { Code::ConnectFailed };
+        self.forget(conn).map(|job| cut(job, code))
+    }
+
+    /// Takes what is due by `now`: connections that do not stand, attempts out of time, idle ones.
+    pub fn wake(&mut self, io: &mut Io, now: Micros, done: &mut Vec<Done>) {
+        while let Some((conn, due)) = self.due.due(now) {
+            let Some(known) = self.conns.get(&conn) else { continue };
+            let until = match &known.job {
+                Some(Job::Attempt { until, .. }) => *until,
+                _ => Micros::MAX,
+            };
+            let code = match (due, &known.stage) {
+                (Due::Connect, Stage::Connecting) => Code::ConnectFailed,
+                (Due::Until, Stage::Waiting) if until <= now => Code::Timeout,
+                (Due::Idle, Stage::Idle) if known.since + self.config.idle < now => Code::Moot,
+                _ => continue,
+            };
+            done.extend(self.discard(io, conn).map(|job| cut(job, code)));
+        }
+    }
+}
+
+/// An attempt's name on the wire and in records.
+pub fn attempt_name(id: AttemptId) -> String {
+    format!("{}.{}", id.request.0, id.number)
+}
--- /dev/null
+++ b/crates/gateway/src/problem.rs
@@ -0,0 +1,64 @@
+//! Answers that are not a reply: `application/problem+json` (RFC 9457) with `outcome` and `retryable`.
+
+use basaltward::{Micros, Repeat};
+use basaltward_engine::{Failure, Refusal};
+use serde_json::json;
+
+/// What a client is told in place of a reply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// HTTP status.
+    pub status: u16,
+    /// `rejected`, `refused` or `failed`.
+    pub outcome: &'static str,
+    /// Whether sending the same event again is harmless.
+    pub retryable: bool,
+    /// Seconds for `Retry-After`.
+    pub retry_after: Option<u64>,
+    /// What happened and what to do.
+    pub detail: String,
+}
+
+impl Problem {
+    /// Bad input: nothing has changed.
+    pub fn rejected(status: u16, detail: impl Into<String>) -> Self {
+        Self { status, outcome: "rejected", retryable: false, retry_after: None, detail: detail.into() }
+    }
+
+    /// A refusal.
+    pub fn refused(why: Refusal, wait: Option<Micros>) -> Self {
+        let detail = match why {
+            Refusal::Overload => "the workers have more than they can do in time; the call did not take effect",
+            Refusal::InHand => "too many calls are in hand here; the call was not begun",
+            Refusal::TooLate => "too little of the call's time is left to begin it",
+            Refusal::Guards => "this tenant has too many recent calls that must not run twice; not begun",
+            Refusal::Stopping => "this gateway is stopping; send the event to another one",
+        };
+        let retry_after = wait.map(|w| w.div_ceil(1_000_000));
+        Self { status: 503, outcome: "refused", retryable: true, retry_after, detail: detail.into() }
+    }
+
+    /// A failure; a repeat is harmless only where the class is safe.
+    pub fn failed(why: Failure, repeat: Repeat) -> Self {
+        let (status, detail) = match why {
+            Failure::Deadline => (504, "no answer came before the call's deadline; it may have run"),
+            Failure::Attempts => (500, "no worker answered the call; it may have run"),
+            Failure::MayHaveRun => (500, "this event was sent before and may have run; it is not run again"),
+        };
+        let retryable = repeat == Repeat::Safe;
+        Self { status, outcome: "failed", retryable, retry_after: None, detail: detail.into() }
+    }
+
+    /// The problem as JSON.
+    pub fn body(&self) -> Vec<u8> {
+        let value = json!({
+            "type": "about:blank",
+            "title": basaltward_http::reason(self.status),
+            "status": self.status,
+            "outcome": self.outcome,
+            "retryable": self.retryable,
+            "detail": self.detail,
+        });
+        value.to_string().into_bytes()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/scheduler.rs
@@ -0,0 +1,371 @@
+//! One loop: clients, engine and workers joined. It carries bytes and messages between them.
+
+use crate::front::{Asked, Front};
+use crate::links::{Done, Job, Links, Reply, attempt_name};
+use basaltward::{FunctionId, MembersKind, Micros, WorkerId};
+use basaltward_cloudevents::Event;
+use basaltward_config::Config;
+use basaltward_engine::{
+    Answer, Engine, EngineSettings, Function, Input, MarginSettings, Output, Path, RepeatLimits,
+};
+use basaltward_net::{Clock, ConnId, Happened, Io, IoLimits, NetError, Waker, monotonic};
+use basaltward_roster::{Names, News, RosterFile, Source, place};
+use basaltward_rules::{Recorder, What};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use tracing::{debug, info, warn};
+
+/// What other threads want of a loop.
+pub const RUN: u8 = 0;
+/// Finish what is in hand, then leave.
+pub const STOP: u8 = 1;
+/// Leave at once, as a killed process would.
+pub const KILL: u8 = 2;
+
+/// One loop with all it owns.
+pub struct Scheduler {
+    name: String,
+    io: Io,
+    engine: Engine<Event, Reply>,
+    front: Front,
+    links: Links,
+    roster: RosterFile,
+    clock: Clock,
+    states: BTreeMap<WorkerId, basaltward::State>,
+    by_name: BTreeMap<FunctionId, usize>,
+    classes: Vec<basaltward::Repeat>,
+    recorder: Recorder,
+    wanted: Arc<AtomicU8>,
+    stopping: bool,
+    outputs: Vec<Output<Event, Reply>>,
+}
+
+fn engine_settings(config: &Config, thread: u32) -> EngineSettings {
+    let function = |f: &basaltward_config::FunctionConfig| Function {
+        name: f.name.clone(),
+        class: f.class,
+        memory_mb: f.memory_mb,
+        lanes: f.lanes,
+        load: f.load,
+    };
+    let (repeats, margin) = (&config.repeats, &config.margin);
+    EngineSettings {
+        module: config.module_of(thread),
+        catalog: config.functions.iter().map(function).collect(),
+        in_hand: config.front.calls,
+        waiters: config.front.waiters,
+        linger: repeats.linger,
+        repeats: RepeatLimits {
+            remember: repeats.remember,
+            answers: repeats.answers,
+            guards: repeats.guards,
+            bytes: repeats.bytes,
+        },
+        margin: MarginSettings { share: margin.share, least: margin.least, most: margin.most },
+    }
+}
+
+impl Scheduler {
+    /// A loop that listens but does not run yet.
+    pub fn new(
+        config: &Config,
+        thread: u32,
+        listener: TcpListener,
+        recorder: Recorder,
+        wanted: Arc<AtomicU8>,
+    ) -> Result<Self, crate::GatewayError> {
+        let settings = engine_settings(config, thread);
+        let by_name = settings.catalog.iter().enumerate().map(|(i, f)| (f.name.clone(), i)).collect();
+        let classes = settings.module.classes.iter().map(|c| c.repeat).collect();
+        let links = Links::new(config.links.clone(), settings.module.report_names.clone());
+        let connections = config.front.connections;
+        let mut io = Io::new(IoLimits { connections, ..IoLimits::default() })?;
+        io.listen(listener)?;
+        let names = Names { kinds: config.kinds.clone(), zones: config.zones.clone() };
+        let seed = u64::from(settings.module.self_index);
+        Ok(Self {
+            name: format!("{}/{thread}", config.name),
+            io,
+            engine: Engine::new(settings, seed)?,
+            front: Front::new(config),
+            links,
+            roster: RosterFile::new(config.roster.clone(), names, config.roster_check),
+            clock: Clock::read(),
+            states: BTreeMap::new(),
+            by_name,
+            classes,
+            recorder,
+            wanted,
+            stopping: false,
+            outputs: Vec::new(),
+        })
+    }
+
+    /// Wakes this loop from another thread.
+    pub fn waker(&self) -> Waker {
+        self.io.waker()
+    }
+
+    /// Runs until it is told to leave.
+    ///
+    /// # Errors
+    /// Where the system fails the loop itself.
+    pub fn run(mut self) -> Result<(), NetError> {
+        self.recorder.put(monotonic(), &self.name, What::Up);
+        let mut happened = Vec::new();
+        loop {
+            let now = monotonic();
+            self.poll_roster(now);
+            let due = [self.engine.next_due(), self.front.next_due(), self.links.next_due()];
+            let due = due.into_iter().flatten().chain([self.roster.next_due()]).min().unwrap_or(now);
+            self.io.turn(Some(due.saturating_sub(now)), &mut happened)?;
+            let now = monotonic();
+            for happened in happened.drain(..) {
+                self.take(now, happened);
+            }
+            self.wake(now);
+            self.io.forget_ended();
+            match self.wanted.load(Ordering::Relaxed) {
+                KILL => {
+                    self.recorder.put(monotonic(), &self.name, What::Down);
+                    return Ok(());
+                }
+                STOP if !self.stopping => self.stop(now),
+                _ => {}
+            }
+            if self.stopping && self.engine.in_hand() == 0 && self.front.clients() == 0 && self.io.is_settled() {
+                self.recorder.put(monotonic(), &self.name, What::Down);
+                info!(scheduler = self.name, "stopped");
+                return Ok(());
+            }
+        }
+    }
+
+    fn stop(&mut self, now: Micros) {
+        info!(scheduler = self.name, in_hand = self.engine.in_hand(), "stopping");
+        self.stopping = true;
+        self.io.stop_listening(None);
+        self.front.stop(&mut self.io);
+        self.tell(now, Input::Stop);
+    }
+
+    fn take(&mut self, now: Micros, happened: Happened) {
+        match happened {
+            Happened::Accepted { conn, .. } => self.front.accepted(now, conn),
+            Happened::Connected(conn) => {
+                self.links.connected(&mut self.io, now, conn);
+                self.record_sent(now);
+            }
+            Happened::Data(conn) if self.links.owns(conn) => {
+                let done = self.links.data(&mut self.io, now, conn);
+                self.done(now, done);
+            }
+            Happened::Data(conn) | Happened::Drained(conn) => self.requests(now, conn),
+            Happened::Ended(conn, how) if self.links.owns(conn) => {
+                let done = self.links.ended(&mut self.io, now, conn, how);
+                self.done(now, done);
+            }
+            Happened::Ended(conn, _) => {
+                for waiter in self.front.ended(conn) {
+                    self.tell(now, Input::Left(waiter));
+                }
+            }
+            Happened::Signal(_) | Happened::Woken => {}
+        }
+    }
+
+    fn wake(&mut self, now: Micros) {
+        let mut done = Vec::new();
+        self.links.wake(&mut self.io, now, &mut done);
+        for done in done {
+            self.done(now, Some(done));
+        }
+        self.front.wake(&mut self.io, now);
+        let mut outputs = std::mem::take(&mut self.outputs);
+        self.engine.wake(now, &mut outputs);
+        self.carry_out(now, outputs);
+    }
+
+    /// Takes requests from a connection as long as there are whole ones and it is free.
+    fn requests(&mut self, now: Micros, conn: ConnId) {
+        while let Some(asked) = self.front.next_request(&mut self.io, now, conn) {
+            let Asked::Calls(calls) = asked else { continue };
+            for call in calls {
+                if self.recorder.is_on() {
+                    let event = event_name(&call.payload);
+                    self.recorder.put(now, &self.name, What::Taken { event });
+                }
+                self.tell(now, Input::Call(call));
+            }
+        }
+    }
+
+    fn tell(&mut self, now: Micros, input: Input<Event, Reply>) {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        self.engine.handle(now, input, &mut outputs);
+        self.carry_out(now, outputs);
+    }
+
+    fn done(&mut self, now: Micros, done: Option<Done>) {
+        let input = match done {
+            None | Some(Done::Nothing) => return,
+            Some(Done::Attempt(id, end)) => {
+                if self.recorder.is_on() {
+                    let (attempt, code) = (attempt_name(id), format!("{:?}", end.code));
+                    self.recorder.put(now, &self.name, What::Ended { attempt, code });
+                }
+                Input::Ended(id, end)
+            }
+            Some(Done::Order(id, code, count)) => Input::Ordered(id, code, count),
+            Some(Done::Probe(id, code, report)) => Input::Probed(id, code, report),
+        };
+        self.tell(now, input);
+    }
+
+    /// Carries out what the engine wants, and what follows from that, until there is no more.
+    fn carry_out(&mut self, now: Micros, mut outputs: Vec<Output<Event, Reply>>) {
+        let mut queue: VecDeque<_> = outputs.drain(..).collect();
+        self.outputs = outputs;
+        let mut freed = Vec::new();
+        while let Some(output) = queue.pop_front() {
+            let done = self.output(now, output, &mut freed);
+            if let Some(done) = done {
+                let input = match done {
+                    Done::Attempt(id, end) => Input::Ended(id, end),
+                    Done::Order(id, code, count) => Input::Ordered(id, code, count),
+                    Done::Probe(id, code, report) => Input::Probed(id, code, report),
+                    Done::Nothing => continue,
+                };
+                let mut more = std::mem::take(&mut self.outputs);
+                self.engine.handle(now, input, &mut more);
+                queue.extend(more.drain(..));
+                self.outputs = more;
+            }
+        }
+        self.record_sent(now);
+        for conn in freed {
+            self.requests(now, conn);
+        }
+    }
+
+    fn output(&mut self, now: Micros, output: Output<Event, Reply>, freed: &mut Vec<ConnId>) -> Option<Done> {
+        let Self { io, links, engine, .. } = self;
+        match output {
+            Output::Answer { waiter, answer, attempts, worker, path } => {
+                let outcome = match &answer {
+                    Answer::Served(_) => "served",
+                    Answer::Refused(..) => "refused",
+                    Answer::Failed(_) => "failed",
+                };
+                let (waiting, status, free) = self.front.answer(io, now, waiter, answer)?;
+                freed.extend(free);
+                let how = match path {
+                    Path::First => "first",
+                    Path::Joined => "joined",
+                    Path::Direct => "direct",
+                };
+                info!(
+                    target: "basaltward::call",
+                    scheduler = self.name,
+                    id = waiting.event.id,
+                    source = waiting.event.source,
+                    function = %self.engine.catalog()[waiting.function].name,
+                    outcome,
+                    status,
+                    attempts,
+                    worker = worker.as_ref().map(WorkerId::as_str),
+                    how,
+                    took_us = now.saturating_sub(waiting.began),
+                    "call"
+                );
+                None
+            }
+            Output::Start { attempt, worker, identity, payload, until } => {
+                let function = engine.catalog()[identity.function].clone();
+                let repeat = self.classes[function.class];
+                let job = Job::Attempt { id: attempt, event: payload, function, repeat, until, identity };
+                links.start(io, now, &worker, job)
+            }
+            Output::Abort(attempt) => links.abort_attempt(io, attempt),
+            Output::Order { order, worker, function, count } => {
+                let function = engine.catalog()[*self.by_name.get(&function)?].clone();
+                links.start(io, now, &worker, Job::Order { id: order, function, count })
+            }
+            Output::Probe(order, worker) => links.start(io, now, &worker, Job::Probe(order)),
+            Output::AbortOrder(order) => {
+                links.abort_order(io, order);
+                None
+            }
+            Output::Drop(worker, function) => {
+                links.start(io, now, &worker, Job::Drop(function.to_string()));
+                None
+            }
+            // The file tells every change by itself.
+            Output::Watch => None,
+        }
+    }
+
+    fn record_sent(&mut self, now: Micros) {
+        for sent in self.links.sent.drain(..) {
+            if !self.recorder.is_on() {
+                continue;
+            }
+            let worker = sent.worker.to_string();
+            if let Some((id, identity)) = sent.attempt {
+                let (event, attempt) = (format!("{}#{}", identity.source, identity.id), attempt_name(id));
+                self.recorder.put(now, &self.name, What::Sent { event, attempt, worker });
+            } else if let Some((function, count)) = sent.order {
+                let function = function.name.to_string();
+                self.recorder.put(now, &self.name, What::Ordered { worker, function, count });
+            }
+        }
+    }
+
+    fn poll_roster(&mut self, now: Micros) {
+        let (kind, entries) = match self.roster.poll(now) {
+            None => return,
+            Some(News::Whole(entries)) => (MembersKind::Whole, entries),
+            Some(News::Changes(entries)) => (MembersKind::Changes, entries),
+            Some(News::Failed(why)) => {
+                warn!(scheduler = self.name, why, "roster can't be used; the previous list stands");
+                (MembersKind::Failed, Vec::new())
+            }
+        };
+        let members: Vec<_> = entries.iter().map(|e| place(e, |wall| self.clock.place(wall))).collect();
+        self.note_states(now, kind, &members);
+        self.tell(now, Input::Members(kind, members));
+    }
+
+    /// Logs and records the changes that a list brings; decides nothing.
+    fn note_states(&mut self, now: Micros, kind: MembersKind, members: &[basaltward::Member]) {
+        use basaltward::State;
+        let mut changes: Vec<(WorkerId, State)> = Vec::new();
+        if kind == MembersKind::Whole {
+            let listed = |w: &WorkerId| members.iter().any(|m| m.worker == *w);
+            changes.extend(self.states.keys().filter(|w| !listed(w)).map(|w| (w.clone(), State::Gone)));
+        }
+        changes.extend(members.iter().map(|m| (m.worker.clone(), m.state)));
+        for (worker, state) in changes {
+            if self.states.get(&worker) == Some(&state) {
+                continue;
+            }
+            debug!(scheduler = self.name, %worker, ?state, "worker");
+            if self.recorder.is_on() {
+                let state = format!("{state:?}").to_lowercase();
+                self.recorder.put(now, &self.name, What::Told { worker: worker.to_string(), state });
+            }
+            if state == State::Gone {
+                self.states.remove(&worker);
+            } else {
+                self.states.insert(worker, state);
+            }
+        }
+    }
+}
+
+/// An event's name in records.
+fn event_name(event: &Event) -> String {
+    format!("{}#{}", event.source, event.id)
+}
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -100,12 +100,12 @@
     }
 
     /// Every value of a field, in order.
-    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+    pub fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
         self.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name.as_bytes())).map(|(_, v)| v)
     }
 
     /// A field that may stand once: `None` where it is absent, told twice, or not visible ASCII.
-    pub fn get<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+    pub fn get(&self, name: &str) -> Option<&str> {
         let mut all = self.all(name);
         let first = all.next().filter(|_| all.next().is_none())?;
         std::str::from_utf8(first).ok()
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -1,12 +1,12 @@
 use crate::wake::{Signals, Waker, drain};
 use crate::{Micros, monotonic};
 use bytes::{Buf, BytesMut};
-use rustix::buffer::spare_capacity;
 use rustix::event::{Timespec, epoll};
 use rustix::net::{AddressFamily, Shutdown, SocketFlags, SocketType, sockopt};
 use slab::Slab;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
+use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::net::UnixStream;
@@ -108,6 +108,8 @@
 const LISTENER: u64 = 1;
 const SIGNAL: u64 = 2;
 const WAKE: u64 = 3;
+/// Events taken from epoll in one turn; the rest come with the next.
+const EVENTS: usize = 256;
 /// Connections accepted from one listener before others get their turn.
 const ACCEPT_BATCH: usize = 64;
 
@@ -127,7 +129,6 @@
     waker: Waker,
     woken: UnixStream,
     scratch: Box<[u8]>,
-    events: Vec<epoll::Event>,
     dirty: Vec<u32>,
     ended: Vec<u32>,
     /// Connections closed here, by the time at which their patience ends.
@@ -155,7 +156,6 @@
             waker,
             woken,
             scratch: vec![0; 64 << 10].into_boxed_slice(),
-            events: Vec::with_capacity(1024),
             dirty: Vec::new(),
             ended: Vec::new(),
             closing: VecDeque::new(),
@@ -299,6 +299,11 @@
         self.get(id).map_or(0, |c| c.output.len())
     }
 
+    /// Whether no connection still has output to write or an orderly end to reach.
+    pub fn is_settled(&self) -> bool {
+        self.dirty.is_empty() && self.conns.iter().all(|(_, c)| c.output.is_empty() && !c.closing)
+    }
+
     /// Stops or resumes reading: with it stopped the peer soon can't send on.
     pub fn pause(&mut self, id: ConnId, paused: bool) {
         let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
@@ -371,19 +376,19 @@
             tv_sec: (w / 1_000_000) as i64,
             tv_nsec: (w % 1_000_000 * 1_000) as i64,
         });
-        self.events.clear();
-        match epoll::wait(&self.epoll, spare_capacity(&mut self.events), wait.as_ref()) {
-            Ok(_) | Err(rustix::io::Errno::INTR) => {}
+        let mut space = [MaybeUninit::<epoll::Event>::uninit(); EVENTS];
+        let events: &[epoll::Event] = match epoll::wait(&self.epoll, &mut space, wait.as_ref()) {
+            Ok((events, _)) => events,
+            Err(rustix::io::Errno::INTR) => &[],
             Err(errno) => return Err(errno.into()),
-        }
+        };
         for slot in std::mem::take(&mut self.ended) {
             if let Some(conn) = self.conns.get(slot as usize).filter(|c| c.connecting && !c.ended) {
                 let id = ConnId { slot, generation: conn.generation };
                 self.end(id, End::ConnectFailed, out);
             }
         }
-        let events = std::mem::take(&mut self.events);
-        for event in &events {
+        for event in events {
             let (data, flags) = (event.data.u64(), event.flags);
             let (slot, generation) = (data as u32, (data >> 32) as u32 & 0x0fff_ffff);
             match data >> KIND {
@@ -401,7 +406,6 @@
                 _ => self.ready(ConnId { slot, generation }, flags, out),
             }
         }
-        self.events = events;
         Ok(())
     }
 
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -1,1 +1,9 @@
-//! rules
+//! Records of what crossed the sockets, and the checker that holds them to the five rules. It knows the
+//! rules and the records, and nothing of the engine.
+#![warn(missing_docs)]
+
+mod record;
+mod recorder;
+
+pub use record::{Final, Micros, Record, What};
+pub use recorder::{Recorder, read};
--- /dev/null
+++ b/crates/rules/src/record.rs
@@ -0,0 +1,137 @@
+use serde::{Deserialize, Serialize};
+
+/// A time on the machine's monotonic clock, in microseconds.
+pub type Micros = u64;
+
+/// How a call was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Final {
+    /// The reply event.
+    Served,
+    /// Turned away: trying again is harmless.
+    Refused,
+    /// Failed: nothing is promised.
+    Failed,
+    /// Not taken at all: bad input.
+    Rejected,
+}
+
+/// One thing that crossed a socket, with who saw it and when.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// When.
+    pub t: Micros,
+    /// A client, a scheduler (one loop of a gateway) or a worker.
+    pub by: String,
+    /// What.
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// What was seen.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "snake_case")]
+pub enum What {
+    /// A client has sent a whole event.
+    Asked {
+        /// Names this try, once over all clients.
+        tried: u64,
+        /// The event's name.
+        event: String,
+        /// Its class.
+        class: String,
+        /// Its tenant.
+        tenant: String,
+        /// When the client gives up.
+        deadline: Micros,
+    },
+    /// A client has read a whole answer.
+    Answered {
+        /// The try.
+        tried: u64,
+        /// Which answer.
+        answer: Final,
+        /// Its HTTP status.
+        status: u16,
+    },
+    /// A client has left before an answer came.
+    Left {
+        /// The try.
+        tried: u64,
+    },
+    /// The connection ended under a client, or brought bytes that were no answer.
+    Cut {
+        /// The try.
+        tried: u64,
+    },
+    /// A scheduler begins or ends; calls in hand when it is killed are the clients' to repeat.
+    Up,
+    /// See [`What::Up`].
+    Down,
+    /// A scheduler has taken a call.
+    Taken {
+        /// The event's name.
+        event: String,
+    },
+    /// A scheduler was told of a worker's state.
+    Told {
+        /// The worker.
+        worker: String,
+        /// `active`, `leaving` or `gone`.
+        state: String,
+    },
+    /// A scheduler has given a call's bytes to a connection.
+    Sent {
+        /// The event's name.
+        event: String,
+        /// Names the attempt.
+        attempt: String,
+        /// The worker.
+        worker: String,
+    },
+    /// A scheduler's attempt has ended.
+    Ended {
+        /// The attempt.
+        attempt: String,
+        /// Its code.
+        code: String,
+    },
+    /// A scheduler has sent an order to load.
+    Ordered {
+        /// The worker.
+        worker: String,
+        /// The function.
+        function: String,
+        /// Copies to be held.
+        count: u32,
+    },
+    /// A worker has started.
+    Born {
+        /// Work that it does when warm, in microseconds of work a microsecond.
+        capacity: f64,
+        /// Long warm, not started just now.
+        warm: bool,
+    },
+    /// A call has reached a worker, whether it runs or not.
+    Arrived {
+        /// The event's name.
+        event: String,
+        /// The attempt.
+        attempt: String,
+        /// Its work, in microseconds.
+        work: Micros,
+    },
+    /// A worker has begun to run a call: its effect happens.
+    Ran {
+        /// The event's name.
+        event: String,
+    },
+    /// A worker has dropped a repeat, or turned a call away unseen.
+    Dropped {
+        /// The attempt.
+        attempt: String,
+    },
+    /// A worker fell over while cold.
+    Fell,
+}
--- /dev/null
+++ b/crates/rules/src/recorder.rs
@@ -0,0 +1,111 @@
+use crate::record::{Micros, Record, What};
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, BufWriter, Write};
+use std::path::Path;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+
+/// Records waiting for the writer, past which they are lost and counted: the loop never waits for a disk.
+const QUEUE: usize = 1 << 16;
+
+#[derive(Clone)]
+enum Sink {
+    None,
+    Memory(Arc<Mutex<Vec<Record>>>),
+    Thread(SyncSender<Record>),
+}
+
+/// Takes records from any number of threads.
+#[derive(Clone)]
+pub struct Recorder {
+    sink: Sink,
+    lost: Arc<Mutex<u64>>,
+}
+
+impl Recorder {
+    /// Keeps nothing.
+    pub fn none() -> Self {
+        Self { sink: Sink::None, lost: Arc::default() }
+    }
+
+    /// Keeps all in memory, until [`Recorder::take`].
+    pub fn memory() -> Self {
+        Self { sink: Sink::Memory(Arc::default()), lost: Arc::default() }
+    }
+
+    /// Writes JSON lines to a file from a thread of its own, which ends once all clones of the recorder are
+    /// gone.
+    ///
+    /// # Errors
+    /// Where the file can't be made.
+    pub fn file(path: &Path) -> io::Result<(Self, JoinHandle<io::Result<()>>)> {
+        let (send, receive) = sync_channel(QUEUE);
+        let file = File::options().create(true).append(true).open(path)?;
+        let writer = std::thread::Builder::new().name("records".into()).spawn(move || write(file, receive))?;
+        Ok((Self { sink: Sink::Thread(send), lost: Arc::default() }, writer))
+    }
+
+    /// Whether anything is kept; lets callers spare the work of naming things.
+    pub fn is_on(&self) -> bool {
+        !matches!(self.sink, Sink::None)
+    }
+
+    /// Keeps one record.
+    pub fn put(&self, t: Micros, by: &str, what: What) {
+        let record = || Record { t, by: by.to_owned(), what };
+        match &self.sink {
+            Sink::None => {}
+            Sink::Memory(all) => {
+                if let Ok(mut all) = all.lock() {
+                    all.push(record());
+                }
+            }
+            Sink::Thread(send) => {
+                if let (true, Ok(mut lost)) = (send.try_send(record()).is_err(), self.lost.lock()) {
+                    *lost += 1;
+                }
+            }
+        }
+    }
+
+    /// Records that found no room. The checker can't judge a set that lacks some.
+    pub fn lost(&self) -> u64 {
+        self.lost.lock().map_or(0, |lost| *lost)
+    }
+
+    /// What is kept in memory, by time.
+    pub fn take(&self) -> Vec<Record> {
+        let Sink::Memory(all) = &self.sink else { return Vec::new() };
+        let mut all = all.lock().map(|mut all| std::mem::take(&mut *all)).unwrap_or_default();
+        all.sort_by_key(|record| record.t);
+        all
+    }
+}
+
+fn write(file: File, receive: Receiver<Record>) -> io::Result<()> {
+    let mut out = BufWriter::new(file);
+    while let Ok(first) = receive.recv() {
+        // What has queued up is written together, then flushed: a killed process loses little.
+        for record in std::iter::once(first).chain(receive.try_iter()) {
+            serde_json::to_writer(&mut out, &record)?;
+            out.write_all(b"\n")?;
+        }
+        out.flush()?;
+    }
+    Ok(())
+}
+
+/// Reads records from a file of JSON lines, by time.
+///
+/// # Errors
+/// Where the file can't be read or a line is no record; the error names the line.
+pub fn read(path: &Path) -> io::Result<Vec<Record>> {
+    let mut all = Vec::new();
+    for (number, line) in BufReader::new(File::open(path)?).lines().enumerate() {
+        let wrong = |e| io::Error::new(io::ErrorKind::InvalidData, format!("line {}: {e}", number + 1));
+        all.push(serde_json::from_str(&line?).map_err(wrong)?);
+    }
+    all.sort_by_key(|record: &Record| record.t);
+    Ok(all)
+}
--- /dev/null
+++ b/crates/standins/src/clients.rs
@@ -0,0 +1,352 @@
+//! Scripted clients on one loop: events sent at told times, answers awaited, tries repeated.
+
+use basaltward_http::{Body, Decoded, HeadWriter, Limits, Method, Response, ResponseDecoder};
+use basaltward_net::{ConnId, Happened, Io, IoLimits, Micros, NetError, Timers, monotonic};
+use basaltward_rules::{Final, Recorder, What};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// A client waits this long past its deadline, only to see whether an answer still comes.
+const LATE_US: Micros = 300_000;
+
+/// What a client does when a try brings no reply.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Retries {
+    /// Further tries at most.
+    pub most: u32,
+    /// How long it waits before each.
+    pub wait: Micros,
+    /// It gives a try up after this and repeats it at once.
+    pub leave_after: Option<Micros>,
+    /// A failure may be repeated too, not just a refusal or a broken connection.
+    pub after_failure: bool,
+}
+
+/// One event to be sent.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// When, from the start of the run.
+    pub at: Micros,
+    /// To which gateway, by position.
+    pub gateway: usize,
+    /// The function called.
+    pub function: String,
+    /// Its class, for the records.
+    pub class: String,
+    /// The tenant; empty without tenants.
+    pub tenant: String,
+    /// The event's id; its source is `/clients`.
+    pub id: String,
+    /// How long the client waits in all.
+    pub patience: Micros,
+    /// Work of the call, where told.
+    pub work: Option<Micros>,
+    /// Bytes of payload.
+    pub payload: usize,
+    /// What it does without a reply.
+    pub retries: Retries,
+}
+
+/// What a run came to, by event: a client's further tries count with its first.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tally {
+    /// Events.
+    pub events: usize,
+    /// Tries sent.
+    pub tries: u64,
+    /// Events served.
+    pub served: usize,
+    /// Events whose last try was refused, failed, or ended without an answer.
+    pub refused: usize,
+    /// See `refused`.
+    pub failed: usize,
+    /// See `refused`.
+    pub unanswered: usize,
+    /// Times from the event's first send to its reply, by event served, in microseconds.
+    pub latencies: Vec<Micros>,
+    /// Statuses of all answers.
+    pub statuses: BTreeMap<u16, u64>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Try(usize),
+    Leave(u64),
+    GiveUp(u64),
+}
+
+struct Trial {
+    plan: usize,
+    conn: ConnId,
+    asked: bool,
+}
+
+struct Conn {
+    gateway: usize,
+    decoder: ResponseDecoder,
+    trial: Option<u64>,
+    ready: bool,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Progress {
+    tries: u32,
+    first: Option<Micros>,
+    last: Option<Final>,
+    done: bool,
+}
+
+/// Clients of some gateways.
+pub struct Clients {
+    io: Io,
+    gateways: Vec<SocketAddr>,
+    recorder: Recorder,
+    plans: Vec<Plan>,
+    progress: Vec<Progress>,
+    conns: HashMap<ConnId, Conn>,
+    idle: Vec<Vec<ConnId>>,
+    trials: HashMap<u64, Trial>,
+    due: Timers<Due>,
+    next: u64,
+    open: usize,
+    tally: Tally,
+}
+
+impl Clients {
+    /// Clients that know these gateways.
+    ///
+    /// # Errors
+    /// Where the system refuses a loop.
+    pub fn new(gateways: Vec<SocketAddr>, recorder: Recorder) -> Result<Self, NetError> {
+        Ok(Self {
+            io: Io::new(IoLimits { connections: 50_000, ..IoLimits::default() })?,
+            idle: gateways.iter().map(|_| Vec::new()).collect(),
+            gateways,
+            recorder,
+            plans: Vec::new(),
+            progress: Vec::new(),
+            conns: HashMap::new(),
+            trials: HashMap::new(),
+            due: Timers::default(),
+            next: 1,
+            open: 0,
+            tally: Tally::default(),
+        })
+    }
+
+    /// Sends all planned events and waits until each has come to its end; `meanwhile` is called each turn
+    /// with the time since the start and says when it wants to be called next.
+    ///
+    /// # Errors
+    /// Where the loop itself fails.
+    pub fn run(
+        mut self,
+        plans: Vec<Plan>,
+        mut meanwhile: impl FnMut(Micros) -> Option<Micros>,
+    ) -> Result<Tally, NetError> {
+        let start = monotonic();
+        self.open = plans.len();
+        self.progress = vec![Progress::default(); plans.len()];
+        for (index, plan) in plans.iter().enumerate() {
+            self.due.set(start + plan.at, Due::Try(index));
+        }
+        self.plans = plans;
+        let mut happened = Vec::new();
+        loop {
+            let called = meanwhile(monotonic() - start);
+            if self.open == 0 && called.is_none() {
+                break;
+            }
+            let due = self.due.next().into_iter().chain(called.map(|c| c + start)).min();
+            self.io.turn(due.map(|d| d.saturating_sub(monotonic())), &mut happened)?;
+            let now = monotonic();
+            for happened in happened.drain(..) {
+                match happened {
+                    Happened::Connected(conn) => self.connected(now, conn),
+                    Happened::Data(conn) => self.data(now, conn),
+                    Happened::Ended(conn, _) => self.lost(now, conn),
+                    _ => {}
+                }
+            }
+            while let Some(due) = self.due.due(now) {
+                match due {
+                    Due::Try(plan) => self.try_once(now, plan)?,
+                    Due::Leave(trial) => self.leave(now, trial),
+                    Due::GiveUp(trial) => self.give_up(now, trial),
+                }
+            }
+            self.io.forget_ended();
+        }
+        self.tally.events = self.plans.len();
+        for progress in &self.progress {
+            match progress.last {
+                Some(Final::Served) => self.tally.served += 1,
+                Some(Final::Refused) => self.tally.refused += 1,
+                Some(Final::Failed | Final::Rejected) => self.tally.failed += 1,
+                None => self.tally.unanswered += 1,
+            }
+        }
+        Ok(self.tally)
+    }
+
+    fn try_once(&mut self, now: Micros, plan: usize) -> Result<(), NetError> {
+        if self.progress[plan].done {
+            return Ok(());
+        }
+        // Repeats go to other gateways in turn, as a plain front layer would send them.
+        let tries = self.progress[plan].tries as usize;
+        let stays = self.plans[plan].retries.leave_after.is_some();
+        let gateway = (self.plans[plan].gateway + if stays { 0 } else { tries }) % self.gateways.len();
+        self.progress[plan].tries += 1;
+        let trial = self.next;
+        self.next += 1;
+        while let Some(conn) = self.idle[gateway].pop() {
+            if self.io.is_stale(conn) {
+                self.io.abort(conn);
+                self.conns.remove(&conn);
+                continue;
+            }
+            self.trials.insert(trial, Trial { plan, conn, asked: false });
+            if let Some(known) = self.conns.get_mut(&conn) {
+                known.trial = Some(trial);
+            }
+            self.send(now, trial);
+            return Ok(());
+        }
+        let conn = self.io.connect(self.gateways[gateway])?;
+        let decoder = ResponseDecoder::new(Limits { body: 64 << 20, ..Limits::default() });
+        self.conns.insert(conn, Conn { gateway, decoder, trial: Some(trial), ready: false });
+        self.trials.insert(trial, Trial { plan, conn, asked: false });
+        Ok(())
+    }
+
+    fn connected(&mut self, now: Micros, conn: ConnId) {
+        if let Some(known) = self.conns.get_mut(&conn) {
+            known.ready = true;
+            if let Some(trial) = known.trial {
+                self.send(now, trial);
+            }
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: u64) {
+        let Some(trial) = self.trials.get_mut(&id) else { return };
+        trial.asked = true;
+        let (plan, progress) = (&self.plans[trial.plan], &mut self.progress[trial.plan]);
+        let first = *progress.first.get_or_insert(now);
+        let left = (first + plan.patience).saturating_sub(now).max(1_000);
+        let deadline = now + left / 1_000 * 1_000;
+        let Some(out) = self.io.output(trial.conn) else { return };
+        let host = self.gateways[plan.gateway].to_string();
+        let head = HeadWriter::request(out, "POST", &format!("/functions/{}", plan.function), &host);
+        let head = head.field("ce-specversion", "1.0").field("ce-source", "/clients");
+        let head = head.field("ce-type", "basaltward.call").field("ce-id", &plan.id);
+        let head = head.shown("ce-timeoutms", left / 1_000).field("Content-Type", "application/octet-stream");
+        let head = head.maybe("ce-tenant", Some(&plan.tenant).filter(|t| !t.is_empty()));
+        let head = head.maybe("ce-workus", plan.work.map(|w| w.to_string()));
+        head.body(Body::Whole(&vec![b'x'; plan.payload]));
+        self.tally.tries += 1;
+        if self.recorder.is_on() {
+            let what = What::Asked {
+                tried: id,
+                event: format!("/clients#{}", plan.id),
+                class: plan.class.clone(),
+                tenant: plan.tenant.clone(),
+                deadline,
+            };
+            self.recorder.put(now, "clients", what);
+        }
+        if let Some(leave) = plan.retries.leave_after.filter(|_| progress.tries <= plan.retries.most) {
+            self.due.set(now + leave, Due::Leave(id));
+        }
+        self.due.set(deadline + LATE_US, Due::GiveUp(id));
+    }
+
+    fn data(&mut self, now: Micros, conn: ConnId) {
+        let Some(known) = self.conns.get_mut(&conn) else { return };
+        let Some(id) = known.trial else { return self.lost(now, conn) };
+        let Some(input) = self.io.input(conn) else { return };
+        match known.decoder.decode(input, Method::Post) {
+            Ok(Decoded::Message(response)) => {
+                known.trial = None;
+                let (gateway, clean) = (known.gateway, input.is_empty());
+                self.io.release_input(conn);
+                if response.keep_alive() && clean {
+                    self.idle[gateway].push(conn);
+                } else {
+                    self.io.abort(conn);
+                    self.conns.remove(&conn);
+                }
+                self.answered(now, id, &response);
+            }
+            Ok(_) => self.io.pause(conn, false),
+            Err(_) => {
+                self.io.abort(conn);
+                self.lost(now, conn);
+            }
+        }
+    }
+
+    fn answered(&mut self, now: Micros, id: u64, response: &Response) {
+        let Some(trial) = self.trials.remove(&id) else { return };
+        let answer = match response.status {
+            200 => Final::Served,
+            503 => Final::Refused,
+            500 | 504 => Final::Failed,
+            _ => Final::Rejected,
+        };
+        *self.tally.statuses.entry(response.status).or_default() += 1;
+        if self.recorder.is_on() {
+            let what = What::Answered { tried: id, answer, status: response.status };
+            self.recorder.put(now, "clients", what);
+        }
+        let (plan, progress) = (&self.plans[trial.plan], &mut self.progress[trial.plan]);
+        progress.last = Some(answer);
+        if answer == Final::Served {
+            self.tally.latencies.push(now - progress.first.unwrap_or(now));
+        }
+        let repeat = answer == Final::Refused || answer == Final::Failed && plan.retries.after_failure;
+        self.next_or_done(now, trial.plan, repeat, plan.retries.wait);
+    }
+
+    /// Repeats the event where its client does, else it has come to its end.
+    fn next_or_done(&mut self, now: Micros, index: usize, repeat: bool, wait: Micros) {
+        let (plan, progress) = (&self.plans[index], &mut self.progress[index]);
+        let until = progress.first.unwrap_or(now) + plan.patience;
+        if repeat && progress.tries <= plan.retries.most && now + wait < until {
+            self.due.set(now + wait, Due::Try(index));
+        } else if !std::mem::replace(&mut progress.done, true) {
+            self.open -= 1;
+        }
+    }
+
+    fn leave(&mut self, now: Micros, id: u64) {
+        let Some(trial) = self.trials.remove(&id) else { return };
+        self.io.abort(trial.conn);
+        self.conns.remove(&trial.conn);
+        self.recorder.put(now, "clients", What::Left { tried: id });
+        self.next_or_done(now, trial.plan, true, 0);
+    }
+
+    fn give_up(&mut self, now: Micros, id: u64) {
+        if let Some(trial) = self.trials.remove(&id) {
+            self.io.abort(trial.conn);
+            self.conns.remove(&trial.conn);
+            self.next_or_done(now, trial.plan, false, 0);
+        }
+    }
+
+    /// A connection has ended, with or without a try on it.
+    fn lost(&mut self, now: Micros, conn: ConnId) {
+        let Some(known) = self.conns.remove(&conn) else { return };
+        self.idle[known.gateway].retain(|c| *c != conn);
+        let Some(id) = known.trial else { return };
+        let Some(trial) = self.trials.remove(&id) else { return };
+        if trial.asked {
+            self.recorder.put(now, "clients", What::Cut { tried: id });
+        }
+        // Not connected: never sent, so any class may try again.
+        let repeat = !known.ready || self.plans[trial.plan].retries.after_failure;
+        self.next_or_done(now, trial.plan, repeat, self.plans[trial.plan].retries.wait.max(20_000));
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,452 @@
+//! A fleet of stand-in workers on one loop: HTTP around the model, and scripted faults.
+
+use crate::model::{Call, CopyNote, Reply, Worker, WorkerSpec};
+use crate::store::{Store, StoreSpec};
+use basaltward_http::{Body, Decoded, HeadWriter, Limits, Method, Request, RequestDecoder};
+use basaltward_net::{ConnId, Happened, Io, IoLimits, Micros, NetError, Waker, bind, monotonic};
+use basaltward_rules::{Recorder, What};
+use bytes::{Bytes, BytesMut};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::JoinHandle;
+use thiserror::Error;
+
+/// Why a fleet can't run.
+#[derive(Debug, Error)]
+pub enum FleetError {
+    /// The system refused something.
+    #[error(transparent)]
+    Net(#[from] NetError),
+    /// A thread can't be started.
+    #[error("thread: {0}")]
+    Thread(#[from] std::io::Error),
+    /// Its thread has panicked.
+    #[error("the fleet has panicked")]
+    Panicked,
+}
+
+/// What may be done to one worker, or to the store they share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// It takes everything and answers nothing.
+    Silent(bool),
+    /// It works so many times slower.
+    Slow(f64),
+    /// It finishes what it has and takes nothing new.
+    Drain(bool),
+    /// Its process is gone: connections are reset, further ones refused.
+    Kill,
+    /// It runs again under the same address, cold and empty.
+    Restart,
+    /// It answers with what is no HTTP.
+    Garbage(bool),
+    /// It resets the connection after so many bytes of each answer; `None` ends the fault.
+    ResetAt(Option<usize>),
+    /// Its answers are longer than any limit.
+    TooLong(bool),
+    /// It closes each connection after an answer without saying so, at once.
+    CloseAfter(bool),
+    /// The store is so many times slower.
+    StoreSlow(f64),
+}
+
+struct Server {
+    address: SocketAddr,
+    listener: Option<usize>,
+    spec: WorkerSpec,
+    model: Worker,
+    silent: bool,
+    garbage: bool,
+    too_long: bool,
+    close_after: bool,
+    reset_at: Option<usize>,
+}
+
+struct Conn {
+    server: usize,
+    decoder: RequestDecoder,
+    token: Option<Pending>,
+}
+
+/// What a connection waits for.
+struct Pending {
+    token: u64,
+    /// A call's payload with its content type, for the echo.
+    payload: Option<(Bytes, String)>,
+    attempt: String,
+}
+
+/// A running fleet.
+pub struct Fleet {
+    addresses: Vec<SocketAddr>,
+    faults: Sender<Option<(usize, Fault)>>,
+    waker: Waker,
+    thread: JoinHandle<Result<(), NetError>>,
+}
+
+impl Fleet {
+    /// Starts a worker for each spec, all on one thread. Port 0 in `addresses` has the system choose; with
+    /// none given all do.
+    ///
+    /// # Errors
+    /// Where an address or the thread can't be had.
+    pub fn start(
+        specs: Vec<WorkerSpec>,
+        addresses: &[SocketAddr],
+        store: StoreSpec,
+        recorder: Recorder,
+    ) -> Result<Self, FleetError> {
+        let mut io = Io::new(IoLimits { connections: 50_000, ..IoLimits::default() })?;
+        let mut servers = Vec::new();
+        for (index, spec) in specs.into_iter().enumerate() {
+            let wanted = addresses.get(index).copied().unwrap_or(([127, 0, 0, 1], 0).into());
+            let (listener, address) = io.listen(bind(wanted, false)?)?;
+            let model = Worker::new(spec.clone(), None);
+            servers.push(Server {
+                address,
+                listener: Some(listener),
+                spec,
+                model,
+                silent: false,
+                garbage: false,
+                too_long: false,
+                close_after: false,
+                reset_at: None,
+            });
+        }
+        let addresses: Vec<_> = servers.iter().map(|s| s.address).collect();
+        let (faults, commands) = channel();
+        let waker = io.waker();
+        let running = Running {
+            io,
+            servers,
+            store: Store::new(store),
+            conns: HashMap::new(),
+            by_token: HashMap::new(),
+            next: 1,
+            recorder,
+            to_reset: Vec::new(),
+        };
+        let thread = std::thread::Builder::new().name("fleet".into()).spawn(move || running.run(&commands))?;
+        Ok(Self { addresses, faults, waker, thread })
+    }
+
+    /// Where the workers listen, in the order of their specs.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// Does something to a worker, by position.
+    pub fn fault(&self, worker: usize, fault: Fault) {
+        let _ = self.faults.send(Some((worker, fault)));
+        self.waker.wake();
+    }
+
+    /// Ends the fleet.
+    ///
+    /// # Errors
+    /// What failed its loop.
+    pub fn stop(self) -> Result<(), FleetError> {
+        let _ = self.faults.send(None);
+        self.waker.wake();
+        Ok(self.thread.join().map_err(|_| FleetError::Panicked)??)
+    }
+}
+
+struct Running {
+    io: Io,
+    servers: Vec<Server>,
+    store: Store,
+    conns: HashMap<ConnId, Conn>,
+    by_token: HashMap<u64, ConnId>,
+    next: u64,
+    recorder: Recorder,
+    /// Connections to be reset once what was put on them is written.
+    to_reset: Vec<ConnId>,
+}
+
+impl Running {
+    fn run(mut self, commands: &Receiver<Option<(usize, Fault)>>) -> Result<(), NetError> {
+        for server in &self.servers {
+            let (capacity, warm) = (server.model.capacity(), true);
+            self.recorder.put(monotonic(), &server.address.to_string(), What::Born { capacity, warm });
+        }
+        let mut happened = Vec::new();
+        loop {
+            let due = self.servers.iter().filter_map(|s| s.model.next_due()).min();
+            let now = monotonic();
+            self.io.turn(due.map(|d| d.saturating_sub(now)), &mut happened)?;
+            for conn in std::mem::take(&mut self.to_reset) {
+                self.io.reset(conn);
+                self.lost(conn);
+            }
+            let now = monotonic();
+            for command in commands.try_iter() {
+                match command {
+                    Some((worker, fault)) => self.apply(now, worker, fault)?,
+                    None => return Ok(()),
+                }
+            }
+            for happened in happened.drain(..) {
+                match happened {
+                    Happened::Accepted { conn, listener } => {
+                        if let Some(server) = self.servers.iter().position(|s| s.listener == Some(listener)) {
+                            let decoder = RequestDecoder::new(Limits { body: 16 << 20, ..Limits::default() });
+                            self.conns.insert(conn, Conn { server, decoder, token: None });
+                        }
+                    }
+                    Happened::Data(conn) => self.data(now, conn),
+                    Happened::Ended(conn, _) => self.lost(conn),
+                    _ => {}
+                }
+            }
+            for index in 0..self.servers.len() {
+                let mut replies = Vec::new();
+                self.servers[index].model.wake(now, &mut self.store, &mut replies);
+                self.answer_all(now, index, replies);
+            }
+            self.io.forget_ended();
+        }
+    }
+
+    fn lost(&mut self, conn: ConnId) {
+        let Some(known) = self.conns.remove(&conn) else { return };
+        if let Some(Pending { token, .. }) = known.token {
+            self.by_token.remove(&token);
+            self.servers[known.server].model.cancel(token);
+        }
+    }
+
+    fn apply(&mut self, now: Micros, index: usize, fault: Fault) -> Result<(), NetError> {
+        if let Fault::StoreSlow(times) = fault {
+            self.store.slow = times.max(0.01);
+            return Ok(());
+        }
+        let Some(server) = self.servers.get_mut(index) else { return Ok(()) };
+        match fault {
+            Fault::Silent(on) => server.silent = on,
+            Fault::Slow(times) => server.model.slow = times.max(0.01),
+            Fault::Drain(on) => server.model.draining = on,
+            Fault::Garbage(on) => server.garbage = on,
+            Fault::ResetAt(byte) => server.reset_at = byte,
+            Fault::TooLong(on) => server.too_long = on,
+            Fault::CloseAfter(on) => server.close_after = on,
+            Fault::Kill => {
+                self.io.stop_listening(server.listener.take());
+                let gone: Vec<_> =
+                    self.conns.iter().filter(|(_, c)| c.server == index).map(|(id, _)| *id).collect();
+                for conn in gone {
+                    self.io.reset(conn);
+                    self.lost(conn);
+                }
+                self.servers[index].model.fallen = true;
+            }
+            Fault::Restart => {
+                let (listener, _) = self.io.listen(bind(server.address, false)?)?;
+                server.listener = Some(listener);
+                server.model = Worker::new(server.spec.clone(), Some(now));
+                (server.silent, server.garbage, server.too_long, server.reset_at) = (false, false, false, None);
+                let what = What::Born { capacity: server.model.capacity(), warm: false };
+                self.recorder.put(now, &server.address.to_string(), what);
+            }
+            Fault::StoreSlow(_) => {}
+        }
+        Ok(())
+    }
+
+    fn data(&mut self, now: Micros, conn: ConnId) {
+        loop {
+            let Some(known) = self.conns.get_mut(&conn).filter(|c| c.token.is_none()) else { return };
+            let Some(input) = self.io.input(conn) else { return };
+            match known.decoder.decode(input) {
+                Ok(Decoded::Message(request)) => {
+                    self.io.release_input(conn);
+                    self.io.pause(conn, false);
+                    self.request(now, conn, &request);
+                }
+                Ok(_) => return self.io.pause(conn, false),
+                Err(_) => {
+                    self.io.abort(conn);
+                    return self.lost(conn);
+                }
+            }
+        }
+    }
+
+    fn request(&mut self, now: Micros, conn: ConnId, request: &Request) {
+        let Some(known) = self.conns.get_mut(&conn) else { return };
+        let index = known.server;
+        let headers = &request.headers;
+        let number = |name: &str| headers.get(name).and_then(|t| t.parse::<f64>().ok());
+        let token = self.next;
+        self.next += 1;
+        let mut replies = Vec::new();
+        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+        let server = &mut self.servers[index];
+        let needs = (number("basaltward-memory-mb").unwrap_or(1.0), number("basaltward-lanes").unwrap_or(1.0) as u32);
+        let copies = path.strip_prefix("/functions/").and_then(|p| p.strip_suffix("/copies"));
+        let attempt = headers.get("basaltward-attempt").unwrap_or_default().to_owned();
+        match (request.method, copies, path.strip_prefix("/functions/")) {
+            (Method::Get, Some(function), _) => {
+                known.token = Some(Pending { token, payload: None, attempt });
+                self.by_token.insert(token, conn);
+                server.model.order(now, &mut self.store, (token, function, 0), needs, &mut replies);
+            }
+            (Method::Put, Some(function), _) => {
+                known.token = Some(Pending { token, payload: None, attempt });
+                self.by_token.insert(token, conn);
+                let count = query.strip_prefix("count=").and_then(|n| n.parse().ok()).unwrap_or(1);
+                server.model.order(now, &mut self.store, (token, function, count), needs, &mut replies);
+            }
+            (Method::Delete, Some(function), _) => {
+                server.model.drop_idle(function);
+                let head = self.io.output(conn).map(|out| HeadWriter::response(out, 204));
+                if let Some(head) = head {
+                    head.field("basaltward-outcome", "ok").body(Body::None);
+                }
+            }
+            (Method::Post, None, Some(function)) => {
+                let event = format!("{}#{}", headers.get("ce-source").unwrap_or(""), headers.get("ce-id").unwrap_or(""));
+                let kind = headers.get("content-type").unwrap_or("application/octet-stream").to_owned();
+                let call = Call {
+                    token,
+                    function: function.to_owned(),
+                    memory_mb: needs.0,
+                    lanes: needs.1,
+                    work: number("ce-workus").map(|us| us as Micros),
+                    event: event.clone(),
+                    window: number("basaltward-window-ms").map(|ms| ms as Micros * 1_000),
+                };
+                if self.recorder.is_on() {
+                    let (work, attempt) = (server.model.work_of(&call), attempt.clone());
+                    let what = What::Arrived { event, attempt, work };
+                    self.recorder.put(now, &server.address.to_string(), what);
+                }
+                known.token = Some(Pending { token, payload: Some((request.body.clone(), kind)), attempt });
+                self.by_token.insert(token, conn);
+                server.model.call(now, &mut self.store, call, &mut replies);
+            }
+            (Method::Get, None, _) if path == "/load" => {
+                let report = load(&server.model);
+                if let Some(out) = self.io.output(conn) {
+                    let head = HeadWriter::response(out, 200).field("basaltward-outcome", "ok");
+                    head.field("basaltward-load", report).body(Body::Empty);
+                }
+            }
+            _ => {
+                if let Some(out) = self.io.output(conn) {
+                    HeadWriter::response(out, 405).body(Body::Empty);
+                }
+            }
+        }
+        self.answer_all(now, index, replies);
+    }
+
+    fn answer_all(&mut self, now: Micros, index: usize, replies: Vec<Reply>) {
+        for reply in replies {
+            let by = || self.servers[index].address.to_string();
+            match reply {
+                Reply::Ran { event } => {
+                    if self.recorder.is_on() {
+                        self.recorder.put(now, &by(), What::Ran { event });
+                    }
+                }
+                Reply::Fell => self.recorder.put(now, &by(), What::Fell),
+                Reply::Repeat { token } => self.note_dropped(now, index, token),
+                Reply::Ok { token, copy, crowd } => {
+                    let copy = match copy {
+                        CopyNote::Stood => "stood",
+                        CopyNote::Began => "began",
+                        CopyNote::Waited => "waited",
+                    };
+                    self.answer(now, index, token, 200, "ok", &[("basaltward-copy", copy)], Some(crowd), None);
+                }
+                Reply::Miss { token, failed } => {
+                    self.note_dropped(now, index, token);
+                    let copy: &[_] = if failed { &[("basaltward-copy", "failed")] } else { &[] };
+                    self.answer(now, index, token, 404, "miss", copy, None, None);
+                }
+                Reply::Full { token } => {
+                    self.note_dropped(now, index, token);
+                    self.answer(now, index, token, 503, "full", &[], None, None);
+                }
+                Reply::Copies { token, count, kept } => {
+                    let (status, outcome) = if kept { (200, "ok") } else { (503, "full") };
+                    self.answer(now, index, token, status, outcome, &[], None, Some(count));
+                }
+            }
+        }
+    }
+
+    fn note_dropped(&self, now: Micros, index: usize, token: u64) {
+        let conn = self.by_token.get(&token).and_then(|conn| self.conns.get(conn));
+        if let Some(pending) = conn.and_then(|c| c.token.as_ref()).filter(|_| self.recorder.is_on()) {
+            let what = What::Dropped { attempt: pending.attempt.clone() };
+            self.recorder.put(now, &self.servers[index].address.to_string(), what);
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of one response, written in one place")]
+    fn answer(
+        &mut self,
+        now: Micros,
+        index: usize,
+        token: u64,
+        status: u16,
+        outcome: &str,
+        more: &[(&str, &str)],
+        crowd: Option<usize>,
+        copies: Option<u32>,
+    ) {
+        let Some(conn) = self.by_token.remove(&token) else { return };
+        let Some(known) = self.conns.get_mut(&conn) else { return };
+        let payload = known.token.take().and_then(|pending| pending.payload);
+        let server = &self.servers[index];
+        if server.silent || server.model.fallen {
+            return;
+        }
+        let (body, kind) = payload.filter(|_| status == 200).unwrap_or_default();
+        let mut bytes = BytesMut::new();
+        let mut head = HeadWriter::response(&mut bytes, status).field("basaltward-outcome", outcome);
+        for (name, value) in more {
+            head = head.field(name, value);
+        }
+        if let Some(crowd) = crowd {
+            head = head.shown("basaltward-crowd", crowd);
+        }
+        if let Some(copies) = copies {
+            head = head.shown("basaltward-copies", copies);
+        }
+        let head = head.field("basaltward-load", load(&server.model));
+        let head = if kind.is_empty() { head } else { head.field("Content-Type", kind) };
+        if server.too_long {
+            head.body(Body::Length(1 << 40));
+        } else {
+            head.body(Body::Whole(&body));
+        }
+        let (garbage, reset_at, close) = (server.garbage, server.reset_at, server.close_after);
+        if garbage {
+            bytes = BytesMut::from(&b"\x16\x03\x01 this is not HTTP\n\n"[..]);
+        }
+        if let Some(at) = reset_at {
+            bytes.truncate(at);
+            self.to_reset.push(conn);
+        }
+        if let Some(out) = self.io.output(conn) {
+            out.extend_from_slice(&bytes);
+        }
+        if close {
+            self.conns.remove(&conn);
+            self.io.close(conn);
+        } else {
+            // A request that came meanwhile.
+            self.data(now, conn);
+        }
+    }
+}
+
+fn load(model: &Worker) -> String {
+    let (inflight, pinned, loads) = model.report();
+    format!("inflight={inflight}, pinned={pinned:.3}, loads={loads}")
+}
--- /dev/null
+++ b/crates/standins/src/model.rs
@@ -0,0 +1,467 @@
+//! What a worker does with calls and orders: copies, lanes, cores, memory, loads, a cold start. No I/O and no
+//! clock; the fleet's loop hands it what comes and carries its answers.
+
+use crate::store::Store;
+use basaltward_net::{Micros, Timers};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// A worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerSpec {
+    /// Calls run at once over all copies.
+    pub cores: u32,
+    /// Work done by a core in a microsecond.
+    pub speed: f64,
+    /// Memory for copies, MB.
+    pub memory_mb: f64,
+    /// Work of a call that tells none of its own, in microseconds.
+    pub work: Micros,
+    /// How long a load takes: the fetch from the store, then the start.
+    pub load: (Micros, Micros),
+    /// Loads under way at once; further orders wait.
+    pub loads: usize,
+    /// Calls held for one function, past which it answers full.
+    pub queue: usize,
+    /// An idle copy goes after this.
+    pub keep: Micros,
+    /// A call without a copy loads one and waits, instead of the answer miss.
+    pub load_on_miss: bool,
+    /// Share of its capacity at the start, and how long until it has all.
+    pub cold_from: f64,
+    /// See `cold_from`.
+    pub warm_within: Micros,
+    /// Sent more than this multiple of its present capacity ...
+    pub tip_multiple: f64,
+    /// ... over this span while cold, it falls over.
+    pub fall: Micros,
+}
+
+impl Default for WorkerSpec {
+    fn default() -> Self {
+        Self {
+            cores: 4,
+            speed: 1.0,
+            memory_mb: 12_096.0,
+            work: 5_000,
+            load: (300_000, 200_000),
+            loads: 4,
+            queue: 64,
+            keep: 10_000_000,
+            load_on_miss: false,
+            cold_from: 0.2,
+            warm_within: 10_000_000,
+            tip_multiple: 4.0,
+            fall: 1_500_000,
+        }
+    }
+}
+
+/// A call as it arrives.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub token: u64,
+    pub function: String,
+    pub memory_mb: f64,
+    pub lanes: u32,
+    pub work: Option<Micros>,
+    /// Names the event.
+    pub event: String,
+    /// Keyed calls: how long a repeat is dropped.
+    pub window: Option<Micros>,
+}
+
+/// What became of the copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CopyNote {
+    Stood,
+    Began,
+    Waited,
+}
+
+/// What a worker answers.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Reply {
+    Ok { token: u64, copy: CopyNote, crowd: usize },
+    Miss { token: u64, failed: bool },
+    Full { token: u64 },
+    /// An order or a question: copies standing, and whether the order was kept.
+    Copies { token: u64, count: u32, kept: bool },
+    /// A call's effect happens now.
+    Ran { event: String },
+    /// A repeat of a keyed call was dropped; it gets the first one's answer.
+    Repeat { token: u64 },
+    /// It fell over: nothing is answered any more.
+    Fell,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Call(u64),
+    Fetched(u64),
+    Loaded(u64),
+    Idle,
+}
+
+struct Waiting {
+    call: Call,
+    crowd: usize,
+    copy: CopyNote,
+}
+
+#[derive(Default)]
+struct Copies {
+    memory_mb: f64,
+    lanes: u32,
+    standing: u32,
+    busy: u32,
+    loading: u32,
+    last: Micros,
+    queue: VecDeque<Waiting>,
+    /// Orders that wait for so many copies.
+    orders: Vec<(u64, u32)>,
+}
+
+enum Key {
+    Running(Vec<u64>),
+    Done,
+}
+
+/// A worker's state.
+pub(crate) struct Worker {
+    spec: WorkerSpec,
+    born: Option<Micros>,
+    pub draining: bool,
+    pub fallen: bool,
+    /// Times slower than usual.
+    pub slow: f64,
+    copies: BTreeMap<String, Copies>,
+    running: HashMap<u64, (Call, CopyNote, usize)>,
+    /// Loads under way, by number: the function and whether it still fetches.
+    loading: HashMap<u64, (String, bool)>,
+    waiting_loads: VecDeque<String>,
+    keys: HashMap<String, (Key, Micros)>,
+    arrived: VecDeque<(Micros, f64)>,
+    due: Timers<Due>,
+    number: u64,
+}
+
+impl Worker {
+    /// A worker started now, or long ago where `born` is `None`.
+    pub fn new(spec: WorkerSpec, born: Option<Micros>) -> Self {
+        Self {
+            spec,
+            born,
+            draining: false,
+            fallen: false,
+            slow: 1.0,
+            copies: BTreeMap::new(),
+            running: HashMap::new(),
+            loading: HashMap::new(),
+            waiting_loads: VecDeque::new(),
+            keys: HashMap::new(),
+            arrived: VecDeque::new(),
+            due: Timers::default(),
+            number: 0,
+        }
+    }
+
+    pub fn next_due(&self) -> Option<Micros> {
+        self.due.next()
+    }
+
+    /// Work done in a microsecond when warm.
+    pub fn capacity(&self) -> f64 {
+        f64::from(self.spec.cores) * self.spec.speed
+    }
+
+    /// The share of its capacity that it has by now.
+    fn warmth(&self, now: Micros) -> f64 {
+        self.born.map_or(1.0, |born| {
+            let age = now.saturating_sub(born) as f64 / self.spec.warm_within.max(1) as f64;
+            (self.spec.cold_from + (1.0 - self.spec.cold_from) * age).min(1.0)
+        })
+    }
+
+    /// Calls held, share of memory that can't be freed, loads under way or waiting.
+    pub fn report(&self) -> (usize, f64, usize) {
+        let queued: usize = self.copies.values().map(|c| c.queue.len()).sum();
+        let pinned = |c: &Copies| {
+            f64::from(c.busy.div_ceil(c.lanes.max(1)) + c.loading) * c.memory_mb
+        };
+        let pinned: f64 = self.copies.values().map(pinned).sum();
+        let loads = self.loading.len() + self.waiting_loads.len();
+        (self.running.len() + queued, pinned / self.spec.memory_mb, loads)
+    }
+
+    pub fn work_of(&self, call: &Call) -> Micros {
+        call.work.unwrap_or(self.spec.work)
+    }
+
+    pub fn call(&mut self, now: Micros, store: &mut Store, call: Call, out: &mut Vec<Reply>) {
+        if self.fallen {
+            return;
+        }
+        if self.tips(now, self.work_of(&call) as f64) {
+            self.fallen = true;
+            return out.push(Reply::Fell);
+        }
+        let token = call.token;
+        if self.draining {
+            return out.push(Reply::Full { token });
+        }
+        let key = call.window.map(|window| (call.event.clone(), window));
+        if let Some((event, _)) = &key {
+            match self.keys.get_mut(event) {
+                Some((Key::Running(tokens), _)) => {
+                    tokens.push(token);
+                    return out.push(Reply::Repeat { token });
+                }
+                Some((Key::Done, until)) if *until > now => {
+                    out.push(Reply::Repeat { token });
+                    return out.push(Reply::Ok { token, copy: CopyNote::Stood, crowd: 0 });
+                }
+                _ => {}
+            }
+        }
+        let name = call.function.clone();
+        let known = self.copies.entry(name.clone()).or_default();
+        (known.memory_mb, known.lanes) = (call.memory_mb, call.lanes.max(1));
+        let crowd = known.busy as usize + known.queue.len();
+        if crowd >= self.spec.queue {
+            return out.push(Reply::Full { token });
+        }
+        let copy = match (known.standing, known.loading) {
+            (0, 0) if !self.spec.load_on_miss => return out.push(Reply::Miss { token, failed: false }),
+            (0, 0) => CopyNote::Began,
+            (0, _) => CopyNote::Waited,
+            _ => CopyNote::Stood,
+        };
+        if let Some((event, window)) = key {
+            self.keys.insert(event, (Key::Running(Vec::new()), now + window));
+        }
+        let known = self.copies.entry(name.clone()).or_default();
+        known.queue.push_back(Waiting { call, crowd, copy });
+        if copy == CopyNote::Began && !self.load(now, store, &name) {
+            self.fail_waiting(&name, out);
+        }
+        self.run(now, store, out);
+    }
+
+    /// Whether this arrival pushes a cold worker over: more work in the span than the told multiple of its
+    /// present capacity.
+    fn tips(&mut self, now: Micros, work: f64) -> bool {
+        let warmth = self.warmth(now);
+        self.arrived.push_back((now, work));
+        while self.arrived.front().is_some_and(|(at, _)| at + self.spec.fall < now) {
+            self.arrived.pop_front();
+        }
+        let sent: f64 = self.arrived.iter().map(|(_, work)| work).sum();
+        let can = self.capacity() * warmth * self.spec.fall as f64;
+        warmth < 1.0 && sent > self.spec.tip_multiple * can + work
+    }
+
+    /// An order to hold copies, or the question how many stand.
+    pub fn order(
+        &mut self,
+        now: Micros,
+        store: &mut Store,
+        order: (u64, &str, u32),
+        needs: (f64, u32),
+        out: &mut Vec<Reply>,
+    ) {
+        let (token, name, count) = order;
+        let standing = self.copies.get(name).map_or(0, |c| c.standing);
+        if count > 0 && self.draining && standing < count {
+            return out.push(Reply::Copies { token, count: standing, kept: false });
+        }
+        if count <= standing {
+            if let Some(known) = self.copies.get_mut(name).filter(|_| count > 0) {
+                known.last = now;
+            }
+            return out.push(Reply::Copies { token, count: standing, kept: true });
+        }
+        let known = self.copies.entry(name.to_owned()).or_default();
+        (known.memory_mb, known.lanes) = (needs.0, needs.1.max(1));
+        known.orders.push((token, count));
+        let missing = count.saturating_sub(known.standing + known.loading);
+        for _ in 0..missing {
+            if !self.load(now, store, name) {
+                self.fail_waiting(name, out);
+                break;
+            }
+        }
+    }
+
+    /// Unloads a function's idle copies.
+    pub fn drop_idle(&mut self, name: &str) {
+        if let Some(known) = self.copies.get_mut(name) {
+            known.standing = known.busy.div_ceil(known.lanes.max(1));
+        }
+    }
+
+    /// Nobody waits for this any more: it is not begun, but goes on where it runs.
+    pub fn cancel(&mut self, token: u64) {
+        for known in self.copies.values_mut() {
+            let gone = |w: &Waiting| w.call.token == token;
+            for waiting in known.queue.iter().filter(|w| gone(w)) {
+                self.keys.remove(&waiting.call.event);
+            }
+            known.queue.retain(|w| !gone(w));
+            known.orders.retain(|(t, _)| *t != token);
+        }
+    }
+
+    /// Begins to load a copy; false where no memory can be had or the store turns it away.
+    fn load(&mut self, now: Micros, store: &mut Store, name: &str) -> bool {
+        if self.loading.len() >= self.spec.loads {
+            self.waiting_loads.push_back(name.to_owned());
+            if let Some(known) = self.copies.get_mut(name) {
+                known.loading += 1;
+            }
+            return true;
+        }
+        self.begin_load(now, store, name, true)
+    }
+
+    fn begin_load(&mut self, now: Micros, store: &mut Store, name: &str, counts: bool) -> bool {
+        let needed = self.copies.get(name).map_or(0.0, |c| c.memory_mb);
+        if !self.make_room(name, needed) {
+            return false;
+        }
+        let Some(took) = store.begin(self.spec.load.0) else { return false };
+        self.number += 1;
+        self.loading.insert(self.number, (name.to_owned(), true));
+        self.due.set(now + took, Due::Fetched(self.number));
+        if let Some(known) = self.copies.get_mut(name).filter(|_| counts) {
+            known.loading += 1;
+        }
+        true
+    }
+
+    /// Unloads idle copies of others, longest unused first, until the memory is there.
+    fn make_room(&mut self, name: &str, needed: f64) -> bool {
+        loop {
+            let held = |c: &Copies| f64::from(c.standing + c.loading) * c.memory_mb;
+            let used: f64 = self.copies.values().map(held).sum();
+            if used + needed <= self.spec.memory_mb {
+                return true;
+            }
+            let idle = |c: &Copies| c.standing > c.busy.div_ceil(c.lanes.max(1));
+            let others = self.copies.iter_mut().filter(|(n, c)| *n != name && idle(c));
+            match others.min_by_key(|(_, c)| c.last) {
+                Some((_, oldest)) => oldest.standing -= 1,
+                None => return false,
+            }
+        }
+    }
+
+    fn fail_waiting(&mut self, name: &str, out: &mut Vec<Reply>) {
+        let Some(known) = self.copies.get_mut(name) else { return };
+        for (token, _) in known.orders.drain(..) {
+            out.push(Reply::Copies { token, count: known.standing, kept: false });
+        }
+        if known.standing + known.loading == 0 {
+            for waiting in known.queue.drain(..) {
+                self.keys.remove(&waiting.call.event);
+                out.push(Reply::Miss { token: waiting.call.token, failed: true });
+            }
+        }
+    }
+
+    /// Starts what can run, and further copies where all lanes are taken.
+    fn run(&mut self, now: Micros, store: &mut Store, out: &mut Vec<Reply>) {
+        let pace = self.spec.speed * self.warmth(now) / self.slow;
+        let names: Vec<String> =
+            self.copies.iter().filter(|(_, c)| !c.queue.is_empty()).map(|(n, _)| n.clone()).collect();
+        for name in names {
+            while let Some(known) = self.copies.get_mut(&name) {
+                let lane = known.busy < known.standing * known.lanes;
+                if !lane || self.running.len() >= self.spec.cores as usize {
+                    break;
+                }
+                let Some(waiting) = known.queue.pop_front() else { break };
+                known.busy += 1;
+                known.last = now;
+                let work = waiting.call.work.unwrap_or(self.spec.work) as f64;
+                out.push(Reply::Ran { event: waiting.call.event.clone() });
+                self.due.set(now + (work / pace) as Micros, Due::Call(waiting.call.token));
+                self.running.insert(waiting.call.token, (waiting.call, waiting.copy, waiting.crowd));
+            }
+            let crowded = |c: &Copies| {
+                !c.queue.is_empty() && c.busy >= c.standing * c.lanes && c.loading == 0 && c.standing > 0
+            };
+            if self.copies.get(&name).is_some_and(crowded) {
+                self.load(now, store, &name);
+            }
+        }
+    }
+
+    /// Does what is due by `now`.
+    pub fn wake(&mut self, now: Micros, store: &mut Store, out: &mut Vec<Reply>) {
+        while let Some(due) = self.due.due(now) {
+            match due {
+                Due::Call(token) => self.finish(now, token, out),
+                Due::Fetched(number) => {
+                    store.end();
+                    if let Some((_, fetching)) = self.loading.get_mut(&number) {
+                        *fetching = false;
+                        self.due.set(now + self.spec.load.1, Due::Loaded(number));
+                    }
+                }
+                Due::Loaded(number) => {
+                    self.loaded(now, number, out);
+                    self.next_load(now, store, out);
+                }
+                Due::Idle => {
+                    let keep = self.spec.keep;
+                    for known in self.copies.values_mut().filter(|c| c.busy == 0 && c.last + keep <= now) {
+                        known.standing = 0;
+                    }
+                }
+            }
+            self.run(now, store, out);
+        }
+    }
+
+    /// Begins a load that waited for one to end.
+    fn next_load(&mut self, now: Micros, store: &mut Store, out: &mut Vec<Reply>) {
+        let Some(name) = self.waiting_loads.pop_front() else { return };
+        if !self.begin_load(now, store, &name, false) {
+            if let Some(known) = self.copies.get_mut(&name) {
+                known.loading -= 1;
+            }
+            self.fail_waiting(&name, out);
+        }
+    }
+
+    fn loaded(&mut self, now: Micros, number: u64, out: &mut Vec<Reply>) {
+        let Some((name, _)) = self.loading.remove(&number) else { return };
+        let Some(known) = self.copies.get_mut(&name) else { return };
+        known.loading -= 1;
+        known.standing += 1;
+        known.last = now;
+        let standing = known.standing;
+        let kept: Vec<u64> = known.orders.iter().filter(|(_, n)| *n <= standing).map(|(t, _)| *t).collect();
+        known.orders.retain(|(_, n)| *n > standing);
+        out.extend(kept.into_iter().map(|token| Reply::Copies { token, count: standing, kept: true }));
+        self.due.set(now + self.spec.keep + 1, Due::Idle);
+    }
+
+    fn finish(&mut self, now: Micros, token: u64, out: &mut Vec<Reply>) {
+        let Some((call, copy, crowd)) = self.running.remove(&token) else { return };
+        if let Some(known) = self.copies.get_mut(&call.function) {
+            known.busy -= 1;
+            known.last = now;
+        }
+        self.due.set(now + self.spec.keep + 1, Due::Idle);
+        out.push(Reply::Ok { token, copy, crowd });
+        let key = self.keys.get_mut(&call.event).filter(|_| call.window.is_some());
+        if let Some(Key::Running(tokens)) = key.map(|(key, _)| std::mem::replace(key, Key::Done)) {
+            let reply = |token| Reply::Ok { token, copy: CopyNote::Stood, crowd };
+            out.extend(tokens.into_iter().map(reply));
+        }
+        if self.keys.len() > 4_096 {
+            self.keys.retain(|_, (key, until)| *until > now || matches!(key, Key::Running(_)));
+        }
+    }
+}
