--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -96,6 +96,8 @@
 
 /// All links of one loop.
 pub struct Links {
+    /// Begins each attempt's name: attempts are numbered by each scheduler for itself.
+    scheduler: String,
     config: LinkConfig,
     limits: Limits,
     report: Vec<String>,
@@ -127,10 +129,10 @@
 
 impl Links {
     /// Links without connections; `report` names the values of load reports.
-    pub fn new(config: LinkConfig, report: Vec<String>) -> Self {
+    pub fn new(scheduler: String, config: LinkConfig, report: Vec<String>) -> Self {
         let limits = Limits { body: config.response_bytes, ..Limits::default() };
         let (links, conns, jobs) = (HashMap::new(), HashMap::new(), HashMap::new());
-        Self { config, limits, report, links, conns, jobs, due: Timers::default(), sent: Vec::new() }
+        Self { scheduler, config, limits, report, links, conns, jobs, due: Timers::default(), sent: Vec::new() }
     }
 
     /// When [`Links::wake`] is due next.
@@ -180,7 +182,7 @@
         match &job {
             Job::Attempt { id, event, function, repeat, until, identity } => {
                 let patience_ms = until.saturating_sub(now) / 1_000;
-                let told = worker_wire::Attempt { host, name: attempt_name(*id), patience_ms };
+                let told = worker_wire::Attempt { host, name: attempt_name(&self.scheduler, *id), patience_ms };
                 worker_wire::call(out, event, function, *repeat, &told);
                 self.due.set((*until).max(now + 1), (conn, Due::Until));
                 sent.attempt = Some((*id, identity.clone()));
@@ -342,6 +344,6 @@
 }
 
 /// An attempt's name on the wire and in records.
-pub fn attempt_name(id: AttemptId) -> String {
-    format!("{}.{}", id.request.0, id.number)
+pub fn attempt_name(scheduler: &str, id: AttemptId) -> String {
+    format!("{scheduler}:{}.{}", id.request.0, id.number)
 }
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -27,6 +27,7 @@
 /// One loop with all it owns.
 pub struct Scheduler {
     name: String,
+    address: std::net::SocketAddr,
     io: Io,
     engine: Engine<Event, Reply>,
     front: Front,
@@ -79,14 +80,16 @@
         let settings = engine_settings(config, thread);
         let by_name = settings.catalog.iter().enumerate().map(|(i, f)| (f.name.clone(), i)).collect();
         let classes = settings.module.classes.iter().map(|c| c.repeat).collect();
-        let links = Links::new(config.links.clone(), settings.module.report_names.clone());
+        let name = format!("{}/{thread}", config.name);
+        let links = Links::new(name.clone(), config.links.clone(), settings.module.report_names.clone());
         let connections = config.front.connections;
         let mut io = Io::new(IoLimits { connections, ..IoLimits::default() })?;
-        io.listen(listener)?;
+        let (_, address) = io.listen(listener)?;
         let names = Names { kinds: config.kinds.clone(), zones: config.zones.clone() };
         let seed = u64::from(settings.module.self_index);
         Ok(Self {
-            name: format!("{}/{thread}", config.name),
+            name,
+            address,
             io,
             engine: Engine::new(settings, seed)?,
             front: Front::new(config),
@@ -113,7 +116,8 @@
     /// # Errors
     /// Where the system fails the loop itself.
     pub fn run(mut self) -> Result<(), NetError> {
-        self.recorder.put(monotonic(), &self.name, What::Up);
+        let address = self.address.to_string();
+        self.recorder.put(monotonic(), &self.name, What::Up { address });
         let mut happened = Vec::new();
         loop {
             let now = monotonic();
@@ -129,14 +133,14 @@
             self.io.forget_ended();
             match self.wanted.load(Ordering::Relaxed) {
                 KILL => {
-                    self.recorder.put(monotonic(), &self.name, What::Down);
+                    self.recorder.put(monotonic(), &self.name, What::Down { killed: true });
                     return Ok(());
                 }
                 STOP if !self.stopping => self.stop(now),
                 _ => {}
             }
             if self.stopping && self.engine.in_hand() == 0 && self.front.clients() == 0 && self.io.is_settled() {
-                self.recorder.put(monotonic(), &self.name, What::Down);
+                self.recorder.put(monotonic(), &self.name, What::Down { killed: false });
                 info!(scheduler = self.name, "stopped");
                 return Ok(());
             }
@@ -146,6 +150,7 @@
     fn stop(&mut self, now: Micros) {
         info!(scheduler = self.name, in_hand = self.engine.in_hand(), "stopping");
         self.stopping = true;
+        self.recorder.put(now, &self.name, What::Stopping);
         self.io.stop_listening(None);
         self.front.stop(&mut self.io);
         self.tell(now, Input::Stop);
@@ -213,7 +218,7 @@
             None | Some(Done::Nothing) => return,
             Some(Done::Attempt(id, end)) => {
                 if self.recorder.is_on() {
-                    let (attempt, code) = (attempt_name(id), format!("{:?}", end.code));
+                    let (attempt, code) = (attempt_name(&self.name, id), format!("{:?}", end.code));
                     self.recorder.put(now, &self.name, What::Ended { attempt, code });
                 }
                 Input::Ended(id, end)
@@ -314,7 +319,7 @@
             }
             let worker = sent.worker.to_string();
             if let Some((id, identity)) = sent.attempt {
-                let (event, attempt) = (format!("{}#{}", identity.source, identity.id), attempt_name(id));
+                let (event, attempt) = (format!("{}#{}", identity.source, identity.id), attempt_name(&self.name, id));
                 self.recorder.put(now, &self.name, What::Sent { event, attempt, worker });
             } else if let Some((function, count)) = sent.order {
                 let function = function.name.to_string();
--- a/crates/rules/src/record.rs
+++ b/crates/rules/src/record.rs
@@ -43,6 +43,8 @@
         class: String,
         /// Its tenant.
         tenant: String,
+        /// The gateway's address.
+        to: String,
         /// When the client gives up.
         deadline: Micros,
     },
@@ -65,10 +67,18 @@
         /// The try.
         tried: u64,
     },
-    /// A scheduler begins or ends; calls in hand when it is killed are the clients' to repeat.
-    Up,
-    /// See [`What::Up`].
-    Down,
+    /// A scheduler begins to listen.
+    Up {
+        /// Where.
+        address: String,
+    },
+    /// A scheduler accepts no more and finishes what it has.
+    Stopping,
+    /// A scheduler has ended. What one held that was killed is the clients' to repeat.
+    Down {
+        /// It was killed, not stopped.
+        killed: bool,
+    },
     /// A scheduler has taken a call.
     Taken {
         /// The event's name.
@@ -126,6 +136,8 @@
     Ran {
         /// The event's name.
         event: String,
+        /// The attempt.
+        attempt: String,
     },
     /// A worker has dropped a repeat, or turned a call away unseen.
     Dropped {
--- /dev/null
+++ b/crates/rules/tests/planted.rs
@@ -0,0 +1,204 @@
+//! For each rule, records in which it is kept, and the same ones doctored so that it is broken.
+use basaltward_rules::*;
+
+const MS: Micros = 1_000;
+
+fn settings() -> RuleSettings {
+    let class = |repeat| ClassRule { repeat, aim: 500 * MS, worth: 1.0, late_worth: 0.3 };
+    let keyed = RepeatRule::Keyed { window: 100 * MS, all: false };
+    let classes = [("safe", RepeatRule::Safe), ("keyed", keyed), ("unsafe", RepeatRule::Unsafe)];
+    RuleSettings {
+        classes: classes.into_iter().map(|(n, r)| (n.to_owned(), class(r))).collect(),
+        groups: [("w1".to_owned(), 1), ("w2".to_owned(), 1), ("w3".to_owned(), 2)].into(),
+        drain_grace: 50 * MS,
+        load_window: 1_000 * MS,
+        load_free: 1.0,
+        load_share: 0.5,
+        cold_from: 0.2,
+        warm_within: 1_000 * MS,
+        tip_multiple: 2.0,
+        fall: 100 * MS,
+    }
+}
+
+fn record(ms: Micros, by: &str, what: What) -> Record {
+    Record { t: ms * MS, by: by.into(), what }
+}
+
+fn up() -> Record {
+    record(0, "g/0", What::Up { address: "a:1".into() })
+}
+
+fn asked(ms: Micros, tried: u64, class: &str) -> Record {
+    let (event, class, to) = (format!("e{tried}"), class.into(), "a:1".into());
+    record(ms, "clients", What::Asked { tried, event, class, tenant: "t".into(), to, deadline: (ms + 100) * MS })
+}
+
+fn answered(ms: Micros, tried: u64, answer: Final) -> Record {
+    record(ms, "clients", What::Answered { tried, answer, status: 0 })
+}
+
+fn sent(ms: Micros, event: u64, number: u64, worker: &str) -> Record {
+    let (event, attempt) = (format!("e{event}"), format!("g/0:{event}.{number}"));
+    record(ms, "g/0", What::Sent { event, attempt, worker: worker.into() })
+}
+
+fn ended(ms: Micros, event: u64, number: u64, code: &str) -> Record {
+    record(ms, "g/0", What::Ended { attempt: format!("g/0:{event}.{number}"), code: code.into() })
+}
+
+fn ran(ms: Micros, worker: &str, event: u64, number: u64) -> Record {
+    let (event, attempt) = (format!("e{event}"), format!("g/0:{event}.{number}"));
+    record(ms, worker, What::Ran { event, attempt })
+}
+
+fn taken(ms: Micros, event: u64) -> Record {
+    record(ms, "g/0", What::Taken { event: format!("e{event}") })
+}
+
+fn told(ms: Micros, state: &str) -> Record {
+    record(ms, "g/0", What::Told { worker: "w1".into(), state: state.into() })
+}
+
+fn ordered(ms: Micros, count: u32) -> Record {
+    record(ms, "g/0", What::Ordered { worker: "w1".into(), function: "f".into(), count })
+}
+
+fn born(ms: Micros) -> Record {
+    record(ms, "w1", What::Born { capacity: 1.0, warm: false })
+}
+
+fn arrived(ms: Micros, work: Micros) -> Record {
+    record(ms, "w1", What::Arrived { event: "e".into(), attempt: "x".into(), work: work * MS })
+}
+
+fn down(ms: Micros, killed: bool) -> Record {
+    record(ms, "g/0", What::Down { killed })
+}
+
+/// The rules broken by these records, each once.
+fn broken(records: Vec<Record>) -> Vec<u8> {
+    let mut rules: Vec<_> = check(&records, &settings()).into_iter().map(|b| b.rule).collect();
+    rules.dedup();
+    rules
+}
+
+#[test]
+fn rule_1_one_answer_in_time() {
+    let (cut, left) = (|ms| record(ms, "clients", What::Cut { tried: 1 }), |ms| record(ms, "clients", What::Left { tried: 1 }));
+    let stopping = |ms| record(ms, "g/0", What::Stopping);
+    let kept = [
+        vec![up(), asked(1, 1, "safe"), answered(101, 1, Final::Served)],
+        vec![up(), asked(1, 1, "safe"), left(50)],
+        vec![up(), asked(1, 1, "safe"), taken(2, 1), cut(5), down(6, true)],
+        vec![up(), asked(1, 1, "safe"), stopping(2), cut(5)],
+    ];
+    let planted = [
+        vec![up(), asked(1, 1, "safe"), answered(102, 1, Final::Served)],
+        vec![up(), asked(1, 1, "safe"), answered(50, 1, Final::Failed), answered(60, 1, Final::Served)],
+        vec![up(), asked(1, 1, "safe"), left(50), answered(60, 1, Final::Served)],
+        vec![up(), asked(1, 1, "safe")],
+        vec![up(), asked(1, 1, "safe"), taken(2, 1), cut(5)],
+        vec![up(), asked(1, 1, "safe"), taken(2, 1), stopping(3), cut(5)],
+        vec![up(), answered(5, 9, Final::Served)],
+    ];
+    for (index, records) in kept.into_iter().enumerate() {
+        assert_eq!(broken(records), [0u8; 0], "kept {index}");
+    }
+    for (index, records) in planted.into_iter().enumerate() {
+        assert_eq!(broken(records), [1], "planted {index}");
+    }
+}
+
+#[test]
+fn rule_2_no_effect_twice() {
+    let open = |class| vec![up(), asked(1, 1, class), sent(2, 1, 0, "w1")];
+    let end = || answered(90, 1, Final::Failed);
+    let with = |class, more: Vec<Record>| [open(class), more, vec![end()]].concat();
+    let kept = [
+        with("safe", vec![ran(3, "w1", 1, 0), sent(4, 1, 1, "w2"), ran(5, "w2", 1, 1)]),
+        with("unsafe", vec![ended(3, 1, 0, "Miss"), sent(4, 1, 1, "w2"), ran(5, "w2", 1, 1)]),
+        with("keyed", vec![ran(3, "w1", 1, 0), ended(4, 1, 0, "Reset"), sent(5, 1, 1, "w2")]),
+    ];
+    let refused = |class| vec![up(), asked(1, 1, class), sent(2, 1, 0, "w1"), ran(3, "w1", 1, 0), answered(9, 1, Final::Refused)];
+    let planted = [
+        with("unsafe", vec![ended(3, 1, 0, "Reset"), sent(4, 1, 1, "w2")]),
+        with("unsafe", vec![sent(4, 1, 1, "w2")]),
+        with("unsafe", vec![ran(3, "w1", 1, 0), ran(4, "w2", 1, 0)]),
+        with("unsafe", vec![ran(3, "w1", 1, 0), ended(4, 1, 0, "Full")]),
+        with("keyed", vec![ended(4, 1, 0, "Timeout"), sent(5, 1, 1, "w3")]),
+        with("keyed", vec![ended(4, 1, 0, "Timeout"), sent(103, 1, 1, "w2")]),
+        refused("unsafe"),
+        refused("keyed"),
+    ];
+    assert_eq!(broken(refused("safe")), [0u8; 0]);
+    for (index, mut records) in kept.into_iter().enumerate() {
+        records.sort_by_key(|r| r.t);
+        assert_eq!(broken(records), [0u8; 0], "kept {index}");
+    }
+    for (index, mut records) in planted.into_iter().enumerate() {
+        records.sort_by_key(|r| r.t);
+        assert!(broken(records).contains(&2), "planted {index}");
+    }
+}
+
+#[test]
+fn rule_3_drains() {
+    let within = sent(40, 1, 0, "w1");
+    assert_eq!(broken(vec![told(0, "active"), told(1, "leaving"), within, told(60, "active"), ordered(90, 1)]), [0u8; 0]);
+    assert_eq!(broken(vec![told(1, "leaving"), sent(60, 1, 0, "w2"), ordered(70, 0)]), [0u8; 0]);
+    assert_eq!(broken(vec![told(1, "leaving"), sent(60, 1, 0, "w1")]), [3]);
+    assert_eq!(broken(vec![told(1, "leaving"), told(40, "gone"), ordered(60, 1)]), [3]);
+}
+
+#[test]
+fn rule_4_cold_workers() {
+    let burst = |ms: Micros, calls: u64, work| (0..calls).map(move |_| arrived(ms, work));
+    let with = |calls, work| std::iter::once(born(0)).chain(burst(10, calls, work)).collect::<Vec<_>>();
+    // About 20 ms of work in the span when just started: twice that, and one call, is allowed.
+    assert_eq!(broken(with(4, 10)), [0u8; 0]);
+    assert_eq!(broken(with(8, 10)), [4]);
+    let warm = std::iter::once(born(0)).chain(burst(1_200, 50, 10)).collect();
+    assert_eq!(broken(warm), [0u8; 0]);
+    assert_eq!(broken(vec![record(1, "w1", What::Fell)]), [4]);
+}
+
+#[test]
+fn rule_5_ration_of_loads() {
+    assert_eq!(broken(vec![ordered(1, 1), taken(2, 1), taken(3, 2), ordered(4, 1)]), [0u8; 0]);
+    assert_eq!(broken(vec![ordered(1, 1), ordered(2, 0), ordered(1_100, 1)]), [0u8; 0]);
+    assert_eq!(broken(vec![ordered(1, 1), taken(2, 1), ordered(4, 1)]), [5]);
+}
+
+#[test]
+fn service_counts_a_clients_tries_with_its_first() {
+    let late = vec![
+        up(),
+        asked(0, 1, "safe"),
+        answered(10, 1, Final::Served),
+        asked(1, 2, "safe"),
+        answered(50, 2, Final::Refused),
+        record(600, "clients", What::Asked {
+            tried: 3, event: "e2".into(), class: "safe".into(), tenant: "t".into(), to: "a:1".into(), deadline: 700 * MS,
+        }),
+        answered(650, 3, Final::Served),
+    ];
+    let told = service(&late, &settings());
+    assert!((told.whole - 1.3 / 2.0).abs() < 1e-9 && (told.figure - 1.3 / 2.0).abs() < 1e-9);
+}
+
+#[test]
+fn records_survive_a_file() {
+    let path = std::env::temp_dir().join(format!("basaltward-records-{}.jsonl", std::process::id()));
+    let (recorder, writer) = Recorder::file(&path).expect("a file");
+    recorder.put(5, "g/0", What::Down { killed: true });
+    recorder.put(3, "w1", What::Born { capacity: 1.5, warm: false });
+    drop(recorder);
+    writer.join().expect("no panic").expect("written");
+    assert_eq!(read(&path).expect("readable"), [born_at(3), Record { t: 5, ..down(0, true) }]);
+    std::fs::remove_file(path).expect("removed");
+}
+
+fn born_at(t: Micros) -> Record {
+    Record { t, by: "w1".into(), what: What::Born { capacity: 1.5, warm: false } }
+}
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -252,6 +252,7 @@
                 event: format!("/clients#{}", plan.id),
                 class: plan.class.clone(),
                 tenant: plan.tenant.clone(),
+                to: host,
                 deadline,
             };
             self.recorder.put(now, "clients", what);
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -316,6 +316,7 @@
                     lanes: needs.1,
                     work: number("ce-workus").map(|us| us as Micros),
                     event: event.clone(),
+                    attempt: attempt.clone(),
                     window: number("basaltward-window-ms").map(|ms| ms as Micros * 1_000),
                 };
                 if self.recorder.is_on() {
@@ -347,9 +348,9 @@
         for reply in replies {
             let by = || self.servers[index].address.to_string();
             match reply {
-                Reply::Ran { event } => {
+                Reply::Ran { event, attempt } => {
                     if self.recorder.is_on() {
-                        self.recorder.put(now, &by(), What::Ran { event });
+                        self.recorder.put(now, &by(), What::Ran { event, attempt });
                     }
                 }
                 Reply::Fell => self.recorder.put(now, &by(), What::Fell),
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -66,6 +66,8 @@
     pub work: Option<Micros>,
     /// Names the event.
     pub event: String,
+    /// Names the attempt.
+    pub attempt: String,
     /// Keyed calls: how long a repeat is dropped.
     pub window: Option<Micros>,
 }
@@ -87,7 +89,7 @@
     /// An order or a question: copies standing, and whether the order was kept.
     Copies { token: u64, count: u32, kept: bool },
     /// A call's effect happens now.
-    Ran { event: String },
+    Ran { event: String, attempt: String },
     /// A repeat of a keyed call was dropped; it gets the first one's answer.
     Repeat { token: u64 },
     /// It fell over: nothing is answered any more.
@@ -383,7 +385,8 @@
                 known.busy += 1;
                 known.last = now;
                 let work = waiting.call.work.unwrap_or(self.spec.work) as f64;
-                out.push(Reply::Ran { event: waiting.call.event.clone() });
+                let (event, attempt) = (waiting.call.event.clone(), waiting.call.attempt.clone());
+                out.push(Reply::Ran { event, attempt });
                 self.due.set(now + (work / pace) as Micros, Due::Call(waiting.call.token));
                 self.running.insert(waiting.call.token, (waiting.call, waiting.copy, waiting.crowd));
             }
