--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -1,10 +1,24 @@
 use clap::{Args as ClapArgs, Parser, Subcommand, ValueEnum};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use tracing_appender::non_blocking::WorkerGuard;
 
 /// Runs calls on workers that load functions when a call needs them.
 #[derive(Parser)]
-#[command(name = "basaltward", version, after_help = "Examples:
-  basaltward demo                          start everything on loopback and print a curl line
-  basaltward demo --calls 1000             the same, make calls, print a summary and end")]
+#[command(
+    name = "basaltward",
+    version,
+    after_help = "Exit codes: 0 done, 1 it went wrong or a rule was broken, 2 the input can't be used.
+
+Examples:
+  basaltward demo                        start everything on loopback and print a curl line
+  basaltward demo --calls 1000           the same, make calls, print a summary and end
+  basaltward check gateway.xml           check settings; faults are named with line and column
+  basaltward serve --config gateway.xml  run a gateway until SIGTERM
+  basaltward worker --listen 127.0.0.1:7001
+  basaltward call --to 127.0.0.1:8080 echo --data hello
+  basaltward play examples/play/bad-day.xml"
+)]
 pub struct Args {
     #[command(flatten)]
     pub log: Log,
@@ -17,6 +31,18 @@
 pub enum Command {
     /// Run a gateway with stand-in workers in one process on loopback
     Demo(Demo),
+    /// Run a gateway
+    Serve(Serve),
+    /// Run stand-in workers
+    Worker(Worker),
+    /// Check a settings file
+    Check(Check),
+    /// Send one event and print its answer
+    Call(Call),
+    /// Play a scripted day on loopback and judge it by the five rules
+    Play(Play),
+    /// Judge records written by earlier runs
+    Judge(Judge),
 }
 
 /// How to log.
@@ -33,21 +59,24 @@
 /// Form of log lines.
 #[derive(Clone, Copy, ValueEnum)]
 pub enum LogFormat {
-    /// For people.
+    /// For people
     Text,
-    /// One JSON object a line.
+    /// One JSON object a line
     Json,
 }
 
 impl Log {
-    /// Starts logging for the process.
-    pub fn start(&self) {
+    /// Starts logging for the process. Loops hand their lines to a thread; past its bound lines are lost
+    /// rather than a loop held up.
+    pub fn start(&self) -> WorkerGuard {
         let filter = tracing_subscriber::EnvFilter::new(&self.log);
-        let lines = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+        let (writer, guard) = tracing_appender::non_blocking(std::io::stderr());
+        let lines = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer);
         match self.log_format {
-            LogFormat::Text => lines.init(),
+            LogFormat::Text => lines.with_ansi(false).init(),
             LogFormat::Json => lines.json().flatten_event(true).init(),
         }
+        guard
     }
 }
 
@@ -64,3 +93,96 @@
     #[arg(long, default_value_t = 4)]
     pub workers: usize,
 }
+
+/// Options of `serve`.
+#[derive(ClapArgs)]
+pub struct Serve {
+    /// The settings file
+    #[arg(long, short)]
+    pub config: PathBuf,
+}
+
+/// Options of `check`.
+#[derive(ClapArgs)]
+pub struct Check {
+    /// The settings file
+    pub file: PathBuf,
+}
+
+/// Options of `worker`.
+#[derive(ClapArgs)]
+pub struct Worker {
+    /// Where to listen; may be given several times, for a worker each
+    #[arg(long, required = true)]
+    pub listen: Vec<SocketAddr>,
+    /// Calls run at once
+    #[arg(long, default_value_t = 4)]
+    pub cores: u32,
+    /// Memory for copies, MB
+    #[arg(long, default_value_t = 12_096.0)]
+    pub memory_mb: f64,
+    /// Work of a call in milliseconds, unless its event tells `workus`
+    #[arg(long, default_value_t = 5.0)]
+    pub work_ms: f64,
+    /// How long a load takes in milliseconds, most of it the fetch
+    #[arg(long, default_value_t = 500.0)]
+    pub load_ms: f64,
+    /// Load a missing function while its call waits, instead of answering miss
+    #[arg(long)]
+    pub load_on_miss: bool,
+    /// Write what crosses the sockets to this file, as JSON lines
+    #[arg(long)]
+    pub records: Option<PathBuf>,
+}
+
+/// Options of `call`.
+#[derive(ClapArgs)]
+pub struct Call {
+    /// The gateway
+    #[arg(long)]
+    pub to: SocketAddr,
+    /// The function
+    pub function: String,
+    /// The event's id; a fresh one without it
+    #[arg(long)]
+    pub id: Option<String>,
+    /// The event's source
+    #[arg(long, default_value = "/basaltward/call")]
+    pub source: String,
+    /// The tenant
+    #[arg(long)]
+    pub tenant: Option<String>,
+    /// Patience in milliseconds
+    #[arg(long, default_value_t = 2_500)]
+    pub timeout_ms: u64,
+    /// The payload
+    #[arg(long, default_value = "")]
+    pub data: String,
+    /// Its media type
+    #[arg(long, default_value = "text/plain")]
+    pub content_type: String,
+}
+
+/// Options of `play`.
+#[derive(ClapArgs)]
+pub struct Play {
+    /// The script
+    pub script: PathBuf,
+    /// Draw the day's random choices from this in place of the script's seed
+    #[arg(long)]
+    pub seed: Option<u64>,
+    /// Write all records to this file, as JSON lines
+    #[arg(long)]
+    pub records: Option<PathBuf>,
+}
+
+/// Options of `judge`.
+#[derive(ClapArgs)]
+pub struct Judge {
+    /// The settings that the run was made with
+    #[arg(long, short)]
+    pub config: PathBuf,
+    /// Files of records, of clients, gateways and workers of one machine
+    #[arg(required = true)]
+    pub records: Vec<PathBuf>,
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,8 +1,12 @@
 //! The `basaltward` program.
 
 mod args;
+mod call;
 mod demo;
-mod embed;
+mod play;
+mod report;
+mod serve;
+mod worker;
 
 use args::{Args, Command};
 use clap::Parser;
@@ -24,9 +28,16 @@
 
 fn main() -> ExitCode {
     let args = Args::parse();
-    args.log.start();
-    let done = match args.command {
-        Command::Demo(options) => demo::run(&options),
+    // Lines are written by a thread of their own; its guard writes the last of them at the end.
+    let _writer = args.log.start();
+    let done = match &args.command {
+        Command::Demo(options) => demo::run(options),
+        Command::Serve(options) => serve::run(options),
+        Command::Worker(options) => worker::run(options),
+        Command::Check(options) => serve::check(options),
+        Command::Call(options) => call::run(options),
+        Command::Play(options) => play::run(options),
+        Command::Judge(options) => play::judge(options),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/cli/src/play.rs
@@ -0,0 +1,46 @@
+use crate::args::{Judge, Play};
+use crate::serve::settings;
+use crate::{Failed, report};
+use basaltward_play::{load, play, rule_settings};
+use basaltward_rules::{check, read, service};
+use std::fs::File;
+use std::io::{BufWriter, Write};
+
+/// Plays a scripted day and judges it.
+pub fn run(options: &Play) -> Result<(), Failed> {
+    let mut script = load(&options.script).map_err(|error| Failed::Input(error.to_string()))?;
+    script.seed = options.seed.unwrap_or(script.seed);
+    println!(
+        "{}: {} gateways, {} workers, {} steps, seed {}",
+        options.script.display(),
+        script.gateways,
+        script.workers.len(),
+        script.steps.len(),
+        script.seed
+    );
+    let verdict = play(&script)?;
+    if let Some(path) = &options.records {
+        let mut out = BufWriter::new(File::create(path)?);
+        for record in &verdict.records {
+            serde_json::to_writer(&mut out, record)?;
+            out.write_all(b"\n")?;
+        }
+        out.flush()?;
+    }
+    report::tally(&verdict.tally);
+    report::verdict(&verdict.breaches, &verdict.service)
+}
+
+/// Judges records of earlier runs.
+pub fn judge(options: &Judge) -> Result<(), Failed> {
+    let config = settings(&options.config)?;
+    let mut records = Vec::new();
+    for path in &options.records {
+        let all = read(path).map_err(|error| Failed::Input(format!("{}: {error}", path.display())))?;
+        records.extend(all);
+    }
+    records.sort_by_key(|record| record.t);
+    println!("{} records", records.len());
+    let rules = rule_settings(&config, &[]);
+    report::verdict(&check(&records, &rules), &service(&records, &rules))
+}
--- /dev/null
+++ b/crates/cli/src/report.rs
@@ -0,0 +1,39 @@
+//! What a run came to, in a few lines.
+
+use crate::Failed;
+use basaltward_rules::{Breach, Service};
+use basaltward_standins::Tally;
+
+/// Breaches printed at most.
+const MOST: usize = 20;
+
+/// Prints counts and times.
+pub fn tally(tally: &Tally) {
+    let mut times = tally.latencies.clone();
+    times.sort_unstable();
+    let at = |q: f64| {
+        let index = ((times.len() as f64 * q) as usize).min(times.len().saturating_sub(1));
+        times.get(index).map_or("-".into(), |t| format!("{:.1}", *t as f64 / 1e3))
+    };
+    println!(
+        "{} events: {} served, {} refused, {} failed, {} unanswered; {} tries",
+        tally.events, tally.served, tally.refused, tally.failed, tally.unanswered, tally.tries
+    );
+    println!("served after: median {} ms, 99% {} ms, longest {} ms", at(0.5), at(0.99), at(1.0));
+}
+
+/// Prints the verdict; an error where a rule was broken.
+pub fn verdict(breaches: &[Breach], service: &Service) -> Result<(), Failed> {
+    println!(
+        "service {:.3}: whole run {:.3}, worst ten seconds {:.3}, worst tenant {:.3}",
+        service.figure, service.whole, service.window, service.tenant
+    );
+    if breaches.is_empty() {
+        println!("the five rules: kept");
+        return Ok(());
+    }
+    for breach in breaches.iter().take(MOST) {
+        println!("{breach}");
+    }
+    Err(Failed::Run(format!("the five rules: {} breaches", breaches.len())))
+}
--- /dev/null
+++ b/crates/play/src/bed.rs
@@ -0,0 +1,243 @@
+//! Gateways and a fleet in this process, with their files in a folder of their own.
+
+use basaltward::{Group, Repeat, State};
+use basaltward_config::Config;
+use basaltward_gateway::{Gateway, GatewayError};
+use basaltward_net::Clock;
+use basaltward_roster::{Entry, Names, write};
+use basaltward_rules::{ClassRule, Recorder, RepeatRule, RuleSettings};
+use basaltward_standins::{Fleet, FleetError, StoreSpec, WorkerSpec};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// Why a bed can't be made or ended badly.
+#[derive(Debug, Error)]
+pub enum BedError {
+    /// A file or folder can't be had.
+    #[error("file: {0}")]
+    File(#[from] std::io::Error),
+    /// The fleet.
+    #[error("workers: {0}")]
+    Fleet(#[from] FleetError),
+    /// A gateway.
+    #[error("gateway: {0}")]
+    Gateway(#[from] GatewayError),
+}
+
+/// A folder for temporary files that goes with the value.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    /// A fresh folder.
+    ///
+    /// # Errors
+    /// Where the system's place for temporary files can't be written.
+    pub fn new() -> std::io::Result<Self> {
+        let unique = format!("basaltward-{}-{}", std::process::id(), basaltward_net::monotonic());
+        let path = std::env::temp_dir().join(unique);
+        std::fs::create_dir(&path)?;
+        Ok(Self(path))
+    }
+
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// The fleet's workers as a roster file lists them.
+pub struct Roster {
+    path: PathBuf,
+    names: Names,
+    /// The entries, by position in the fleet.
+    pub entries: Vec<Entry>,
+}
+
+impl Roster {
+    fn new(path: PathBuf, names: Names, workers: &[SocketAddr]) -> std::io::Result<Self> {
+        let entry = |address: &SocketAddr| Entry {
+            address: address.to_string(),
+            state: State::Active,
+            started: None,
+            kind: 0,
+            zone: 0,
+            cell: 0,
+            size: 1.0,
+        };
+        let roster = Self { path, names, entries: workers.iter().map(entry).collect() };
+        roster.save()?;
+        Ok(roster)
+    }
+
+    /// Writes the file in one step.
+    ///
+    /// # Errors
+    /// Where the folder can't be written.
+    pub fn save(&self) -> std::io::Result<()> {
+        write(&self.path, &self.names, &self.entries)
+    }
+
+    /// Writes an empty list, without forgetting the entries.
+    ///
+    /// # Errors
+    /// As [`Roster::save`].
+    pub fn save_empty(&self) -> std::io::Result<()> {
+        write(&self.path, &self.names, &[])
+    }
+
+    /// Lists a worker in this state.
+    ///
+    /// # Errors
+    /// As [`Roster::save`].
+    pub fn set(&mut self, worker: usize, state: State) -> std::io::Result<()> {
+        self.entries[worker].state = state;
+        self.save()
+    }
+
+    /// Lists a worker as started at this wall time.
+    ///
+    /// # Errors
+    /// As [`Roster::save`].
+    pub fn restarted(&mut self, worker: usize, wall: u64) -> std::io::Result<()> {
+        let entry = &mut self.entries[worker];
+        (entry.state, entry.started) = (State::Active, Some(wall));
+        self.save()
+    }
+}
+
+/// The wall clock, in microseconds since 1970.
+pub(crate) fn wall() -> u64 {
+    Clock::read().wall()
+}
+
+/// A fleet with its roster, and gateways on top.
+pub struct Bed {
+    /// Settings of the first gateway; the others differ in their number and address.
+    pub config: Config,
+    /// The workers.
+    pub fleet: Fleet,
+    /// Their list.
+    pub roster: Roster,
+    /// The gateways, by position; `None` for one that is down.
+    pub gateways: Vec<Option<Gateway>>,
+    /// Where each listens, also while it is down.
+    pub addresses: Vec<SocketAddr>,
+    /// What crossed the sockets.
+    pub recorder: Recorder,
+    _folder: Folder,
+}
+
+impl Bed {
+    /// Starts a fleet by `specs`, and `gateways` of them by `config`, all on ports that the system chooses.
+    ///
+    /// # Errors
+    /// Where any of them can't start.
+    pub fn start(
+        config: &Config,
+        gateways: u32,
+        specs: Vec<WorkerSpec>,
+        recorder: Recorder,
+    ) -> Result<Self, BedError> {
+        let folder = Folder::new()?;
+        let config = Config {
+            roster: folder.path().join("roster.xml"),
+            listen: ([127, 0, 0, 1], 0).into(),
+            count: gateways,
+            ..config.clone()
+        };
+        let fleet = Fleet::start(specs, &[], StoreSpec::default(), recorder.clone())?;
+        let names = Names { kinds: config.kinds.clone(), zones: config.zones.clone() };
+        let roster = Roster::new(config.roster.clone(), names, fleet.addresses())?;
+        let mut bed = Self {
+            config,
+            fleet,
+            roster,
+            gateways: Vec::new(),
+            addresses: Vec::new(),
+            recorder,
+            _folder: folder,
+        };
+        for index in 0..gateways {
+            bed.addresses.push(bed.config.listen);
+            bed.gateways.push(None);
+            bed.start_gateway(index as usize)?;
+        }
+        Ok(bed)
+    }
+
+    /// Starts a gateway that is down, under its former address if it had one.
+    ///
+    /// # Errors
+    /// Where it can't start.
+    pub fn start_gateway(&mut self, index: usize) -> Result<(), BedError> {
+        let config = Config {
+            index: index as u32,
+            name: format!("gateway-{index}"),
+            listen: self.addresses[index],
+            ..self.config.clone()
+        };
+        let gateway = Gateway::start(&config, &self.recorder)?;
+        self.addresses[index] = gateway.address();
+        self.gateways[index] = Some(gateway);
+        Ok(())
+    }
+
+    /// Takes a gateway out, to be stopped or killed by the caller.
+    pub fn take_gateway(&mut self, index: usize) -> Option<Gateway> {
+        self.gateways.get_mut(index)?.take()
+    }
+
+    /// Stops everything: gateways finish what they have first.
+    ///
+    /// # Errors
+    /// Where a loop had failed.
+    pub fn stop(self) -> Result<(), BedError> {
+        for gateway in self.gateways.iter().flatten() {
+            gateway.stop();
+        }
+        for gateway in self.gateways.into_iter().flatten() {
+            gateway.join()?;
+        }
+        self.fleet.stop()?;
+        Ok(())
+    }
+}
+
+/// What the checker needs of a gateway's settings.
+pub fn rule_settings(config: &Config, roster: &[Entry]) -> RuleSettings {
+    let class = |(name, class): (&String, &basaltward::Class)| {
+        let repeat = match class.repeat {
+            Repeat::Safe => RepeatRule::Safe,
+            Repeat::Unsafe => RepeatRule::Unsafe,
+            Repeat::Keyed { group, window } => RepeatRule::Keyed { window, all: group == Group::All },
+        };
+        let rule = ClassRule { repeat, aim: class.aim, worth: class.worth, late_worth: class.late_worth };
+        (name.clone(), rule)
+    };
+    let cells = config.module.classes.iter().any(|c| {
+        matches!(c.repeat, Repeat::Keyed { group: Group::Cell, .. })
+    });
+    let (family, rules) = (&config.module.family, &config.module.rules);
+    RuleSettings {
+        classes: config.classes.iter().zip(&config.module.classes).map(class).collect(),
+        groups: roster
+            .iter()
+            .map(|e| (e.address.clone(), if cells { e.cell } else { e.zone as u64 }))
+            .collect(),
+        drain_grace: config.drain_grace,
+        load_window: family.load_window,
+        load_free: family.load_free,
+        load_share: family.load_share,
+        cold_from: rules.cold_from,
+        warm_within: rules.warm_within,
+        tip_multiple: rules.tip_multiple,
+        fall: rules.fall,
+    }
+}
--- /dev/null
+++ b/crates/play/src/day.rs
@@ -0,0 +1,167 @@
+//! A day played over loopback sockets.
+
+use crate::bed::{Bed, BedError, rule_settings, wall};
+use crate::calls;
+use crate::script::{Act, Script};
+use basaltward::State;
+use basaltward_gateway::Gateway;
+use basaltward_net::{Micros, NetError, Timers};
+use basaltward_rules::{Breach, Record, Recorder, Service, check, service};
+use basaltward_standins::{Clients, Fault, Tally};
+use thiserror::Error;
+
+/// Why a day could not be played to its end.
+#[derive(Debug, Error)]
+pub enum DayError {
+    /// Gateways, workers or their files.
+    #[error(transparent)]
+    Bed(#[from] BedError),
+    /// The clients' loop.
+    #[error("clients: {0}")]
+    Net(#[from] NetError),
+}
+
+/// What a day came to.
+pub struct Verdict {
+    /// By event, as the clients saw it.
+    pub tally: Tally,
+    /// Broken rules.
+    pub breaches: Vec<Breach>,
+    /// The service figure.
+    pub service: Service,
+    /// All that crossed the sockets, by time.
+    pub records: Vec<Record>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Later {
+    Step(usize),
+    /// The end of a step's fault.
+    End(usize),
+    Listed(usize, Listed),
+    Restart(usize),
+    FillRoster,
+    GatewayUp(usize),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Listed {
+    Leaving,
+    Gone,
+    Started(u64),
+}
+
+struct Day<'a> {
+    script: &'a Script,
+    bed: Bed,
+    later: Timers<Later>,
+    /// Gateways on their way out, by position.
+    ending: Vec<(usize, Gateway)>,
+    failed: Option<BedError>,
+}
+
+/// Plays a day to its end, all random choices drawn from its seed, and judges it.
+///
+/// # Errors
+/// Where something of the day could not run; a broken rule is part of the verdict.
+pub fn play(script: &Script) -> Result<Verdict, DayError> {
+    let recorder = Recorder::memory();
+    let bed = Bed::start(&script.config, script.gateways, script.workers.clone(), recorder.clone())?;
+    let rules = rule_settings(&bed.config, &bed.roster.entries);
+    let mut day = Day { script, bed, later: Timers::default(), ending: Vec::new(), failed: None };
+    for (index, step) in script.steps.iter().enumerate() {
+        day.later.set(step.at, Later::Step(index));
+    }
+    let clients = Clients::new(day.bed.addresses.clone(), recorder.clone())?;
+    let tally = clients.run(calls::draw(script), |now| day.turn(now))?;
+    for (_, gateway) in day.ending {
+        gateway.join().map_err(BedError::from)?;
+    }
+    day.bed.stop()?;
+    if let Some(error) = day.failed {
+        return Err(error.into());
+    }
+    let records = recorder.take();
+    let (breaches, service) = (check(&records, &rules), service(&records, &rules));
+    Ok(Verdict { tally, breaches, service, records })
+}
+
+impl Day<'_> {
+    /// Does what is due; says when the next thing is.
+    fn turn(&mut self, now: Micros) -> Option<Micros> {
+        while let Some(later) = self.later.due(now) {
+            if let Err(error) = self.act(now, later) {
+                self.failed.get_or_insert(error);
+            }
+        }
+        self.later.next()
+    }
+
+    fn act(&mut self, now: Micros, later: Later) -> Result<(), BedError> {
+        let lag = self.script.roster_lag;
+        match later {
+            Later::Step(index) => match self.script.steps[index].act {
+                Act::Worker(worker, fault, end) => {
+                    self.bed.fleet.fault(worker, fault);
+                    if let Some((span, _)) = end {
+                        self.later.set(now + span, Later::End(index));
+                    }
+                }
+                Act::Drain(worker, span) => {
+                    self.bed.fleet.fault(worker, Fault::Drain(true));
+                    self.later.set(now + lag, Later::Listed(worker, Listed::Leaving));
+                    self.later.set(now + span.max(lag), Later::Listed(worker, Listed::Gone));
+                    self.later.set(now + span, Later::Restart(worker));
+                }
+                Act::Kill(worker, span) => {
+                    self.bed.fleet.fault(worker, Fault::Kill);
+                    if span > lag {
+                        self.later.set(now + lag, Later::Listed(worker, Listed::Gone));
+                    }
+                    self.later.set(now + span, Later::Restart(worker));
+                }
+                Act::Gateway(index, span, kill) => {
+                    if let Some(gateway) = self.bed.take_gateway(index) {
+                        if kill { gateway.kill() } else { gateway.stop() }
+                        self.ending.push((index, gateway));
+                        self.later.set(now + span, Later::GatewayUp(index));
+                    }
+                }
+                Act::EmptyRoster(span) => {
+                    self.bed.roster.save_empty()?;
+                    self.later.set(now + span, Later::FillRoster);
+                }
+                Act::Surge(..) | Act::EarlyLeavers { .. } => {}
+            },
+            Later::End(index) => {
+                if let Act::Worker(worker, _, Some((_, end))) = self.script.steps[index].act {
+                    self.bed.fleet.fault(worker, end);
+                }
+            }
+            Later::Restart(worker) => {
+                self.bed.fleet.fault(worker, Fault::Kill);
+                self.bed.fleet.fault(worker, Fault::Restart);
+                self.later.set(now + lag, Later::Listed(worker, Listed::Started(wall())));
+            }
+            Later::Listed(worker, Listed::Leaving) => self.bed.roster.set(worker, State::Leaving)?,
+            Later::Listed(worker, Listed::Gone) => self.bed.roster.set(worker, State::Gone)?,
+            Later::Listed(worker, Listed::Started(at)) => self.bed.roster.restarted(worker, at)?,
+            Later::FillRoster => self.bed.roster.save()?,
+            Later::GatewayUp(index) => self.gateway_up(now, index)?,
+        }
+        Ok(())
+    }
+
+    /// Starts a gateway again once the one before has ended: it needs the same address.
+    fn gateway_up(&mut self, now: Micros, index: usize) -> Result<(), BedError> {
+        match self.ending.iter().position(|(i, _)| *i == index) {
+            Some(at) if !self.ending[at].1.is_finished() => {
+                self.later.set(now + 5_000, Later::GatewayUp(index));
+                return Ok(());
+            }
+            Some(at) => self.ending.remove(at).1.join()?,
+            None => {}
+        }
+        self.bed.start_gateway(index)
+    }
+}
--- /dev/null
+++ b/crates/play/src/script.rs
@@ -0,0 +1,201 @@
+use basaltward_config::xml::{Node, checked};
+use basaltward_config::{Config, ConfigError, Fault};
+use basaltward_net::Micros;
+use basaltward_standins::{Retries, WorkerSpec};
+use std::path::Path;
+
+const SCHEMA: &str = include_str!("../play.xsd");
+
+/// What happens at a told time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    /// A fault of a worker, and its end after a span.
+    Worker(usize, basaltward_standins::Fault, Option<(Micros, basaltward_standins::Fault)>),
+    /// A worker drains; the roster says so after its lag, and after the span that it is gone.
+    Drain(usize, Micros),
+    /// A worker's process dies, and is back, cold, after the span.
+    Kill(usize, Micros),
+    /// A gateway is killed or stopped, and back after the span.
+    Gateway(usize, Micros, bool),
+    /// The roster is empty for a span.
+    EmptyRoster(Micros),
+    /// The rate of calls is so many times higher for a span.
+    Surge(f64, Micros),
+    /// A share of clients leaves after a time and repeats the same event, so many times, for a span.
+    EarlyLeavers {
+        /// Share of the events.
+        share: f64,
+        /// They leave after this.
+        leave: Micros,
+        /// And repeat so often.
+        repeats: u32,
+        /// How long the spell lasts.
+        span: Micros,
+    },
+}
+
+/// An act at its time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Step {
+    /// From the start of the day.
+    pub at: Micros,
+    /// What happens.
+    pub act: Act,
+}
+
+/// A day.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// Settings of the gateways.
+    pub config: Config,
+    /// Every random choice follows from it.
+    pub seed: u64,
+    /// How much later the roster tells of a worker's change.
+    pub roster_lag: Micros,
+    /// The workers.
+    pub workers: Vec<WorkerSpec>,
+    /// Number of gateways.
+    pub gateways: u32,
+    /// Events a second.
+    pub rate: f64,
+    /// How long events are sent.
+    pub span: Micros,
+    /// Mean work of a call.
+    pub work: Micros,
+    /// Popularity of functions falls as 1 / rank to this power.
+    pub skew: f64,
+    /// Bytes of payload.
+    pub payload: usize,
+    /// What clients do without a reply.
+    pub retries: Retries,
+    /// A client's patience is drawn between this share of its class's deadline and all of it.
+    pub least_patience: f64,
+    /// What happens, by time.
+    pub steps: Vec<Step>,
+}
+
+/// Reads a script and the settings that it names.
+///
+/// # Errors
+/// All faults of either file.
+pub fn load(path: &Path) -> Result<Script, ConfigError> {
+    let told = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|source| ConfigError::File { path: told.clone(), source })?;
+    let folder = path.parent().unwrap_or(Path::new(""));
+    // The schema first, then the settings that the script names, then what needs both.
+    let named = checked(&text, &told, SCHEMA, |root, _| root.text("config").unwrap_or_default().to_owned())?;
+    let config = basaltward_config::load(&folder.join(named))?;
+    checked(&text, &told, SCHEMA, |root, faults| script(root, config, faults))
+}
+
+fn micros(millis: f64) -> Micros {
+    (millis * 1e3).round() as Micros
+}
+
+fn script(root: Node, config: Config, faults: &mut Vec<Fault>) -> Script {
+    let part = |name: &str| root.child(name).unwrap_or(root);
+    let (workers, clients) = (part("workers"), part("clients"));
+    let number = |node: &Node, name: &str, absent: f64, faults: &mut Vec<Fault>| {
+        node.value::<f64>(name, faults).unwrap_or(absent)
+    };
+    let count = number(&workers, "count", 1.0, faults) as usize;
+    let gateways = number(&part("gateways"), "count", 1.0, faults) as u32;
+    let work = micros(number(&clients, "work-ms", 20.0, faults));
+    let usual = WorkerSpec::default();
+    let rules = &config.module.rules;
+    let spec = WorkerSpec {
+        cores: number(&workers, "cores", 4.0, faults) as u32,
+        memory_mb: config.module.family.kind_memory_mb.first().copied().unwrap_or(usual.memory_mb),
+        work,
+        load: (
+            micros(number(&workers, "fetch-ms", 300.0, faults)),
+            micros(number(&workers, "start-ms", 200.0, faults)),
+        ),
+        keep: micros(number(&workers, "keep-ms", 10_000.0, faults)),
+        queue: number(&workers, "queue", 32.0, faults) as usize,
+        load_on_miss: config.module.family.load_on_miss,
+        cold_from: rules.cold_from,
+        warm_within: rules.warm_within,
+        tip_multiple: rules.tip_multiple,
+        fall: rules.fall,
+        ..usual
+    };
+    let slow = (number(&workers, "slow-share", 0.0, faults) * count as f64).round() as usize;
+    let specs = (0..count).map(|index| WorkerSpec {
+        speed: if index < slow { 0.75 } else { 1.0 },
+        ..spec.clone()
+    });
+    let mut steps: Vec<Step> = Vec::new();
+    for node in root.children("at") {
+        steps.extend(step(&node, count, gateways as usize, faults));
+    }
+    steps.sort_by_key(|step| step.at);
+    Script {
+        seed: number(&root, "seed", 0.0, faults) as u64,
+        roster_lag: micros(number(&root, "roster-lag-ms", 0.0, faults)),
+        workers: specs.collect(),
+        gateways,
+        rate: number(&clients, "rate", 1.0, faults),
+        span: (number(&clients, "seconds", 1.0, faults) * 1e6) as Micros,
+        work,
+        skew: number(&clients, "skew", 1.0, faults),
+        payload: number(&clients, "payload", 200.0, faults) as usize,
+        retries: Retries {
+            most: number(&clients, "retries", 0.0, faults) as u32,
+            wait: micros(number(&clients, "retry-wait-ms", 100.0, faults)),
+            leave_after: None,
+            after_failure: false,
+        },
+        least_patience: number(&clients, "least-patience", 1.0, faults),
+        steps,
+        config,
+    }
+}
+
+fn step(node: &Node, workers: usize, gateways: usize, faults: &mut Vec<Fault>) -> Option<Step> {
+    use basaltward_standins::Fault as Does;
+    let at = micros(node.value("ms", faults)?);
+    let told = node.text("do").unwrap_or_default();
+    let span = node.value::<f64>("for-ms", faults).map(micros);
+    let mut position = |attribute: &str, count: usize| {
+        let position = node.value::<usize>(attribute, faults);
+        if position.is_none_or(|p| p >= count) {
+            faults.push(node.fault(format!("{told} needs {attribute} from 0 to {}", count.saturating_sub(1))));
+        }
+        position.filter(|p| *p < count)
+    };
+    let mut worker = || position("worker", workers);
+    let act = match told {
+        "drain" => Act::Drain(worker()?, span.unwrap_or(3_000_000)),
+        "kill" | "restart" => Act::Kill(worker()?, span.unwrap_or(if told == "kill" { 2_000_000 } else { 1 })),
+        "kill-gateway" | "stop-gateway" => {
+            Act::Gateway(position("gateway", gateways)?, span.unwrap_or(500_000), told == "kill-gateway")
+        }
+        "empty-roster" => Act::EmptyRoster(span.unwrap_or(1_000_000)),
+        "surge" => Act::Surge(node.value("times", faults).unwrap_or(2.0), span.unwrap_or(3_000_000)),
+        "early-leavers" => Act::EarlyLeavers {
+            share: node.value("share", faults).unwrap_or(0.5),
+            leave: micros(node.value("leave-ms", faults).unwrap_or(100.0)),
+            repeats: node.value("repeats", faults).unwrap_or(10),
+            span: span.unwrap_or(3_000_000),
+        },
+        "store" => {
+            let times = node.value("times", faults).unwrap_or(5.0);
+            let end = (span.unwrap_or(5_000_000), Does::StoreSlow(1.0));
+            Act::Worker(0, Does::StoreSlow(times), Some(end))
+        }
+        _ => {
+            let worker = worker()?;
+            let (begin, end) = match told {
+                "silent" => (Does::Silent(true), Does::Silent(false)),
+                "slow" => (Does::Slow(node.value("times", faults).unwrap_or(5.0)), Does::Slow(1.0)),
+                "garbage" => (Does::Garbage(true), Does::Garbage(false)),
+                "reset" => (Does::ResetAt(Some(node.value("byte", faults).unwrap_or(0))), Does::ResetAt(None)),
+                "too-long" => (Does::TooLong(true), Does::TooLong(false)),
+                _ => (Does::CloseAfter(true), Does::CloseAfter(false)),
+            };
+            Act::Worker(worker, begin, Some((span.unwrap_or(3_000_000), end)))
+        }
+    };
+    Some(Step { at, act })
+}
--- a/crates/rules/src/check.rs
+++ b/crates/rules/src/check.rs
@@ -178,6 +178,9 @@
     breaches
 }
 
+/// An attempt: when it was sent, its name, its worker.
+type Out<'a> = (Micros, &'a str, &'a str);
+
 /// Rule 2: no effect twice, no attempt that could bring that about, no untrue refusal.
 fn effects(records: &[Record], settings: &RuleSettings) -> Vec<Breach> {
     let at = schedulers(records);
@@ -186,7 +189,7 @@
     let mut ran: BTreeMap<&str, Vec<(Micros, &str)>> = BTreeMap::new();
     let mut ran_attempts: BTreeSet<&str> = BTreeSet::new();
     // By scheduler and event: attempts out or ended without proof.
-    let mut sent: BTreeMap<(&str, &str), Vec<(Micros, &str, &str)>> = BTreeMap::new();
+    let mut sent: BTreeMap<(&str, &str), Vec<Out>> = BTreeMap::new();
     let mut proven: BTreeMap<&str, Micros> = BTreeMap::new();
     let mut breaches = Vec::new();
     let mut breach = |t, what: String| breaches.push(Breach { rule: 2, t, what });
