Ends of connections are kept by id; a stand-in closes its own listener only

Causes: ends were kept by slot, which an abort had freed for a new connection; and killing a stand-in twice closed every listener. Ends are kept by id, and the two ways to stop listening are two calls.

--- a/crates/cloudevents/src/event.rs
+++ b/crates/cloudevents/src/event.rs
@@ -68,7 +68,8 @@
         if name.is_empty() || !name.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit()) {
             return Err(EventError::Name(name.into()));
         }
-        let known = matches!(name, "id" | "source" | "type" | "subject" | "time" | "datacontenttype" | "dataschema");
+        let known =
+            matches!(name, "id" | "source" | "type" | "subject" | "time" | "datacontenttype" | "dataschema");
         if !known {
             if self.extension(name).is_some() {
                 return Err(EventError::Twice(name.into()));
--- a/crates/cloudevents/src/json.rs
+++ b/crates/cloudevents/src/json.rs
@@ -51,7 +51,8 @@
     if all.len() > most {
         return Err(EventError::BatchTooLong(most));
     }
-    let read = |(index, members)| event(members).map_err(|e| EventError::InBatch { index, error: Box::new(e) });
+    let read =
+        |(index, members)| event(members).map_err(|e| EventError::InBatch { index, error: Box::new(e) });
     all.into_iter().enumerate().map(read).collect()
 }
 
--- a/crates/cloudevents/tests/modes.rs
+++ b/crates/cloudevents/tests/modes.rs
@@ -27,26 +27,45 @@
 #[test]
 fn binary_mode_decodes_headers_and_carries_unknown_extensions() {
     let mut fields = REQUIRED.to_vec();
-    fields.extend([("ce-subject", "%C3%91and%C3%BA%20%25"), ("ce-Fleet", "\"a \\\"b\""), ("Content-Type", "text/plain")]);
+    fields.extend([
+        ("ce-subject", "%C3%91and%C3%BA%20%25"),
+        ("ce-Fleet", "\"a \\\"b\""),
+        ("Content-Type", "text/plain"),
+    ]);
     let Ok((Mode::Binary, Incoming::One(event))) = read_all(&fields, b"hello") else { panic!("one event") };
     assert_eq!((event.id.as_str(), event.subject.as_deref()), ("7", Some("Ñandú %")));
     assert_eq!(event.extension("fleet"), Some(&Attribute::Text("a \"b".into())));
     let mut bytes = BytesMut::new();
-    write_binary_fields(&event, HeadWriter::request(&mut bytes, "POST", "/", "h")).body(Body::Whole(&event.data));
+    write_binary_fields(&event, HeadWriter::request(&mut bytes, "POST", "/", "h"))
+        .body(Body::Whole(&event.data));
     let Ok(Decoded::Message(again)) = RequestDecoder::new(Limits::default()).decode(&mut bytes) else {
         panic!("whole")
     };
-    let (_, Incoming::One(back)) = read(&again.headers, again.body, 1).expect("an event") else { panic!("one") };
+    let (_, Incoming::One(back)) = read(&again.headers, again.body, 1).expect("an event") else {
+        panic!("one")
+    };
     assert_eq!(back, event);
 }
 
 #[test]
 fn json_keeps_payloads_and_types_both_ways() {
     let cases = [
-        (r#"{"specversion":"1.0","id":"1","source":"s","type":"t","data":{"a":[1, 2]},"n":5,"b":true}"#, r#"{"a":[1, 2]}"#),
-        (r#"{"specversion":"1.0","id":"1","source":"s","type":"t","datacontenttype":"text/xml","data":"<é/>"}"#, "<é/>"),
-        (r#"{"specversion":"1.0","id":"1","source":"s","type":"t","datacontenttype":"image/png","data_base64":"/wA="}"#, "\u{fffd}\0"),
-        (r#"{"specversion":"1.0","id":"1","source":"s","type":"t","subject":null,"time":"2026-12-01T10:00:00Z"}"#, ""),
+        (
+            r#"{"specversion":"1.0","id":"1","source":"s","type":"t","data":{"a":[1, 2]},"n":5,"b":true}"#,
+            r#"{"a":[1, 2]}"#,
+        ),
+        (
+            r#"{"specversion":"1.0","id":"1","source":"s","type":"t","datacontenttype":"text/xml","data":"<é/>"}"#,
+            "<é/>",
+        ),
+        (
+            r#"{"specversion":"1.0","id":"1","source":"s","type":"t","datacontenttype":"image/png","data_base64":"/wA="}"#,
+            "\u{fffd}\0",
+        ),
+        (
+            r#"{"specversion":"1.0","id":"1","source":"s","type":"t","subject":null,"time":"2026-12-01T10:00:00Z"}"#,
+            "",
+        ),
     ];
     for (text, payload) in cases {
         let event = from_json(text.as_bytes()).expect(text);
@@ -61,7 +80,9 @@
 fn batches_are_all_or_nothing_and_bounded() {
     let one = r#"{"specversion":"1.0","id":"1","source":"s","type":"t"}"#;
     let batch = |text: String| read_all(&[("Content-Type", BATCH)], text.as_bytes());
-    assert!(matches!(batch(format!("[{one},{one}]")), Ok((Mode::Batch, Incoming::Batch(all))) if all.len() == 2));
+    assert!(
+        matches!(batch(format!("[{one},{one}]")), Ok((Mode::Batch, Incoming::Batch(all))) if all.len() == 2)
+    );
     assert_eq!(batch(format!("[{one},{one},{one},{one}]")), Err(EventError::BatchTooLong(3)));
     let bad = batch(format!("[{one},{{\"specversion\":\"1.0\"}}]"));
     assert!(matches!(bad, Err(EventError::InBatch { index: 1, .. })), "{bad:?}");
@@ -74,7 +95,12 @@
         (structured("{"), 400),
         (structured(r#"{"specversion":"0.3","id":"1","source":"s","type":"t"}"#), 400),
         (structured(r#"{"specversion":"1.0","id":"1","id":"2","source":"s","type":"t"}"#), 400),
-        (structured(r#"{"specversion":"1.0","id":"1","source":"s","type":"t","data":1,"data_base64":"AA=="}"#), 400),
+        (
+            structured(
+                r#"{"specversion":"1.0","id":"1","source":"s","type":"t","data":1,"data_base64":"AA=="}"#,
+            ),
+            400,
+        ),
         (structured(r#"{"specversion":"1.0","id":"1","source":"s","type":"t","Up":"x"}"#), 400),
         (structured(r#"{"specversion":"1.0","id":"1","source":"s","type":"t","n":5000000000}"#), 400),
         (structured(r#"{"specversion":"1.0","id":"1","source":"s","type":"t","time":"noon"}"#), 400),
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -99,7 +99,9 @@
 fn function(node: &Node, classes: &[String], largest: f64, faults: &mut Faults) -> FunctionConfig {
     let memory_mb = node.value("memory-mb", faults).unwrap_or(1.0);
     if memory_mb > largest {
-        faults.push(node.fault(format!("a copy of {memory_mb} MB fits no kind of worker: the largest has {largest}")));
+        faults.push(
+            node.fault(format!("a copy of {memory_mb} MB fits no kind of worker: the largest has {largest}")),
+        );
     }
     FunctionConfig {
         name: node.text("name").unwrap_or_default().into(),
@@ -146,7 +148,9 @@
     if let Some(node) = workers.0.filter(|_| !family.orders && !family.load_on_miss) {
         faults.push(node.fault("with neither orders nor load-on-miss no copy can ever be loaded"));
     }
-    if let Some(node) = workers.0.filter(|_| family.load_window > 0 && family.load_free < 1.0 && !family.load_on_miss) {
+    if let Some(node) =
+        workers.0.filter(|_| family.load_window > 0 && family.load_free < 1.0 && !family.load_on_miss)
+    {
         faults.push(node.fault("load-free below 1 allows no first load within load-window-ms"));
     }
     let limits = &mut module.limits;
@@ -172,7 +176,10 @@
     let repeats = part("repeats");
     let margin = part("margin");
     Config {
-        name: gateway.0.and_then(|g| g.text("name")).map_or_else(|| format!("gateway-{index}"), str::to_owned),
+        name: gateway
+            .0
+            .and_then(|g| g.text("name"))
+            .map_or_else(|| format!("gateway-{index}"), str::to_owned),
         index,
         count,
         threads: gateway.number("threads", 1, faults),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,7 +1,7 @@
 use crate::repeats::{Ended, Identity, Repeats, Verdict};
 use crate::{
-    Answer, AttemptEnd, AttemptId, CallId, EngineSettings, Failure, Function, Input, Margin, NewCall, OrderId,
-    Output, Path, Refusal, Reply, WaiterId,
+    Answer, AttemptEnd, AttemptId, CallId, EngineSettings, Failure, Function, Input, Margin, NewCall,
+    OrderId, Output, Path, Refusal, Reply, WaiterId,
 };
 use basaltward::{
     Action, Code, Controller, CopyNote, Event, FunctionId, Micros, Outcome, Repeat, Request, RequestId,
@@ -184,21 +184,26 @@
             Verdict::Blocked => return out.push(direct(Answer::Failed(Failure::MayHaveRun))),
             Verdict::NoRoom => return out.push(direct(refused(Refusal::Guards))),
             // Not refused: the call in hand may run, and only of a safe one is trying again harmless.
-            Verdict::Join(_) if answer_by <= now => return out.push(direct(Answer::Failed(Failure::Deadline))),
+            Verdict::Join(_) if answer_by <= now => {
+                return out.push(direct(Answer::Failed(Failure::Deadline)));
+            }
             _ if answer_by <= now => return out.push(direct(refused(Refusal::TooLate))),
             Verdict::Join(id) => {
                 let Some(call) = self.calls.get_mut(&id) else { return };
                 if call.waiters.len() >= self.settings.waiters {
                     // The call in hand may run: of a safe one alone is it no lie that trying again is harmless.
                     let safe = repeat == Repeat::Safe;
-                    let full = if safe { refused(Refusal::InHand) } else { Answer::Failed(Failure::MayHaveRun) };
+                    let full =
+                        if safe { refused(Refusal::InHand) } else { Answer::Failed(Failure::MayHaveRun) };
                     return out.push(direct(full));
                 }
                 call.waiters.push(told.waiter);
                 return self.wait(told.waiter, id, answer_by, Path::Joined);
             }
             _ if fresh && self.stopping => return out.push(direct(refused(Refusal::Stopping))),
-            _ if self.calls.len() >= self.settings.in_hand => return out.push(direct(refused(Refusal::InHand))),
+            _ if self.calls.len() >= self.settings.in_hand => {
+                return out.push(direct(refused(Refusal::InHand)));
+            }
             Verdict::FreshUntil(until) => until,
             Verdict::Fresh => Micros::MAX,
         };
@@ -304,7 +309,14 @@
             let until = match self.repeats.judge(now, &call.identity, repeat) {
                 Verdict::Fresh => Micros::MAX,
                 Verdict::FreshUntil(until) => until,
-                _ => return self.answer_all(stay, &Answer::Failed(Failure::MayHaveRun), (attempts, worker), out),
+                _ => {
+                    return self.answer_all(
+                        stay,
+                        &Answer::Failed(Failure::MayHaveRun),
+                        (attempts, worker),
+                        out,
+                    );
+                }
             };
             call.waiters = stay;
             self.repeats.open(&call.identity, repeat, id);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub use engine::Engine;
 pub use margin::{Margin, MarginSettings};
-pub use repeats::{Ended, Identity, Repeats, RepeatLimits, Verdict};
+pub use repeats::{Ended, Identity, RepeatLimits, Repeats, Verdict};
 pub use settings::{EngineSettings, Function};
 pub use types::*;
--- a/crates/engine/src/margin.rs
+++ b/crates/engine/src/margin.rs
@@ -56,7 +56,8 @@
     /// What is to be kept back of this patience.
     pub fn of(&self, now: Micros, patience: Micros) -> Micros {
         let share = (patience as f64 * self.settings.share) as Micros;
-        share.clamp(self.settings.least, self.settings.most.max(self.settings.least)) + self.lateness(now) as Micros
+        share.clamp(self.settings.least, self.settings.most.max(self.settings.least))
+            + self.lateness(now) as Micros
     }
 }
 
--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -154,7 +154,9 @@
         };
         let guarded = repeat != Repeat::Safe;
         tenant.guards += usize::from(guarded && before.is_none());
-        tenant.entries.insert(event.clone(), Entry { known: Known::Open { call, earlier }, guarded, until: 0 });
+        tenant
+            .entries
+            .insert(event.clone(), Entry { known: Known::Open { call, earlier }, guarded, until: 0 });
     }
 
     /// The event's try has ended.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -3,7 +3,9 @@
 use crate::links::Reply;
 use crate::problem::Problem;
 use basaltward::{Micros, Repeat};
-use basaltward_cloudevents::{Attribute, BATCH, Event, Incoming, Mode, STRUCTURED, accepted_mode, read, to_json, write_binary_fields};
+use basaltward_cloudevents::{
+    Attribute, BATCH, Event, Incoming, Mode, STRUCTURED, accepted_mode, read, to_json, write_binary_fields,
+};
 use basaltward_config::Config;
 use basaltward_engine::{Answer, Identity, NewCall, WaiterId};
 use basaltward_http::{Body, Decoded, HeadWriter, Limits, Method, Request, RequestDecoder};
@@ -241,7 +243,8 @@
             match self.one_call(event, named, began) {
                 Ok(call) => calls.push(call),
                 Err(problem) if many => {
-                    let detail = format!("event {index} of the batch, of which none was taken: {}", problem.detail);
+                    let detail =
+                        format!("event {index} of the batch, of which none was taken: {}", problem.detail);
                     return Err(Problem { detail, ..problem });
                 }
                 Err(problem) => return Err(problem),
@@ -283,8 +286,12 @@
                 known.ok_or_else(|| Problem::rejected(400, format!("tenant {told:?} is not known here")))?
             }
         };
-        let identity =
-            Identity { tenant, function: *function, source: event.source.as_str().into(), id: event.id.as_str().into() };
+        let identity = Identity {
+            tenant,
+            function: *function,
+            source: event.source.as_str().into(),
+            id: event.id.as_str().into(),
+        };
         Ok(NewCall { waiter: WaiterId(0), identity, deadline: began + patience, payload: Arc::new(event) })
     }
 
@@ -299,7 +306,8 @@
     ) -> Option<(Waiting, u16, Option<ConnId>)> {
         let waiting = self.waiting.try_remove(waiter.0 as usize)?;
         let conn = waiting.conn;
-        let repeat = self.functions.values().find(|f| f.0 == waiting.function).map_or(Repeat::Unsafe, |f| f.2);
+        let repeat =
+            self.functions.values().find(|f| f.0 == waiting.function).map_or(Repeat::Unsafe, |f| f.2);
         let answer = match answer {
             Answer::Served(reply) => Ok(reply),
             Answer::Refused(why, wait) => Err(Problem::refused(why, wait)),
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -28,7 +28,14 @@
 /// What a connection is used for.
 pub enum Job {
     /// A call.
-    Attempt { id: AttemptId, event: Arc<Event>, function: Function, repeat: Repeat, until: Micros, identity: Arc<Identity> },
+    Attempt {
+        id: AttemptId,
+        event: Arc<Event>,
+        function: Function,
+        repeat: Repeat,
+        until: Micros,
+        identity: Arc<Identity>,
+    },
     /// An order, or a question where `count` is 0.
     Order { id: OrderId, function: Function, count: u32 },
     /// A probe.
@@ -96,8 +103,8 @@
 
 /// All links of one loop.
 pub struct Links {
-    /// Begins each attempt's name: attempts are numbered by each scheduler for itself.
-    scheduler: String,
+    /// Begins each attempt's name: attempts are numbered by each scheduler for itself, at each start anew.
+    prefix: String,
     config: LinkConfig,
     limits: Limits,
     report: Vec<String>,
@@ -129,10 +136,10 @@
 
 impl Links {
     /// Links without connections; `report` names the values of load reports.
-    pub fn new(scheduler: String, config: LinkConfig, report: Vec<String>) -> Self {
+    pub fn new(prefix: String, config: LinkConfig, report: Vec<String>) -> Self {
         let limits = Limits { body: config.response_bytes, ..Limits::default() };
         let (links, conns, jobs) = (HashMap::new(), HashMap::new(), HashMap::new());
-        Self { scheduler, config, limits, report, links, conns, jobs, due: Timers::default(), sent: Vec::new() }
+        Self { prefix, config, limits, report, links, conns, jobs, due: Timers::default(), sent: Vec::new() }
     }
 
     /// When [`Links::wake`] is due next.
@@ -182,7 +189,7 @@
         match &job {
             Job::Attempt { id, event, function, repeat, until, identity } => {
                 let patience_ms = until.saturating_sub(now) / 1_000;
-                let told = worker_wire::Attempt { host, name: attempt_name(&self.scheduler, *id), patience_ms };
+                let told = worker_wire::Attempt { host, name: attempt_name(&self.prefix, *id), patience_ms };
                 worker_wire::call(out, event, function, *repeat, &told);
                 self.due.set((*until).max(now + 1), (conn, Due::Until));
                 sent.attempt = Some((*id, identity.clone()));
@@ -278,7 +285,14 @@
         }
     }
 
-    fn finish(&mut self, io: &mut Io, now: Micros, conn: ConnId, told: Response, reusable: bool) -> Option<Done> {
+    fn finish(
+        &mut self,
+        io: &mut Io,
+        now: Micros,
+        conn: ConnId,
+        told: Response,
+        reusable: bool,
+    ) -> Option<Done> {
         let known = self.conns.get_mut(&conn)?;
         let job = known.job.take()?;
         if let Some(name) = name(&job) {
@@ -344,6 +358,6 @@
 }
 
 /// An attempt's name on the wire and in records.
-pub fn attempt_name(scheduler: &str, id: AttemptId) -> String {
-    format!("{scheduler}:{}.{}", id.request.0, id.number)
+pub fn attempt_name(prefix: &str, id: AttemptId) -> String {
+    format!("{prefix}.{}.{}", id.request.0, id.number)
 }
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -28,7 +28,9 @@
     /// A refusal.
     pub fn refused(why: Refusal, wait: Option<Micros>) -> Self {
         let detail = match why {
-            Refusal::Overload => "the workers have more than they can do in time; the call did not take effect",
+            Refusal::Overload => {
+                "the workers have more than they can do in time; the call did not take effect"
+            }
             Refusal::InHand => "too many calls are in hand here; the call was not begun",
             Refusal::TooLate => "too little of the call's time is left to begin it",
             Refusal::Guards => "this tenant has too many recent calls that must not run twice; not begun",
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -49,7 +49,8 @@
         }
         let mut threads = Vec::new();
         for (thread, listener) in listeners.into_iter().enumerate() {
-            let scheduler = Scheduler::new(config, thread as u32, listener, recorder.clone(), wanted.clone())?;
+            let scheduler =
+                Scheduler::new(config, thread as u32, listener, recorder.clone(), wanted.clone())?;
             let waker = scheduler.waker();
             let name = format!("{}-{thread}", config.name);
             threads.push((waker, std::thread::Builder::new().name(name).spawn(move || scheduler.run())?));
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -27,6 +27,7 @@
 /// One loop with all it owns.
 pub struct Scheduler {
     name: String,
+    prefix: String,
     address: std::net::SocketAddr,
     io: Io,
     engine: Engine<Event, Reply>,
@@ -81,7 +82,8 @@
         let by_name = settings.catalog.iter().enumerate().map(|(i, f)| (f.name.clone(), i)).collect();
         let classes = settings.module.classes.iter().map(|c| c.repeat).collect();
         let name = format!("{}/{thread}", config.name);
-        let links = Links::new(name.clone(), config.links.clone(), settings.module.report_names.clone());
+        let prefix = format!("{name}:{:x}", monotonic());
+        let links = Links::new(prefix.clone(), config.links.clone(), settings.module.report_names.clone());
         let connections = config.front.connections;
         let mut io = Io::new(IoLimits { connections, ..IoLimits::default() })?;
         let (_, address) = io.listen(listener)?;
@@ -89,6 +91,7 @@
         let seed = u64::from(settings.module.self_index);
         Ok(Self {
             name,
+            prefix,
             address,
             io,
             engine: Engine::new(settings, seed)?,
@@ -139,7 +142,11 @@
                 STOP if !self.stopping => self.stop(now),
                 _ => {}
             }
-            if self.stopping && self.engine.in_hand() == 0 && self.front.clients() == 0 && self.io.is_settled() {
+            if self.stopping
+                && self.engine.in_hand() == 0
+                && self.front.clients() == 0
+                && self.io.is_settled()
+            {
                 self.recorder.put(monotonic(), &self.name, What::Down { killed: false });
                 info!(scheduler = self.name, "stopped");
                 return Ok(());
@@ -151,7 +158,7 @@
         info!(scheduler = self.name, in_hand = self.engine.in_hand(), "stopping");
         self.stopping = true;
         self.recorder.put(now, &self.name, What::Stopping);
-        self.io.stop_listening(None);
+        self.io.stop_all_listening();
         self.front.stop(&mut self.io);
         self.tell(now, Input::Stop);
     }
@@ -218,7 +225,7 @@
             None | Some(Done::Nothing) => return,
             Some(Done::Attempt(id, end)) => {
                 if self.recorder.is_on() {
-                    let (attempt, code) = (attempt_name(&self.name, id), format!("{:?}", end.code));
+                    let (attempt, code) = (attempt_name(&self.prefix, id), format!("{:?}", end.code));
                     self.recorder.put(now, &self.name, What::Ended { attempt, code });
                 }
                 Input::Ended(id, end)
@@ -319,7 +326,8 @@
             }
             let worker = sent.worker.to_string();
             if let Some((id, identity)) = sent.attempt {
-                let (event, attempt) = (format!("{}#{}", identity.source, identity.id), attempt_name(&self.name, id));
+                let (event, attempt) =
+                    (format!("{}#{}", identity.source, identity.id), attempt_name(&self.prefix, id));
                 self.recorder.put(now, &self.name, What::Sent { event, attempt, worker });
             } else if let Some((function, count)) = sent.order {
                 let function = function.name.to_string();
--- a/crates/gateway/src/worker_wire.rs
+++ b/crates/gateway/src/worker_wire.rs
@@ -145,7 +145,8 @@
     for (name, value) in headers.iter() {
         let (Ok(name), Ok(value)) = (std::str::from_utf8(name), std::str::from_utf8(value)) else { continue };
         let name = name.to_ascii_lowercase();
-        let fits = |n: &&str| n.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit()) && !n.is_empty();
+        let fits =
+            |n: &&str| n.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit()) && !n.is_empty();
         if let Some(extension) = name.strip_prefix("ce-").filter(fits).filter(|_| !known.contains(&&*name)) {
             reply.extensions.push((extension.to_owned(), Attribute::Text(value.to_owned())));
         }
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -52,7 +52,10 @@
         (format!("{post}A: b\n\r\n"), Error::BareLineEnd),
         (format!("{post}A: b\rc\r\n\r\n"), Error::BareLineEnd),
         (format!("{post}Transfer-Encoding: gzip, chunked\r\n\r\n"), Error::TransferCoding),
-        (format!("{post}Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"), Error::TransferCoding),
+        (
+            format!("{post}Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"),
+            Error::TransferCoding,
+        ),
         (format!("{post}Transfer-Encoding: chunked\r\n\r\nx\r\n"), Error::Chunk),
         (format!("{post}Transfer-Encoding: chunked\r\n\r\n 3\r\nabc"), Error::Chunk),
         (format!("{post}Transfer-Encoding: chunked\r\n\r\n3\nabc"), Error::Chunk),
@@ -79,7 +82,8 @@
 #[test]
 fn a_client_that_waits_is_told_to_go_on_once() {
     let (mut decoder, mut input) = (RequestDecoder::new(limits()), BytesMut::new());
-    input.extend_from_slice(b"PUT / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    input
+        .extend_from_slice(b"PUT / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
     assert!(matches!(decoder.decode(&mut input), Ok(Decoded::Continue)));
     assert!(matches!(decoder.decode(&mut input), Ok(Decoded::More)));
     input.extend_from_slice(b"ok");
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -130,7 +130,10 @@
     woken: UnixStream,
     scratch: Box<[u8]>,
     dirty: Vec<u32>,
-    ended: Vec<u32>,
+    /// Connections whose end has been told, to be freed once the owner has handled it.
+    ended: Vec<ConnId>,
+    /// Connections that failed when they were begun, to be told by the next turn.
+    failed: Vec<ConnId>,
     /// Connections closed here, by the time at which their patience ends.
     closing: VecDeque<(Micros, ConnId)>,
 }
@@ -158,6 +161,7 @@
             scratch: vec![0; 64 << 10].into_boxed_slice(),
             dirty: Vec::new(),
             ended: Vec::new(),
+            failed: Vec::new(),
             closing: VecDeque::new(),
         })
     }
@@ -173,7 +177,12 @@
     /// Where the system refuses them.
     pub fn watch_signals(&mut self, signals: Signals) -> Result<(), NetError> {
         for (signal, pipe) in signals.pipes {
-            epoll::add(&self.epoll, &pipe, data(SIGNAL, self.signals.len() as u32, 0), epoll::EventFlags::IN)?;
+            epoll::add(
+                &self.epoll,
+                &pipe,
+                data(SIGNAL, self.signals.len() as u32, 0),
+                epoll::EventFlags::IN,
+            )?;
             self.signals.push((signal, pipe));
         }
         Ok(())
@@ -190,15 +199,18 @@
         Ok((number, address))
     }
 
-    /// Stops accepting, at one listener or all. Connections that stand are not touched.
-    pub fn stop_listening(&mut self, which: Option<usize>) {
-        for (number, slot) in self.listeners.iter_mut().enumerate() {
-            if which.is_none_or(|w| w == number) {
-                *slot = None;
-            }
+    /// Stops accepting at one listener. Connections that stand are not touched.
+    pub fn stop_listening(&mut self, number: usize) {
+        if let Some(slot) = self.listeners.get_mut(number) {
+            *slot = None;
         }
     }
 
+    /// Stops accepting at all listeners.
+    pub fn stop_all_listening(&mut self) {
+        self.listeners.iter_mut().for_each(|slot| *slot = None);
+    }
+
     /// Begins a connection; [`Happened::Connected`] or [`Happened::Ended`] follows.
     ///
     /// # Errors
@@ -215,8 +227,7 @@
         let conn = self.add(TcpStream::from(socket), interest, false)?;
         self.conns[conn.slot as usize].connecting = true;
         if failed {
-            // Told by the next turn, as any other failure.
-            self.ended.push(conn.slot);
+            self.failed.push(conn);
         }
         Ok(conn)
     }
@@ -365,28 +376,23 @@
     pub fn turn(&mut self, wait: Option<Micros>, out: &mut Vec<Happened>) -> Result<(), NetError> {
         self.flush(out);
         self.expire(monotonic());
-        let wait = if out.is_empty() && self.ended.is_empty() { wait } else { Some(0) };
+        let wait = if out.is_empty() && self.failed.is_empty() { wait } else { Some(0) };
         let wait = match (wait, self.closing.front()) {
             (Some(wait), Some(_)) => Some(wait.min(self.limits.linger)),
             (None, Some(_)) => Some(self.limits.linger),
             (wait, None) => wait,
         };
         self.watch_listeners();
-        let wait = wait.map(|w| Timespec {
-            tv_sec: (w / 1_000_000) as i64,
-            tv_nsec: (w % 1_000_000 * 1_000) as i64,
-        });
+        let wait = wait
+            .map(|w| Timespec { tv_sec: (w / 1_000_000) as i64, tv_nsec: (w % 1_000_000 * 1_000) as i64 });
         let mut space = [MaybeUninit::<epoll::Event>::uninit(); EVENTS];
         let events: &[epoll::Event] = match epoll::wait(&self.epoll, &mut space, wait.as_ref()) {
             Ok((events, _)) => events,
             Err(rustix::io::Errno::INTR) => &[],
             Err(errno) => return Err(errno.into()),
         };
-        for slot in std::mem::take(&mut self.ended) {
-            if let Some(conn) = self.conns.get(slot as usize).filter(|c| c.connecting && !c.ended) {
-                let id = ConnId { slot, generation: conn.generation };
-                self.end(id, End::ConnectFailed, out);
-            }
+        for id in std::mem::take(&mut self.failed) {
+            self.end(id, End::ConnectFailed, out);
         }
         for event in events {
             let (data, flags) = (event.data.u64(), event.flags);
@@ -411,12 +417,9 @@
 
     /// Frees the connections whose end has been told; called by the owner after each turn's events.
     pub fn forget_ended(&mut self) {
-        for slot in std::mem::take(&mut self.ended) {
-            if self.conns.get(slot as usize).is_some_and(|c| c.ended) {
-                self.remove(slot);
-            } else {
-                self.ended.push(slot);
-            }
+        for id in std::mem::take(&mut self.ended) {
+            // By id, not by slot: the owner may have freed it, and another connection has the slot by now.
+            self.abort(id);
         }
     }
 
@@ -427,7 +430,7 @@
         }
         conn.ended = true;
         let _ = epoll::delete(&self.epoll, &self.conns[id.slot as usize].stream);
-        self.ended.push(id.slot);
+        self.ended.push(id);
         out.push(Happened::Ended(id, how));
     }
 
--- a/crates/play/src/bed.rs
+++ b/crates/play/src/bed.rs
@@ -221,9 +221,8 @@
         let rule = ClassRule { repeat, aim: class.aim, worth: class.worth, late_worth: class.late_worth };
         (name.clone(), rule)
     };
-    let cells = config.module.classes.iter().any(|c| {
-        matches!(c.repeat, Repeat::Keyed { group: Group::Cell, .. })
-    });
+    let cells =
+        config.module.classes.iter().any(|c| matches!(c.repeat, Repeat::Keyed { group: Group::Cell, .. }));
     let (family, rules) = (&config.module.family, &config.module.rules);
     RuleSettings {
         classes: config.classes.iter().zip(&config.module.classes).map(class).collect(),
--- a/crates/play/src/day.rs
+++ b/crates/play/src/day.rs
@@ -122,7 +122,11 @@
                 }
                 Act::Gateway(index, span, kill) => {
                     if let Some(gateway) = self.bed.take_gateway(index) {
-                        if kill { gateway.kill() } else { gateway.stop() }
+                        if kill {
+                            gateway.kill()
+                        } else {
+                            gateway.stop()
+                        }
                         self.ending.push((index, gateway));
                         self.later.set(now + span, Later::GatewayUp(index));
                     }
--- a/crates/play/src/script.rs
+++ b/crates/play/src/script.rs
@@ -80,7 +80,8 @@
 /// All faults of either file.
 pub fn load(path: &Path) -> Result<Script, ConfigError> {
     let told = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|source| ConfigError::File { path: told.clone(), source })?;
+    let text =
+        std::fs::read_to_string(path).map_err(|source| ConfigError::File { path: told.clone(), source })?;
     let folder = path.parent().unwrap_or(Path::new(""));
     // The schema first, then the settings that the script names, then what needs both.
     let named = checked(&text, &told, SCHEMA, |root, _| root.text("config").unwrap_or_default().to_owned())?;
@@ -121,10 +122,8 @@
         ..usual
     };
     let slow = (number(&workers, "slow-share", 0.0, faults) * count as f64).round() as usize;
-    let specs = (0..count).map(|index| WorkerSpec {
-        speed: if index < slow { 0.75 } else { 1.0 },
-        ..spec.clone()
-    });
+    let specs =
+        (0..count).map(|index| WorkerSpec { speed: if index < slow { 0.75 } else { 1.0 }, ..spec.clone() });
     let mut steps: Vec<Step> = Vec::new();
     for node in root.children("at") {
         steps.extend(step(&node, count, gateways as usize, faults));
@@ -160,14 +159,17 @@
     let mut position = |attribute: &str, count: usize| {
         let position = node.value::<usize>(attribute, faults);
         if position.is_none_or(|p| p >= count) {
-            faults.push(node.fault(format!("{told} needs {attribute} from 0 to {}", count.saturating_sub(1))));
+            faults
+                .push(node.fault(format!("{told} needs {attribute} from 0 to {}", count.saturating_sub(1))));
         }
         position.filter(|p| *p < count)
     };
     let mut worker = || position("worker", workers);
     let act = match told {
         "drain" => Act::Drain(worker()?, span.unwrap_or(3_000_000)),
-        "kill" | "restart" => Act::Kill(worker()?, span.unwrap_or(if told == "kill" { 2_000_000 } else { 1 })),
+        "kill" | "restart" => {
+            Act::Kill(worker()?, span.unwrap_or(if told == "kill" { 2_000_000 } else { 1 }))
+        }
         "kill-gateway" | "stop-gateway" => {
             Act::Gateway(position("gateway", gateways)?, span.unwrap_or(500_000), told == "kill-gateway")
         }
@@ -190,7 +192,9 @@
                 "silent" => (Does::Silent(true), Does::Silent(false)),
                 "slow" => (Does::Slow(node.value("times", faults).unwrap_or(5.0)), Does::Slow(1.0)),
                 "garbage" => (Does::Garbage(true), Does::Garbage(false)),
-                "reset" => (Does::ResetAt(Some(node.value("byte", faults).unwrap_or(0))), Does::ResetAt(None)),
+                "reset" => {
+                    (Does::ResetAt(Some(node.value("byte", faults).unwrap_or(0))), Does::ResetAt(None))
+                }
                 "too-long" => (Does::TooLong(true), Does::TooLong(false)),
                 _ => (Does::CloseAfter(true), Does::CloseAfter(false)),
             };
--- a/crates/roster/src/file.rs
+++ b/crates/roster/src/file.rs
@@ -154,7 +154,13 @@
         let names = Names { kinds: vec!["std".into(), "slow".into()], zones: vec!["a".into()] };
         let started = Some(1_764_000_000_123_000);
         let entry = |address: &str, state| Entry {
-            address: address.into(), state, started, kind: 1, zone: 0, cell: 3, size: 1.5,
+            address: address.into(),
+            state,
+            started,
+            kind: 1,
+            zone: 0,
+            cell: 3,
+            size: 1.5,
         };
         let first = vec![entry("127.0.0.1:7001", State::Active), entry("[::1]:7002", State::Leaving)];
         write(&path, &names, &first).expect("written");
--- a/crates/rules/src/check.rs
+++ b/crates/rules/src/check.rs
@@ -223,16 +223,25 @@
                     RepeatRule::Safe => {}
                     RepeatRule::Unsafe => {
                         if let Some((_, earlier, _)) = maybe.clone().next() {
-                            breach(t, format!("{event}: unsafe, {attempt} sent while {earlier} may have run"));
+                            breach(
+                                t,
+                                format!("{event}: unsafe, {attempt} sent while {earlier} may have run"),
+                            );
                         }
                     }
                     RepeatRule::Keyed { window, all: every } => {
                         for (before, earlier, other) in maybe {
                             let group = |w: &str| settings.groups.get(w);
                             if t > before + window {
-                                breach(t, format!("{event}: keyed, {attempt} sent past the window of {earlier}"));
+                                breach(
+                                    t,
+                                    format!("{event}: keyed, {attempt} sent past the window of {earlier}"),
+                                );
                             } else if !every && group(worker) != group(other) {
-                                breach(t, format!("{event}: keyed, {attempt} sent outside the group of {earlier}"));
+                                breach(
+                                    t,
+                                    format!("{event}: keyed, {attempt} sent outside the group of {earlier}"),
+                                );
                             }
                         }
                     }
@@ -284,7 +293,9 @@
                 continue;
             }
             What::Sent { worker, event, .. } => (worker, format!("call {event}")),
-            What::Ordered { worker, function, count } if *count > 0 => (worker, format!("order of {function}")),
+            What::Ordered { worker, function, count } if *count > 0 => {
+                (worker, format!("order of {function}"))
+            }
             _ => continue,
         };
         if let Some(since) = told.get(&(record.by.as_str(), worker.as_str())) {
--- a/crates/rules/src/recorder.rs
+++ b/crates/rules/src/recorder.rs
@@ -42,7 +42,8 @@
     pub fn file(path: &Path) -> io::Result<(Self, JoinHandle<io::Result<()>>)> {
         let (send, receive) = sync_channel(QUEUE);
         let file = File::options().create(true).append(true).open(path)?;
-        let writer = std::thread::Builder::new().name("records".into()).spawn(move || write(file, receive))?;
+        let writer =
+            std::thread::Builder::new().name("records".into()).spawn(move || write(file, receive))?;
         Ok((Self { sink: Sink::Thread(send), lost: Arc::default() }, writer))
     }
 
--- a/crates/rules/tests/planted.rs
+++ b/crates/rules/tests/planted.rs
@@ -31,7 +31,11 @@
 
 fn asked(ms: Micros, tried: u64, class: &str) -> Record {
     let (event, class, to) = (format!("e{tried}"), class.into(), "a:1".into());
-    record(ms, "clients", What::Asked { tried, event, class, tenant: "t".into(), to, deadline: (ms + 100) * MS })
+    record(
+        ms,
+        "clients",
+        What::Asked { tried, event, class, tenant: "t".into(), to, deadline: (ms + 100) * MS },
+    )
 }
 
 fn answered(ms: Micros, tried: u64, answer: Final) -> Record {
@@ -85,7 +89,10 @@
 
 #[test]
 fn rule_1_one_answer_in_time() {
-    let (cut, left) = (|ms| record(ms, "clients", What::Cut { tried: 1 }), |ms| record(ms, "clients", What::Left { tried: 1 }));
+    let (cut, left) = (
+        |ms| record(ms, "clients", What::Cut { tried: 1 }),
+        |ms| record(ms, "clients", What::Left { tried: 1 }),
+    );
     let stopping = |ms| record(ms, "g/0", What::Stopping);
     let kept = [
         vec![up(), asked(1, 1, "safe"), answered(101, 1, Final::Served)],
@@ -120,7 +127,15 @@
         with("unsafe", vec![ended(3, 1, 0, "Miss"), sent(4, 1, 1, "w2"), ran(5, "w2", 1, 1)]),
         with("keyed", vec![ran(3, "w1", 1, 0), ended(4, 1, 0, "Reset"), sent(5, 1, 1, "w2")]),
     ];
-    let refused = |class| vec![up(), asked(1, 1, class), sent(2, 1, 0, "w1"), ran(3, "w1", 1, 0), answered(9, 1, Final::Refused)];
+    let refused = |class| {
+        vec![
+            up(),
+            asked(1, 1, class),
+            sent(2, 1, 0, "w1"),
+            ran(3, "w1", 1, 0),
+            answered(9, 1, Final::Refused),
+        ]
+    };
     let planted = [
         with("unsafe", vec![ended(3, 1, 0, "Reset"), sent(4, 1, 1, "w2")]),
         with("unsafe", vec![sent(4, 1, 1, "w2")]),
@@ -145,7 +160,10 @@
 #[test]
 fn rule_3_drains() {
     let within = sent(40, 1, 0, "w1");
-    assert_eq!(broken(vec![told(0, "active"), told(1, "leaving"), within, told(60, "active"), ordered(90, 1)]), [0u8; 0]);
+    assert_eq!(
+        broken(vec![told(0, "active"), told(1, "leaving"), within, told(60, "active"), ordered(90, 1)]),
+        [0u8; 0]
+    );
     assert_eq!(broken(vec![told(1, "leaving"), sent(60, 1, 0, "w2"), ordered(70, 0)]), [0u8; 0]);
     assert_eq!(broken(vec![told(1, "leaving"), sent(60, 1, 0, "w1")]), [3]);
     assert_eq!(broken(vec![told(1, "leaving"), told(40, "gone"), ordered(60, 1)]), [3]);
@@ -178,9 +196,18 @@
         answered(10, 1, Final::Served),
         asked(1, 2, "safe"),
         answered(50, 2, Final::Refused),
-        record(600, "clients", What::Asked {
-            tried: 3, event: "e2".into(), class: "safe".into(), tenant: "t".into(), to: "a:1".into(), deadline: 700 * MS,
-        }),
+        record(
+            600,
+            "clients",
+            What::Asked {
+                tried: 3,
+                event: "e2".into(),
+                class: "safe".into(),
+                tenant: "t".into(),
+                to: "a:1".into(),
+                deadline: 700 * MS,
+            },
+        ),
         answered(650, 3, Final::Served),
     ];
     let told = service(&late, &settings());
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -128,7 +128,8 @@
             recorder,
             to_reset: Vec::new(),
         };
-        let thread = std::thread::Builder::new().name("fleet".into()).spawn(move || running.run(&commands))?;
+        let thread =
+            std::thread::Builder::new().name("fleet".into()).spawn(move || running.run(&commands))?;
         Ok(Self { addresses, faults, waker, thread })
     }
 
@@ -233,7 +234,9 @@
             Fault::TooLong(on) => server.too_long = on,
             Fault::CloseAfter(on) => server.close_after = on,
             Fault::Kill => {
-                self.io.stop_listening(server.listener.take());
+                if let Some(listener) = server.listener.take() {
+                    self.io.stop_listening(listener);
+                }
                 let gone: Vec<_> =
                     self.conns.iter().filter(|(_, c)| c.server == index).map(|(id, _)| *id).collect();
                 for conn in gone {
@@ -246,7 +249,8 @@
                 let (listener, _) = self.io.listen(bind(server.address, false)?)?;
                 server.listener = Some(listener);
                 server.model = Worker::new(server.spec.clone(), Some(now));
-                (server.silent, server.garbage, server.too_long, server.reset_at) = (false, false, false, None);
+                (server.silent, server.garbage, server.too_long, server.reset_at) =
+                    (false, false, false, None);
                 let what = What::Born { capacity: server.model.capacity(), warm: false };
                 self.recorder.put(now, &server.address.to_string(), what);
             }
@@ -284,7 +288,8 @@
         let mut replies = Vec::new();
         let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
         let server = &mut self.servers[index];
-        let needs = (number("basaltward-memory-mb").unwrap_or(1.0), number("basaltward-lanes").unwrap_or(1.0) as u32);
+        let needs =
+            (number("basaltward-memory-mb").unwrap_or(1.0), number("basaltward-lanes").unwrap_or(1.0) as u32);
         let copies = path.strip_prefix("/functions/").and_then(|p| p.strip_suffix("/copies"));
         let attempt = headers.get("basaltward-attempt").unwrap_or_default().to_owned();
         match (request.method, copies, path.strip_prefix("/functions/")) {
@@ -307,7 +312,11 @@
                 }
             }
             (Method::Post, None, Some(function)) => {
-                let event = format!("{}#{}", headers.get("ce-source").unwrap_or(""), headers.get("ce-id").unwrap_or(""));
+                let event = format!(
+                    "{}#{}",
+                    headers.get("ce-source").unwrap_or(""),
+                    headers.get("ce-id").unwrap_or("")
+                );
                 let kind = headers.get("content-type").unwrap_or("application/octet-stream").to_owned();
                 let call = Call {
                     token,
@@ -361,7 +370,16 @@
                         CopyNote::Began => "began",
                         CopyNote::Waited => "waited",
                     };
-                    self.answer(now, index, token, 200, "ok", &[("basaltward-copy", copy)], Some(crowd), None);
+                    self.answer(
+                        now,
+                        index,
+                        token,
+                        200,
+                        "ok",
+                        &[("basaltward-copy", copy)],
+                        Some(crowd),
+                        None,
+                    );
                 }
                 Reply::Miss { token, failed } => {
                     self.note_dropped(now, index, token);
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -83,15 +83,33 @@
 /// What a worker answers.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Reply {
-    Ok { token: u64, copy: CopyNote, crowd: usize },
-    Miss { token: u64, failed: bool },
-    Full { token: u64 },
+    Ok {
+        token: u64,
+        copy: CopyNote,
+        crowd: usize,
+    },
+    Miss {
+        token: u64,
+        failed: bool,
+    },
+    Full {
+        token: u64,
+    },
     /// An order or a question: copies standing, and whether the order was kept.
-    Copies { token: u64, count: u32, kept: bool },
+    Copies {
+        token: u64,
+        count: u32,
+        kept: bool,
+    },
     /// A call's effect happens now.
-    Ran { event: String, attempt: String },
+    Ran {
+        event: String,
+        attempt: String,
+    },
     /// A repeat of a keyed call was dropped; it gets the first one's answer.
-    Repeat { token: u64 },
+    Repeat {
+        token: u64,
+    },
     /// It fell over: nothing is answered any more.
     Fell,
 }
@@ -187,9 +205,7 @@
     /// Calls held, share of memory that can't be freed, loads under way or waiting.
     pub fn report(&self) -> (usize, f64, usize) {
         let queued: usize = self.copies.values().map(|c| c.queue.len()).sum();
-        let pinned = |c: &Copies| {
-            f64::from(c.busy.div_ceil(c.lanes.max(1)) + c.loading) * c.memory_mb
-        };
+        let pinned = |c: &Copies| f64::from(c.busy.div_ceil(c.lanes.max(1)) + c.loading) * c.memory_mb;
         let pinned: f64 = self.copies.values().map(pinned).sum();
         let loads = self.loading.len() + self.waiting_loads.len();
         (self.running.len() + queued, pinned / self.spec.memory_mb, loads)
