--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -174,6 +174,12 @@
     }
     let front = part("limits");
     let repeats = part("repeats");
+    let remember = repeats.millis("remember-ms", 10_000.0, faults);
+    let guarded = module.classes.iter().filter(|c| c.repeat != Repeat::Safe).map(|c| c.deadline).max();
+    if guarded.is_some_and(|longest| remember < longest) {
+        let told = repeats.0.unwrap_or(root);
+        faults.push(told.fault("remember-ms must not be below the deadline of a keyed or unsafe class"));
+    }
     let margin = part("margin");
     Config {
         name: gateway
@@ -214,7 +220,7 @@
             idle: front.millis("idle-ms", 60_000.0, faults),
         },
         repeats: RepeatsConfig {
-            remember: repeats.millis("remember-ms", 10_000.0, faults),
+            remember,
             answers: repeats.number("answers-per-tenant", 4_096, faults),
             guards: repeats.number("guards-per-tenant", 16_384, faults),
             bytes: repeats.number("bytes-per-tenant", 16 << 20, faults),
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -45,6 +45,11 @@
         (("memory-mb=\"400\"", "memory-mb=\"40000\""), 10, "fits no kind"),
         (("name=\"note\"", "name=\"view\""), 8, "stands twice"),
         (("index=\"1\"", "index=\"3\""), 2, "must be below count"),
+        (
+            ("</functions>", "</functions><repeats remember-ms=\"2999\"/>"),
+            10,
+            "remember-ms must not be below",
+        ),
         (("</classes>", ""), 11, "not well-formed"),
     ];
     for ((from, to), line, said) in cases {
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -11,11 +11,8 @@
     let (mut decoder, mut input, mut out) = (RequestDecoder::new(limits()), BytesMut::new(), Vec::new());
     for piece in text.chunks(step) {
         input.extend_from_slice(piece);
-        loop {
-            match decoder.decode(&mut input)? {
-                Decoded::Message(request) => out.push(request),
-                Decoded::More | Decoded::Continue => break,
-            }
+        while let Decoded::Message(request) = decoder.decode(&mut input)? {
+            out.push(request);
         }
     }
     Ok(out)
--- a/crates/play/src/bed.rs
+++ b/crates/play/src/bed.rs
@@ -9,6 +9,7 @@
 use basaltward_standins::{Fleet, FleetError, StoreSpec, WorkerSpec};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
 use thiserror::Error;
 
 /// Why a bed can't be made or ended badly.
@@ -34,7 +35,9 @@
     /// # Errors
     /// Where the system's place for temporary files can't be written.
     pub fn new() -> std::io::Result<Self> {
-        let unique = format!("basaltward-{}-{}", std::process::id(), basaltward_net::monotonic());
+        static NUMBER: AtomicU64 = AtomicU64::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let unique = format!("basaltward-{}-{}-{number}", std::process::id(), basaltward_net::monotonic());
         let path = std::env::temp_dir().join(unique);
         std::fs::create_dir(&path)?;
         Ok(Self(path))
--- a/crates/rules/src/recorder.rs
+++ b/crates/rules/src/recorder.rs
@@ -3,8 +3,9 @@
 use std::io::{self, BufRead, BufReader, BufWriter, Write};
 use std::path::Path;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 /// Records waiting for the writer, past which they are lost and counted: the loop never waits for a disk.
 const QUEUE: usize = 1 << 16;
@@ -12,7 +13,7 @@
 #[derive(Clone)]
 enum Sink {
     None,
-    Memory(Arc<Mutex<Vec<Record>>>),
+    Memory(Arc<(Mutex<Vec<Record>>, Condvar)>),
     Thread(SyncSender<Record>),
 }
 
@@ -57,9 +58,10 @@
         let record = || Record { t, by: by.to_owned(), what };
         match &self.sink {
             Sink::None => {}
-            Sink::Memory(all) => {
-                if let Ok(mut all) = all.lock() {
+            Sink::Memory(memory) => {
+                if let Ok(mut all) = memory.0.lock() {
                     all.push(record());
+                    memory.1.notify_all();
                 }
             }
             Sink::Thread(send) => {
@@ -75,10 +77,18 @@
         self.lost.lock().map_or(0, |lost| *lost)
     }
 
-    /// What is kept in memory, by time.
+    /// Waits until the records kept in memory fulfil a condition; false where they don't within the time.
+    pub fn wait(&self, within: Duration, mut fulfilled: impl FnMut(&[Record]) -> bool) -> bool {
+        let Sink::Memory(memory) = &self.sink else { return false };
+        let Ok(all) = memory.0.lock() else { return false };
+        let waited = memory.1.wait_timeout_while(all, within, |all| !fulfilled(all));
+        waited.is_ok_and(|(_, timeout)| !timeout.timed_out())
+    }
+
+    /// Takes what is kept in memory, by time.
     pub fn take(&self) -> Vec<Record> {
-        let Sink::Memory(all) = &self.sink else { return Vec::new() };
-        let mut all = all.lock().map(|mut all| std::mem::take(&mut *all)).unwrap_or_default();
+        let Sink::Memory(memory) = &self.sink else { return Vec::new() };
+        let mut all = memory.0.lock().map(|mut all| std::mem::take(&mut *all)).unwrap_or_default();
         all.sort_by_key(|record| record.t);
         all
     }
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -237,7 +237,8 @@
         let left = (first + plan.patience).saturating_sub(now).max(1_000);
         let deadline = now + left / 1_000 * 1_000;
         let Some(out) = self.io.output(trial.conn) else { return };
-        let host = self.gateways[plan.gateway].to_string();
+        let gateway = self.conns.get(&trial.conn).map_or(plan.gateway, |conn| conn.gateway);
+        let host = self.gateways[gateway].to_string();
         let head = HeadWriter::request(out, "POST", &format!("/functions/{}", plan.function), &host);
         let head = head.field("ce-specversion", "1.0").field("ce-source", "/clients");
         let head = head.field("ce-type", "basaltward.call").field("ce-id", &plan.id);
