--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,84 @@
+//! Measurements. Each compares in one run, repeats in turn and prints the spread; `docs/measurements.md` has
+//! the figures.
+
+mod echo;
+mod load;
+mod memory;
+mod module;
+mod parse;
+mod path;
+mod proxy;
+
+use clap::{Parser, Subcommand};
+use std::error::Error;
+
+/// Measure the gateway.
+#[derive(Parser)]
+#[command(name = "basaltward-bench")]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Latency and calls a second: straight to a worker, through the gateway, through a plain proxy
+    Path {
+        /// Repetitions of all three
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+        /// Calls in each
+        #[arg(long, default_value_t = 40_000)]
+        calls: u64,
+        /// Connections for the calls a second; latency is measured with one
+        #[arg(long, default_value_t = 64)]
+        connections: usize,
+    },
+    /// The module's own time a call
+    Module {
+        /// Workers
+        #[arg(long, default_value_t = 60)]
+        workers: usize,
+        /// Functions
+        #[arg(long, default_value_t = 2_000)]
+        functions: usize,
+        /// Calls in each round
+        #[arg(long, default_value_t = 100_000)]
+        calls: u64,
+        /// Rounds
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+    },
+    /// Memory of an idle connection
+    Memory {
+        /// Connections
+        #[arg(long, default_value_t = 5_000)]
+        connections: usize,
+    },
+    /// Decode a typical event so many times; for a tool that counts instructions
+    Parse {
+        /// How many times
+        #[arg(long, default_value_t = 10_000)]
+        times: u64,
+    },
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    match Args::parse().command {
+        Command::Path { rounds, calls, connections } => path::run(rounds, calls, connections),
+        Command::Module { workers, functions, calls, rounds } => {
+            module::run(workers, functions, calls, rounds)
+        }
+        Command::Memory { connections } => memory::run(connections),
+        Command::Parse { times } => parse::run(times),
+    }
+}
+
+/// Median with the least and the greatest.
+pub fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    match values.as_slice() {
+        [] => "-".into(),
+        all => format!("{:.2} ({:.2} to {:.2})", all[all.len() / 2], all[0], all[all.len() - 1]),
+    }
+}
