Timers by calendar queue; one timer a connection instead of one a request

Need: a profile of the gateway's loop showed binary heaps of timers as its largest cost, and the front set one of 60 s for each request, which grew without bound under load. Timers lie in slots of a millisecond and are sorted when due; connections move one timer. Checked against a sorted list with drawn times.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -59,7 +59,9 @@
                 Happened::Data(conn) => {
                     let Some(known) = conns.get_mut(&conn) else { continue };
                     let Some(input) = io.input(conn) else { continue };
-                    let Decoded::Message(answer) = known.decoder.decode(input, Method::Post)? else { continue };
+                    let Decoded::Message(answer) = known.decoder.decode(input, Method::Post)? else {
+                        continue;
+                    };
                     io.release_input(conn);
                     times.record(known.sent.elapsed().as_micros() as u64)?;
                     bad += u64::from(answer.status != 200);
--- a/crates/bench/src/proxy.rs
+++ b/crates/bench/src/proxy.rs
@@ -50,7 +50,8 @@
     mut request: Request<Incoming>,
 ) -> Result<Response<BoxBody<Bytes, hyper::Error>>, Failed> {
     let path = request.uri().path_and_query().map_or("/", |p| p.as_str());
-    *request.uri_mut() = Uri::builder().scheme("http").authority(to.to_string()).path_and_query(path).build()?;
+    *request.uri_mut() =
+        Uri::builder().scheme("http").authority(to.to_string()).path_and_query(path).build()?;
     let response = client.request(request).await?;
     Ok(response.map(BoxBody::new))
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,8 +7,8 @@
     Action, Code, Controller, CopyNote, Event, FunctionId, Micros, Outcome, Repeat, Request, RequestId,
     SettingsError, WorkerId,
 };
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use basaltward_timers::Timers;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -76,7 +76,7 @@
     tries: HashMap<RequestId, Try>,
     waiters: HashMap<WaiterId, Waiter>,
     orders: HashMap<OrderId, Order>,
-    due: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    due: Timers<Due>,
     sequence: u64,
     stopping: bool,
     actions: Vec<Action>,
@@ -101,7 +101,7 @@
             tries: HashMap::new(),
             waiters: HashMap::new(),
             orders: HashMap::new(),
-            due: BinaryHeap::new(),
+            due: Timers::default(),
             sequence: 0,
             stopping: false,
             actions: Vec::new(),
@@ -121,7 +121,7 @@
 
     /// When [`Engine::wake`] is due next.
     pub fn next_due(&self) -> Option<Micros> {
-        self.due.peek().map(|Reverse((at, ..))| *at)
+        self.due.next()
     }
 
     /// Takes one input at time `now` and appends what is to be done.
@@ -140,8 +140,7 @@
 
     /// Does what is due by `now`.
     pub fn wake(&mut self, now: Micros, out: &mut Out<P, R>) {
-        while let Some(Reverse((at, _, due))) = self.due.peek().filter(|d| d.0.0 <= now).copied() {
-            self.due.pop();
+        while let Some((at, due)) = self.due.due(now) {
             self.margin.woke(now, at);
             match due {
                 Due::Module(token) => self.events.push_back(Event::Timer { token }),
@@ -153,11 +152,6 @@
         }
     }
 
-    fn set(&mut self, at: Micros, due: Due) {
-        self.due.push(Reverse((at, self.sequence, due)));
-        self.sequence += 1;
-    }
-
     fn repeat_of(&self, identity: &Identity) -> Repeat {
         self.settings.module.classes[self.settings.catalog[identity.function].class].repeat
     }
@@ -220,7 +214,7 @@
 
     fn wait(&mut self, waiter: WaiterId, call: CallId, answer_by: Micros, path: Path) {
         self.waiters.insert(waiter, Waiter { call, answer_by, path });
-        self.set(answer_by, Due::Waiter(waiter));
+        self.due.set(answer_by, Due::Waiter(waiter));
     }
 
     /// Tells the controller of a request for the call that ends by `deadline`.
@@ -274,7 +268,7 @@
     /// finished.
     fn linger(&mut self, now: Micros, id: CallId) {
         if self.calls.get(&id).is_some_and(|c| c.waiters.is_empty()) {
-            self.set(now + self.settings.linger, Due::Linger(id));
+            self.due.set(now + self.settings.linger, Due::Linger(id));
         }
     }
 
@@ -449,7 +443,7 @@
                 self.conclude(now, id, Answer::Refused(Refusal::Overload, wait), out);
             }
             Action::Fail { id } => self.conclude(now, id, Answer::Failed(Failure::Attempts), out),
-            Action::Timer { after, token } => self.set(now + after, Due::Module(token)),
+            Action::Timer { after, token } => self.due.set(now + after, Due::Module(token)),
             Action::Probe { worker } => {
                 let order = self.order(now, Order::Probe { worker: worker.clone(), sent: now });
                 out.push(Output::Probe(order, worker));
@@ -468,7 +462,7 @@
         let id = OrderId(self.sequence);
         self.sequence += 1;
         self.orders.insert(id, order);
-        self.set(now + self.settings.module.family.order_timeout, Due::Order(id));
+        self.due.set(now + self.settings.module.family.order_timeout, Due::Order(id));
         id
     }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -9,7 +9,8 @@
 use basaltward_config::Config;
 use basaltward_engine::{Answer, Identity, NewCall, WaiterId};
 use basaltward_http::{Body, Decoded, HeadWriter, Limits, Method, Request, RequestDecoder};
-use basaltward_net::{ConnId, Io, Timers};
+use basaltward_net::{ConnId, Io};
+use basaltward_timers::Timers;
 use bytes::BytesMut;
 use slab::Slab;
 use std::collections::{BTreeMap, HashMap};
@@ -44,6 +45,9 @@
     began: Option<Micros>,
     /// When patience with the peer ends: for the head, the body, or while idle.
     until: Micros,
+    /// The timer that is set for it. It is moved only to an earlier time: one that comes too early is set
+    /// anew, so that a connection has a few timers and not one for each of its requests.
+    armed: Micros,
 }
 
 /// Who waits, and for which event; the log line of a call is made of it.
@@ -121,9 +125,20 @@
     /// A client has connected.
     pub fn accepted(&mut self, now: Micros, conn: ConnId) {
         let until = now + self.spans.2;
-        self.due.set(until, conn);
         let decoder = RequestDecoder::new(self.limits);
-        self.clients.insert(conn, Client { decoder, busy: None, began: None, until });
+        let client = Client { decoder, busy: None, began: None, until, armed: Micros::MAX };
+        self.clients.insert(conn, client);
+        self.arm(conn, until);
+    }
+
+    /// Patience with a connection's peer ends at this time, until told otherwise.
+    fn arm(&mut self, conn: ConnId, until: Micros) {
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        client.until = until;
+        if until < client.armed {
+            client.armed = until;
+            self.due.set(until, conn);
+        }
     }
 
     /// A client's connection has ended: who waited on it.
@@ -150,18 +165,11 @@
                 Some(self.request(io, now, conn, &request, began))
             }
             Ok(told) => {
-                if within && client.began.is_none() {
-                    client.began = Some(now);
-                    client.until = now + self.spans.0;
-                    self.due.set(client.until, conn);
-                }
-                if let (true, Some(began)) = (within_body, client.began) {
-                    // Past the head: the body has a time of its own, from the request's first byte too.
-                    let until = began + self.spans.0 + self.spans.1;
-                    if client.until != until {
-                        client.until = until;
-                        self.due.set(until, conn);
-                    }
+                if within {
+                    // Past the head the body has a time of its own, on top.
+                    let began = *client.began.get_or_insert(now);
+                    let until = began + self.spans.0 + if within_body { self.spans.1 } else { 0 };
+                    self.arm(conn, until);
                 }
                 io.pause(conn, false);
                 if let (Decoded::Continue, Some(out)) = (told, io.output(conn)) {
@@ -345,18 +353,22 @@
             self.clients.remove(&conn);
             return io.close(conn);
         }
-        let Some(client) = self.clients.get_mut(&conn) else { return };
-        client.until = now + self.spans.2;
-        self.due.set(client.until, conn);
+        self.arm(conn, now + self.spans.2);
         io.pause(conn, false);
     }
 
     /// Ends connections whose patience is over: idle ones silently, slow senders with 408.
     pub fn wake(&mut self, io: &mut Io, now: Micros) {
-        while let Some(conn) = self.due.due(now) {
-            let Some(client) = self.clients.get(&conn).filter(|c| c.busy.is_none() && c.until <= now) else {
+        while let Some((at, conn)) = self.due.due(now) {
+            let Some(client) = self.clients.get_mut(&conn).filter(|c| c.armed == at) else { continue };
+            client.armed = Micros::MAX;
+            if client.busy.is_some() || client.until > now {
+                let until = client.until;
+                if client.busy.is_none() {
+                    self.arm(conn, until);
+                }
                 continue;
-            };
+            }
             if client.began.is_some() {
                 let problem = Problem::rejected(408, "the request did not arrive in time");
                 self.refuse_connection(io, conn, &problem);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -6,7 +6,8 @@
 use basaltward_config::LinkConfig;
 use basaltward_engine::{AttemptEnd, AttemptId, Function, Identity, OrderId};
 use basaltward_http::{Decoded, Limits, Method, Response, ResponseDecoder};
-use basaltward_net::{ConnId, End, Io, Timers};
+use basaltward_net::{ConnId, End, Io};
+use basaltward_timers::Timers;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -75,6 +76,10 @@
     stage: Stage,
     job: Option<Job>,
     since: Micros,
+    /// When this stage ends by itself: connecting, waiting for an attempt's answer, or idle.
+    until: Micros,
+    /// The timer that is set for it; moved only to an earlier time, and set anew when it comes too early.
+    armed: Micros,
 }
 
 #[derive(Default)]
@@ -84,13 +89,6 @@
     open: usize,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Connect,
-    Until,
-    Idle,
-}
-
 /// What the loop is told when bytes of a job leave, for its records.
 pub struct Sent {
     /// The worker.
@@ -111,7 +109,7 @@
     links: HashMap<WorkerId, Link>,
     conns: HashMap<ConnId, LinkConn>,
     jobs: HashMap<Name, ConnId>,
-    due: Timers<(ConnId, Due)>,
+    due: Timers<ConnId>,
     /// Jobs whose bytes have gone to a socket since this was last taken; kept only for records.
     pub sent: Vec<Sent>,
 }
@@ -177,21 +175,32 @@
         }
         let decoder = ResponseDecoder::new(self.limits);
         let (worker, stage, job) = (worker.clone(), Stage::Connecting, Some(job));
-        self.conns.insert(conn, LinkConn { worker, decoder, stage, job, since: now });
-        self.due.set(now + self.config.connect_timeout, (conn, Due::Connect));
+        let (until, armed) = (Micros::MAX, Micros::MAX);
+        self.conns.insert(conn, LinkConn { worker, decoder, stage, job, since: now, until, armed });
+        self.arm(conn, now + self.config.connect_timeout);
         None
     }
 
+    fn arm(&mut self, conn: ConnId, until: Micros) {
+        let Some(known) = self.conns.get_mut(&conn) else { return };
+        known.until = until;
+        if until < known.armed {
+            known.armed = until;
+            self.due.set(until, conn);
+        }
+    }
+
     fn write(&mut self, io: &mut Io, now: Micros, conn: ConnId, job: Job) {
         let (Some(known), Some(out)) = (self.conns.get_mut(&conn), io.output(conn)) else { return };
         let host = known.worker.as_str();
+        let mut ends = Micros::MAX;
         let mut sent = Sent { worker: known.worker.clone(), attempt: None, order: None };
         match &job {
             Job::Attempt { id, event, function, repeat, until, identity } => {
                 let patience_ms = until.saturating_sub(now) / 1_000;
                 let told = worker_wire::Attempt { host, name: attempt_name(&self.prefix, *id), patience_ms };
                 worker_wire::call(out, event, function, *repeat, &told);
-                self.due.set((*until).max(now + 1), (conn, Due::Until));
+                ends = (*until).max(now + 1);
                 sent.attempt = Some((*id, identity.clone()));
             }
             Job::Order { function, count, .. } => {
@@ -206,6 +215,7 @@
         }
         (known.stage, known.job, known.since) = (Stage::Waiting, Some(job), now);
         self.sent.push(sent);
+        self.arm(conn, ends);
     }
 
     /// Calls an attempt or an order off: its connection is closed, which tells the worker.
@@ -302,8 +312,8 @@
         if reusable {
             if let Some(link) = self.links.get_mut(&known.worker) {
                 link.idle.push(conn);
-                self.due.set(now + self.config.idle + 1, (conn, Due::Idle));
             }
+            self.arm(conn, now + self.config.idle);
         } else {
             self.discard(io, conn);
         }
@@ -340,17 +350,20 @@
 
     /// Takes what is due by `now`: connections that do not stand, attempts out of time, idle ones.
     pub fn wake(&mut self, io: &mut Io, now: Micros, done: &mut Vec<Done>) {
-        while let Some((conn, due)) = self.due.due(now) {
-            let Some(known) = self.conns.get(&conn) else { continue };
-            let until = match &known.job {
-                Some(Job::Attempt { until, .. }) => *until,
-                _ => Micros::MAX,
-            };
-            let code = match (due, &known.stage) {
-                (Due::Connect, Stage::Connecting) => Code::ConnectFailed,
-                (Due::Until, Stage::Waiting) if until <= now => Code::Timeout,
-                (Due::Idle, Stage::Idle) if known.since + self.config.idle < now => Code::Moot,
-                _ => continue,
+        while let Some((at, conn)) = self.due.due(now) {
+            let Some(known) = self.conns.get_mut(&conn).filter(|c| c.armed == at) else { continue };
+            known.armed = Micros::MAX;
+            let until = known.until;
+            if until > now {
+                if until < Micros::MAX {
+                    self.arm(conn, until);
+                }
+                continue;
+            }
+            let code = match known.stage {
+                Stage::Connecting => Code::ConnectFailed,
+                Stage::Waiting => Code::Timeout,
+                Stage::Idle => Code::Moot,
             };
             done.extend(self.discard(io, conn).map(|job| cut(job, code)));
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,11 +7,9 @@
 mod clock;
 mod io;
 mod listen;
-mod timers;
 mod wake;
 
 pub use clock::{Clock, Micros, monotonic};
 pub use io::{ConnId, End, Happened, Io, IoLimits, NetError};
 pub use listen::bind;
-pub use timers::Timers;
 pub use wake::{Signals, Waker};
--- a/crates/play/src/day.rs
+++ b/crates/play/src/day.rs
@@ -5,9 +5,10 @@
 use crate::script::{Act, Script};
 use basaltward::State;
 use basaltward_gateway::Gateway;
-use basaltward_net::{Micros, NetError, Timers};
+use basaltward_net::{Micros, NetError};
 use basaltward_rules::{Breach, Record, Recorder, Service, check, service};
 use basaltward_standins::{Clients, Fault, Tally};
+use basaltward_timers::Timers;
 use thiserror::Error;
 
 /// Why a day could not be played to its end.
@@ -89,7 +90,7 @@
 impl Day<'_> {
     /// Does what is due; says when the next thing is.
     fn turn(&mut self, now: Micros) -> Option<Micros> {
-        while let Some(later) = self.later.due(now) {
+        while let Some((_, later)) = self.later.due(now) {
             if let Err(error) = self.act(now, later) {
                 self.failed.get_or_insert(error);
             }
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -1,8 +1,9 @@
 //! Scripted clients on one loop: events sent at told times, answers awaited, tries repeated.
 
 use basaltward_http::{Body, Decoded, HeadWriter, Limits, Method, Response, ResponseDecoder};
-use basaltward_net::{ConnId, Happened, Io, IoLimits, Micros, NetError, Timers, monotonic};
+use basaltward_net::{ConnId, Happened, Io, IoLimits, Micros, NetError, monotonic};
 use basaltward_rules::{Final, Recorder, What};
+use basaltward_timers::Timers;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -168,7 +169,7 @@
                     _ => {}
                 }
             }
-            while let Some(due) = self.due.due(now) {
+            while let Some((_, due)) = self.due.due(now) {
                 match due {
                     Due::Try(plan) => self.try_once(now, plan)?,
                     Due::Leave(trial) => self.leave(now, trial),
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -2,7 +2,8 @@
 //! clock; the fleet's loop hands it what comes and carries its answers.
 
 use crate::store::Store;
-use basaltward_net::{Micros, Timers};
+use basaltward_net::Micros;
+use basaltward_timers::Timers;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// A worker.
@@ -417,7 +418,7 @@
 
     /// Does what is due by `now`.
     pub fn wake(&mut self, now: Micros, store: &mut Store, out: &mut Vec<Reply>) {
-        while let Some(due) = self.due.due(now) {
+        while let Some((_, due)) = self.due.due(now) {
             match due {
                 Due::Call(token) => self.finish(now, token, out),
                 Due::Fetched(number) => {
