Repeats keep no index past their bounds

Evicted answers left their place in the index by time for the whole span of memory: hundreds of thousands under load, outside every bound, and emptied in one go. Evicting frees the place; a test floods the records and counts what stays.

--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -86,7 +86,8 @@
 struct Entry<C, R> {
     known: Known<C, R>,
     guarded: bool,
-    until: Micros,
+    /// Its place among the ended ones, once it has ended.
+    ended: Option<(Micros, u64)>,
 }
 
 struct Tenant<C, R> {
@@ -148,6 +149,9 @@
     pub fn open(&mut self, event: &Arc<Identity>, repeat: Repeat, call: C) {
         let tenant = self.tenants.entry(event.tenant).or_default();
         let before = tenant.entries.remove(event);
+        if let Some(place) = before.as_ref().and_then(|e| e.ended) {
+            tenant.ended.remove(&place);
+        }
         let earlier = match before.as_ref().map(|e| &e.known) {
             Some(Known::MayHaveRun(sent)) => Some(*sent),
             _ => None,
@@ -156,7 +160,7 @@
         tenant.guards += usize::from(guarded && before.is_none());
         tenant
             .entries
-            .insert(event.clone(), Entry { known: Known::Open { call, earlier }, guarded, until: 0 });
+            .insert(event.clone(), Entry { known: Known::Open { call, earlier }, guarded, ended: None });
     }
 
     /// The event's try has ended.
@@ -170,7 +174,9 @@
             Known::Served(_) => return,
         };
         let window = if let Repeat::Keyed { window, .. } = repeat { window } else { 0 };
-        entry.until = now + self.limits.remember.max(window);
+        if let Some(place) = entry.ended.take() {
+            tenant.ended.remove(&place);
+        }
         entry.known = match (how, earlier) {
             (Ended::Served(answer, bytes), _) if bytes <= self.limits.bytes => {
                 Known::Served(Some((answer, bytes)))
@@ -187,7 +193,9 @@
             }
         };
         self.sequence += 1;
-        tenant.ended.insert((entry.until, self.sequence), event.clone());
+        let place = (now + self.limits.remember.max(window), self.sequence);
+        entry.ended = Some(place);
+        tenant.ended.insert(place, event.clone());
         if let Known::Served(Some((_, bytes))) = &entry.known {
             tenant.bytes += bytes;
             tenant.answers.insert(self.sequence, event.clone());
@@ -199,30 +207,30 @@
     fn expire(&mut self, now: Micros, tenant: usize) {
         let Some(tenant) = self.tenants.get_mut(&tenant) else { return };
         while let Some(oldest) = tenant.ended.first_entry().filter(|e| e.key().0 <= now) {
-            let ((until, sequence), event) = oldest.remove_entry();
-            tenant.answers.remove(&sequence);
-            // Opened or ended anew since: another record speaks for it.
-            let same = |e: &Entry<C, R>| e.until == until && !matches!(e.known, Known::Open { .. });
-            if tenant.entries.get(&event).is_some_and(same) {
-                tenant.drop_entry(&event);
-            }
+            let event = oldest.get().clone();
+            tenant.drop_entry(&event);
         }
     }
 
-    /// Events in hand or remembered, and bytes of recorded answers.
+    /// Events in hand or remembered, with all that is kept to find them, and bytes of recorded answers.
     pub fn size(&self) -> (usize, usize) {
-        let sum = |(n, b), t: &Tenant<C, R>| (n + t.entries.len(), b + t.bytes);
+        let sum = |(n, b): (usize, usize), t: &Tenant<C, R>| {
+            (n + t.entries.len().max(t.ended.len()).max(t.answers.len()), b + t.bytes)
+        };
         self.tenants.values().fold((0, 0), sum)
     }
 }
 
 impl<C, R> Tenant<C, R> {
     fn drop_entry(&mut self, event: &Identity) {
-        if let Some(entry) = self.entries.remove(event) {
-            self.guards -= usize::from(entry.guarded);
-            if let Known::Served(Some((_, bytes))) = entry.known {
-                self.bytes -= bytes;
-            }
+        let Some(entry) = self.entries.remove(event) else { return };
+        self.guards -= usize::from(entry.guarded);
+        if let Some(place) = entry.ended {
+            self.ended.remove(&place);
+            self.answers.remove(&place.1);
+        }
+        if let Known::Served(Some((_, bytes))) = entry.known {
+            self.bytes -= bytes;
         }
     }
 
@@ -231,14 +239,12 @@
     fn shrink(&mut self, limits: &RepeatLimits) {
         while self.bytes > limits.bytes || self.answers.len() > limits.answers {
             let Some((_, event)) = self.answers.pop_first() else { return };
-            match self.entries.get_mut(&event) {
-                Some(entry) if entry.guarded => {
-                    if let Known::Served(answer) = &mut entry.known {
-                        self.bytes -= answer.take().map_or(0, |(_, bytes)| bytes);
-                    }
+            let Some(entry) = self.entries.get_mut(&event) else { continue };
+            match &mut entry.known {
+                Known::Served(answer) if entry.guarded => {
+                    self.bytes -= answer.take().map_or(0, |(_, bytes)| bytes);
                 }
-                Some(entry) if matches!(entry.known, Known::Served(Some(_))) => self.drop_entry(&event),
-                _ => {}
+                _ => self.drop_entry(&event),
             }
         }
     }
@@ -333,4 +339,19 @@
         assert_eq!(repeats.judge(2, &event(1, "w"), Repeat::Unsafe), Verdict::Fresh);
         assert!(repeats.size().1 <= 14);
     }
+
+    #[test]
+    fn a_flood_of_events_leaves_no_more_behind_than_the_bounds() {
+        let mut repeats = small();
+        for id in 0..1_000 {
+            let event = event(0, &id.to_string());
+            let repeat = if id % 2 == 0 { Repeat::Safe } else { Repeat::Unsafe };
+            if repeats.judge(0, &event, repeat) == Verdict::Fresh {
+                repeats.open(&event, repeat, 0);
+                repeats.close(0, &event, repeat, Ended::Served("x", 1));
+            }
+        }
+        // Two guards and two answers: an index that outgrew them once stalled the loop as it emptied.
+        assert!(repeats.size().0 <= 4, "{:?}", repeats.size());
+    }
 }
