--- a/src/control.rs
+++ b/src/control.rs
@@ -235,7 +235,10 @@
         let sound = |c: &Choice| self.evidence(now, c.worker, class) < self.suspect(class);
         let stands = |c: &Choice| function.places.get(c.id).filter(|p| p.standing);
         let standing = open.iter().filter_map(|c| stands(c).map(|p| (*c, p)));
-        let standing: Vec<_> = standing.filter(|(c, _)| sound(c) && !tried(c)).collect();
+        // Where no worker at all is sound, the evidence is doubted as in `suspect`, whose figure is some time
+        // old: a small fleet that slows down together would hold every call until the next walk.
+        let doubted = !open.iter().any(|c| sound(c));
+        let standing: Vec<_> = standing.filter(|(c, _)| (doubted || sound(c)) && !tried(c)).collect();
         // Past a copy's lanes a worker starts another by itself: what waits here instead causes no load.
         let lanes = |p: &Place| f64::from(function.lanes * p.copies.max(1));
         let own = |c: &Choice| self.own_key(function, c);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -280,6 +280,26 @@
     assert_eq!(sends(&stood), [(1, "w0".to_string())]);
 }
 
+#[test]
+fn a_fleet_that_slows_down_together_is_still_used() {
+    // One worker, quick at first; then a crowd comes and every answer takes thirty times as long.
+    let mut bed = Bed::new(settings(Repeat::Safe), 1);
+    let asked = bed.request(1, "f", 2 * S);
+    bed.answer_asks(&asked, "w0", 1);
+    bed.outcome(1, 0, "w0", Code::Ok, MS);
+    for id in 2..200 {
+        bed.request(id, "f", 2 * S);
+        bed.advance(MS);
+        bed.outcome(id, 0, "w0", Code::Ok, MS);
+    }
+    bed.advance(600 * MS);
+    for id in 200..230 {
+        assert_eq!(sends(&bed.request(id, "f", 2 * S)), [(id, "w0".to_string())]);
+        bed.advance(2 * MS);
+        bed.outcome(id, 0, "w0", Code::Ok, 30 * MS);
+    }
+}
+
 #[test]
 fn the_module_keeps_to_its_size() {
     let text = include_str!("../src/control.rs");
