--- a/crates/cloudevents/src/http.rs
+++ b/crates/cloudevents/src/http.rs
@@ -46,12 +46,12 @@
     for (name, value) in headers.iter() {
         let Some(prefix) = name.get(..3).filter(|p| p.eq_ignore_ascii_case(b"ce-")) else {
             if name.eq_ignore_ascii_case(b"content-type") {
-                event.set("datacontenttype", Attribute::Text(plain(value, "datacontenttype")?))?;
+                event.set("datacontenttype", Attribute::Text(plain(value, "datacontenttype")?.to_owned()))?;
             }
             continue;
         };
-        let name = String::from_utf8_lossy(&name[prefix.len()..]).to_ascii_lowercase();
-        let value = decode(&plain(value, &name)?, &name)?;
+        let name = plain(&name[prefix.len()..], "name")?.to_ascii_lowercase();
+        let value = decode(plain(value, &name)?, &name)?;
         match name.as_str() {
             "specversion" if version => return Err(EventError::Twice(name)),
             "specversion" if value != "1.0" => return Err(EventError::Version),
@@ -67,9 +67,9 @@
     event.checked()
 }
 
-fn plain(value: &[u8], name: &str) -> Result<String, EventError> {
+fn plain<'a>(value: &'a [u8], name: &str) -> Result<&'a str, EventError> {
     let wrong = |_| EventError::Value { name: name.into(), expected: "ASCII, others percent-encoded" };
-    std::str::from_utf8(value).map(str::to_owned).map_err(wrong)
+    std::str::from_utf8(value).map_err(wrong)
 }
 
 /// Undoes double quotes with their backslashes, then percent-encoding (HTTP binding 3.1.3.2).
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -48,7 +48,7 @@
             b"POST" => Self::Post,
             b"PUT" => Self::Put,
             b"DELETE" => Self::Delete,
-            _ if !text.is_empty() && text.iter().all(|b| is_token(*b)) => Self::Other,
+            _ if !text.is_empty() && all_are(text, TOKEN) => Self::Other,
             _ => return None,
         })
     }
@@ -174,10 +174,30 @@
     }
 }
 
-fn is_token(byte: u8) -> bool {
-    matches!(byte, b'!' | b'#'..=b'\'' | b'*' | b'+' | b'-' | b'.' | b'^'..=b'z' | b'|' | b'~')
-        || byte.is_ascii_digit()
-        || byte.is_ascii_uppercase()
+const TOKEN: u8 = 1;
+const VALUE: u8 = 2;
+
+/// What each byte may be part of: a token (RFC 9110 section 5.6.2), a field's value (section 5.5).
+const BYTES: [u8; 256] = {
+    let mut table = [0; 256];
+    let mut byte = 0;
+    while byte < 256 {
+        let b = byte as u8;
+        let mark = matches!(b, b'!' | b'#'..=b'\'' | b'*' | b'+' | b'-' | b'.' | b'^'..=b'z' | b'|' | b'~');
+        if mark || b.is_ascii_digit() || b.is_ascii_uppercase() {
+            table[byte] |= TOKEN;
+        }
+        if b == b'\t' || (b >= b' ' && b != 0x7f) {
+            table[byte] |= VALUE;
+        }
+        byte += 1;
+    }
+    table
+};
+
+/// Whether all bytes are of a kind; without a branch a byte, so that it runs over whole words.
+fn all_are(bytes: &[u8], kind: u8) -> bool {
+    bytes.iter().fold(kind, |so_far, byte| so_far & BYTES[usize::from(*byte)]) != 0
 }
 
 /// How far a head has been looked through, so that one that drips in is not scanned from its start each time.
@@ -244,11 +264,11 @@
             return Err(Error::Folding);
         }
         let colon = memchr(b':', line).filter(|c| *c > 0).ok_or(Error::Field)?;
-        if !line[..colon].iter().all(|b| is_token(*b)) {
+        if !all_are(&line[..colon], TOKEN) {
             return Err(Error::Field);
         }
         let value = &line[colon + 1..];
-        if value.iter().any(|b| (*b < b' ' && *b != b'\t') || *b == 0x7f) {
+        if !all_are(value, VALUE) {
             return Err(Error::Field);
         }
         let lead = value.iter().take_while(|b| matches!(b, b' ' | b'\t')).count();
