--- a/crates/config/src/xml.rs
+++ b/crates/config/src/xml.rs
@@ -25,7 +25,10 @@
     let found = validator.validate(&document);
     let mut faults: Vec<_> = found
         .into_iter()
-        .map(|e| Fault { line: e.line.unwrap_or(0), column: e.column.unwrap_or(0), message: e.message })
+        .map(|e| {
+            let (line, column) = (e.line.unwrap_or(0), e.column.unwrap_or(0));
+            Fault { line, column, message: format!("{}{}", place(text, line, column, &e.message), e.message) }
+        })
         .collect();
     if let (true, Some(root)) = (faults.is_empty(), document.document_element()) {
         let taken = take(Node { document: &document, id: root }, &mut faults);
@@ -39,6 +42,25 @@
     Err(wrong(faults))
 }
 
+/// The element at a place, and its attribute whose value the message quotes: the validator names neither.
+fn place(text: &str, line: usize, column: usize, message: &str) -> String {
+    let tag = || {
+        let line = text.lines().nth(line.checked_sub(1)?)?;
+        let tag = line.get(column.checked_sub(1)?..)?.strip_prefix('<')?;
+        Some(tag.split('>').next().unwrap_or(tag))
+    };
+    let Some(tag) = tag() else { return String::new() };
+    let element = tag.split([' ', '/', '\t']).next().unwrap_or_default();
+    let quoted = message.split('\'').nth(1).unwrap_or("\0");
+    let attribute = tag.split('"').collect::<Vec<_>>();
+    let attribute = attribute.chunks(2).find(|pair| pair.get(1) == Some(&quoted));
+    let attribute = attribute.and_then(|pair| pair[0].trim().strip_suffix('=')).map(str::trim);
+    match attribute {
+        Some(name) => format!("<{element}> {name}: "),
+        None => format!("<{element}>: "),
+    }
+}
+
 fn not_well_formed(error: XmlError) -> Fault {
     let (line, column, message) = match error {
         XmlError::WellFormedness(e) => (e.line, e.column, e.message),
--- /dev/null
+++ b/crates/engine/tests/calls.rs
@@ -0,0 +1,227 @@
+//! Calls through the engine: inputs and times in, outputs out, no socket and no clock.
+use basaltward::{Class, Code, CopyNote, Member, MembersKind, Micros, Repeat, Settings, State};
+use basaltward_engine::*;
+use std::sync::Arc;
+
+const MS: Micros = 1_000;
+const S: Micros = 1_000_000;
+const START: Micros = 100 * S;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Text(&'static str);
+
+impl Reply for Text {
+    fn bytes(&self) -> usize {
+        self.0.len()
+    }
+}
+
+struct Bed {
+    engine: Engine<(), Text>,
+    now: Micros,
+    out: Vec<Output<(), Text>>,
+}
+
+impl Bed {
+    /// Workers w0, w1, ... that load on a call, so no order stands between a call and its worker.
+    fn new(repeat: Repeat, workers: usize, change: impl FnOnce(&mut EngineSettings)) -> Self {
+        let mut module = Settings::new(vec![Class::new(500 * MS, 2 * S, repeat)], vec![4_000.0]);
+        (module.family.load_on_miss, module.family.orders) = (true, false);
+        let function = Function { name: "f".into(), class: 0, memory_mb: 100.0, lanes: 8, load: None };
+        let mut settings = EngineSettings {
+            module,
+            catalog: vec![function],
+            in_hand: 10,
+            waiters: 3,
+            linger: 300 * MS,
+            repeats: RepeatLimits::default(),
+            margin: MarginSettings::default(),
+        };
+        change(&mut settings);
+        let mut bed =
+            Self { engine: Engine::new(settings, 1).expect("good settings"), now: START, out: Vec::new() };
+        let member = |i| Member {
+            worker: format!("w{i}").as_str().into(),
+            state: State::Active,
+            started: 0,
+            hint: 1.0,
+            kind: 0,
+            zone: 0,
+            cell: 0,
+        };
+        let members = (0..workers).map(member).collect();
+        bed.tell(Input::Members(MembersKind::Whole, members));
+        bed
+    }
+
+    fn tell(&mut self, input: Input<(), Text>) {
+        self.engine.handle(self.now, input, &mut self.out);
+    }
+
+    fn call(&mut self, waiter: u64, id: &str, patience: Micros) {
+        let identity = Identity { tenant: 0, function: 0, source: "s".into(), id: id.into() };
+        let deadline = self.now + patience;
+        self.tell(Input::Call(NewCall {
+            waiter: WaiterId(waiter),
+            identity,
+            deadline,
+            payload: Arc::new(()),
+        }));
+    }
+
+    /// Moves the clock on, waking the engine when it wants to be.
+    fn advance(&mut self, by: Micros) {
+        let until = self.now + by;
+        while let Some(due) = self.engine.next_due().filter(|due| *due <= until) {
+            self.now = self.now.max(due);
+            self.engine.wake(self.now, &mut self.out);
+            self.now += 1;
+        }
+        self.now = until;
+    }
+
+    fn started(&mut self) -> Vec<AttemptId> {
+        let pick = |o: &Output<(), Text>| match o {
+            Output::Start { attempt, .. } => Some(*attempt),
+            _ => None,
+        };
+        let all = self.out.iter().filter_map(pick).collect();
+        self.out.retain(|o| pick(o).is_none());
+        all
+    }
+
+    fn answers(&mut self) -> Vec<(u64, Answer<Text>)> {
+        let pick = |o: &Output<(), Text>| match o {
+            Output::Answer { waiter, answer, .. } => Some((waiter.0, answer.clone())),
+            _ => None,
+        };
+        let all = self.out.iter().filter_map(pick).collect();
+        self.out.retain(|o| pick(o).is_none());
+        all
+    }
+
+    fn ended(&mut self, attempt: AttemptId, code: Code, reply: Option<Text>) {
+        let copy = if code == Code::Ok { CopyNote::Stood } else { CopyNote::Untold };
+        self.tell(Input::Ended(attempt, AttemptEnd { copy, reply, ..AttemptEnd::bare(code) }));
+    }
+}
+
+fn served(text: &'static str) -> Answer<Text> {
+    Answer::Served(Text(text))
+}
+
+#[test]
+fn repeats_join_and_then_get_the_record() {
+    let mut bed = Bed::new(Repeat::Unsafe, 2, |_| {});
+    bed.call(1, "e", 2 * S);
+    bed.call(2, "e", 2 * S);
+    let [attempt] = bed.started()[..] else { panic!("one attempt") };
+    bed.ended(attempt, Code::Ok, Some(Text("yes")));
+    assert_eq!(bed.answers(), [(1, served("yes")), (2, served("yes"))]);
+    bed.call(3, "e", 2 * S);
+    assert_eq!((bed.answers(), bed.started().len()), (vec![(3, served("yes"))], 0));
+    assert_eq!(bed.engine.in_hand(), 0);
+}
+
+#[test]
+fn each_waiter_keeps_its_own_deadline() {
+    let mut bed = Bed::new(Repeat::Unsafe, 1, |_| {});
+    bed.call(1, "e", 2 * S);
+    bed.call(2, "e", 200 * MS);
+    let [attempt] = bed.started()[..] else { panic!("one attempt") };
+    bed.advance(200 * MS);
+    assert_eq!(bed.answers(), [(2, Answer::Failed(Failure::Deadline))]);
+    bed.ended(attempt, Code::Ok, Some(Text("yes")));
+    assert_eq!(bed.answers(), [(1, served("yes"))]);
+}
+
+#[test]
+fn one_who_joins_with_more_patience_outlives_the_first_where_the_class_allows() {
+    for (repeat, again) in [(Repeat::Safe, true), (Repeat::Unsafe, false)] {
+        let mut bed = Bed::new(repeat, 1, |_| {});
+        bed.call(1, "e", 300 * MS);
+        bed.advance(100 * MS);
+        bed.call(2, "e", 2 * S);
+        let first = bed.started()[0];
+        bed.advance(200 * MS);
+        let answers = bed.answers();
+        assert_eq!(answers[0], (1, Answer::Failed(Failure::Deadline)));
+        bed.ended(first, Code::Cancelled, None);
+        if again {
+            let [second] = bed.started()[..] else { panic!("a second try for the patient one") };
+            bed.ended(second, Code::Ok, Some(Text("late")));
+            assert_eq!(bed.answers(), [(2, served("late"))]);
+        } else {
+            assert_eq!(answers[1..], [(2, Answer::Failed(Failure::MayHaveRun))]);
+            assert_eq!(bed.started(), []);
+        }
+    }
+}
+
+#[test]
+fn a_call_lingers_for_a_repeat_and_is_called_off_without_one() {
+    let mut bed = Bed::new(Repeat::Safe, 1, |_| {});
+    bed.call(1, "e", 2 * S);
+    bed.tell(Input::Left(WaiterId(1)));
+    bed.advance(200 * MS);
+    bed.call(2, "e", 2 * S);
+    bed.advance(200 * MS);
+    assert_eq!(bed.engine.in_hand(), 1);
+    bed.tell(Input::Left(WaiterId(2)));
+    bed.advance(400 * MS);
+    assert_eq!((bed.engine.in_hand(), bed.answers().len()), (0, 0));
+    assert!(bed.out.iter().any(|o| matches!(o, Output::Abort(_))));
+}
+
+#[test]
+fn every_bound_refuses_and_only_what_never_ran() {
+    let mut bed = Bed::new(Repeat::Unsafe, 1, |s| s.repeats.guards = 12);
+    for waiter in 0..11 {
+        bed.call(waiter, &format!("e{waiter}"), 2 * S);
+    }
+    assert_eq!(bed.answers(), [(10, Answer::Refused(Refusal::InHand, None))]);
+    for waiter in 20..23 {
+        bed.call(waiter, "e0", 2 * S);
+    }
+    // A full call in hand may run: one more client of it is failed, not refused.
+    assert_eq!(bed.answers(), [(22, Answer::Failed(Failure::MayHaveRun))]);
+    bed.call(30, "late", MS);
+    assert_eq!(bed.answers(), [(30, Answer::Refused(Refusal::TooLate, None))]);
+    bed.tell(Input::Stop);
+    for attempt in bed.started() {
+        bed.ended(attempt, Code::Ok, Some(Text("yes")));
+    }
+    bed.answers();
+    bed.call(40, "new", 2 * S);
+    bed.call(41, "e0", 2 * S);
+    assert_eq!(bed.answers(), [(40, Answer::Refused(Refusal::Stopping, None)), (41, served("yes"))]);
+}
+
+#[test]
+fn a_served_attempt_without_a_reply_is_not_served() {
+    let mut bed = Bed::new(Repeat::Unsafe, 2, |_| {});
+    bed.call(1, "e", 2 * S);
+    let attempt = bed.started()[0];
+    bed.ended(attempt, Code::Ok, None);
+    assert_eq!((bed.answers(), bed.started()), (vec![(1, Answer::Failed(Failure::Attempts))], vec![]));
+}
+
+#[test]
+fn the_same_inputs_give_the_same_outputs() {
+    let run = || {
+        let mut bed = Bed::new(Repeat::Safe, 5, |s| s.in_hand = 100);
+        let mut seen = String::new();
+        for step in 0..300u64 {
+            bed.call(step, &format!("e{}", step % 170), 400 * MS + step * 100);
+            for (index, attempt) in bed.started().into_iter().enumerate() {
+                let code = [Code::Ok, Code::Reset, Code::Miss, Code::Full][(step as usize + index) % 4];
+                bed.ended(attempt, code, (code == Code::Ok).then_some(Text("x")));
+            }
+            bed.advance(7 * MS);
+            seen.push_str(&format!("{:?}", bed.out));
+            bed.out.clear();
+        }
+        seen
+    };
+    assert_eq!(run(), run());
+}
--- a/crates/play/tests/hard_cases.rs
+++ b/crates/play/tests/hard_cases.rs
@@ -250,3 +250,77 @@
     let breaches = basaltward_rules::check(&recorder.take(), &rules);
     assert!(breaches.iter().any(|b| b.rule == 2), "{breaches:?}");
 }
+
+#[test]
+fn what_an_end_proves_is_told_to_the_module_by_its_code() {
+    // The fault, the code that the gateway must take it for, and whether the worker saw the call run.
+    let cases: [(&str, Fault, &str, bool); 7] = [
+        ("refused", Fault::Kill, "ConnectFailed", false),
+        ("draining", Fault::Drain(true), "Full", false),
+        ("reset before the answer", Fault::ResetAt(Some(0)), "Reset", true),
+        ("half an answer", Fault::ResetAt(Some(40)), "Reset", true),
+        ("garbage", Fault::Garbage(true), "Error", true),
+        ("too long", Fault::TooLong(true), "Error", true),
+        ("silent", Fault::Silent(true), "Timeout", true),
+    ];
+    for (name, fault, code, ran) in cases {
+        let bed = bed(&config(), 1);
+        let to = bed.addresses[0];
+        assert_eq!(status(to, "stamp", "before"), 200, "{name}");
+        bed.fleet.fault(0, fault);
+        let mut client = Client::new(to);
+        client.send(&event("stamp", "e", "ce-timeoutms: 400\r\n", "x"));
+        let answer = client.answer().expect("an answer").status;
+        let (records, breaches) = judge(bed);
+        let codes: Vec<_> = records
+            .iter()
+            .filter_map(|r| match &r.what {
+                What::Ended { code, .. } => Some(code.as_str()),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(codes.get(1), Some(&code), "{name}: {codes:?}");
+        assert_eq!((runs(&records, "e") > 0, breaches), (ran, Vec::new()), "{name}");
+        // Only what is proven never to have run may be refused.
+        assert!(!ran || answer != 503, "{name}: {answer}");
+    }
+}
+
+#[test]
+fn a_connection_closed_while_kept_costs_no_call() {
+    let bed = bed(&config(), 1);
+    let to = bed.addresses[0];
+    assert_eq!(status(to, "stamp", "before"), 200);
+    bed.fleet.fault(0, Fault::CloseAfter(true));
+    for id in 0..40 {
+        assert_eq!(status(to, "stamp", &id.to_string()), 200);
+    }
+    let (records, breaches) = judge(bed);
+    let reset = |r: &&basaltward_rules::Record| matches!(&r.what, What::Ended { code, .. } if code != "Ok");
+    assert_eq!((records.iter().find(reset), breaches), (None, Vec::new()));
+}
+
+#[test]
+fn a_client_that_does_not_read_is_not_read_from() {
+    let mut config = config();
+    (config.front.unsent_bytes, config.front.idle) = (50_000, 400_000);
+    let bed = bed(&config, 1);
+    let to = bed.addresses[0];
+    let payload = "y".repeat(9_000);
+    let mut greedy = Client::new(to);
+    greedy.stream.set_nonblocking(true).expect("non-blocking");
+    // Pipelined until the gateway takes no more, or far beyond what it may hold.
+    let (mut sent, request) = (0, event("view", "big", "", &payload));
+    let mut refused = false;
+    while sent < 4_000 && !refused {
+        use std::io::Write;
+        match greedy.stream.write(request.as_bytes()) {
+            Ok(written) if written == request.len() => sent += 1,
+            _ => refused = true,
+        }
+    }
+    assert_eq!(status(to, "view", "other"), 200);
+    let (records, _) = judge(bed);
+    let taken = records.iter().filter(|r| matches!(r.what, What::Taken { .. })).count();
+    assert!(refused && taken < sent, "took {taken} of {sent}");
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -177,7 +177,9 @@
         loop {
             let due = self.servers.iter().filter_map(|s| s.model.next_due()).min();
             let now = monotonic();
-            self.io.turn(due.map(|d| d.saturating_sub(now)), &mut happened)?;
+            // What is to be reset is written first, then reset at once.
+            let wait = if self.to_reset.is_empty() { due.map(|d| d.saturating_sub(now)) } else { Some(0) };
+            self.io.turn(wait, &mut happened)?;
             for conn in std::mem::take(&mut self.to_reset) {
                 self.io.reset(conn);
                 self.lost(conn);
