--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -28,13 +28,16 @@
     pub const STATUS: &str = "status";
 }
 
+/// What one event of a request came to, with the event.
+type Answered = (Result<Reply, Problem>, Arc<Event>);
+
 /// A request whose answers are awaited.
 struct Busy {
     mode: Mode,
     keep_alive: bool,
     /// Answers still missing.
     missing: usize,
-    answers: Vec<Option<Result<Reply, Problem>>>,
+    answers: Vec<Option<Answered>>,
     waiters: Vec<WaiterId>,
 }
 
@@ -324,7 +327,7 @@
         let status = answer.as_ref().map_or_else(|p| p.status, |_| 200);
         let busy = self.clients.get_mut(&conn).and_then(|c| c.busy.as_mut())?;
         busy.missing -= 1;
-        busy.answers[waiting.index] = Some(answer);
+        busy.answers[waiting.index] = Some((answer, waiting.event.clone()));
         let whole = busy.missing == 0;
         if whole {
             self.write_answer(io, now, conn);
@@ -340,8 +343,8 @@
             let mut answers = busy.answers.into_iter().flatten();
             match (busy.mode, answers.next()) {
                 (Mode::Batch, first) => write_batch(out, first.into_iter().chain(answers), keep_alive),
-                (mode, Some(Ok(reply))) => write_reply(out, &reply.0, mode, keep_alive),
-                (_, Some(Err(problem))) => write_problem(out, &problem, keep_alive, false),
+                (mode, Some((Ok(reply), _))) => write_reply(out, &reply.0, mode, keep_alive),
+                (_, Some((Err(problem), _))) => write_problem(out, &problem, keep_alive, false),
                 (_, None) => {}
             }
         }
@@ -424,16 +427,16 @@
 }
 
 /// Each event's answer as an event of the batch, in the order asked; problems as events that hold them.
-fn write_batch(out: &mut BytesMut, answers: impl Iterator<Item = Result<Reply, Problem>>, keep_alive: bool) {
+fn write_batch(out: &mut BytesMut, answers: impl Iterator<Item = Answered>, keep_alive: bool) {
     let mut body = vec![b'['];
-    for (index, answer) in answers.enumerate() {
+    for (index, (answer, asked)) in answers.enumerate() {
         if index > 0 {
             body.push(b',');
         }
         let (event, outcome, status) = match answer {
             Ok(reply) => (Event::clone(&reply.0), "served", 200),
             Err(problem) => {
-                let mut event = Event::new(index.to_string(), "/", "basaltward.problem");
+                let mut event = Event::new(&*asked.id, &*asked.source, "basaltward.problem");
                 event.content_type = Some("application/problem+json".into());
                 event.data = problem.body().into();
                 (event, problem.outcome, i32::from(problem.status))
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -15,7 +15,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
 /// What other threads want of a loop.
 pub const RUN: u8 = 0;
@@ -364,7 +364,7 @@
             if self.states.get(&worker) == Some(&state) {
                 continue;
             }
-            debug!(scheduler = self.name, %worker, ?state, "worker");
+            info!(scheduler = self.name, %worker, ?state, "worker");
             if self.recorder.is_on() {
                 let state = format!("{state:?}").to_lowercase();
                 self.recorder.put(now, &self.name, What::Told { worker: worker.to_string(), state });
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, Sender, SyncSender, channel, sync_channel};
 use std::thread::JoinHandle;
 use thiserror::Error;
 
@@ -77,10 +77,13 @@
     attempt: String,
 }
 
+/// What the loop is told: a fault with where to say that it is done, or nothing for the end.
+type Command = Option<(usize, Fault, SyncSender<()>)>;
+
 /// A running fleet.
 pub struct Fleet {
     addresses: Vec<SocketAddr>,
-    faults: Sender<Option<(usize, Fault)>>,
+    faults: Sender<Command>,
     waker: Waker,
     thread: JoinHandle<Result<(), NetError>>,
 }
@@ -138,10 +141,13 @@
         &self.addresses
     }
 
-    /// Does something to a worker, by position.
+    /// Does something to a worker, by position; it is done when this returns.
     pub fn fault(&self, worker: usize, fault: Fault) {
-        let _ = self.faults.send(Some((worker, fault)));
+        let (done, wait) = sync_channel(1);
+        let _ = self.faults.send(Some((worker, fault, done)));
         self.waker.wake();
+        // Ends with the loop too, which drops its side.
+        let _ = wait.recv();
     }
 
     /// Ends the fleet.
@@ -168,7 +174,7 @@
 }
 
 impl Running {
-    fn run(mut self, commands: &Receiver<Option<(usize, Fault)>>) -> Result<(), NetError> {
+    fn run(mut self, commands: &Receiver<Command>) -> Result<(), NetError> {
         for server in &self.servers {
             let (capacity, warm) = (server.model.capacity(), true);
             self.recorder.put(monotonic(), &server.address.to_string(), What::Born { capacity, warm });
@@ -187,7 +193,10 @@
             let now = monotonic();
             for command in commands.try_iter() {
                 match command {
-                    Some((worker, fault)) => self.apply(now, worker, fault)?,
+                    Some((worker, fault, done)) => {
+                        self.apply(now, worker, fault)?;
+                        let _ = done.send(());
+                    }
                     None => return Ok(()),
                 }
             }
