Fewer allocations for each written message

A profile showed messages growing by reallocation and a string for each attribute's name. An output begins with room for a usual message; attribute names are written in two parts.

--- a/crates/cloudevents/src/http.rs
+++ b/crates/cloudevents/src/http.rs
@@ -94,7 +94,7 @@
 /// Writes an event's attributes as fields of a message in binary mode; the payload is the caller's to write.
 pub fn write_binary_fields<'a>(event: &Event, head: HeadWriter<'a>) -> HeadWriter<'a> {
     fn put<'a>(head: HeadWriter<'a>, name: &str, value: &str) -> HeadWriter<'a> {
-        head.shown(&format!("ce-{name}"), utf8_percent_encode(value, ENCODED))
+        head.prefixed("ce-", name, utf8_percent_encode(value, ENCODED))
     }
     let mut head = head.field("ce-specversion", "1.0");
     head = put(head, "id", &event.id);
@@ -107,7 +107,10 @@
         }
     }
     for (name, value) in &event.extensions {
-        head = put(head, name, &value.to_string());
+        head = match value {
+            Attribute::Text(text) => put(head, name, text),
+            other => head.prefixed("ce-", name, other),
+        };
     }
     head.maybe("Content-Type", event.content_type.as_deref())
 }
--- a/crates/http/src/write.rs
+++ b/crates/http/src/write.rs
@@ -59,6 +59,12 @@
         self
     }
 
+    /// Adds a field whose name is in two parts, and whose value prints as visible ASCII.
+    pub fn prefixed(self, prefix: &str, name: &str, value: impl Display) -> Self {
+        self.0.put_slice(prefix.as_bytes());
+        self.shown(name, value)
+    }
+
     /// Adds a field where there is a value.
     pub fn maybe(self, name: &str, value: Option<impl AsRef<[u8]>>) -> Self {
         match value {
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -108,6 +108,8 @@
 const LISTENER: u64 = 1;
 const SIGNAL: u64 = 2;
 const WAKE: u64 = 3;
+/// Room made for the first bytes of an output.
+const MESSAGE: usize = 512;
 /// Events taken from epoll in one turn; the rest come with the next.
 const EVENTS: usize = 256;
 /// Connections accepted from one listener before others get their turn.
@@ -301,6 +303,8 @@
         if !conn.dirty {
             conn.dirty = true;
             self.dirty.push(id.slot);
+            // A usual message in one allocation; given back once it is written.
+            conn.output.reserve(MESSAGE);
         }
         Some(&mut conn.output)
     }
