--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,10 +4,12 @@
 
 mod clients;
 mod fleet;
+mod kv_store;
 mod model;
 mod store;
 
 pub use clients::{Clients, Plan, Retries, Tally};
 pub use fleet::{Fault, Fleet, FleetError};
+pub use kv_store::{KvStore, Past, Written};
 pub use model::WorkerSpec;
 pub use store::StoreSpec;
