--- a/crates/kv/src/backoff.rs
+++ b/crates/kv/src/backoff.rs
@@ -38,7 +38,7 @@
     }
 
     /// How long to wait after one more failure.
-    pub fn next(&mut self) -> Micros {
+    pub fn wait(&mut self) -> Micros {
         let doubled = self.settings.first.saturating_mul(1 << self.failures.min(30));
         let bound = doubled.min(self.settings.most).max(2);
         self.failures = self.failures.saturating_add(1);
--- a/crates/kv/src/follower.rs
+++ b/crates/kv/src/follower.rs
@@ -92,7 +92,7 @@
     }
 
     fn rest(&mut self, now: Micros) {
-        self.state = State::Resting(now + self.backoff.next());
+        self.state = State::Resting(now + self.backoff.wait());
     }
 
     /// Asks for what comes next: changes after the known revision, or the whole prefix.
@@ -196,10 +196,9 @@
 
     /// Nothing changed up to here: a resume may begin later, which spares it compacted revisions.
     fn progress(&mut self, header: Header) {
-        if let (State::Watching { gathered }, Some(known)) = (&self.state, &mut self.known) {
-            if gathered.is_empty() && header.revision > known.revision {
-                known.revision = header.revision;
-            }
+        let whole = matches!(&self.state, State::Watching { gathered } if gathered.is_empty());
+        if let Some(known) = self.known.as_mut().filter(|known| whole && header.revision > known.revision) {
+            known.revision = header.revision;
         }
     }
 
--- a/crates/standins/src/kv_store.rs
+++ b/crates/standins/src/kv_store.rs
@@ -5,6 +5,9 @@
 /// A change as the store keeps it: the key, and its value unless it was deleted.
 pub type Written = (Vec<u8>, Option<Vec<u8>>);
 
+/// Keys with value and revision of the last change.
+pub type View = BTreeMap<Vec<u8>, (Vec<u8>, i64)>;
+
 /// Why a question about the past can't be answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Past {
@@ -21,8 +24,8 @@
     pub cluster: u64,
     revision: i64,
     compacted: i64,
-    /// Keys with value and revision of the last change, as of `compacted`.
-    base: BTreeMap<Vec<u8>, (Vec<u8>, i64)>,
+    /// As of `compacted`.
+    base: View,
     /// Later transactions, by revision.
     history: BTreeMap<i64, Vec<Written>>,
 }
@@ -63,7 +66,7 @@
     ///
     /// # Errors
     /// Where that revision is compacted away or lies in the future.
-    pub fn at(&self, revision: i64) -> Result<BTreeMap<Vec<u8>, (Vec<u8>, i64)>, Past> {
+    pub fn at(&self, revision: i64) -> Result<View, Past> {
         if revision > self.revision {
             return Err(Past::Future);
         } else if revision < self.compacted {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use clients::{Clients, Plan, Retries, Tally};
 pub use fleet::{Fault, Fleet, FleetError};
-pub use kv_store::{KvStore, Past, Written};
+pub use kv_store::{KvStore, Past, View, Written};
 pub use model::WorkerSpec;
 pub use store::StoreSpec;
