--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -64,3 +64,21 @@
         value.to_string().into_bytes()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_may_be_sent_again_follows_from_outcome_and_class() {
+        let told = Problem::refused(Refusal::Overload, Some(1_200_000));
+        assert_eq!((told.status, told.retryable, told.retry_after), (503, true, Some(2)));
+        let keyed = Repeat::Keyed { group: basaltward::Group::All, window: 1 };
+        for (repeat, retryable) in [(Repeat::Safe, true), (keyed, false), (Repeat::Unsafe, false)] {
+            let told = Problem::failed(Failure::Deadline, repeat);
+            assert_eq!((told.status, told.retryable), (504, retryable));
+        }
+        let body = String::from_utf8(Problem::rejected(400, "a \"b\"").body()).expect("text");
+        assert!(body.contains(r#""outcome":"rejected""#) && body.contains(r#""detail":"a \"b\"""#), "{body}");
+    }
+}
--- a/crates/play/tests/hard_cases.rs
+++ b/crates/play/tests/hard_cases.rs
@@ -330,3 +330,21 @@
     let taken = records.iter().filter(|r| matches!(r.what, What::Taken { .. })).count();
     assert!(refused && taken < sent, "took {taken} of {sent}");
 }
+
+#[test]
+fn idle_connections_end_and_those_past_the_limit_wait_their_turn() {
+    let mut config = config();
+    (config.front.idle, config.front.connections) = (50_000, 2);
+    let bed = bed(&config, 1);
+    let to = bed.addresses[0];
+    let mut clients: Vec<_> = (0..6).map(|_| Client::new(to)).collect();
+    for (id, client) in clients.iter_mut().enumerate() {
+        client.send(&event("view", &id.to_string(), "", "x"));
+    }
+    // Two at a time; each is ended when idle, which makes room for the next.
+    for client in &mut clients {
+        assert_eq!(client.answer().map(|a| a.status), Some(200));
+        assert!(client.answer().is_none(), "ended when idle");
+    }
+    assert_eq!(judge(bed).1, []);
+}
