Key-value registry: messages of the JSON gateway

Questions and answers of the v3 API in JSON: base64, numbers as text, a watch as lines cut anywhere, errors in midstream, a bound on each message. Tested in pieces of every kind.

--- a/crates/kv/src/lib.rs
+++ b/crates/kv/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod backoff;
 mod follower;
+mod json;
 mod shrink;
 mod types;
 
 pub use backoff::{Backoff, BackoffSettings};
 pub use follower::{Follower, FollowerSettings};
+pub use json::{JsonError, WatchStream, range_answer, request};
 pub use shrink::{Shrink, ShrinkSettings};
 pub use types::{Ask, Change, Do, Header, Heard, KeyValue, Micros, Told};
