Front keeps each call's class with it; one place turns ends of jobs into inputs

An answer looked through all functions for its class, which grows with the catalog; and the same match stood twice in the loop.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -128,7 +128,7 @@
     pub fn handle(&mut self, now: Micros, input: Input<P, R>, out: &mut Out<P, R>) {
         match input {
             Input::Call(call) => self.call(now, call, out),
-            Input::Left(waiter) => self.left(now, waiter, out),
+            Input::Left(waiter) => self.left(now, waiter),
             Input::Ended(attempt, end) => self.ended(now, attempt, end, out),
             Input::Ordered(order, code, count) => self.ordered(now, order, code, count),
             Input::Probed(order, code, report) => self.probed(now, order, code, report),
@@ -255,7 +255,7 @@
         }
     }
 
-    fn left(&mut self, now: Micros, id: WaiterId, _: &mut Out<P, R>) {
+    fn left(&mut self, now: Micros, id: WaiterId) {
         let Some(waiter) = self.waiters.remove(&id) else { return };
         if let Some(call) = self.calls.get_mut(&waiter.call) {
             call.waiters.retain(|w| *w != id);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -61,6 +61,8 @@
     pub event: Arc<Event>,
     /// Position of its function.
     pub function: usize,
+    /// What its class allows.
+    repeat: Repeat,
     /// When its request began to arrive.
     pub began: Micros,
 }
@@ -79,7 +81,9 @@
     most_batch: usize,
     unsent: usize,
     spans: (Micros, Micros, Micros),
-    functions: BTreeMap<String, (usize, Micros, Repeat)>,
+    functions: BTreeMap<String, (usize, Micros)>,
+    /// What the class of each function allows, by position.
+    repeats: Vec<Repeat>,
     tenants: Vec<String>,
     clients: HashMap<ConnId, Client>,
     waiting: Slab<Waiting>,
@@ -91,11 +95,9 @@
     /// A front without clients.
     pub fn new(config: &Config) -> Self {
         let front = &config.front;
-        let class = |c: usize| (config.module.classes[c].deadline, config.module.classes[c].repeat);
-        let functions = config.functions.iter().enumerate().map(|(i, f)| {
-            let (deadline, repeat) = class(f.class);
-            (f.name.to_string(), (i, deadline, repeat))
-        });
+        let class = |c: usize| &config.module.classes[c];
+        let functions = config.functions.iter().enumerate();
+        let functions = functions.map(|(i, f)| (f.name.to_string(), (i, class(f.class).deadline)));
         Self {
             limits: Limits {
                 line: front.line_bytes,
@@ -107,6 +109,7 @@
             unsent: front.unsent_bytes,
             spans: (front.head, front.body, front.idle),
             functions: functions.collect(),
+            repeats: config.functions.iter().map(|f| class(f.class).repeat).collect(),
             tenants: config.tenants.clone(),
             clients: HashMap::new(),
             waiting: Slab::new(),
@@ -199,7 +202,7 @@
 
     fn request(&mut self, io: &mut Io, now: Micros, conn: ConnId, request: &Request, began: Micros) -> Asked {
         let keep_alive = request.keep_alive() && !self.stopping;
-        match self.calls(now, conn, request, began) {
+        match self.calls(conn, request, began) {
             Ok((mode, calls)) => {
                 let waiters: Vec<_> = calls.iter().map(|c| c.waiter).collect();
                 let answers = calls.iter().map(|_| None).collect();
@@ -228,7 +231,6 @@
     /// The events of a request as calls, all or none.
     fn calls(
         &mut self,
-        now: Micros,
         conn: ConnId,
         request: &Request,
         began: Micros,
@@ -265,10 +267,10 @@
             (Mode::Batch, _) => Mode::Batch,
             (mode, told) => told.unwrap_or(mode),
         };
-        let _ = now;
         for (index, call) in calls.iter_mut().enumerate() {
             let (event, function) = (call.payload.clone(), call.identity.function);
-            let waiting = Waiting { conn, index, event, function, began };
+            let repeat = self.repeats[function];
+            let waiting = Waiting { conn, index, event, function, repeat, began };
             call.waiter = WaiterId(self.waiting.insert(waiting) as u64);
         }
         Ok((answer, calls))
@@ -278,7 +280,7 @@
         let Some(name) = named.or(event.subject.as_deref()) else {
             return Err(Problem::rejected(400, "name the function in the path or in the event's subject"));
         };
-        let Some((function, deadline, _)) = self.functions.get(name) else {
+        let Some((function, deadline)) = self.functions.get(name) else {
             return Err(Problem::rejected(404, format!("function {name:?} is not known here")));
         };
         let patience = match event.extension(extensions::TIMEOUT) {
@@ -317,12 +319,10 @@
     ) -> Option<(Waiting, u16, Option<ConnId>)> {
         let waiting = self.waiting.try_remove(waiter.0 as usize)?;
         let conn = waiting.conn;
-        let repeat =
-            self.functions.values().find(|f| f.0 == waiting.function).map_or(Repeat::Unsafe, |f| f.2);
         let answer = match answer {
             Answer::Served(reply) => Ok(reply),
             Answer::Refused(why, wait) => Err(Problem::refused(why, wait)),
-            Answer::Failed(why) => Err(Problem::failed(why, repeat)),
+            Answer::Failed(why) => Err(Problem::failed(why, waiting.repeat)),
         };
         let status = answer.as_ref().map_or_else(|p| p.status, |_| 200);
         let busy = self.clients.get_mut(&conn).and_then(|c| c.busy.as_mut())?;
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -221,19 +221,25 @@
     }
 
     fn done(&mut self, now: Micros, done: Option<Done>) {
-        let input = match done {
-            None | Some(Done::Nothing) => return,
-            Some(Done::Attempt(id, end)) => {
+        if let Some(input) = done.and_then(|done| self.ended(now, done)) {
+            self.tell(now, input);
+        }
+    }
+
+    /// How a job ended, as the engine is told it.
+    fn ended(&self, now: Micros, done: Done) -> Option<Input<Event, Reply>> {
+        Some(match done {
+            Done::Nothing => return None,
+            Done::Attempt(id, end) => {
                 if self.recorder.is_on() {
                     let (attempt, code) = (attempt_name(&self.prefix, id), format!("{:?}", end.code));
                     self.recorder.put(now, &self.name, What::Ended { attempt, code });
                 }
                 Input::Ended(id, end)
             }
-            Some(Done::Order(id, code, count)) => Input::Ordered(id, code, count),
-            Some(Done::Probe(id, code, report)) => Input::Probed(id, code, report),
-        };
-        self.tell(now, input);
+            Done::Order(id, code, count) => Input::Ordered(id, code, count),
+            Done::Probe(id, code, report) => Input::Probed(id, code, report),
+        })
     }
 
     /// Carries out what the engine wants, and what follows from that, until there is no more.
@@ -243,13 +249,7 @@
         let mut freed = Vec::new();
         while let Some(output) = queue.pop_front() {
             let done = self.output(now, output, &mut freed);
-            if let Some(done) = done {
-                let input = match done {
-                    Done::Attempt(id, end) => Input::Ended(id, end),
-                    Done::Order(id, code, count) => Input::Ordered(id, code, count),
-                    Done::Probe(id, code, report) => Input::Probed(id, code, report),
-                    Done::Nothing => continue,
-                };
+            if let Some(input) = done.and_then(|done| self.ended(now, done)) {
                 let mut more = std::mem::take(&mut self.outputs);
                 self.engine.handle(now, input, &mut more);
                 queue.extend(more.drain(..));
