--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod call;
 mod demo;
 mod play;
+mod records;
 mod report;
 mod serve;
 mod worker;
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,9 +1,9 @@
 use crate::args::{Check, Serve};
+use crate::records::Records;
 use crate::{Failed, demo};
 use basaltward_config::{Config, load};
 use basaltward_gateway::Gateway;
-use basaltward_rules::Recorder;
-use tracing::{info, warn};
+use tracing::info;
 
 /// Settings that can't be used are the caller's to mend.
 pub fn settings(path: &std::path::Path) -> Result<Config, Failed> {
@@ -28,25 +28,12 @@
 /// Runs a gateway until it is told to stop.
 pub fn run(options: &Serve) -> Result<(), Failed> {
     let config = settings(&options.config)?;
-    let (recorder, writer) = match &config.records {
-        Some(path) => {
-            let (recorder, writer) = Recorder::file(path)?;
-            (recorder, Some(writer))
-        }
-        None => (Recorder::none(), None),
-    };
-    let gateway = Gateway::start(&config, &recorder)?;
+    let records = Records::open(config.records.as_deref())?;
+    let gateway = Gateway::start(&config, &records.recorder)?;
     println!("listening on {}", gateway.address());
     info!(name = config.name, address = %gateway.address(), loops = config.threads, "serving");
     demo::wait()?;
     gateway.stop();
     gateway.join()?;
-    if recorder.lost() > 0 {
-        warn!(lost = recorder.lost(), "records were lost: the writer could not keep up");
-    }
-    drop(recorder);
-    if let Some(writer) = writer {
-        writer.join().map_err(|_| Failed::Run("the writer of records has panicked".into()))??;
-    }
-    Ok(())
+    records.close()
 }
