--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -22,7 +22,7 @@
     match options.calls {
         Some(calls) => {
             let plans = (0..calls).map(|n| plan(n, options.rate)).collect();
-            report::tally(&Clients::new(vec![address], Recorder::none())?.run(plans, |_| None)?);
+            report::tally(&Clients::new(vec![address], Recorder::none())?.run(plans)?);
         }
         None => wait()?,
     }
--- a/crates/play/src/day.rs
+++ b/crates/play/src/day.rs
@@ -5,10 +5,12 @@
 use crate::script::{Act, Script};
 use basaltward::State;
 use basaltward_gateway::Gateway;
-use basaltward_net::{Micros, NetError};
+use basaltward_net::{Micros, NetError, monotonic};
 use basaltward_rules::{Breach, Record, Recorder, Service, check, service};
 use basaltward_standins::{Clients, Fault, Tally};
 use basaltward_timers::Timers;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::Duration;
 use thiserror::Error;
 
 /// Why a day could not be played to its end.
@@ -20,6 +22,9 @@
     /// The clients' loop.
     #[error("clients: {0}")]
     Net(#[from] NetError),
+    /// The clients' thread has panicked.
+    #[error("the clients have panicked")]
+    Panicked,
 }
 
 /// What a day came to.
@@ -74,7 +79,20 @@
         day.later.set(step.at, Later::Step(index));
     }
     let clients = Clients::new(day.bed.addresses.clone(), recorder.clone())?;
-    let tally = clients.run(calls::draw(script), |now| day.turn(now))?;
+    let plans = calls::draw(script);
+    // What happens to gateways and workers has a thread of its own: starting a gateway or waiting for a fault
+    // to be done takes milliseconds, in which the clients would read no answers.
+    let tally = std::thread::scope(|scope| {
+        let (done, ended) = std::sync::mpsc::channel();
+        let clients = scope.spawn(move || {
+            let tally = clients.run(plans);
+            let _ = done.send(());
+            tally
+        });
+        day.direct(monotonic(), &ended);
+        clients.join()
+    });
+    let tally = tally.map_err(|_| DayError::Panicked)??;
     for (_, gateway) in day.ending {
         gateway.join().map_err(BedError::from)?;
     }
@@ -88,14 +106,27 @@
 }
 
 impl Day<'_> {
-    /// Does what is due; says when the next thing is.
-    fn turn(&mut self, now: Micros) -> Option<Micros> {
-        while let Some((_, later)) = self.later.due(now) {
-            if let Err(error) = self.act(now, later) {
-                self.failed.get_or_insert(error);
+    /// Does each thing at its time, and those left when the clients have ended.
+    fn direct(&mut self, start: Micros, clients: &Receiver<()>) {
+        let mut running = true;
+        loop {
+            let now = monotonic() - start;
+            while let Some((_, later)) = self.later.due(now) {
+                if let Err(error) = self.act(now, later) {
+                    self.failed.get_or_insert(error);
+                }
+            }
+            let wait = self.later.next().map(|at| Duration::from_micros(at.saturating_sub(now)));
+            match (running, wait) {
+                (true, Some(wait)) => running = clients.recv_timeout(wait) == Err(RecvTimeoutError::Timeout),
+                (true, None) => {
+                    let _ = clients.recv();
+                    running = false;
+                }
+                (false, Some(wait)) => std::thread::sleep(wait),
+                (false, None) => return,
             }
         }
-        self.later.next()
     }
 
     fn act(&mut self, now: Micros, later: Later) -> Result<(), BedError> {
--- a/crates/play/tests/hard_cases.rs
+++ b/crates/play/tests/hard_cases.rs
@@ -119,8 +119,7 @@
     let to = bed.addresses[0];
     let mut idle: Vec<_> = (0..2_000).map(|_| Client::new(to)).collect();
     let plans = (0..300).map(|id| plan("view", "safe", id)).collect();
-    let tally =
-        Clients::new(vec![to], bed.recorder.clone()).expect("clients").run(plans, |_| None).expect("run");
+    let tally = Clients::new(vec![to], bed.recorder.clone()).expect("clients").run(plans).expect("run");
     assert_eq!(tally.served, 300);
     let last = idle.last_mut().expect("a connection");
     last.send(&event("view", "idle", "", "x"));
@@ -245,7 +244,7 @@
     let again = |id| Plan { at: 300_000, ..twice(id) };
     let plans = vec![Plan { retries: repeat, ..twice(1) }, again(1), twice(2), again(2)];
     let recorder = bed.recorder.clone();
-    Clients::new(vec![to], recorder.clone()).expect("clients").run(plans, |_| None).expect("run");
+    Clients::new(vec![to], recorder.clone()).expect("clients").run(plans).expect("run");
     bed.stop().expect("an orderly end");
     let breaches = basaltward_rules::check(&recorder.take(), &rules);
     assert!(breaches.iter().any(|b| b.rule == 2), "{breaches:?}");
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -135,16 +135,11 @@
         })
     }
 
-    /// Sends all planned events and waits until each has come to its end; `meanwhile` is called each turn
-    /// with the time since the start and says when it wants to be called next.
+    /// Sends all planned events and waits until each has come to its end.
     ///
     /// # Errors
     /// Where the loop itself fails.
-    pub fn run(
-        mut self,
-        plans: Vec<Plan>,
-        mut meanwhile: impl FnMut(Micros) -> Option<Micros>,
-    ) -> Result<Tally, NetError> {
+    pub fn run(mut self, plans: Vec<Plan>) -> Result<Tally, NetError> {
         let start = monotonic();
         self.open = plans.len();
         self.progress = vec![Progress::default(); plans.len()];
@@ -153,13 +148,8 @@
         }
         self.plans = plans;
         let mut happened = Vec::new();
-        loop {
-            let called = meanwhile(monotonic() - start);
-            if self.open == 0 && called.is_none() {
-                break;
-            }
-            let due = self.due.next().into_iter().chain(called.map(|c| c + start)).min();
-            self.io.turn(due.map(|d| d.saturating_sub(monotonic())), &mut happened)?;
+        while self.open > 0 {
+            self.io.turn(self.due.next().map(|d| d.saturating_sub(monotonic())), &mut happened)?;
             let now = monotonic();
             for happened in happened.drain(..) {
                 match happened {
