Module: what waits is kept in order by function, the same decisions found cheaply

Cause: each freed place collected, sorted and compared all waiting calls, and each send and end searched them; the cost of a completion grew with the queue. Change: waiting calls stand in order by function; a freed place looks at the first call of each function that may use it. The bounds of the ration's windows drop old entries from the front only. New: basaltward-bench jam, which measures the module with calls waiting and prints a digest of all its actions.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,7 @@
 //! the figures.
 
 mod echo;
+mod jam;
 mod load;
 mod memory;
 mod module;
@@ -49,6 +50,18 @@
         #[arg(long, default_value_t = 5)]
         rounds: usize,
     },
+    /// The module's time a call while calls wait, with a digest of all it decides
+    Jam {
+        /// How many wait, given for each run
+        #[arg(long, value_delimiter = ',', default_value = "0,1000,20000")]
+        waiting: Vec<u64>,
+        /// Rounds
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+        /// What all draws follow from
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Memory of an idle connection
     Memory {
         /// Connections
@@ -69,6 +82,7 @@
         Command::Module { workers, functions, calls, rounds } => {
             module::run(workers, functions, calls, rounds)
         }
+        Command::Jam { waiting, rounds, seed } => jam::run(&waiting, rounds, seed),
         Command::Memory { connections } => memory::run(connections),
         Command::Parse { times } => parse::run(times),
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -312,8 +312,7 @@
             return;
         };
         let Some(function) = self.functions.get_mut(&held.told.function) else { return };
-        held.waiting = false;
-        self.waiting.retain(|w| *w != id);
+        release(&mut self.waiting, held);
         let place = function.places.entry(worker.clone()).or_default();
         let mut patience = function.usual * 3.0;
         if !place.standing {
@@ -401,8 +400,8 @@
     /// Whether the ration of load orders has one more.
     fn ration(&mut self, now: Micros) -> bool {
         let family = &self.settings.family;
-        self.orders.retain(|t| t + family.load_window >= now);
-        self.taken.retain(|t| t + family.load_window > now);
+        while self.orders.pop_front_if(|t| *t + family.load_window < now).is_some() {}
+        while self.taken.pop_front_if(|t| *t + family.load_window <= now).is_some() {}
         let most = family.load_free + family.load_share * self.taken.len() as f64;
         family.load_window == 0 || (self.orders.len() + 1) as f64 <= most
     }
@@ -503,23 +502,19 @@
     }
 
     /// Routes what waits, within its tenant's share first, then by aim; after an answer only what it may
-    /// free.
+    /// free. Of a function whose first call finds no place the others find none either: each turn costs the
+    /// functions that wait and the calls that go, not all that wait.
     fn pump(&mut self, now: Micros, freed: Option<&WorkerId>, out: &mut Out) {
         let placed =
-            |h: &Held, w| self.functions.get(&h.told.function).is_some_and(|f| f.places.contains_key(w));
-        let held = self.waiting.iter().filter_map(|id| self.requests.get(id));
-        let held = held.filter(|h| freed.is_none_or(|w| placed(h, w)));
-        let mut order: Vec<_> = held.map(|h| (h.excess, h.aim < now, h.aim, h.told.id)).collect();
-        order.sort_unstable();
-        let mut stuck = BTreeSet::new();
-        for (_, _, _, id) in order {
-            let Some(held) = self.requests.get(&id) else { continue };
-            let name = held.told.function.clone();
-            if !stuck.contains(&name) {
-                self.route(now, id, out);
-            }
-            if self.requests.get(&id).is_some_and(|h| h.waiting) {
-                stuck.insert(name);
+            |name: &FunctionId, w| self.functions.get(name).is_some_and(|f| f.places.contains_key(w));
+        let names = self.waiting.iter().filter(|(name, _)| freed.is_none_or(|w| placed(name, w)));
+        let heads = names.filter_map(|(name, calls)| Some((first_waiting(now, calls)?, name.clone())));
+        let mut heads: BTreeSet<_> = heads.collect();
+        while let Some(((.., id), name)) = heads.pop_first() {
+            self.route(now, id, out);
+            if !self.requests.get(&id).is_some_and(|h| h.waiting) {
+                let next = self.waiting.get(&name).and_then(|calls| first_waiting(now, calls));
+                heads.extend(next.map(|next| (next, name)));
             }
         }
     }
@@ -810,8 +805,7 @@
             held.done = true;
             out.extend(answer);
         }
-        held.waiting = false;
-        self.waiting.retain(|w| *w != id);
+        release(&mut self.waiting, held);
         if self.settings.limits.cancel {
             let open = held.attempts.iter().enumerate().filter(|(_, a)| a.ended.is_none());
             out.extend(open.map(|(attempt, _)| Action::Cancel { id, attempt }));
--- a/src/state.rs
+++ b/src/state.rs
@@ -136,6 +136,33 @@
     Shed(RequestId),
 }
 
+/// Calls of one function that wait: past their tenant's share or not, aim, id.
+pub type Waiting = BTreeSet<(bool, Micros, RequestId)>;
+
+/// The call that comes first: within its share before past it, its aim still ahead before behind, then by
+/// aim.
+pub fn first_waiting(now: Micros, calls: &Waiting) -> Option<(bool, bool, Micros, RequestId)> {
+    [false, true].into_iter().find_map(|excess| {
+        let at = |aim| (excess, aim, RequestId(0));
+        let ahead = calls.range(at(now)..=(excess, Micros::MAX, RequestId(u64::MAX))).next();
+        let found = ahead.or_else(|| calls.range(at(0)..at(now)).next());
+        found.map(|(excess, aim, id)| (*excess, *aim < now, *aim, *id))
+    })
+}
+
+/// Takes a call out of those that wait, if it is among them.
+pub fn release(waiting: &mut BTreeMap<FunctionId, Waiting>, held: &mut Held) {
+    if !std::mem::take(&mut held.waiting) {
+        return;
+    }
+    if let Some(calls) = waiting.get_mut(&held.told.function) {
+        calls.remove(&(held.excess, held.aim, held.told.id));
+        if calls.is_empty() {
+            waiting.remove(&held.told.function);
+        }
+    }
+}
+
 /// A hash of an id.
 pub fn text_hash(text: &str) -> u64 {
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
@@ -232,7 +259,7 @@
     /// Requests let in so far as by their part, not yet come.
     pub(crate) admitted: f64,
     pub(crate) tenants: Vec<Fading>,
-    pub(crate) waiting: Vec<RequestId>,
+    pub(crate) waiting: BTreeMap<FunctionId, Waiting>,
     pub(crate) fleet: Fleet,
     pub(crate) own_hash: u64,
     pub(crate) next_walk: Micros,
@@ -257,7 +284,7 @@
             sends: Fading::default(),
             served: Fading::default(),
             tenants,
-            waiting: Vec::new(),
+            waiting: BTreeMap::new(),
             fleet: Fleet::default(),
             own_hash: 0,
             next_walk: 0,
@@ -275,7 +302,8 @@
         held.crowded = crowded;
         if !held.waiting {
             held.waiting = true;
-            self.waiting.push(id);
+            let calls = self.waiting.entry(held.told.function.clone()).or_default();
+            calls.insert((held.excess, held.aim, id));
         }
     }
 
