Module: after an answer only functions with a lane free at that worker are looked at

Need: with calls of many functions waiting, each answer still routed the first call of each function that has a place at the worker, though its lanes there were full. Could hurt where evidence changed meanwhile so that another worker would now do.

--- a/src/control.rs
+++ b/src/control.rs
@@ -505,9 +505,10 @@
     /// free. Of a function whose first call finds no place the others find none either: each turn costs the
     /// functions that wait and the calls that go, not all that wait.
     fn pump(&mut self, now: Micros, freed: Option<&WorkerId>, out: &mut Out) {
-        let placed =
-            |name: &FunctionId, w| self.functions.get(name).is_some_and(|f| f.places.contains_key(w));
-        let names = self.waiting.iter().filter(|(name, _)| freed.is_none_or(|w| placed(name, w)));
+        let lane = |p: &Place, f: &Function| !p.standing || p.out < f.lanes * p.copies.max(1);
+        let usable = |f: &Function, w| f.places.get(w).is_some_and(|p| lane(p, f));
+        let may = |name: &FunctionId, w| self.functions.get(name).is_some_and(|f| usable(f, w));
+        let names = self.waiting.iter().filter(|(name, _)| freed.is_none_or(|w| may(name, w)));
         let heads = names.filter_map(|(name, calls)| Some((first_waiting(now, calls)?, name.clone())));
         let mut heads: BTreeSet<_> = heads.collect();
         while let Some(((.., id), name)) = heads.pop_first() {
