Loops answer before they begin; a call that never ran is refused, whatever ran out

Cause: one clock reading served a whole turn of up to 256 events, timers came after them, and the margin of calls in hand kept what the loop's lateness was when they came: a loop that fell behind answered past deadlines. All 504 of an overloaded gateway were calls never sent. Change: a turn does what has ended and what is due first, writes it, then takes new requests for 1 ms; the clock is read anew in between. Answers due to clients have timers of their own, which follow the loop's lateness at once. New connections wait while read requests do. A request's time runs from its bytes, also while it waits to be looked at. The loop tells its worst lag of a second (log, record), with the time it had no processor. One place says refused or failed, from what is proven; a call told as refused does not linger.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -14,14 +14,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Module(u64),
-    Waiter(WaiterId),
     Linger(CallId),
     Order(OrderId),
 }
 
+/// Things due that are done before the caller reads its clock again.
+const BATCH: usize = 32;
+
 struct Waiter {
     call: CallId,
-    answer_by: Micros,
+    /// Its deadline less the answer's way; the loop's lateness of the moment comes off it too.
+    by: Micros,
     path: Path,
 }
 
@@ -32,6 +35,8 @@
     current: RequestId,
     attempts: u32,
     worker: Option<WorkerId>,
+    /// An earlier try of the event may have run.
+    earlier: bool,
 }
 
 struct Sent {
@@ -77,6 +82,8 @@
     waiters: HashMap<WaiterId, Waiter>,
     orders: HashMap<OrderId, Order>,
     due: Timers<Due>,
+    /// Answers due to clients whose time is up: they go before all else.
+    answers: Timers<WaiterId>,
     sequence: u64,
     stopping: bool,
     actions: Vec<Action>,
@@ -102,6 +109,7 @@
             waiters: HashMap::new(),
             orders: HashMap::new(),
             due: Timers::default(),
+            answers: Timers::default(),
             sequence: 0,
             stopping: false,
             actions: Vec::new(),
@@ -120,8 +128,19 @@
     }
 
     /// When [`Engine::wake`] is due next.
-    pub fn next_due(&self) -> Option<Micros> {
-        self.due.next()
+    pub fn next_due(&self, now: Micros) -> Option<Micros> {
+        let answer = self.answers.next().map(|at| at.saturating_sub(self.margin.lateness(now)));
+        answer.into_iter().chain(self.due.next()).min()
+    }
+
+    /// How late this loop lately was, which comes off each client's time.
+    pub fn lateness(&self, now: Micros) -> Micros {
+        self.margin.lateness(now)
+    }
+
+    /// Takes note that the loop has done at `now` what it should have done at `due`.
+    pub fn note_late(&mut self, now: Micros, due: Micros) {
+        self.margin.woke(now, due);
     }
 
     /// Takes one input at time `now` and appends what is to be done.
@@ -138,13 +157,20 @@
         self.settle(now, out);
     }
 
-    /// Does what is due by `now`.
+    /// Does what is due by `now`, answers first; no more than a small number of things, so that the caller
+    /// writes them and reads its clock in between. Where more is due, [`Engine::next_due`] says so.
     pub fn wake(&mut self, now: Micros, out: &mut Out<P, R>) {
-        while let Some((at, due)) = self.due.due(now) {
+        let early = self.margin.lateness(now);
+        while let Some((at, id)) = self.answers.due(now + early) {
+            self.margin.woke(now, at);
+            self.out_of_time(now, id, out);
+            self.settle(now, out);
+        }
+        for _ in 0..BATCH {
+            let Some((at, due)) = self.due.due(now) else { return };
             self.margin.woke(now, at);
             match due {
                 Due::Module(token) => self.events.push_back(Event::Timer { token }),
-                Due::Waiter(id) => self.out_of_time(now, id, out),
                 Due::Linger(call) => self.abandon(now, call),
                 Due::Order(order) => self.overdue(now, order, out),
             }
@@ -159,8 +185,8 @@
     // ---- clients -----------------------------------------------------------------------------------------
 
     fn call(&mut self, now: Micros, told: NewCall<P>, out: &mut Out<P, R>) {
-        let patience = told.deadline.saturating_sub(now);
-        let answer_by = told.deadline.saturating_sub(self.margin.of(now, patience));
+        let by = told.deadline.saturating_sub(self.margin.way(told.deadline.saturating_sub(now)));
+        let answer_by = by.saturating_sub(self.margin.lateness(now));
         let repeat = self.repeat_of(&told.identity);
         let direct = |answer| Output::Answer {
             waiter: told.waiter,
@@ -192,7 +218,7 @@
                     return out.push(direct(full));
                 }
                 call.waiters.push(told.waiter);
-                return self.wait(told.waiter, id, answer_by, Path::Joined);
+                return self.wait(told.waiter, id, by, Path::Joined);
             }
             _ if fresh && self.stopping => return out.push(direct(refused(Refusal::Stopping))),
             _ if self.calls.len() >= self.settings.in_hand => {
@@ -201,20 +227,22 @@
             Verdict::FreshUntil(until) => until,
             Verdict::Fresh => Micros::MAX,
         };
+        let earlier = until < Micros::MAX;
         let id = CallId(self.sequence);
         self.sequence += 1;
         let identity = Arc::new(told.identity);
         self.repeats.open(&identity, repeat, id);
         let (waiters, payload) = (vec![told.waiter], told.payload);
-        let call = Call { identity, payload, waiters, current: RequestId(0), attempts: 0, worker: None };
+        let call =
+            Call { identity, payload, waiters, current: RequestId(0), attempts: 0, worker: None, earlier };
         self.calls.insert(id, call);
         self.begin(now, id, answer_by.min(until));
-        self.wait(told.waiter, id, answer_by, Path::First);
+        self.wait(told.waiter, id, by, Path::First);
     }
 
-    fn wait(&mut self, waiter: WaiterId, call: CallId, answer_by: Micros, path: Path) {
-        self.waiters.insert(waiter, Waiter { call, answer_by, path });
-        self.due.set(answer_by, Due::Waiter(waiter));
+    fn wait(&mut self, waiter: WaiterId, call: CallId, by: Micros, path: Path) {
+        self.waiters.insert(waiter, Waiter { call, by, path });
+        self.answers.set(by, waiter);
     }
 
     /// Tells the controller of a request for the call that ends by `deadline`.
@@ -238,23 +266,37 @@
         self.tries.insert(request, Try { call: id, identity, deadline, sent: Vec::new(), done: false });
     }
 
-    /// A client's own time is up. The call goes on for those who wait longer, or linger for a repeat.
+    /// A client's own time is up. The call goes on for those who wait longer, or lingers for a repeat. One
+    /// that never ran and that nobody else waits for ends with it: its client is told that it took no effect,
+    /// and that must stay true.
     fn out_of_time(&mut self, now: Micros, id: WaiterId, out: &mut Out<P, R>) {
-        if self.waiters.get(&id).is_some_and(|w| w.answer_by <= now) {
-            let Some(waiter) = self.waiters.remove(&id) else { return };
-            let Some(call) = self.calls.get_mut(&waiter.call) else { return };
-            call.waiters.retain(|w| *w != id);
-            out.push(Output::Answer {
-                waiter: id,
-                answer: Answer::Failed(Failure::Deadline),
-                attempts: call.attempts,
-                worker: call.worker.clone(),
-                path: waiter.path,
-            });
-            self.linger(now, waiter.call);
+        let late = self.margin.lateness(now);
+        if self.waiters.get(&id).is_none_or(|w| w.by > now + late) {
+            return;
+        }
+        let Some(waiter) = self.waiters.remove(&id) else { return };
+        let Some(call) = self.calls.get_mut(&waiter.call) else { return };
+        call.waiters.retain(|w| *w != id);
+        let (attempts, worker, request) = (call.attempts, call.worker.clone(), call.current);
+        let over = call.waiters.is_empty() && !self.may_have_run(request);
+        let answer = match over {
+            true => Answer::Refused(Refusal::NotBegun, None),
+            false => Answer::Failed(Failure::Deadline),
+        };
+        out.push(Output::Answer { waiter: id, answer, attempts, worker, path: waiter.path });
+        match over {
+            true => self.abandon(now, waiter.call),
+            false => self.linger(now, waiter.call),
         }
     }
 
+    /// Whether this try of an event, or one before it, may have run: the one place that says if a call that
+    /// is not served has failed or was turned away.
+    fn may_have_run(&self, request: RequestId) -> bool {
+        let Some(open) = self.tries.get(&request) else { return true };
+        self.calls.get(&open.call).is_none_or(|c| c.earlier) || open.may_have_run().is_some()
+    }
+
     fn left(&mut self, now: Micros, id: WaiterId) {
         let Some(waiter) = self.waiters.remove(&id) else { return };
         if let Some(call) = self.calls.get_mut(&waiter.call) {
@@ -287,15 +329,21 @@
         let Some(open) = self.tries.get(&request).filter(|t| !t.done) else { return };
         let (id, deadline) = (open.call, open.deadline);
         let late = matches!(answer, Answer::Failed(_)) && now + self.settings.module.tick >= deadline;
-        let answer = if late { Answer::Failed(Failure::Deadline) } else { answer };
+        let answer = match answer {
+            Answer::Failed(_) if !self.may_have_run(request) => Answer::Refused(Refusal::NotBegun, None),
+            Answer::Failed(_) if late => Answer::Failed(Failure::Deadline),
+            answer => answer,
+        };
         let reply = if let Answer::Served(reply) = &answer { Some(reply.clone()) } else { None };
         let Some(mut call) = self.close(now, request, reply) else { return };
-        let longest = call.waiters.iter().filter_map(|w| self.waiters.get(w)).map(|w| w.answer_by).max();
+        let lateness = self.margin.lateness(now);
+        let ends = |w: &WaiterId| self.waiters.get(w).map(|w| w.by.saturating_sub(lateness));
+        let longest = call.waiters.iter().filter_map(ends).max();
         if late && longest.is_some_and(|by| by > now + self.settings.margin.least) {
             // The one whose event began the call had less patience than others who joined: for them it is
             // as if they repeated the event now.
             let waiting = std::mem::take(&mut call.waiters);
-            let stay = |w: &WaiterId| self.waiters.get(w).is_some_and(|w| w.answer_by > now);
+            let stay = |w: &WaiterId| ends(w).is_some_and(|by| by > now);
             let (stay, go): (Vec<_>, Vec<_>) = waiting.into_iter().partition(stay);
             let (attempts, worker) = (call.attempts, call.worker.clone());
             self.answer_all(go, &answer, (attempts, worker.clone()), out);
@@ -312,6 +360,7 @@
                     );
                 }
             };
+            call.earlier |= until < Micros::MAX;
             call.waiters = stay;
             self.repeats.open(&call.identity, repeat, id);
             self.calls.insert(id, call);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -8,12 +8,14 @@
 
 mod engine;
 mod margin;
+mod pace;
 mod repeats;
 mod settings;
 mod types;
 
 pub use engine::Engine;
 pub use margin::{Margin, MarginSettings};
+pub use pace::{Lag, Pace};
 pub use repeats::{Ended, Identity, RepeatLimits, Repeats, Verdict};
 pub use settings::{EngineSettings, Function};
 pub use types::*;
--- a/crates/engine/src/margin.rs
+++ b/crates/engine/src/margin.rs
@@ -41,23 +41,24 @@
         Self { settings, late: 0.0, at: 0 }
     }
 
-    fn lateness(&self, now: Micros) -> f64 {
-        self.late * (-(now.saturating_sub(self.at) as f64) / FORGET_US).exp()
+    /// What the loop's own lateness asks for now, on top of [`Margin::way`]: also of calls that came while
+    /// it was less.
+    pub fn lateness(&self, now: Micros) -> Micros {
+        (self.late * (-(now.saturating_sub(self.at) as f64) / FORGET_US).exp()) as Micros
     }
 
-    /// Takes note that a timer due at `due` was handled at `now`.
+    /// Takes note that what was due or had come at `due` was handled at `now`.
     pub fn woke(&mut self, now: Micros, due: Micros) {
-        let late = now.saturating_sub(due) as f64;
+        let late = now.saturating_sub(due);
         if late > self.lateness(now) {
-            (self.late, self.at) = (late, now);
+            (self.late, self.at) = (late as f64, now);
         }
     }
 
-    /// What is to be kept back of this patience.
-    pub fn of(&self, now: Micros, patience: Micros) -> Micros {
+    /// What is to be kept back of this patience for the answer's way.
+    pub fn way(&self, patience: Micros) -> Micros {
         let share = (patience as f64 * self.settings.share) as Micros;
         share.clamp(self.settings.least, self.settings.most.max(self.settings.least))
-            + self.lateness(now) as Micros
     }
 }
 
@@ -69,10 +70,11 @@
     fn a_loop_that_woke_late_keeps_more_back_until_it_is_forgotten() {
         let mut margin = Margin::new(MarginSettings { share: 0.02, least: 2_000, most: 25_000 });
         let table = [(3_000, 2_000), (500_000, 10_000), (60_000_000, 25_000)];
-        assert!(table.iter().all(|(patience, kept)| margin.of(0, *patience) == *kept));
+        assert!(table.iter().all(|(patience, kept)| margin.way(*patience) == *kept));
+        assert_eq!(margin.lateness(0), 0);
         margin.woke(1_000_000, 960_000);
         margin.woke(1_000_100, 1_000_050);
-        assert_eq!(margin.of(1_000_000, 500_000), 50_000);
-        assert!(margin.of(31_000_000, 500_000) < 10_200);
+        assert_eq!(margin.lateness(1_000_000), 40_000);
+        assert!(margin.lateness(31_000_000) < 200);
     }
 }
--- /dev/null
+++ b/crates/engine/src/pace.rs
@@ -0,0 +1,127 @@
+//! How a loop divides a turn: what is due and what has ended before what is new, and new work for a bounded
+//! time only, so that an answer never waits for a crowd of new calls.
+
+use basaltward::Micros;
+
+/// New work of one turn ends after this; at least one call is begun.
+const NEW_US: Micros = 1_000;
+/// Between two looks at what is due.
+const LOOK_US: Micros = 500;
+/// New connections wait while the oldest request read has waited this long, until it is under the second.
+const ACCEPT_US: (Micros, Micros) = (50_000, 10_000);
+/// How often the worst lag is told.
+const TELL_US: Micros = 1_000_000;
+/// A lag below this is not worth telling.
+const LAG_US: Micros = 5_000;
+
+/// The worst that a loop saw in about a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Lag {
+    /// Longest turn: what came just after its beginning waited so long.
+    pub turn: Micros,
+    /// Longest that a request that was read waited to be looked at.
+    pub waited: Micros,
+    /// Time in which the loop had work but no processor: the machine, or others on it, had stopped it.
+    pub stalled: Micros,
+}
+
+/// The pace of one loop. Times are the caller's clock.
+#[derive(Clone, Debug, Default)]
+pub struct Pace {
+    began: Micros,
+    looked: Micros,
+    new: Option<Micros>,
+    held: bool,
+    worst: Lag,
+    told: Micros,
+    /// Processor time at the last telling, and time spent waiting for something to happen since.
+    spent: Micros,
+    idle: Micros,
+}
+
+impl Pace {
+    /// A turn begins at `now`: the loop was waiting since `since`, and wanted to wait until `due` at most. It
+    /// counts as begun when it was due, for it may have been woken late.
+    pub fn begin(&mut self, since: Micros, due: Micros, now: Micros) {
+        let began = now.min(due.max(since));
+        self.idle += began.saturating_sub(since);
+        (self.began, self.looked, self.new) = (began, now, None);
+    }
+
+    /// Whether it is time to look at what is due, in the middle of a turn.
+    pub fn looks(&mut self, now: Micros) -> bool {
+        let looks = now >= self.looked + LOOK_US;
+        self.looked = if looks { now } else { self.looked };
+        looks
+    }
+
+    /// Whether one more request may be taken in this turn; it has waited since it `came`.
+    pub fn may_begin(&mut self, now: Micros, came: Micros) -> bool {
+        self.worst.waited = self.worst.waited.max(now.saturating_sub(came));
+        let first = *self.new.get_or_insert(now);
+        first == now || now < first + NEW_US
+    }
+
+    /// Whether new connections are to be accepted, the oldest request read having waited for so long.
+    pub fn accepts(&mut self, waited: Micros) -> bool {
+        self.held = waited >= if self.held { ACCEPT_US.1 } else { ACCEPT_US.0 };
+        !self.held
+    }
+
+    /// A turn ends; `spent` gives the processor time of this loop and is asked about once a second. Gives the
+    /// turn's beginning, and what is worth telling of the last second.
+    pub fn end(&mut self, now: Micros, spent: impl FnOnce() -> Micros) -> (Micros, Option<Lag>) {
+        self.worst.turn = self.worst.turn.max(now.saturating_sub(self.began));
+        if now < self.told + TELL_US {
+            return (self.began, None);
+        }
+        let spent = spent();
+        let (wall, worked) = (now.saturating_sub(self.told), spent.saturating_sub(self.spent) + self.idle);
+        let first = self.told == 0;
+        (self.told, self.spent, self.idle) = (now, spent, 0);
+        let stalled = if first { 0 } else { wall.saturating_sub(worked) };
+        let worst = Lag { stalled, ..std::mem::take(&mut self.worst) };
+        (self.began, Some(worst).filter(|w| w.turn.max(w.waited) >= LAG_US))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn new_work_ends_after_its_part_of_a_turn_but_one_call_always_begins() {
+        let mut pace = Pace::default();
+        pace.begin(0, 10_000, 10_000);
+        assert!(pace.may_begin(14_000, 0) && pace.may_begin(14_999, 0) && !pace.may_begin(15_000, 0));
+        pace.begin(20_000, 20_000, 20_000);
+        assert!(pace.may_begin(29_000, 0));
+        assert!(!pace.looks(20_499) && pace.looks(20_500) && !pace.looks(20_501));
+    }
+
+    #[test]
+    fn accepting_stops_at_one_wait_and_goes_on_at_a_smaller_one() {
+        let mut pace = Pace::default();
+        let told: Vec<_> = [49_999, 50_000, 20_000, 9_999, 20_000].map(|w| pace.accepts(w)).into();
+        assert_eq!(told, [true, false, false, true, true]);
+    }
+
+    #[test]
+    fn the_worst_of_a_second_is_told_once_with_the_time_off_the_processor() {
+        let mut pace = Pace::default();
+        pace.begin(0, 1_000_000, 1_000_000);
+        assert_eq!(pace.end(1_000_000, || 700), (1_000_000, None));
+        pace.begin(1_000_000, 1_400_000, 1_400_000);
+        assert!(pace.may_begin(1_400_000, 1_390_000));
+        assert_eq!(pace.end(1_430_000, || unreachable!()), (1_400_000, None));
+        pace.begin(1_430_000, 3_000_000, 2_000_000);
+        let lag = Lag { turn: 30_000, waited: 10_000, stalled: 20_000 };
+        assert_eq!(pace.end(2_000_000, || 10_700), (2_000_000, Some(lag)));
+        pace.begin(2_000_000, 3_000_000, 3_000_000);
+        assert_eq!(pace.end(3_000_001, || 10_700), (3_000_000, None));
+        // Woken 40 ms after the time it asked for.
+        pace.begin(3_000_001, 3_960_000, 4_000_000);
+        let lag = Lag { turn: 41_000, waited: 0, stalled: 40_500 };
+        assert_eq!(pace.end(4_001_000, || 11_200), (3_960_000, Some(lag)));
+    }
+}
--- a/crates/engine/src/types.rs
+++ b/crates/engine/src/types.rs
@@ -92,6 +92,8 @@
     InHand,
     /// Too little of the client's patience was left.
     TooLate,
+    /// Its time ran out, or its attempts did, before a worker took it.
+    NotBegun,
     /// The tenant has no room left to guard against a second run.
     Guards,
     /// This gateway stops.
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -72,7 +72,7 @@
     /// Moves the clock on, waking the engine when it wants to be.
     fn advance(&mut self, by: Micros) {
         let until = self.now + by;
-        while let Some(due) = self.engine.next_due().filter(|due| *due <= until) {
+        while let Some(due) = self.engine.next_due(self.now).filter(|due| *due <= until) {
             self.now = self.now.max(due);
             self.engine.wake(self.now, &mut self.out);
             self.now += 1;
@@ -225,3 +225,42 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn a_call_that_never_ran_is_refused_whatever_ran_out_and_stays_without_effect() {
+    for repeat in [Repeat::Safe, Repeat::Unsafe] {
+        // Without workers nothing can be sent.
+        let mut bed = Bed::new(repeat, 0, |_| {});
+        bed.call(1, "e", 300 * MS);
+        bed.advance(300 * MS);
+        assert_eq!(bed.answers(), [(1, Answer::Refused(Refusal::NotBegun, None))]);
+        // It does not linger: told that it took no effect, it must not begin after all.
+        assert_eq!((bed.engine.in_hand(), bed.started().len()), (0, 0));
+        // Every attempt came back unseen.
+        let mut bed = Bed::new(repeat, 3, |_| {});
+        bed.call(1, "e", 2 * S);
+        while let Some(attempt) = bed.started().first() {
+            bed.ended(*attempt, Code::Miss, None);
+        }
+        bed.advance(2 * S);
+        assert!(matches!(bed.answers()[..], [(1, Answer::Refused(..))]));
+        // One that is out may run: failed.
+        bed.call(2, "f", 300 * MS);
+        assert_eq!(bed.started().len(), 1);
+        bed.advance(300 * MS);
+        assert_eq!(bed.answers(), [(2, Answer::Failed(Failure::Deadline))]);
+    }
+}
+
+#[test]
+fn a_loop_that_turns_late_answers_calls_in_hand_earlier_too() {
+    let mut bed = Bed::new(Repeat::Safe, 1, |_| {});
+    bed.call(1, "e", 500 * MS);
+    bed.advance(400 * MS);
+    assert_eq!(bed.answers(), []);
+    // The margin was 10 ms; the loop now shows that it may be 80 ms late.
+    bed.engine.note_late(bed.now, bed.now - 80 * MS);
+    assert!(bed.engine.next_due(bed.now).is_some_and(|due| due <= bed.now + 11 * MS));
+    bed.advance(15 * MS);
+    assert_eq!(bed.answers(), [(1, Answer::Failed(Failure::Deadline))]);
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -13,7 +13,7 @@
 use basaltward_timers::Timers;
 use bytes::BytesMut;
 use slab::Slab;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
 /// Extension attributes that the gateway reads.
@@ -44,6 +44,8 @@
 struct Client {
     decoder: RequestDecoder,
     busy: Option<Busy>,
+    /// It stands among those whose input is to be looked at.
+    ready: bool,
     /// When the first byte of the request now arriving came.
     began: Option<Micros>,
     /// When patience with the peer ends: for the head, the body, or while idle.
@@ -88,6 +90,8 @@
     clients: HashMap<ConnId, Client>,
     waiting: Slab<Waiting>,
     due: Timers<ConnId>,
+    /// Connections whose input is to be looked at, with when it came: each at most once.
+    ready: VecDeque<(Micros, ConnId)>,
     stopping: bool,
 }
 
@@ -114,6 +118,7 @@
             clients: HashMap::new(),
             waiting: Slab::new(),
             due: Timers::default(),
+            ready: VecDeque::new(),
             stopping: false,
         }
     }
@@ -132,7 +137,7 @@
     pub fn accepted(&mut self, now: Micros, conn: ConnId) {
         let until = now + self.spans.2;
         let decoder = RequestDecoder::new(self.limits);
-        let client = Client { decoder, busy: None, began: None, until, armed: Micros::MAX };
+        let client = Client { decoder, busy: None, ready: false, began: None, until, armed: Micros::MAX };
         self.clients.insert(conn, client);
         self.arm(conn, until);
     }
@@ -154,6 +159,32 @@
         waiters.into_iter().filter(|w| self.waiting.try_remove(w.0 as usize).is_some()).collect()
     }
 
+    /// Bytes have come, or may have while the connection was busy: it is looked at in its turn.
+    pub fn came(&mut self, now: Micros, conn: ConnId) {
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        if client.busy.is_none() {
+            // The request's time runs from here, also while it waits to be looked at.
+            client.began.get_or_insert(now);
+        }
+        if !std::mem::replace(&mut client.ready, true) {
+            self.ready.push_back((now, conn));
+        }
+    }
+
+    /// Since when the oldest input waits to be looked at.
+    pub fn oldest(&self) -> Option<Micros> {
+        self.ready.front().map(|(came, _)| *came)
+    }
+
+    /// Takes the connection that waited longest to be looked at.
+    pub fn pop_ready(&mut self) -> Option<ConnId> {
+        let (_, conn) = self.ready.pop_front()?;
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.ready = false;
+        }
+        Some(conn)
+    }
+
     /// Takes the next request of a connection, if it is all there and the one before is answered.
     pub fn next_request(&mut self, io: &mut Io, now: Micros, conn: ConnId) -> Option<Asked> {
         let unsent = io.unsent(conn);
@@ -171,7 +202,9 @@
                 Some(self.request(io, now, conn, &request, began))
             }
             Ok(told) => {
-                if within {
+                if !within {
+                    client.began = None;
+                } else {
                     // Past the head the body has a time of its own, on top.
                     let began = *client.began.get_or_insert(now);
                     let until = began + self.spans.0 + if within_body { self.spans.1 } else { 0 };
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -33,6 +33,7 @@
             }
             Refusal::InHand => "too many calls are in hand here; the call was not begun",
             Refusal::TooLate => "too little of the call's time is left to begin it",
+            Refusal::NotBegun => "no worker could begin the call in its time; it did not take effect",
             Refusal::Guards => "this tenant has too many recent calls that must not run twice; not begun",
             Refusal::Stopping => "this gateway is stopping; send the event to another one",
         };
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -6,9 +6,9 @@
 use basaltward_cloudevents::Event;
 use basaltward_config::Config;
 use basaltward_engine::{
-    Answer, Engine, EngineSettings, Function, Input, MarginSettings, Output, Path, RepeatLimits,
+    Answer, Engine, EngineSettings, Function, Input, Lag, MarginSettings, Output, Pace, Path, RepeatLimits,
 };
-use basaltward_net::{Clock, ConnId, Happened, Io, IoLimits, NetError, Waker, monotonic};
+use basaltward_net::{Clock, ConnId, Happened, Io, IoLimits, NetError, Waker, monotonic, thread_time};
 use basaltward_roster::{Names, News, RosterFile, Source, place};
 use basaltward_rules::{Recorder, What};
 use std::collections::{BTreeMap, VecDeque};
@@ -33,6 +33,7 @@
     engine: Engine<Event, Reply>,
     front: Front,
     links: Links,
+    pace: Pace,
     roster: RosterFile,
     clock: Clock,
     states: BTreeMap<WorkerId, basaltward::State>,
@@ -42,6 +43,8 @@
     wanted: Arc<AtomicU8>,
     stopping: bool,
     outputs: Vec<Output<Event, Reply>>,
+    /// Answers put out since the last write, kept only for records.
+    given: Vec<(String, u16)>,
 }
 
 fn engine_settings(config: &Config, thread: u32) -> EngineSettings {
@@ -97,6 +100,7 @@
             engine: Engine::new(settings, seed)?,
             front: Front::new(config),
             links,
+            pace: Pace::default(),
             roster: RosterFile::new(config.roster.clone(), names, config.roster_check),
             clock: Clock::read(),
             states: BTreeMap::new(),
@@ -106,6 +110,7 @@
             wanted,
             stopping: false,
             outputs: Vec::new(),
+            given: Vec::new(),
         })
     }
 
@@ -125,15 +130,12 @@
         loop {
             let now = monotonic();
             self.poll_roster(now);
-            let due = [self.engine.next_due(), self.front.next_due(), self.links.next_due()];
-            let due = due.into_iter().flatten().chain([self.roster.next_due()]).min().unwrap_or(now);
-            self.io.turn(Some(due.saturating_sub(now)), &mut happened)?;
-            let now = monotonic();
-            for happened in happened.drain(..) {
-                self.take(now, happened);
-            }
-            self.wake(now);
+            self.io.hold_accepting(!self.pace.accepts(self.front.oldest().map_or(0, |came| now - came)));
+            let wait = self.wait(now);
+            self.io.turn(Some(wait), &mut happened)?;
+            self.turn((now, now + wait), &mut happened);
             self.io.forget_ended();
+            let now = monotonic();
             match self.wanted.load(Ordering::Relaxed) {
                 KILL => {
                     self.recorder.put(monotonic(), &self.name, What::Down { killed: true });
@@ -154,6 +156,66 @@
         }
     }
 
+    /// How long there is nothing to do unless something happens.
+    fn wait(&self, now: Micros) -> Micros {
+        let due = [self.engine.next_due(now), self.front.next_due(), self.links.next_due()];
+        let due = due.into_iter().flatten().chain([self.roster.next_due()]).min().unwrap_or(now);
+        if self.front.oldest().is_some() { 0 } else { due.saturating_sub(now) }
+    }
+
+    /// One turn: what has ended and what is due, then what is new as far as its time goes.
+    fn turn(&mut self, (since, due): (Micros, Micros), happened: &mut Vec<Happened>) {
+        let mut now = monotonic();
+        let began = now;
+        self.pace.begin(since, due, now);
+        // What is written in between may bring further ends.
+        let mut later = Vec::new();
+        for happened in happened.drain(..) {
+            if let Happened::Data(conn) | Happened::Drained(conn) = happened
+                && !self.links.owns(conn)
+            {
+                self.front.came(began, conn);
+                continue;
+            }
+            self.take(now, happened);
+            now = monotonic();
+            if self.pace.looks(now) {
+                self.wake(now);
+                self.flush(&mut later);
+            }
+        }
+        self.wake(now);
+        self.flush(&mut later);
+        while let Some(came) = self.front.oldest() {
+            let now = monotonic();
+            if !self.pace.may_begin(now, came) {
+                break;
+            }
+            if let Some(conn) = self.front.pop_ready() {
+                self.requests(now, conn);
+            }
+        }
+        self.flush(&mut later);
+        *happened = later;
+        let (began, lag) = self.pace.end(monotonic(), thread_time);
+        self.engine.note_late(monotonic(), began);
+        if let Some(Lag { turn, waited, stalled }) = lag {
+            warn!(scheduler = self.name, turn_us = turn, waited_us = waited, stalled_us = stalled, "late");
+            self.recorder.put(now, &self.name, What::Lagged { turn, waited, stalled });
+        }
+    }
+
+    /// Writes what there is to write. An answer counts as given once its bytes are with the system.
+    fn flush(&mut self, happened: &mut Vec<Happened>) {
+        self.io.flush(happened);
+        if !self.given.is_empty() {
+            let now = monotonic();
+            for (event, status) in self.given.drain(..) {
+                self.recorder.put(now, &self.name, What::Gave { event, status });
+            }
+        }
+    }
+
     fn stop(&mut self, now: Micros) {
         info!(scheduler = self.name, in_hand = self.engine.in_hand(), "stopping");
         self.stopping = true;
@@ -174,7 +236,7 @@
                 let done = self.links.data(&mut self.io, now, conn);
                 self.done(now, done);
             }
-            Happened::Data(conn) | Happened::Drained(conn) => self.requests(now, conn),
+            Happened::Data(conn) | Happened::Drained(conn) => self.front.came(now, conn),
             Happened::Ended(conn, how) if self.links.owns(conn) => {
                 let done = self.links.ended(&mut self.io, now, conn, how);
                 self.done(now, done);
@@ -195,9 +257,16 @@
             self.done(now, Some(done));
         }
         self.front.wake(&mut self.io, now);
-        let mut outputs = std::mem::take(&mut self.outputs);
-        self.engine.wake(now, &mut outputs);
-        self.carry_out(now, outputs);
+        let mut now = now;
+        loop {
+            let mut outputs = std::mem::take(&mut self.outputs);
+            self.engine.wake(now, &mut outputs);
+            self.carry_out(now, outputs);
+            now = monotonic();
+            if self.engine.next_due(now).is_none_or(|due| due > now) {
+                return;
+            }
+        }
     }
 
     /// Takes requests from a connection as long as there are whole ones and it is free.
@@ -258,7 +327,9 @@
         }
         self.record_sent(now);
         for conn in freed {
-            self.requests(now, conn);
+            if self.io.input(conn).is_some_and(|input| !input.is_empty()) {
+                self.front.came(now, conn);
+            }
         }
     }
 
@@ -273,6 +344,9 @@
                 };
                 let (waiting, status, free) = self.front.answer(io, now, waiter, answer)?;
                 freed.extend(free);
+                if self.recorder.is_on() {
+                    self.given.push((event_name(&waiting.event), status));
+                }
                 let how = match path {
                     Path::First => "first",
                     Path::Joined => "joined",
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -8,6 +8,11 @@
     micros(ClockId::Monotonic)
 }
 
+/// Processor time that this thread has used, in microseconds.
+pub fn thread_time() -> Micros {
+    micros(ClockId::ThreadCPUTime)
+}
+
 fn micros(id: ClockId) -> Micros {
     let now = clock_gettime(id);
     now.tv_sec.unsigned_abs() * 1_000_000 + now.tv_nsec.unsigned_abs() / 1_000
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -126,6 +126,8 @@
     generation: u32,
     listeners: Vec<Option<TcpListener>>,
     accepting: bool,
+    /// The owner wants no new connections for now.
+    held: bool,
     accepted: usize,
     signals: Vec<(i32, UnixStream)>,
     waker: Waker,
@@ -156,6 +158,7 @@
             generation: 0,
             listeners: Vec::new(),
             accepting: true,
+            held: false,
             accepted: 0,
             signals: Vec::new(),
             waker,
@@ -438,9 +441,14 @@
         out.push(Happened::Ended(id, how));
     }
 
+    /// Holds new connections back in the system's queue, or accepts them again.
+    pub fn hold_accepting(&mut self, held: bool) {
+        self.held = held;
+    }
+
     /// Connections at the limit are not accepted: they wait in the system's queue.
     fn watch_listeners(&mut self) {
-        let wanted = self.accepted < self.limits.connections;
+        let wanted = !self.held && self.accepted < self.limits.connections;
         if wanted != self.accepting {
             self.accepting = wanted;
             let flags = if wanted { epoll::EventFlags::IN } else { epoll::EventFlags::empty() };
@@ -517,8 +525,9 @@
         }
     }
 
-    /// Writes the output of connections that got some since the last turn.
-    fn flush(&mut self, out: &mut Vec<Happened>) {
+    /// Writes the output of connections that got some since the last turn, or since this was last called: for
+    /// owners whose turns are long. What it finds is added to what happened.
+    pub fn flush(&mut self, out: &mut Vec<Happened>) {
         for slot in std::mem::take(&mut self.dirty) {
             let Some(conn) = self.conns.get_mut(slot as usize).filter(|c| c.dirty) else { continue };
             conn.dirty = false;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,7 +9,7 @@
 mod listen;
 mod wake;
 
-pub use clock::{Clock, Micros, monotonic};
+pub use clock::{Clock, Micros, monotonic, thread_time};
 pub use io::{ConnId, End, Happened, Io, IoLimits, NetError};
 pub use listen::bind;
 pub use wake::{Signals, Waker};
--- a/crates/rules/src/record.rs
+++ b/crates/rules/src/record.rs
@@ -79,6 +79,22 @@
         /// It was killed, not stopped.
         killed: bool,
     },
+    /// A scheduler was late; the worst of about a second.
+    Lagged {
+        /// Its longest turn, in microseconds.
+        turn: Micros,
+        /// The longest that a request that was read waited for its turn.
+        waited: Micros,
+        /// Time in which it had work but no processor.
+        stalled: Micros,
+    },
+    /// A scheduler has given a client's final answer to its connection.
+    Gave {
+        /// The event's name.
+        event: String,
+        /// The HTTP status.
+        status: u16,
+    },
     /// A scheduler has taken a call.
     Taken {
         /// The event's name.
