Checker counts keyed effects, failures of what was never sent and loops as one gateway

Need: keyed effects that ran twice within the window went unseen, as stand-ins dropped repeats each for itself; a failure with nothing sent and attempts of two loops passed too; play printed the first 20 breaches of one rule. Change: stand-ins share the memory of keys by group (or lose it on a kill, as the fleet says); the checker counts runs within the window, failures without a send, and attempts over all loops of a gateway; an answer written in time and read late by its client is counted apart, with both records as proof; breaches are told by rule, five of each. The checker is split by rule.

--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -1,11 +1,11 @@
 //! What a run came to, in a few lines.
 
 use crate::Failed;
-use basaltward_rules::{Breach, Service};
+use basaltward_rules::{Breach, Record, Service, read_late};
 use basaltward_standins::Tally;
 
-/// Breaches printed at most.
-const MOST: usize = 20;
+/// Breaches printed of each rule.
+const MOST: usize = 5;
 
 /// Prints counts and times.
 pub fn tally(tally: &Tally) {
@@ -23,17 +23,25 @@
 }
 
 /// Prints the verdict; an error where a rule was broken.
-pub fn verdict(breaches: &[Breach], service: &Service) -> Result<(), Failed> {
+pub fn verdict(records: &[Record], breaches: &[Breach], service: &Service) -> Result<(), Failed> {
     println!(
         "service {:.3}: whole run {:.3}, worst ten seconds {:.3}, worst tenant {:.3}",
         service.figure, service.whole, service.window, service.tenant
     );
+    let late = read_late(records);
+    if late > 0 {
+        println!("{late} answers were written in time and read after it: the clients were late");
+    }
     if breaches.is_empty() {
         println!("the five rules: kept");
         return Ok(());
     }
-    for breach in breaches.iter().take(MOST) {
-        println!("{breach}");
+    for rule in 1..=5 {
+        let of_rule = || breaches.iter().filter(|breach| breach.rule == rule);
+        of_rule().take(MOST).for_each(|breach| println!("{breach}"));
+        if of_rule().count() > 0 {
+            println!("rule {rule}: {} breaches", of_rule().count());
+        }
     }
     Err(Failed::Run(format!("the five rules: {} breaches", breaches.len())))
 }
--- a/crates/play/src/script.rs
+++ b/crates/play/src/script.rs
@@ -114,6 +114,7 @@
         ),
         keep: micros(number(&workers, "keep-ms", 10_000.0, faults)),
         queue: number(&workers, "queue", 32.0, faults) as usize,
+        forgets: workers.value("forgets-keys", faults).unwrap_or(false),
         load_on_miss: config.module.family.load_on_miss,
         cold_from: rules.cold_from,
         warm_within: rules.warm_within,
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -2,11 +2,15 @@
 //! rules and the records, and nothing of the engine.
 #![warn(missing_docs)]
 
+mod answers;
 mod check;
+mod effects;
 mod record;
 mod recorder;
 mod service;
+mod workers;
 
+pub use answers::read_late;
 pub use check::{Breach, ClassRule, RepeatRule, RuleSettings, check};
 pub use record::{Final, Micros, Record, What};
 pub use recorder::{Recorder, read};
--- a/crates/rules/src/recorder.rs
+++ b/crates/rules/src/recorder.rs
@@ -2,6 +2,7 @@
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, BufWriter, Write};
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::JoinHandle;
@@ -13,10 +14,18 @@
 #[derive(Clone)]
 enum Sink {
     None,
-    Memory(Arc<(Mutex<Vec<Record>>, Condvar)>),
+    Memory(Arc<Memory>),
     Thread(SyncSender<Record>),
 }
 
+#[derive(Default)]
+struct Memory {
+    all: Mutex<Vec<Record>>,
+    changed: Condvar,
+    /// Who waits for a change: without any there is nobody to be woken, and no system call.
+    waiting: AtomicUsize,
+}
+
 /// Takes records from any number of threads.
 #[derive(Clone)]
 pub struct Recorder {
@@ -59,9 +68,12 @@
         match &self.sink {
             Sink::None => {}
             Sink::Memory(memory) => {
-                if let Ok(mut all) = memory.0.lock() {
-                    all.push(record());
-                    memory.1.notify_all();
+                let record = record();
+                if let Ok(mut all) = memory.all.lock() {
+                    all.push(record);
+                }
+                if memory.waiting.load(Ordering::SeqCst) > 0 {
+                    memory.changed.notify_all();
                 }
             }
             Sink::Thread(send) => {
@@ -80,15 +92,17 @@
     /// Waits until the records kept in memory fulfil a condition; false where they don't within the time.
     pub fn wait(&self, within: Duration, mut fulfilled: impl FnMut(&[Record]) -> bool) -> bool {
         let Sink::Memory(memory) = &self.sink else { return false };
-        let Ok(all) = memory.0.lock() else { return false };
-        let waited = memory.1.wait_timeout_while(all, within, |all| !fulfilled(all));
+        let Ok(all) = memory.all.lock() else { return false };
+        memory.waiting.fetch_add(1, Ordering::SeqCst);
+        let waited = memory.changed.wait_timeout_while(all, within, |all| !fulfilled(all));
+        memory.waiting.fetch_sub(1, Ordering::SeqCst);
         waited.is_ok_and(|(_, timeout)| !timeout.timed_out())
     }
 
     /// Takes what is kept in memory, by time.
     pub fn take(&self) -> Vec<Record> {
         let Sink::Memory(memory) = &self.sink else { return Vec::new() };
-        let mut all = memory.0.lock().map(|mut all| std::mem::take(&mut *all)).unwrap_or_default();
+        let mut all = memory.all.lock().map(|mut all| std::mem::take(&mut *all)).unwrap_or_default();
         all.sort_by_key(|record| record.t);
         all
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod clients;
 mod fleet;
+mod keys;
 mod kv_store;
 mod model;
 mod store;
