Refused at once where the queue would outlast the aim, with a time to stay away

Need: past capacity calls waited most of their aim and were then shed: refusals after 700 ms, with nothing said of when to come back. Change: the module measures how far a function's answers come apart while calls wait, and refuses a new call at once where those ahead of it take it past its aim; the gateway tells the excess as Retry-After, 5 s at most. A first form went by answers of the last 2 s: it refused bursts after a lull, undone for this one. A function's test; the checker allows a failure where another client of the call has just left.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod load;
 mod memory;
 mod module;
+mod overload;
 mod parse;
 mod path;
 mod proxy;
@@ -62,6 +63,27 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Goodput at multiples of what the workers can do: offered, served, refused, failed, times, loop lag
+    Overload {
+        /// Multiples of the workers' capacity
+        #[arg(long, value_delimiter = ',', default_value = "0.5,0.8,1,1.5,2,5,10")]
+        multiples: Vec<f64>,
+        /// Span of each load in seconds
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+        /// Work of a call in milliseconds
+        #[arg(long, default_value_t = 20.0)]
+        work_ms: f64,
+        /// Connections held open beside
+        #[arg(long, default_value_t = 0)]
+        idle: usize,
+        /// Further tries of a client that was refused
+        #[arg(long, default_value_t = 0)]
+        retries: u32,
+        /// What all draws follow from
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Memory of an idle connection
     Memory {
         /// Connections
@@ -82,6 +104,10 @@
         Command::Module { workers, functions, calls, rounds } => {
             module::run(workers, functions, calls, rounds)
         }
+        Command::Overload { multiples, seconds, work_ms, idle, retries, seed } => {
+            let work = (work_ms * 1e3) as u64;
+            overload::run(&overload::Load { multiples, seconds, work, idle, retries, seed })
+        }
         Command::Jam { waiting, rounds, seed } => jam::run(&waiting, rounds, seed),
         Command::Memory { connections } => memory::run(connections),
         Command::Parse { times } => parse::run(times),
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -5,6 +5,9 @@
 use basaltward::{Class, Group, Micros, Repeat, Settings};
 use std::path::{Path, PathBuf};
 
+/// Clients are told to stay away for no longer: what is known of a queue is old by then.
+const MOST_RETRY_AFTER_US: u64 = 5_000_000;
+
 type Faults = Vec<Fault>;
 
 /// Names of the values in a worker's load report, in the order in which the module is told them.
@@ -157,6 +160,7 @@
     limits.attempts = workers.number("attempts", 3, faults);
     limits.second_copies = workers.flag("second-copies", true);
     limits.cancel = workers.flag("cancel", true);
+    (limits.retry_after, limits.max_retry_after) = (true, MOST_RETRY_AFTER_US);
     let rules = part("rules");
     module.rules.answer_slack = rules.millis("answer-slack-ms", 0.0, faults);
     module.rules.cold_from = rules.number("cold-from", 0.2, faults);
--- a/crates/rules/src/answers.rs
+++ b/crates/rules/src/answers.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A client whose event crosses the end of a gateway may see a broken connection that is nobody's fault.
-const CROSSING_US: Micros = 1_000_000;
+pub(crate) const CROSSING_US: Micros = 1_000_000;
 
 /// A stall counts for answers written this long after it at most: what was due meanwhile is done first.
 const AFTER_US: Micros = 10_000;
--- a/crates/rules/src/effects.rs
+++ b/crates/rules/src/effects.rs
@@ -1,5 +1,6 @@
 //! Rule 2: no effect twice, and nothing untrue said about one.
 
+use crate::answers::CROSSING_US;
 use crate::check::{Breach, ClassRule, RepeatRule, RuleSettings, schedulers};
 use crate::record::{Final, Micros, Record, What};
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +27,7 @@
     let mut arrived: BTreeMap<&str, Micros> = BTreeMap::new();
     // Tries of each event that are not answered yet.
     let mut open: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut left: BTreeMap<&str, Micros> = BTreeMap::new();
     // By gateway and event, over all its loops: attempts out or ended without proof.
     let mut sent: BTreeMap<(&str, &str), Vec<Out>> = BTreeMap::new();
     let mut begun: BTreeSet<&str> = BTreeSet::new();
@@ -72,6 +74,7 @@
                 ran_attempts.insert(attempt);
             }
             What::Left { tried } | What::Cut { tried } => {
+                left.extend(asked.get(tried).map(|(event, _)| (*event, t)));
                 let tries = asked.get(tried).and_then(|(event, _)| open.get_mut(event));
                 tries.into_iter().for_each(|n| *n = n.saturating_sub(1));
             }
@@ -83,8 +86,10 @@
                 let Some((event, to)) = asked.get(tried) else { continue };
                 let tries = open.entry(event).or_default();
                 *tries = tries.saturating_sub(1);
-                // Not for clients of one call that wait for it with others: it may still run.
-                let never = !begun.contains(event) && *tries == 0;
+                // Not for clients of one call that wait for it with others: it may still run. One who has
+                // just left may still count as waiting at the gateway.
+                let alone = left.get(event).is_none_or(|left| t > left + CROSSING_US);
+                let never = !begun.contains(event) && *tries == 0 && alone;
                 if never && at.contains_key(to) {
                     breach(t, format!("{event}: failed although nothing of it was ever sent"));
                 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -36,6 +36,8 @@
 const FAIR_US: f64 = 3_000_000.0;
 /// Crowd notes and load reports fade to 1/e in this time.
 const CROWD_US: f64 = 2_000_000.0;
+/// Gaps between answers from which on a queue is judged by them.
+const HEARD: u32 = 10;
 /// Patience with questions on where copies stand, and how many workers are asked.
 const ASK: (Micros, usize) = (15_000, 3);
 /// Share of the guessed cold budget that is used; the rest is for chance and for a wrong guess.
@@ -81,7 +83,7 @@
                     // All copies are crowded, the aim is past. Could hurt where late answers are worth much.
                     let sheds = |h: &Held| h.waiting && h.crowded && self.may_refuse(h);
                     if self.requests.get(&id).is_some_and(sheds) {
-                        self.give_up(id, out);
+                        self.give_up(id, None, out);
                     }
                 }
                 Some(Wake::Overdue(id, attempt)) => self.overdue(now, id, attempt, out),
@@ -221,7 +223,7 @@
         let open: Vec<_> = ranked.iter().filter(|c| self.may_send(now, held, c.worker)).collect();
         if open.is_empty() && !held.attempts.is_empty() {
             if held.attempts.iter().all(|a| a.ended.is_some()) {
-                self.give_up(id, out);
+                self.give_up(id, None, out);
             }
             return;
         }
@@ -386,6 +388,19 @@
         away
     }
 
+    /// How far past its aim a new request would wait behind those for the same function, as fast as answers
+    /// came while some waited: it would be shed at its aim, and is better told at once. Answers of quiet
+    /// times say nothing of what copies can do, so a burst after them is let in. Could hurt where copies
+    /// about to stand will serve faster than those before.
+    fn outlasts(&self, now: Micros, id: RequestId) -> Option<Micros> {
+        let held = self.requests.get(&id)?;
+        let (function, calls) =
+            (self.functions.get(&held.told.function)?, self.waiting.get(&held.told.function)?);
+        let ahead = calls[0].len() + if held.excess { calls[1].len() } else { 0 };
+        let beyond = ahead as f64 * function.gap + function.usual - held.aim.saturating_sub(now) as f64;
+        (function.gaps >= HEARD && beyond > 0.0).then_some(beyond as Micros)
+    }
+
     // ---- copies ------------------------------------------------------------------------------------------
 
     /// Orders copies, one order of a function at a time: true while one is out or on hold after a failure.
@@ -650,7 +665,12 @@
         self.wake(shed, Wake::Shed(id), out);
         self.wake(told.patience, Wake::Deadline(id), out);
         self.requests.insert(id, Held::new(told, deadline, aim, excess));
-        if self.turned_away(now, excess) { self.give_up(id, out) } else { self.route(now, id, out) }
+        let beyond = self.outlasts(now, id);
+        if self.turned_away(now, excess) || beyond.is_some() {
+            self.give_up(id, beyond, out);
+        } else {
+            self.route(now, id, out);
+        }
     }
 
     fn outcome(&mut self, now: Micros, told: Outcome, out: &mut Out) {
@@ -711,6 +731,12 @@
         match told.code {
             Code::Ok => {
                 self.served.add(now, 1.0, WINDOW_US);
+                if function.queued {
+                    function.gaps = function.gaps.saturating_add(1);
+                    let gap = now.saturating_sub(function.served_at) as f64;
+                    function.gap += (gap - function.gap) * (1.0 / f64::from(function.gaps)).max(0.05);
+                }
+                (function.queued, function.served_at) = (self.waiting.contains_key(name), now);
                 if stood {
                     let latency = told.latency as f64;
                     let slow = (latency / function.usual.max(1.0)).clamp(0.1, 10.0) - 1.0;
@@ -790,13 +816,12 @@
     }
 
     /// No further attempt is allowed.
-    fn give_up(&mut self, id: RequestId, out: &mut Out) {
+    fn give_up(&mut self, id: RequestId, wait: Option<Micros>, out: &mut Out) {
+        let limits = &self.settings.limits;
+        let wait = wait.filter(|_| limits.retry_after).map(|wait| wait.min(limits.max_retry_after));
         let refuse = self.requests.get(&id).is_some_and(|h| self.may_refuse(h));
-        self.finish(
-            id,
-            Some(if refuse { Action::Refuse { id, wait: None } } else { Action::Fail { id } }),
-            out,
-        );
+        let answer = if refuse { Action::Refuse { id, wait } } else { Action::Fail { id } };
+        self.finish(id, Some(answer), out);
     }
 
     /// Closes a request once, with the final answer if one is still owed, and calls off what is out.
--- a/src/state.rs
+++ b/src/state.rs
@@ -98,6 +98,12 @@
     pub places: BTreeMap<WorkerId, Place>,
     pub asks_out: u32,
     pub ask_until: Micros,
+    /// When it was last served, whether calls waited for it then, and how far such answers come apart, by how
+    /// many of them.
+    pub served_at: Micros,
+    pub queued: bool,
+    pub gap: f64,
+    pub gaps: u32,
     /// No further order before this time, after one failed: answers of full would else echo as orders.
     pub order_after: Micros,
 }
@@ -136,17 +142,16 @@
     Shed(RequestId),
 }
 
-/// Calls of one function that wait: past their tenant's share or not, aim, id.
-pub type Waiting = BTreeSet<(bool, Micros, RequestId)>;
+/// Calls of one function that wait, by aim and id: those within their tenant's share, then those past it.
+pub type Waiting = [BTreeSet<(Micros, RequestId)>; 2];
 
 /// The call that comes first: within its share before past it, its aim still ahead before behind, then by
 /// aim.
 pub fn first_waiting(now: Micros, calls: &Waiting) -> Option<(bool, bool, Micros, RequestId)> {
     [false, true].into_iter().find_map(|excess| {
-        let at = |aim| (excess, aim, RequestId(0));
-        let ahead = calls.range(at(now)..=(excess, Micros::MAX, RequestId(u64::MAX))).next();
-        let found = ahead.or_else(|| calls.range(at(0)..at(now)).next());
-        found.map(|(excess, aim, id)| (*excess, *aim < now, *aim, *id))
+        let (calls, at) = (&calls[usize::from(excess)], (now, RequestId(0)));
+        let found = calls.range(at..).next().or_else(|| calls.range(..at).next());
+        found.map(|(aim, id)| (excess, *aim < now, *aim, *id))
     })
 }
 
@@ -156,8 +161,8 @@
         return;
     }
     if let Some(calls) = waiting.get_mut(&held.told.function) {
-        calls.remove(&(held.excess, held.aim, held.told.id));
-        if calls.is_empty() {
+        calls[usize::from(held.excess)].remove(&(held.aim, held.told.id));
+        if calls.iter().all(BTreeSet::is_empty) {
             waiting.remove(&held.told.function);
         }
     }
@@ -303,7 +308,7 @@
         if !held.waiting {
             held.waiting = true;
             let calls = self.waiting.entry(held.told.function.clone()).or_default();
-            calls.insert((held.excess, held.aim, id));
+            calls[usize::from(held.excess)].insert((held.aim, id));
         }
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -764,3 +764,40 @@
     assert!(served[1] >= 25, "the other tenant got {}", served[1]);
     assert!((20..200).contains(&served[0]), "the repeating one got {}", served[0]);
 }
+
+#[test]
+fn what_would_wait_past_its_aim_is_refused_at_once_with_a_time_to_stay_away() {
+    let mut told = settings(Repeat::Safe);
+    (told.limits.retry_after, told.limits.max_retry_after) = (true, S);
+    let mut bed = Bed::new(told, 1);
+    let asks = bed.request(0, "f", S);
+    bed.answer_asks(&asks, "w0", 1);
+    // A copy of two lanes, answers after 50 ms: some twenty calls in half a second.
+    let mut read = 0;
+    let mut turn = |bed: &mut Bed| {
+        let end = bed.log.len();
+        for (id, worker) in sends(&bed.log[read..end].iter().map(|(_, a)| a.clone()).collect::<Vec<_>>()) {
+            bed.outcome(id, 0, &worker, Code::Ok, 50 * MS);
+        }
+        read = end;
+        bed.advance(50 * MS);
+    };
+    for id in 1..30 {
+        bed.request(id, "f", S);
+    }
+    (0..20).for_each(|_| turn(&mut bed));
+    let (mut held, mut waits) = (0, Vec::new());
+    for id in 100..160 {
+        let out = bed.request(id, "f", S);
+        match out.iter().find_map(|a| if let Action::Refuse { wait, .. } = a { Some(*wait) } else { None }) {
+            Some(wait) => waits.push(wait.expect("told for how long")),
+            None => held += 1,
+        }
+    }
+    assert!((10..40).contains(&held), "{held} held: about as many as are served within the aim");
+    assert_eq!(waits.len(), 60 - held);
+    assert!(waits.is_sorted() && waits.iter().all(|wait| (1..=S).contains(wait)), "{waits:?}");
+    // Once those have been served a new one is let in at once.
+    (0..40).for_each(|_| turn(&mut bed));
+    assert_eq!(sends(&bed.request(200, "f", S)).len(), 1);
+}
