A JSON value without a media type is application/json; the worker's wire knows no links

Cause: in structured mode data without datacontenttype went to the worker without a type and came back as an octet-stream string; links and worker wire imported one another. Change: such data is application/json as the JSON format says (3.1); the reply's type stands with the wire.

--- a/crates/cloudevents/src/json.rs
+++ b/crates/cloudevents/src/json.rs
@@ -79,6 +79,12 @@
             let wrong = |_| EventError::Value { name: "data_base64".into(), expected: "base64 text" };
             STANDARD.decode(text("data_base64", raw)?).map_err(wrong)?.into()
         }
+        // Without a media type a payload given as a JSON value is of the type application/json (JSON format,
+        // section 3.1).
+        (Some(raw), None) if event.content_type.is_none() => {
+            event.content_type = Some("application/json".into());
+            Bytes::copy_from_slice(raw.get().as_bytes())
+        }
         // Text of a type that is not JSON is the payload itself; anything else is carried as its JSON.
         (Some(raw), None) if !event.is_json() && raw.get().starts_with('"') => text("data", raw)?.into(),
         (Some(raw), None) => Bytes::copy_from_slice(raw.get().as_bytes()),
--- a/crates/cloudevents/tests/modes.rs
+++ b/crates/cloudevents/tests/modes.rs
@@ -47,6 +47,21 @@
     assert_eq!(back, event);
 }
 
+#[test]
+fn a_json_value_without_a_media_type_is_of_the_type_json_in_every_mode() {
+    let told = |data: &str| format!(r#"{{"specversion":"1.0","id":"1","source":"s","type":"t"{data}}}"#);
+    for (data, kind) in [
+        (r#","data":{"a":1}"#, Some("application/json")),
+        (r#","data":"text""#, Some("application/json")),
+        (r#","data_base64":"/wA=""#, None),
+        ("", None),
+    ] {
+        let event = from_json(told(data).as_bytes()).expect(data);
+        assert_eq!(event.content_type.as_deref(), kind, "{data}");
+    }
+    assert_eq!(from_json(told(r#","data":"text""#).as_bytes()).expect("an event").data, "\"text\"");
+}
+
 #[test]
 fn json_keeps_payloads_and_types_both_ways() {
     let cases = [
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,7 +1,7 @@
 //! The CloudEvents front: clients' connections, their requests turned into calls, answers written back.
 
-use crate::links::Reply;
 use crate::problem::Problem;
+use crate::worker_wire::Reply;
 use basaltward::{Micros, Repeat};
 use basaltward_cloudevents::{
     Attribute, BATCH, Event, Incoming, Mode, STRUCTURED, accepted_mode, read, to_json, write_binary_fields,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,5 @@
 mod worker_wire;
 
 pub use front::extensions;
-pub use links::Reply;
 pub use run::{Gateway, GatewayError, Loops};
-pub use worker_wire::fields;
+pub use worker_wire::{Reply, fields};
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -1,6 +1,6 @@
 //! Connections to the workers: a pool for each, one job on a connection at a time.
 
-use crate::worker_wire;
+use crate::worker_wire::{self, Reply};
 use basaltward::{Code, Micros, Repeat, WorkerId};
 use basaltward_cloudevents::Event;
 use basaltward_config::LinkConfig;
@@ -16,16 +16,6 @@
 /// worker at this very moment, and the call then counts as one that may have run.
 const FRESH_US: Micros = 1_000_000;
 
-/// A worker's reply event, shared by all who wait for it.
-#[derive(Clone, Debug)]
-pub struct Reply(pub Arc<Event>);
-
-impl basaltward_engine::Reply for Reply {
-    fn bytes(&self) -> usize {
-        self.0.data.len() + 512
-    }
-}
-
 /// What a connection is used for.
 pub enum Job {
     /// A call.
--- a/crates/gateway/src/mail.rs
+++ b/crates/gateway/src/mail.rs
@@ -1,6 +1,6 @@
 //! What the loops of one gateway say to each other: a ring for each pair, one writer and one reader, no lock.
 
-use crate::links::Reply;
+use crate::worker_wire::Reply;
 use basaltward::{Micros, WorkerId};
 use basaltward_cloudevents::Event;
 use basaltward_engine::{Answer, Claim, Identity, Path, Seen, WaiterId};
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -1,8 +1,9 @@
 //! One loop: clients, engine and workers joined. It carries bytes and messages between them.
 
 use crate::front::{Asked, Front, thread_of};
-use crate::links::{Done, Job, Links, Reply, attempt_name};
+use crate::links::{Done, Job, Links, attempt_name};
 use crate::mail::{Mail, Message};
+use crate::worker_wire::Reply;
 use basaltward::{FunctionId, MembersKind, Micros, Repeat, WorkerId};
 use basaltward_cloudevents::Event;
 use basaltward_config::Config;
--- a/crates/gateway/src/worker_wire.rs
+++ b/crates/gateway/src/worker_wire.rs
@@ -1,6 +1,5 @@
 //! The worker protocol's messages (`docs/worker-protocol.md`): requests written, responses read.
 
-use crate::links::Reply;
 use basaltward::{Code, CopyNote, Repeat};
 use basaltward_cloudevents::{Attribute, Event, write_binary_fields};
 use basaltward_engine::{AttemptEnd, Function};
@@ -8,6 +7,16 @@
 use bytes::BytesMut;
 use std::sync::Arc;
 
+/// A worker's reply event, shared by all who wait for it.
+#[derive(Clone, Debug)]
+pub struct Reply(pub Arc<Event>);
+
+impl basaltward_engine::Reply for Reply {
+    fn bytes(&self) -> usize {
+        self.0.data.len() + 512
+    }
+}
+
 /// Names of the protocol's header fields.
 pub mod fields {
     /// Request: names the attempt.
