An attempt that waits for its connection has not run: its call is refused

Cause: at 8,000 calls a second on many new connections 110 calls were told as failed although nothing of them was ever written: an attempt counted as one that may have run from the moment it was decided. Change: the engine is told when an attempt's bytes are given to a connection; until then it never ran. A call refused for that has such attempts called off, whatever the settings say of cancelling, so that the answer stays true.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -80,6 +80,9 @@
         /// Further tries of a client that was refused
         #[arg(long, default_value_t = 0)]
         retries: u32,
+        /// Two tenants within their quotas, the multiples being a third one's of its own
+        #[arg(long)]
+        tenants: bool,
         /// What all draws follow from
         #[arg(long, default_value_t = 1)]
         seed: u64,
@@ -104,9 +107,10 @@
         Command::Module { workers, functions, calls, rounds } => {
             module::run(workers, functions, calls, rounds)
         }
-        Command::Overload { multiples, seconds, work_ms, idle, retries, seed } => {
+        Command::Overload { multiples, seconds, work_ms, idle, retries, tenants, seed } => {
             let work = (work_ms * 1e3) as u64;
-            overload::run(&overload::Load { multiples, seconds, work, idle, retries, seed })
+            let load = overload::Load { multiples, seconds, work, idle, retries, seed };
+            if tenants { overload::fair(&load) } else { overload::run(&load) }
         }
         Command::Jam { waiting, rounds, seed } => jam::run(&waiting, rounds, seed),
         Command::Memory { connections } => memory::run(connections),
--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -37,6 +37,24 @@
     pub seed: u64,
 }
 
+const FUNCTIONS: [(&str, &str); 3] = [("echo", "view"), ("annotate", "note"), ("certify", "extract")];
+
+fn plan(load: &Load, at: f64, number: usize, tenant: &str) -> Plan {
+    let (function, class) = FUNCTIONS[number % 3];
+    Plan {
+        at: at as Micros,
+        gateway: 0,
+        function: function.into(),
+        class: class.into(),
+        tenant: tenant.into(),
+        id: number.to_string(),
+        patience: 2_500_000,
+        work: Some(load.work),
+        payload: 100,
+        retries: Retries { most: load.retries, wait: 100_000, leave_after: None, after_failure: false },
+    }
+}
+
 fn plans(load: &Load, multiple: f64, capacity: f64) -> Vec<Plan> {
     let mut rng = StdRng::seed_from_u64(load.seed);
     let until = WARM_US + (load.seconds * 1e6) as Micros;
@@ -46,20 +64,7 @@
         let loaded = (WARM_US..until).contains(&(at as Micros));
         let rate = capacity * if loaded { multiple } else { 0.5 };
         at += -(1.0 - rng.random::<f64>()).ln() * 1e6 / rate;
-        let kind = plans.len() % 3;
-        let (function, class) = [("echo", "view"), ("annotate", "note"), ("certify", "extract")][kind];
-        plans.push(Plan {
-            at: at as Micros,
-            gateway: 0,
-            function: function.into(),
-            class: class.into(),
-            tenant: String::new(),
-            id: plans.len().to_string(),
-            patience: 2_500_000,
-            work: Some(load.work),
-            payload: 100,
-            retries: Retries { most: load.retries, wait: 100_000, leave_after: None, after_failure: false },
-        });
+        plans.push(plan(load, at, plans.len(), ""));
     }
     plans
 }
@@ -196,3 +201,56 @@
     }
     Ok(())
 }
+
+/// Two tenants within their quotas, beside a third at a multiple of its own: what each is served, alone and
+/// beside it.
+pub fn fair(load: &Load) -> Result<(), Box<dyn Error>> {
+    let spec = WorkerSpec { work: load.work, ..WorkerSpec::default() };
+    let capacity = WORKERS as f64 * f64::from(spec.cores) * 1e6 / load.work as f64;
+    let quota = capacity * 0.3;
+    println!(
+        "{capacity:.0} calls a second, quotas of {quota:.0}; two tenants at 0.8 of theirs, seed {}",
+        load.seed
+    );
+    println!("| third tenant, times its quota | tenant a served | b | third, of its quota | rules |");
+    println!("| --- | --- | --- | --- | --- |");
+    for multiple in &load.multiples {
+        let mut config = read(CONFIG, Path::new("demo.xml"))?;
+        config.tenants = ["a", "b", "third"].map(String::from).into();
+        config.module.tenant_quotas = vec![quota; 3];
+        let recorder = Recorder::memory();
+        let bed = Bed::start(&config, 1, vec![spec.clone(); WORKERS], recorder.clone())?;
+        let mut rng = StdRng::seed_from_u64(load.seed);
+        let until = WARM_US + (load.seconds * 1e6) as Micros;
+        let mut plans = Vec::new();
+        for (tenant, rate) in [("a", 0.8), ("b", 0.8), ("third", *multiple)] {
+            let mut at = 0.0;
+            while rate > 0.0 && (at as Micros) < until {
+                let rate = if (at as Micros) < WARM_US { rate.min(0.8) } else { rate };
+                at += -(1.0 - rng.random::<f64>()).ln() * 1e6 / (quota * rate);
+                plans.push(plan(load, at, plans.len(), tenant));
+            }
+        }
+        Clients::new(bed.addresses.clone(), recorder.clone())?.run(plans)?;
+        let rules = rule_settings(&bed.config, &bed.roster.entries);
+        bed.stop()?;
+        let records = recorder.take();
+        let asked = |r: &&Record| matches!(r.what, What::Asked { .. });
+        let start = records.iter().find(asked).map_or(0, |r| r.t);
+        let span = start + WARM_US..start + until;
+        let of = |name: &str| -> Vec<Record> {
+            let mut tries = std::collections::HashSet::new();
+            let mine = records.iter().filter(|r| match &r.what {
+                What::Asked { tried, tenant, .. } => tenant == name && tries.insert(*tried),
+                What::Answered { tried, .. } => tries.contains(tried),
+                _ => false,
+            });
+            mine.cloned().collect()
+        };
+        let served = |name: &str| share(&of(name), span.start, span.end);
+        let third = count(&of("third"), span.start, span.end).served as f64 / (quota * load.seconds);
+        let broken = check(&records, &rules).len();
+        println!("| {multiple} | {:.3} | {:.3} | {third:.2} | {broken} broken |", served("a"), served("b"));
+    }
+    Ok(())
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -42,6 +42,8 @@
 struct Sent {
     worker: WorkerId,
     at: Micros,
+    /// Bytes of it have been given to a connection. Until then it waits for one, and has not run.
+    written: bool,
     ended: Option<Code>,
 }
 
@@ -58,7 +60,8 @@
 impl Try {
     /// When the first attempt was sent that is not known never to have run.
     fn may_have_run(&self) -> Option<Micros> {
-        self.sent.iter().filter(|s| !s.ended.is_some_and(Code::never_ran)).map(|s| s.at).min()
+        let maybe = |s: &&Sent| s.written && !s.ended.is_some_and(Code::never_ran);
+        self.sent.iter().filter(maybe).map(|s| s.at).min()
     }
 
     fn over(&self) -> bool {
@@ -157,6 +160,20 @@
         self.settle(now, out);
     }
 
+    /// Bytes of an attempt are about to be given to a connection: from here on it may run.
+    pub fn written(&mut self, id: AttemptId) {
+        let sent = self.tries.get_mut(&id.request).and_then(|t| t.sent.get_mut(id.number));
+        sent.into_iter().for_each(|sent| sent.written = true);
+    }
+
+    /// Calls off the attempts of a call that is over and that wait for a connection still: told that it never
+    /// ran, its client must stay right.
+    fn call_off_unwritten(&self, request: RequestId, out: &mut Out<P, R>) {
+        let sent = self.tries.get(&request).map(|t| t.sent.as_slice()).unwrap_or_default();
+        let waits = sent.iter().enumerate().filter(|(_, s)| !s.written && s.ended.is_none());
+        out.extend(waits.map(|(number, _)| Output::Abort(AttemptId { request, number })));
+    }
+
     /// Does what is due by `now`, answers first; no more than a small number of things, so that the caller
     /// writes them and reads its clock in between. Where more is due, [`Engine::next_due`] says so.
     pub fn wake(&mut self, now: Micros, out: &mut Out<P, R>) {
@@ -284,6 +301,9 @@
             false => Answer::Failed(Failure::Deadline),
         };
         out.push(Output::Answer { waiter: id, answer, attempts, worker, path: waiter.path });
+        if over {
+            self.call_off_unwritten(request, out);
+        }
         match over {
             true => self.abandon(now, waiter.call),
             false => self.linger(now, waiter.call),
@@ -330,7 +350,10 @@
         let (id, deadline) = (open.call, open.deadline);
         let late = matches!(answer, Answer::Failed(_)) && now + self.settings.module.tick >= deadline;
         let answer = match answer {
-            Answer::Failed(_) if !self.may_have_run(request) => Answer::Refused(Refusal::NotBegun, None),
+            Answer::Failed(_) if !self.may_have_run(request) => {
+                self.call_off_unwritten(request, out);
+                Answer::Refused(Refusal::NotBegun, None)
+            }
             Answer::Failed(_) if late => Answer::Failed(Failure::Deadline),
             answer => answer,
         };
@@ -525,7 +548,7 @@
     ) {
         let Some(open) = self.tries.get_mut(&id) else { return };
         let number = open.sent.len();
-        open.sent.push(Sent { worker: worker.clone(), at: now, ended: None });
+        open.sent.push(Sent { worker: worker.clone(), at: now, written: false, ended: None });
         let call = self.calls.get_mut(&open.call).filter(|_| !open.done);
         let Some(call) = call else {
             // The controller knows better than to send for what is done; if ever, nothing leaves.
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -85,8 +85,9 @@
             Output::Start { attempt, .. } => Some(*attempt),
             _ => None,
         };
-        let all = self.out.iter().filter_map(pick).collect();
+        let all: Vec<_> = self.out.iter().filter_map(pick).collect();
         self.out.retain(|o| pick(o).is_none());
+        all.iter().for_each(|id| self.engine.written(*id));
         all
     }
 
@@ -256,6 +257,7 @@
 fn a_loop_that_turns_late_answers_calls_in_hand_earlier_too() {
     let mut bed = Bed::new(Repeat::Safe, 1, |_| {});
     bed.call(1, "e", 500 * MS);
+    assert_eq!(bed.started().len(), 1);
     bed.advance(400 * MS);
     assert_eq!(bed.answers(), []);
     // The margin was 10 ms; the loop now shows that it may be 80 ms late.
@@ -264,3 +266,17 @@
     bed.advance(15 * MS);
     assert_eq!(bed.answers(), [(1, Answer::Failed(Failure::Deadline))]);
 }
+
+#[test]
+fn an_attempt_that_still_waits_for_its_connection_has_not_run_and_never_will() {
+    let mut bed = Bed::new(Repeat::Unsafe, 1, |s| s.module.limits.cancel = false);
+    bed.call(1, "e", 300 * MS);
+    assert!(bed.out.iter().any(|o| matches!(o, Output::Start { .. })));
+    bed.advance(300 * MS);
+    assert_eq!(bed.answers(), [(1, Answer::Refused(Refusal::NotBegun, None))]);
+    assert!(bed.out.iter().any(|o| matches!(o, Output::Abort(_))), "it must not be written any more");
+    // The event is free for another try.
+    bed.call(2, "e", 2 * S);
+    assert_eq!(bed.answers(), []);
+    assert_eq!(bed.engine.in_hand(), 1);
+}
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -100,7 +100,7 @@
     conns: HashMap<ConnId, LinkConn>,
     jobs: HashMap<Name, ConnId>,
     due: Timers<ConnId>,
-    /// Jobs whose bytes have gone to a socket since this was last taken; kept only for records.
+    /// Jobs whose bytes have been given to a connection since this was last taken.
     pub sent: Vec<Sent>,
 }
 
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -260,7 +260,7 @@
             Happened::Accepted { conn, .. } => self.front.accepted(now, conn),
             Happened::Connected(conn) => {
                 self.links.connected(&mut self.io, now, conn);
-                self.record_sent(now);
+                self.note_sent(now);
             }
             Happened::Data(conn) if self.links.owns(conn) => {
                 let done = self.links.data(&mut self.io, now, conn);
@@ -401,6 +401,8 @@
         self.outputs = outputs;
         while let Some(output) = queue.pop_front() {
             let done = self.output(now, output);
+            // Before the engine is told anything else: what was written may run.
+            self.note_sent(now);
             if let Some(input) = done.and_then(|done| self.ended(now, done)) {
                 let mut more = std::mem::take(&mut self.outputs);
                 self.engine.handle(now, input, &mut more);
@@ -408,7 +410,6 @@
                 self.outputs = more;
             }
         }
-        self.record_sent(now);
     }
 
     fn output(&mut self, now: Micros, output: Output<Event, Reply>) -> Option<Done> {
@@ -495,8 +496,12 @@
         );
     }
 
-    fn record_sent(&mut self, now: Micros) {
+    /// What has been given to connections since: the engine learns it at once, the records where they are on.
+    fn note_sent(&mut self, now: Micros) {
         for sent in self.links.sent.drain(..) {
+            if let Some((id, _)) = &sent.attempt {
+                self.engine.written(*id);
+            }
             if !self.recorder.is_on() {
                 continue;
             }
