--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -14,9 +14,9 @@
 
 const CONFIG: &str = include_str!("../../../examples/config/demo.xml");
 const WORKERS: usize = 4;
-/// Half of the capacity is offered for so long before each load, so that copies stand.
+/// Half of the capacity at most is offered for so long before each load, so that copies stand.
 const WARM_US: Micros = 4_000_000;
-/// After the load half of the capacity again, to see how service comes back.
+/// After the load as before it, to see how service comes back.
 const AFTER_US: Micros = 3_000_000;
 /// Of a load's span this first part is not counted: the queue fills.
 const SETTLE: f64 = 0.3;
@@ -62,7 +62,7 @@
     let mut at = 0.0;
     while (at as Micros) < until + AFTER_US {
         let loaded = (WARM_US..until).contains(&(at as Micros));
-        let rate = capacity * if loaded { multiple } else { 0.5 };
+        let rate = capacity * if loaded { multiple } else { multiple.min(0.5) };
         at += -(1.0 - rng.random::<f64>()).ln() * 1e6 / rate;
         plans.push(plan(load, at, plans.len(), ""));
     }
@@ -158,6 +158,8 @@
     for multiple in &load.multiples {
         let mut config = read(CONFIG, Path::new("demo.xml"))?;
         config.front.connections = config.front.connections.max(load.idle + 10_000);
+        // Room for all that is served within the time that it is remembered, or guards would be the limit.
+        config.repeats.guards = (capacity * 15.0) as usize;
         let recorder = Recorder::memory();
         let bed = Bed::start(&config, 1, vec![spec.clone(); WORKERS], recorder.clone())?;
         let idle = (0..load.idle).map(|_| TcpStream::connect(bed.addresses[0]));
