--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -214,8 +214,10 @@
         "{capacity:.0} calls a second, quotas of {quota:.0}; two tenants at 0.8 of theirs, seed {}",
         load.seed
     );
-    println!("| third tenant, times its quota | tenant a served | b | third, of its quota | rules |");
-    println!("| --- | --- | --- | --- | --- |");
+    println!(
+        "| third tenant, times its quota | tenant a served | b | a refused after, p10 ms | p50 | third, of its quota | rules |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
     for multiple in &load.multiples {
         let mut config = read(CONFIG, Path::new("demo.xml"))?;
         config.tenants = ["a", "b", "third"].map(String::from).into();
@@ -250,9 +252,15 @@
             mine.cloned().collect()
         };
         let served = |name: &str| share(&of(name), span.start, span.end);
+        let mut a = count(&of("a"), span.start, span.end);
+        let (early, late) = (at(&mut a.refusals, 0.1), at(&mut a.refusals, 0.5));
         let third = count(&of("third"), span.start, span.end).served as f64 / (quota * load.seconds);
         let broken = check(&records, &rules).len();
-        println!("| {multiple} | {:.3} | {:.3} | {third:.2} | {broken} broken |", served("a"), served("b"));
+        println!(
+            "| {multiple} | {:.3} | {:.3} | {early:.0} | {late:.0} | {third:.2} | {broken} broken |",
+            served("a"),
+            served("b")
+        );
     }
     Ok(())
 }
