--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -542,6 +542,11 @@
         let epoll = self.epoll.as_fd();
         let Some(conn) = self.conns.get_mut(slot as usize) else { return true };
         let id = ConnId { slot, generation: conn.generation };
+        if conn.closing && !conn.output.is_empty() {
+            // The last bytes go with the end in one segment: a peer that was woken by the bytes alone would
+            // take the connection for one that is kept.
+            let _ = sockopt::set_tcp_cork(&conn.stream, true);
+        }
         while !conn.output.is_empty() {
             match (&conn.stream).write(&conn.output) {
                 Ok(written) => conn.output.advance(written),
