--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,11 +1,12 @@
+use crate::hand::{Call, Order, Sent, Try, Waiter};
 use crate::repeats::{Ended, Identity, Repeats, Verdict};
 use crate::{
     Answer, AttemptEnd, AttemptId, CallId, EngineSettings, Failure, Function, Input, Margin, NewCall,
     OrderId, Output, Path, Refusal, Reply, WaiterId,
 };
 use basaltward::{
-    Action, Code, Controller, CopyNote, Event, FunctionId, Micros, Outcome, Repeat, Request, RequestId,
-    SettingsError, WorkerId,
+    Action, Code, Controller, CopyNote, Event, Micros, Outcome, Repeat, Request, RequestId, SettingsError,
+    WorkerId,
 };
 use basaltward_timers::Timers;
 use std::collections::{HashMap, VecDeque};
@@ -21,59 +22,6 @@
 /// Things due that are done before the caller reads its clock again.
 const BATCH: usize = 32;
 
-struct Waiter {
-    call: CallId,
-    /// Its deadline less the answer's way; the loop's lateness of the moment comes off it too.
-    by: Micros,
-    path: Path,
-}
-
-struct Call<P> {
-    identity: Arc<Identity>,
-    payload: Arc<P>,
-    waiters: Vec<WaiterId>,
-    current: RequestId,
-    attempts: u32,
-    worker: Option<WorkerId>,
-    /// An earlier try of the event may have run.
-    earlier: bool,
-}
-
-struct Sent {
-    worker: WorkerId,
-    at: Micros,
-    /// Bytes of it have been given to a connection. Until then it waits for one, and has not run.
-    written: bool,
-    ended: Option<Code>,
-}
-
-/// One request as the controller knows it. A call has a new one only when its client is more patient than
-/// the one whose event began it.
-struct Try {
-    call: CallId,
-    identity: Arc<Identity>,
-    deadline: Micros,
-    sent: Vec<Sent>,
-    done: bool,
-}
-
-impl Try {
-    /// When the first attempt was sent that is not known never to have run.
-    fn may_have_run(&self) -> Option<Micros> {
-        let maybe = |s: &&Sent| s.written && !s.ended.is_some_and(Code::never_ran);
-        self.sent.iter().filter(maybe).map(|s| s.at).min()
-    }
-
-    fn over(&self) -> bool {
-        self.done && self.sent.iter().all(|s| s.ended.is_some())
-    }
-}
-
-enum Order {
-    Load { worker: WorkerId, function: FunctionId, sent: Micros },
-    Probe { worker: WorkerId, sent: Micros },
-}
-
 /// The calls of one loop, around one controller.
 pub struct Engine<P, R> {
     settings: EngineSettings,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod engine;
+mod hand;
 mod margin;
 mod owner;
 
