An event's name is hashed once, and not at all in a gateway of one loop

Cause: read again, the owner's hash was computed twice for keyed and unsafe events, and for each call of a gateway with a single loop, which has nobody to hand it to; mail carried a sender that nothing reads; the checker of rule 2 counted ended tries in four places. Change: one hash gives owner and mark, none with one loop; the sender is out; ended tries are counted in one place.

--- a/crates/gateway/src/mail.rs
+++ b/crates/gateway/src/mail.rs
@@ -93,14 +93,16 @@
         self.me
     }
 
-    /// The loop that owns an event. The hash has a key of this process: no client can choose its loop.
-    pub fn owner(&self, identity: &Identity) -> usize {
-        (self.owners.hash_one(identity) % self.peers.len() as u64) as usize
+    /// The loop that owns an event, with the hash that says so; nothing where there is one loop only. The hash
+    /// has a key of this process: no client can choose its loop.
+    pub fn owner(&self, identity: &Identity) -> Option<(usize, u64)> {
+        let hash = (self.peers.len() > 1).then(|| self.owners.hash_one(identity))?;
+        Some(((hash % self.peers.len() as u64) as usize, hash))
     }
 
-    /// Takes note of a keyed or unsafe event; true where some loop may have heard of it before.
-    pub fn mark(&self, now: Micros, identity: &Identity) -> bool {
-        self.peers.len() > 1 && self.seen.mark(now, self.owners.hash_one(identity))
+    /// Takes note of a keyed or unsafe event, by its hash; true where some loop may have heard of it before.
+    pub fn mark(&self, now: Micros, hash: u64) -> bool {
+        self.seen.mark(now, hash)
     }
 
     /// Gives a loop a message; false where that loop has ended.
@@ -133,15 +135,12 @@
     }
 
     /// Takes what has come. The others wake this loop again from here on.
-    pub fn receive(&mut self, out: &mut Vec<(usize, Message)>) {
+    pub fn receive(&mut self, out: &mut Vec<Message>) {
         if !self.woken.swap(false, Ordering::AcqRel) {
             return;
         }
-        for (from, peer) in self.peers.iter_mut().enumerate() {
-            let Some(peer) = peer else { continue };
-            while let Ok(message) = peer.inbox.pop() {
-                out.push((from, message));
-            }
+        for peer in self.peers.iter_mut().flatten() {
+            out.extend(std::iter::from_fn(|| peer.inbox.pop().ok()));
         }
     }
 
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -47,7 +47,7 @@
     /// What the loops say to each other, and the calls of this one's clients that others own.
     mail: Mail,
     handed: HandedOver,
-    letters: Vec<(usize, Message)>,
+    letters: Vec<Message>,
     pace: Pace,
     roster: RosterFile,
     clock: Clock,
@@ -318,9 +318,9 @@
 
     /// A call of this loop's clients goes to the loop that owns its event.
     fn call(&mut self, now: Micros, call: NewCall<Event>) {
+        let Some((owner, hash)) = self.mail.owner(&call.identity) else { return self.own_call(now, call) };
         let repeat = self.front.repeat_of(call.identity.function);
-        let known = repeat != Repeat::Safe && self.mail.mark(now, &call.identity);
-        let owner = self.mail.owner(&call.identity);
+        let known = repeat != Repeat::Safe && self.mail.mark(now, hash);
         if owner == self.mail.me() {
             return self.own_call(now, call);
         }
@@ -349,7 +349,7 @@
     fn read_mail(&mut self, now: Micros) {
         let mut letters = std::mem::take(&mut self.letters);
         self.mail.receive(&mut letters);
-        for (_, letter) in letters.drain(..) {
+        for letter in letters.drain(..) {
             match letter {
                 Message::Call { waiter, identity, by, payload, claim } => {
                     if claim.take() {
--- a/crates/rules/src/effects.rs
+++ b/crates/rules/src/effects.rs
@@ -39,6 +39,10 @@
     };
     for record in records {
         let t = record.t;
+        if let What::Left { tried } | What::Cut { tried } | What::Answered { tried, .. } = &record.what {
+            let tries = asked.get(tried).and_then(|(event, _)| open.get_mut(event));
+            tries.into_iter().for_each(|n| *n = n.saturating_sub(1));
+        }
         match &record.what {
             What::Asked { tried, event, class: name, to, .. } => {
                 asked.insert(*tried, (event, to));
@@ -75,21 +79,13 @@
             }
             What::Left { tried } | What::Cut { tried } => {
                 left.extend(asked.get(tried).map(|(event, _)| (*event, t)));
-                let tries = asked.get(tried).and_then(|(event, _)| open.get_mut(event));
-                tries.into_iter().for_each(|n| *n = n.saturating_sub(1));
-            }
-            What::Answered { tried, answer: Final::Served | Final::Rejected, .. } => {
-                let tries = asked.get(tried).and_then(|(event, _)| open.get_mut(event));
-                tries.into_iter().for_each(|n| *n = n.saturating_sub(1));
             }
             What::Answered { tried, answer: Final::Failed, .. } => {
                 let Some((event, to)) = asked.get(tried) else { continue };
-                let tries = open.entry(event).or_default();
-                *tries = tries.saturating_sub(1);
                 // Not for clients of one call that wait for it with others: it may still run. One who has
                 // just left may still count as waiting at the gateway.
                 let alone = left.get(event).is_none_or(|left| t > left + CROSSING_US);
-                let never = !begun.contains(event) && *tries == 0 && alone;
+                let never = !begun.contains(event) && open.get(event) == Some(&0) && alone;
                 if never && at.contains_key(to) {
                     breach(t, format!("{event}: failed although nothing of it was ever sent"));
                 }
@@ -132,8 +128,6 @@
             }
             What::Answered { tried, answer: Final::Refused, .. } => {
                 let Some((event, to)) = asked.get(tried) else { continue };
-                let tries = open.entry(event).or_default();
-                *tries = tries.saturating_sub(1);
                 let free = match repeat_of(&class, event) {
                     RepeatRule::Safe => true,
                     RepeatRule::Keyed { all, .. } => all,
