Bench: a large fleet, a third of it silent, with functions that nobody can load

Need: the module's cost an event while calls wait that can go nowhere, at 120 workers, repeatable without a kit.

--- a/crates/bench/src/jam.rs
+++ b/crates/bench/src/jam.rs
@@ -1,5 +1,9 @@
-//! The controller with calls waiting: its time a call by how many wait, and a digest of all its actions, by
-//! which two builds are held to the same decisions.
+//! The controller with calls waiting: its time a call and an event by how many wait, and a digest of all its
+//! actions, by which two builds are held to the same decisions.
+//!
+//! Two shapes: a burst of calls for functions that all stand, at a small fleet near its capacity; and a large
+//! fleet of which a third fell silent, with functions that nobody can load, under the few calls that one of
+//! many schedulers sees.
 
 use crate::spread;
 use basaltward::{
@@ -12,22 +16,61 @@
 use std::error::Error;
 use std::time::{Duration, Instant};
 
-const WORKERS: usize = 12;
-const FUNCTIONS: usize = 40;
 const CORES: usize = 4;
 /// Mean work of a call.
 const WORK_US: Micros = 10_000;
 /// Calls that a worker holds at most.
 const QUEUE: usize = 32;
-/// Steady calls a second, 0.9 of what the workers do.
-const RATE: f64 = 0.9 * (WORKERS * CORES) as f64 * 1e6 / WORK_US as f64;
-const SPAN_US: Micros = 1_500_000;
+/// How long an order takes, a question, and one to a worker that is not there.
+const LOAD_US: Micros = 60_000;
+const ASK_US: Micros = 800;
+const AWAY_US: Micros = 250_000;
+
+/// A fleet and its load.
+#[derive(Clone, Copy)]
+struct Shape {
+    workers: usize,
+    /// The last so many of them are silent once the fleet is warm.
+    silent: usize,
+    schedulers: u32,
+    functions: usize,
+    /// Steady calls a second.
+    rate: f64,
+    span: Micros,
+    /// Aim and deadline.
+    times: (Micros, Micros),
+}
+
+/// 0.9 of what the workers do.
+const SMALL: Shape = Shape {
+    workers: 12,
+    silent: 0,
+    schedulers: 1,
+    functions: 40,
+    rate: 0.9 * (12 * CORES) as f64 * 1e6 / WORK_US as f64,
+    span: 1_500_000,
+    times: (20_000_000, 60_000_000),
+};
+
+/// One scheduler of 300, a busy one.
+const LARGE: Shape = Shape {
+    workers: 120,
+    silent: 40,
+    schedulers: 300,
+    functions: 200,
+    rate: 90.0,
+    span: 10_000_000,
+    times: (20_000_000, 60_000_000),
+};
 
 enum Due {
     Timer(u64),
     Done(WorkerId, RequestId, usize, Micros),
+    Failed(WorkerId, RequestId, usize),
     Loaded(WorkerId, basaltward::FunctionId, u32),
     Request(u64),
+    /// A call of a function that nobody can load.
+    Stuck(u64),
 }
 
 #[derive(Default)]
@@ -38,6 +81,7 @@
 }
 
 struct Run {
+    shape: Shape,
     controller: Controller,
     rng: StdRng,
     due: BTreeMap<(Micros, u64), Due>,
@@ -49,9 +93,20 @@
     worst: Duration,
     digest: u64,
     actions: u64,
+    events: u64,
+    /// From here on the silent ones are silent.
+    away_from: Micros,
 }
 
+/// Functions of this kind are never loaded.
+const NOWHERE: &str = "nowhere";
+
 impl Run {
+    fn away(&self, now: Micros, worker: &WorkerId) -> bool {
+        let number = worker.as_str().trim_start_matches('w').parse().unwrap_or(0);
+        now >= self.away_from && number >= self.shape.workers - self.shape.silent
+    }
+
     fn set(&mut self, at: Micros, due: Due) {
         self.number += 1;
         self.due.insert((at, self.number), due);
@@ -64,6 +119,7 @@
         let took = start.elapsed();
         self.spent += took;
         self.worst = self.worst.max(took);
+        self.events += 1;
         for action in actions {
             self.actions += 1;
             for byte in format!("{now}{action:?}").bytes() {
@@ -73,7 +129,9 @@
                 Action::Timer { after, token } => self.set(now + after, Due::Timer(token)),
                 Action::Send { id, worker, .. } => self.send(now, id, &worker),
                 Action::Load { worker, function, count } => {
-                    let wait = if count == 0 { 800 } else { 60_000 };
+                    let away = self.away(now, &worker);
+                    let wait = if count == 0 { ASK_US } else { LOAD_US };
+                    let wait = if away { AWAY_US } else { wait };
                     self.set(now + wait, Due::Loaded(worker, function, count));
                 }
                 Action::Drop { worker, function } => {
@@ -88,6 +146,9 @@
         let attempt = self.attempts.entry(id).or_insert(0);
         *attempt += 1;
         let attempt = *attempt - 1;
+        if self.away(now, worker) {
+            return self.set(now + AWAY_US, Due::Failed(worker.clone(), id, attempt));
+        }
         let model = self.workers.entry(worker.clone()).or_default();
         let loaded = self.of.get(&id).is_some_and(|f| model.copies.contains_key(f));
         if !loaded || model.queue.len() >= QUEUE {
@@ -146,6 +207,18 @@
                     };
                     self.outcome(now, id, attempt, worker, code, now - sent);
                 }
+                Due::Failed(worker, id, attempt) => {
+                    self.outcome(now, id, attempt, worker, Code::ConnectFailed, AWAY_US);
+                }
+                Due::Loaded(worker, function, _) if self.away(now, &worker) => {
+                    let (count, code, latency) = (0, Code::ConnectFailed, AWAY_US);
+                    self.tell(now, Event::Loaded { worker, function, count, code, latency });
+                }
+                Due::Loaded(worker, function, count) if function.as_str().starts_with(NOWHERE) => {
+                    let code = if count == 0 { Code::Ok } else { Code::Error };
+                    let latency = if count == 0 { ASK_US } else { LOAD_US };
+                    self.tell(now, Event::Loaded { worker, function, count: 0, code, latency });
+                }
                 Due::Loaded(worker, function, count) => {
                     let model = self.workers.entry(worker.clone()).or_default();
                     let copies = model.copies.entry(function.clone()).or_insert(0);
@@ -154,17 +227,21 @@
                     if count == 0 {
                         model.copies.remove(&function);
                     }
-                    let latency = 60_000;
+                    let latency = LOAD_US;
                     self.tell(now, Event::Loaded { worker, function, count, code: Code::Ok, latency });
                 }
                 Due::Request(number) => self.request(now, number),
+                Due::Stuck(number) => {
+                    let request = Request::new(number, &format!("{NOWHERE}{number}"), 100.0, 4, 60_000_000);
+                    self.tell(now, Event::Request(request));
+                }
             }
         }
     }
 
     fn request(&mut self, now: Micros, number: u64) {
         // Squared, so that low ranks are called more.
-        let rank = (self.rng.random_range(0.0..1.0f64).powi(2) * FUNCTIONS as f64) as usize;
+        let rank = (self.rng.random_range(0.0..1.0f64).powi(2) * self.shape.functions as f64) as usize;
         let name = format!("f{rank}");
         let (class, tenant) = (rank % 3, self.rng.random_range(0..3));
         let patience = self.rng.random_range(20_000_000..60_000_000);
@@ -174,11 +251,12 @@
     }
 }
 
-fn settings() -> Result<Settings, Box<dyn Error>> {
+fn settings(shape: Shape) -> Result<Settings, Box<dyn Error>> {
     let keyed = Repeat::Keyed { group: Group::All, window: 3_000_000 };
-    let class = |repeat| Class::new(20_000_000, 60_000_000, repeat);
+    let class = |repeat| Class::new(shape.times.0, shape.times.1, repeat);
     let classes = vec![class(Repeat::Safe), class(keyed), class(Repeat::Unsafe)];
     let mut settings = Settings::new(classes, vec![8_000.0]);
+    settings.schedulers = shape.schedulers;
     settings.tenant_quotas = vec![2_000.0, 1_500.0, 200.0];
     settings.report_names = vec!["inflight".into()];
     settings.family.load_window = 5_000_000;
@@ -187,10 +265,24 @@
     Ok(settings)
 }
 
-/// A burst of `waiting` calls, then steady ones below what the workers can do: so many wait all along.
-fn once(waiting: u64, seed: u64) -> Result<(f64, f64, u64, u64), Box<dyn Error>> {
+/// What one run came to.
+struct Told {
+    /// Module's time a call and an event, microseconds.
+    call: f64,
+    event: f64,
+    /// Worst event, milliseconds.
+    worst: f64,
+    actions: u64,
+    digest: u64,
+}
+
+/// Where calls wait: a burst of so many at first, or so many for functions that can't be loaded; then steady
+/// ones.
+fn once(shape: Shape, waiting: u64, seed: u64) -> Result<Told, Box<dyn Error>> {
+    let warm = 2_000_000;
     let mut run = Run {
-        controller: Controller::new(settings()?, 1)?,
+        shape,
+        controller: Controller::new(settings(shape)?, 1)?,
         rng: StdRng::seed_from_u64(seed),
         due: BTreeMap::new(),
         number: 0,
@@ -201,9 +293,11 @@
         worst: Duration::ZERO,
         digest: 0xcbf2_9ce4_8422_2325,
         actions: 0,
+        events: 0,
+        away_from: warm,
     };
     let member = |i: usize| Member {
-        worker: format!("10.0.0.{i}:7000").as_str().into(),
+        worker: format!("w{i}").as_str().into(),
         state: State::Active,
         started: 0,
         hint: 1.0,
@@ -211,43 +305,44 @@
         zone: 0,
         cell: 0,
     };
-    let members = (0..WORKERS).map(member).collect();
+    let members = (0..shape.workers).map(member).collect();
     run.tell(0, Event::Members { kind: MembersKind::Whole, members });
     // Copies everywhere first, by a call of each function now and then.
-    let warm = 2_000_000;
     let mut number = 0;
-    let mut add = |run: &mut Run, at: Micros| {
+    let mut add = |run: &mut Run, at: Micros, due: fn(u64) -> Due| {
         number += 1;
-        run.set(at, Due::Request(number));
+        run.set(at, due(number));
     };
-    (0..2_000).for_each(|i| add(&mut run, i * warm / 2_000));
-    (0..waiting).for_each(|_| add(&mut run, warm));
-    let steady = (RATE * SPAN_US as f64 / 1e6) as u64;
-    (0..steady).for_each(|i| add(&mut run, warm + 1 + i * SPAN_US / steady));
+    (0..2_000).for_each(|i| add(&mut run, i * warm / 2_000, Due::Request));
+    let first = if shape.silent > 0 { Due::Stuck } else { Due::Request };
+    (0..waiting).for_each(|_| add(&mut run, warm, first));
+    let steady = (shape.rate * shape.span as f64 / 1e6) as u64;
+    (0..steady).for_each(|i| add(&mut run, warm + 1 + i * shape.span / steady, Due::Request));
     run.until(warm);
-    (run.spent, run.worst) = (Duration::ZERO, Duration::ZERO);
-    run.until(warm + SPAN_US);
-    let (spent, worst) = (run.spent.as_secs_f64() * 1e6 / steady as f64, run.worst.as_secs_f64() * 1e3);
-    Ok((spent, worst, run.digest, run.actions))
+    (run.spent, run.worst, run.events) = (Duration::ZERO, Duration::ZERO, 0);
+    run.until(warm + shape.span);
+    let spent = run.spent.as_secs_f64() * 1e6;
+    let (call, event) = (spent / steady as f64, spent / run.events as f64);
+    let worst = run.worst.as_secs_f64() * 1e3;
+    Ok(Told { call, event, worst, actions: run.actions, digest: run.digest })
 }
 
-/// Measures and prints.
-pub fn run(waiting: &[u64], rounds: usize, seed: u64) -> Result<(), Box<dyn Error>> {
+/// Measures and prints; `large` takes the large fleet, a third of it silent.
+pub fn run(waiting: &[u64], rounds: usize, seed: u64, large: bool) -> Result<(), Box<dyn Error>> {
+    let shape = if large { LARGE } else { SMALL };
+    let Shape { workers, silent, functions, rate, .. } = shape;
     println!(
-        "{WORKERS} workers, {FUNCTIONS} functions, {RATE:.0} calls a second, {rounds} rounds, seed {seed}"
+        "{workers} workers, {silent} silent, {functions} functions, {rate:.0} calls a second, {rounds} rounds, \
+         seed {seed}"
     );
     for &waiting in waiting {
-        let (mut spent, mut worst) = (Vec::new(), 0.0f64);
-        let (mut digest, mut actions) = (0, 0);
-        for _ in 0..rounds {
-            let told = once(waiting, seed)?;
-            spent.push(told.0);
-            worst = worst.max(told.1);
-            (digest, actions) = (told.2, told.3);
-        }
+        let told: Vec<_> = (0..rounds).map(|_| once(shape, waiting, seed)).collect::<Result<_, _>>()?;
+        let Some(Told { actions, digest, .. }) = told.last() else { continue };
         println!(
-            "{waiting} waiting: {} us a call, worst event {worst:.1} ms; {actions} actions, digest {digest:016x}",
-            spread(spent)
+            "{waiting} waiting: {} us a call, {} an event, worst event {} ms; {actions} actions, digest {digest:016x}",
+            spread(told.iter().map(|t| t.call).collect()),
+            spread(told.iter().map(|t| t.event).collect()),
+            spread(told.iter().map(|t| t.worst).collect()),
         );
     }
     Ok(())
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -51,8 +51,11 @@
         #[arg(long, default_value_t = 5)]
         rounds: usize,
     },
-    /// The module's time a call while calls wait, with a digest of all it decides
+    /// The module's time a call and an event while calls wait, with a digest of all it decides
     Jam {
+        /// A fleet of 120 of which 40 are silent, and calls that wait for functions nobody can load
+        #[arg(long)]
+        large: bool,
         /// How many wait, given for each run
         #[arg(long, value_delimiter = ',', default_value = "0,1000,20000")]
         waiting: Vec<u64>,
@@ -112,7 +115,7 @@
             let load = overload::Load { multiples, seconds, work, idle, retries, seed };
             if tenants { overload::fair(&load) } else { overload::run(&load) }
         }
-        Command::Jam { waiting, rounds, seed } => jam::run(&waiting, rounds, seed),
+        Command::Jam { large, waiting, rounds, seed } => jam::run(&waiting, rounds, seed, large),
         Command::Memory { connections } => memory::run(connections),
         Command::Parse { times } => parse::run(times),
     }
