Module: a call that can go nowhere weighs no worker again and again

At n145, one of the few with most calls, longest turn a second 6, 11, 20, 72, 791, 532 ms from second 8 on, longest wait 2.56 s; its processor time a second rose from 18 ms to 250 ms, all that it has.

Ruled out: outcomes, which the issue suspected (29 of them, 1.7 ms), requests (1.7 ms), other timers (0.4 ms), sockets (the module had 241 of the 250 ms).

Change: route() looks first at the places where copies stand, wait_or_load() at what is awaited; the fleet is ranked only where an order may follow. What waits for an answer or a pause rests until then, and is not looked at (Waiting::rests). No exponential where there is nothing to fade; a re-placement that can't be ordered is not ranked; the most calls that wait for one function are counted once. All decisions as before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -112,7 +112,9 @@
     /// usual times, answers of this class that stay away (those of others count a little: a worker may
     /// swallow one class and serve the rest), broken connections, a cold start. It only orders workers.
     fn evidence(&self, now: Micros, worker: &Worker, class: usize) -> f64 {
-        let slow = (worker.slowness.get(now, FORGET_US) - SLACK).max(0.0);
+        // What has not passed the slack does not by fading.
+        let told = worker.slowness.value > SLACK;
+        let slow = if told { (worker.slowness.get(now, FORGET_US) - SLACK).max(0.0) } else { 0.0 };
         let missed = |c: usize| worker.missed.get(c).map_or(0.0, |m| m.get(now, FORGET_US));
         let silent = missed(class) * 0.7 + (0..worker.missed.len()).map(missed).sum::<f64>() * 0.3;
         (1.0 + slow + silent + worker.strain.get(now, FORGET_US)) / self.warmth(now, worker)
@@ -154,19 +156,28 @@
         c.ratio * way * spread.powf((1.0 - self.fleet.trust).powi(2))
     }
 
-    /// Every usable worker as a place for a function, best first: the lowest ratio, spread by a hash that all
-    /// schedulers share, so that those who see nearly the same ratios choose the same workers. The home keeps
-    /// its place until another ratio is lower past the threshold.
+    /// A worker as a place for a function, its key spread by a hash that all schedulers share, so that those
+    /// who see nearly the same ratios choose the same workers. The home keeps its place until another ratio
+    /// is lower past the threshold.
+    fn choice<'a>(&self, now: Micros, of: (&Function, f64), at: (&'a WorkerId, &'a Worker)) -> Choice<'a> {
+        let ((function, added), (id, worker)) = (of, at);
+        self.looks.set(self.looks.get() + 1);
+        let ratio = self.ratio(now, worker, added, function.mb, function.class);
+        let held = if function.home.as_ref() == Some(id) { ratio / GAIN } else { ratio };
+        let key = held.powf(SHARP) * -unit(rendezvous(function.hash, worker.hash)).ln();
+        Choice { key, ratio, id, worker }
+    }
+
+    /// A function with the demand that it would bring.
+    fn demand<'a>(&self, now: Micros, function: &'a Function) -> (&'a Function, f64) {
+        (function, function.rate.get(now, WINDOW_US) * function.usual * function.weight / WINDOW_US)
+    }
+
+    /// Every usable worker as a place for a function, best first. It looks at the whole fleet: not for a call
+    /// that can go nowhere yet, which is looked at again and again.
     fn rank(&self, now: Micros, function: &Function) -> Vec<Choice<'_>> {
-        let added = function.rate.get(now, WINDOW_US) * function.usual * function.weight / WINDOW_US;
-        let usable = self.workers.iter().filter(|(_, w)| w.usable);
-        let choices = usable.map(|(id, worker)| {
-            let ratio = self.ratio(now, worker, added, function.mb, function.class);
-            let held = if function.home.as_ref() == Some(id) { ratio / GAIN } else { ratio };
-            let key = held.powf(SHARP) * -unit(rendezvous(function.hash, worker.hash)).ln();
-            Choice { key, ratio, id, worker }
-        });
-        let mut ranked: Vec<_> = choices.collect();
+        let (usable, of) = (self.workers.iter().filter(|(_, w)| w.usable), self.demand(now, function));
+        let mut ranked: Vec<_> = usable.map(|at| self.choice(now, of, at)).collect();
         ranked.sort_by(|a, b| a.key.total_cmp(&b.key));
         ranked
     }
@@ -229,34 +240,44 @@
         }
     }
 
-    /// Sends a request where it should go, has it wait for a load, or ends it.
+    /// Sends a request where it should go, has it wait for a load, or ends it. What waits comes here with
+    /// each answer and sweep, so that a call that can't go must cost little: the places where copies stand
+    /// are looked at first, the whole fleet only where an order may follow.
     fn route(&mut self, now: Micros, id: RequestId, out: &mut Out) {
         let Some(held) = self.requests.get(&id).filter(|h| !h.done) else { return };
         let name = held.told.function.clone();
         let Some(function) = self.functions.get(&name) else { return };
-        let ranked = self.rank(now, function);
-        let open: Vec<_> = ranked.iter().filter(|c| self.may_send(now, held, c.worker)).collect();
-        if open.is_empty() && !held.attempts.is_empty() {
+        let may = |w: &Worker| self.may_send(now, held, w);
+        if !held.attempts.is_empty() && !self.workers.values().any(may) {
             if held.attempts.iter().all(|a| a.ended.is_some()) {
                 self.give_up(id, None, out);
             }
             return;
         }
-        let (copies, holders) = self.wanted(now, function);
         // A miss told that no copy stood there: where one stands since, it may be tried again. Else a call
         // whose own order brought the copy would wait beside it until its time is over, in a small fleet
         // always. Could hurt where copies come and go faster than answers: attempts are used up.
         // Nor does a broken connection tell of the copy behind it: a process that died refuses the next.
         let again = |a: &Attempt| matches!(a.ended, Some(Code::Miss | Code::Reset));
-        let tried = |c: &Choice| held.attempts.iter().any(|a| a.worker == *c.id && !again(a));
+        let tried = |id: &WorkerId| held.attempts.iter().any(|a| a.worker == *id && !again(a));
         let class = held.told.class;
-        let sound = |c: &Choice| self.evidence(now, c.worker, class) < self.suspect(class);
-        let stands = |c: &Choice| function.places.get(c.id).filter(|p| p.standing);
-        let standing = open.iter().filter_map(|c| stands(c).map(|p| (*c, p)));
+        let sound = |w: &Worker| self.evidence(now, w, class) < self.suspect(class);
+        let stands = function.places.iter().filter(|(id, p)| p.standing && !tried(id));
+        let open = stands.filter_map(|(id, p)| Some((id, self.workers.get(id).filter(|w| may(w))?, p)));
+        let (mut standing, unsound): (Vec<_>, Vec<_>) = open.partition(|(_, w, _)| sound(w));
         // Where no worker at all is sound, the evidence is doubted as in `suspect`, whose figure is some time
         // old: a small fleet that slows down together would hold every call until the next walk.
-        let doubted = !open.iter().any(|c| sound(c));
-        let standing: Vec<_> = standing.filter(|(c, _)| (doubted || sound(c)) && !tried(c)).collect();
+        if !unsound.is_empty() && !self.workers.values().any(|w| may(w) && sound(w)) {
+            standing = unsound;
+        }
+        if standing.is_empty() {
+            return self.wait_or_load(now, id, &name, out);
+        }
+        let (copies, holders) = self.wanted(now, function);
+        let of = self.demand(now, function);
+        let choices = standing.into_iter().map(|(id, w, p)| (self.choice(now, of, (id, w)), p));
+        let mut standing: Vec<_> = choices.collect();
+        standing.sort_by(|(a, _), (b, _)| a.key.total_cmp(&b.key));
         // Past a copy's lanes a worker starts another by itself: what waits here instead causes no load.
         let lanes = |p: &Place| f64::from(function.lanes * p.copies.max(1));
         let own = |c: &Choice| self.own_key(function, c);
@@ -264,12 +285,12 @@
         // A queue that outlasts the aim is no room.
         let left = held.aim.checked_sub(now).unwrap_or(held.deadline.saturating_sub(now)) as f64;
         let soon = |p: &Place| crowd(p) * function.usual <= left * lanes(p);
-        let free = |(_, p): &&(&Choice, &Place)| f64::from(p.out) < lanes(p) && soon(p);
-        let cost = |(c, p): &(&Choice, &Place)| {
+        let free = |(_, p): &&(Choice, &Place)| f64::from(p.out) < lanes(p) && soon(p);
+        let cost = |(c, p): &(Choice, &Place)| {
             let present = c.worker.due.len() as f64 + c.worker.others.get(now, CROWD_US);
             own(c) * (1.0 + crowd(p) / lanes(p) + present / self.fleet.present.max(1.0))
         };
-        let best = |range: &[(&Choice, &Place)], idle: bool| {
+        let best = |range: &[(Choice, &Place)], idle: bool| {
             let usable = range.iter().filter(free).filter(|(_, p)| !idle || crowd(p) < lanes(p));
             usable.min_by(|a, b| cost(a).total_cmp(&cost(b))).map(|(c, _)| c.id.clone())
         };
@@ -282,15 +303,15 @@
             let place = function.places.get(c.id);
             !place.is_some_and(|p| p.loading.is_some() || p.standing && p.copies as usize * holders >= copies)
         };
-        let set = || ranked.iter().take(holders).filter(|_| holders > 1 || standing.is_empty());
+        let grows = holders > 1 && self.may_order(now, function);
+        let mut ranked = if grows { self.rank(now, function) } else { Vec::new() };
+        ranked.truncate(holders);
         let by_own = |a: &&Choice, b: &&Choice| own(a).total_cmp(&own(b));
-        let part = set().min_by(by_own).filter(lacks).filter(|_| self.fleet.trust < 0.5);
-        let next = part.or_else(|| set().filter(lacks).min_by(by_own).filter(|_| roomy.is_none()));
-        let next = next.map(|c| c.id.clone());
-        let none = standing.is_empty();
+        let part = ranked.iter().min_by(by_own).filter(lacks).filter(|_| self.fleet.trust < 0.5);
+        let more = || ranked.iter().filter(lacks).min_by(by_own).filter(|_| roomy.is_none());
+        let next = part.or_else(more).map(|c| c.id.clone());
         match choice {
             Some(worker) => self.send(now, id, &worker, out),
-            None if none => return self.wait_or_load(now, id, &name, out),
             None => self.hold(id, true),
         }
         if let Some(worker) = next {
@@ -301,19 +322,32 @@
     /// No copy is known: wait for answers or a load under way, else cause a load where the ratio is lowest.
     fn wait_or_load(&mut self, now: Micros, id: RequestId, name: &FunctionId, out: &mut Out) {
         self.hold(id, false);
+        let has_ration = self.ration(now);
         let (Some(function), Some(held)) = (self.functions.get(name), self.requests.get(&id)) else { return };
-        let last = function.ask_until;
-        if self.settings.family.orders && (last == 0 || now >= last + function.load) {
+        let (last, family) = (function.ask_until, &self.settings.family);
+        if family.orders && (last == 0 || now >= last + function.load) {
             return self.ask(now, name, out);
         }
         let asking = function.asks_out > 0 && now < function.ask_until;
-        if asking || function.places.values().any(|p| p.loading.is_some()) {
+        if asking || !self.may_order(now, function) {
+            let until = match (asking, function.order_after) {
+                (true, _) => function.ask_until,
+                (_, after) if after > now => after.min(last + function.load),
+                _ => last + function.load,
+            };
+            let rests = held.attempts.is_empty() && !function.places.values().any(|p| p.standing);
+            if let Some(calls) = self.waiting.get_mut(name).filter(|_| rests && family.orders) {
+                calls.rests = until;
+            }
+            return;
+        }
+        if self.held_back(now, name) || !(family.orders && has_ration || family.load_on_miss) {
             return;
         }
-        let ranked = self.rank(now, function);
         let allowed = |c: &&Choice| self.may_send(now, held, c.worker);
         // Copies may stand where nothing may be sent for now: an order there would only be repeated.
         let lacks = |c: &&Choice| !function.places.get(c.id).is_some_and(|p| p.standing);
+        let ranked = self.rank(now, function);
         let first = ranked.iter().filter(lacks).find(allowed).or(ranked.iter().find(lacks));
         let Some(target) = first.map(|c| c.id.clone()) else { return };
         let direct = ranked.iter().find(allowed).map(|c| c.id.clone());
@@ -330,7 +364,7 @@
             return;
         };
         let Some(function) = self.functions.get_mut(&held.told.function) else { return };
-        release(&mut self.waiting, held);
+        release((&mut self.waiting, &self.most), held);
         let place = function.places.entry(worker.clone()).or_default();
         let mut patience = function.usual * 3.0;
         if !place.standing {
@@ -356,19 +390,28 @@
     /// Moves functions, in falling demand, that gain past the threshold: the load is ordered at the target,
     /// the source serves on, and the home switches once the copy stands.
     fn replace(&mut self, now: Micros, out: &mut Out) {
+        let has_ration = self.ration(now);
         let calls = self.functions.iter().map(|(n, f)| (f.rate.get(now, WINDOW_US), n.clone()));
         let mut order: Vec<_> = calls.filter(|(calls, _)| *calls >= 2.0).collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         for (_, name) in order {
             let function = &self.functions[&name];
             let Some(home) = function.home.clone() else { continue };
-            let ranked = self.rank(now, function);
-            let here = ranked.iter().find(|c| *c.id == home).map_or(f64::INFINITY, |c| c.ratio);
+            let at = |id| self.workers.get_key_value(id).filter(|(_, w)| w.usable);
+            let choice = |at| self.choice(now, self.demand(now, function), at);
+            let here = at(&home).map_or(f64::INFINITY, |at| choice(at).ratio);
             let gains = |c: &&Choice| *c.id != home && here > c.ratio * GAIN;
+            // Without an order it can only move to where a copy stands: seldom worth a look at the fleet.
+            let standing = function.places.iter().filter(|(_, p)| p.standing);
+            let moves = || standing.filter_map(|(id, _)| at(id)).any(|at| gains(&&choice(at)));
+            let orders = has_ration && function.moving.is_none() && self.load_gap == 0;
+            if !orders && !moves() {
+                continue;
+            }
+            let ranked = self.rank(now, function);
             let Some(best) = ranked.first().filter(gains) else { continue };
             let (best, stands) = (best.id.clone(), function.places.get(best.id).is_some_and(|p| p.standing));
-            let may = !stands && function.moving.is_none() && self.load_gap == 0;
-            let ordered = may && self.order(now, (&best, &name), 1, out);
+            let ordered = !stands && orders && self.order(now, (&best, &name), 1, out);
             let Some(function) = self.functions.get_mut(&name) else { continue };
             if ordered {
                 function.moving = Some(best);
@@ -413,18 +456,21 @@
         let held = self.requests.get(&id)?;
         let (function, calls) =
             (self.functions.get(&held.told.function)?, self.waiting.get(&held.told.function)?);
-        let ahead = calls[0].len() + if held.excess { calls[1].len() } else { 0 };
+        let ahead = calls.parts[0].len() + if held.excess { calls.parts[1].len() } else { 0 };
         let beyond = ahead as f64 * function.gap + function.usual - held.aim.saturating_sub(now) as f64;
         (function.gaps >= HEARD && beyond > 0.0).then_some(beyond as Micros)
     }
 
     // ---- copies ------------------------------------------------------------------------------------------
 
+    /// Whether no order of a function is out, nor on hold after a failure.
+    fn may_order(&self, now: Micros, function: &Function) -> bool {
+        now >= function.order_after && !function.places.values().any(|p| p.loading.is_some())
+    }
+
     /// Orders copies, one order of a function at a time: true while one is out or on hold after a failure.
     fn grow(&mut self, now: Micros, name: &FunctionId, worker: &WorkerId, count: u32, out: &mut Out) -> bool {
-        let function = &self.functions[name];
-        let held = now < function.order_after || self.held_back(now, name);
-        if held || function.places.values().any(|p| p.loading.is_some()) {
+        if !self.may_order(now, &self.functions[name]) || self.held_back(now, name) {
             return true;
         }
         self.order(now, (worker, name), count, out)
@@ -446,9 +492,12 @@
         if self.load_gap == 0 {
             return false;
         }
-        let count = |calls: &Waiting| calls.iter().map(BTreeSet::len).sum::<usize>();
-        let most = self.waiting.values().map(count).max().unwrap_or(0);
-        now < self.next_load || self.waiting.get(name).map_or(0, count) * 2 < most
+        let count = |calls: &Waiting| calls.parts.iter().map(BTreeSet::len).sum::<usize>();
+        let most = || self.most.get().unwrap_or_else(|| self.waiting.values().map(count).max().unwrap_or(0));
+        now < self.next_load || {
+            self.most.set(Some(most()));
+            self.waiting.get(name).map_or(0, count) * 2 < most()
+        }
     }
 
     /// Whether the ration of load orders has one more.
@@ -530,6 +579,7 @@
         }
         let Some(function) = self.functions.get_mut(name) else { return };
         function.asks_out = function.asks_out.saturating_sub(1);
+        self.waiting.get_mut(name).into_iter().for_each(|calls| calls.rests = 0);
         let Some(place) = function.places.get_mut(worker).filter(|p| p.loading.is_some()) else {
             // An answer to a question.
             if code == Code::Ok && count > 0 {
@@ -568,7 +618,8 @@
         let lane = |p: &Place, f: &Function| !p.standing || p.out < f.lanes * p.copies.max(1);
         let usable = |f: &Function, w| f.places.get(w).is_some_and(|p| lane(p, f));
         let may = |name: &FunctionId, w| self.functions.get(name).is_some_and(|f| usable(f, w));
-        let names = self.waiting.iter().filter(|(name, _)| freed.is_none_or(|w| may(name, w)));
+        let awake = self.waiting.iter().filter(|(_, calls)| calls.rests <= now);
+        let names = awake.filter(|(name, _)| freed.is_none_or(|w| may(name, w)));
         let heads = names.filter_map(|(name, calls)| Some((first_waiting(now, calls)?, name.clone())));
         let mut heads: BTreeSet<_> = heads.collect();
         while let Some(((.., id), name)) = heads.pop_first() {
@@ -645,6 +696,7 @@
             self.stand(worker, &name, false, 0, 0);
             let Some(function) = self.functions.get_mut(&name) else { continue };
             function.moving.take_if(|w| *w == *worker);
+            self.waiting.get_mut(&name).into_iter().for_each(|calls| calls.rests = 0);
             if let Some(place) = function.places.get_mut(worker) {
                 place.loading = None;
             }
@@ -742,6 +794,7 @@
     fn learn(&mut self, now: Micros, name: &FunctionId, of: (usize, Micros, bool), told: &Outcome) {
         let (class, due, missed) = of;
         let (worker, key) = (&told.worker, (due, told.id, told.attempt));
+        self.waiting.get_mut(name).into_iter().for_each(|calls| calls.rests = 0);
         let Some(function) = self.functions.get_mut(name) else { return };
         let place = function.places.entry(worker.clone()).or_default();
         place.out = place.out.saturating_sub(1);
@@ -885,7 +938,7 @@
             held.done = true;
             out.extend(answer);
         }
-        release(&mut self.waiting, held);
+        release((&mut self.waiting, &self.most), held);
         if self.settings.limits.cancel {
             let open = held.attempts.iter().enumerate().filter(|(_, a)| a.ended.is_none());
             out.extend(open.map(|(attempt, _)| Action::Cancel { id, attempt }));
@@ -922,6 +975,7 @@
             for place in function.places.values_mut() {
                 if place.loading.take_if(|since| *since + late < now).is_some() {
                     function.moving = None;
+                    self.waiting.get_mut(&name).into_iter().for_each(|calls| calls.rests = 0);
                 }
             }
             let idle = function.places.iter().filter(|(_, p)| p.out == 0 && p.loading.is_none());
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! The records that the policy keeps: plain data, a fading sum and a hash. Nothing here decides.
 
 use crate::interface::*;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Where a decision's actions go.
@@ -15,6 +16,9 @@
 
 impl Fading {
     pub fn get(&self, now: Micros, span: f64) -> f64 {
+        if self.value == 0.0 {
+            return 0.0;
+        }
         self.value * (-(now.saturating_sub(self.at) as f64) / span).exp()
     }
 
@@ -142,27 +146,35 @@
     Shed(RequestId),
 }
 
-/// Calls of one function that wait, by aim and id: those within their tenant's share, then those past it.
-pub type Waiting = [BTreeSet<(Micros, RequestId)>; 2];
+/// Calls of one function that wait.
+#[derive(Default)]
+pub struct Waiting {
+    /// By aim and id: those within their tenant's share, then those past it.
+    pub parts: [BTreeSet<(Micros, RequestId)>; 2],
+    /// Until then they can go nowhere: no copy stands, and an answer or a pause is awaited. Whatever may
+    /// change that sets it to 0.
+    pub rests: Micros,
+}
 
 /// The call that comes first: within its share before past it, its aim still ahead before behind, then by
 /// aim.
 pub fn first_waiting(now: Micros, calls: &Waiting) -> Option<(bool, bool, Micros, RequestId)> {
     [false, true].into_iter().find_map(|excess| {
-        let (calls, at) = (&calls[usize::from(excess)], (now, RequestId(0)));
+        let (calls, at) = (&calls.parts[usize::from(excess)], (now, RequestId(0)));
         let found = calls.range(at..).next().or_else(|| calls.range(..at).next());
         found.map(|(aim, id)| (excess, *aim < now, *aim, *id))
     })
 }
 
 /// Takes a call out of those that wait, if it is among them.
-pub fn release(waiting: &mut BTreeMap<FunctionId, Waiting>, held: &mut Held) {
+pub fn release((waiting, most): (&mut BTreeMap<FunctionId, Waiting>, &Cell<Option<usize>>), held: &mut Held) {
     if !std::mem::take(&mut held.waiting) {
         return;
     }
+    most.set(None);
     if let Some(calls) = waiting.get_mut(&held.told.function) {
-        calls[usize::from(held.excess)].remove(&(held.aim, held.told.id));
-        if calls.iter().all(BTreeSet::is_empty) {
+        calls.parts[usize::from(held.excess)].remove(&(held.aim, held.told.id));
+        if calls.parts.iter().all(BTreeSet::is_empty) {
             waiting.remove(&held.told.function);
         }
     }
@@ -275,6 +287,9 @@
     pub(crate) gap_grew: Micros,
     pub(crate) taken: VecDeque<Micros>,
     pub(crate) orders: VecDeque<Micros>,
+    /// Most calls that wait for one function, where known.
+    pub(crate) most: Cell<Option<usize>>,
+    pub(crate) looks: Cell<u64>,
 }
 
 impl Controller {
@@ -306,17 +321,26 @@
             gap_grew: 0,
             taken: VecDeque::new(),
             orders: VecDeque::new(),
+            most: Cell::new(None),
+            looks: Cell::new(0),
         }
     }
 
+    /// How often a worker was weighed as a place for a function so far: the greater part of what decisions
+    /// cost, as a figure that repeats.
+    pub fn looks(&self) -> u64 {
+        self.looks.get()
+    }
+
     /// Keeps a request here until there is a copy or room for it.
     pub(crate) fn hold(&mut self, id: RequestId, crowded: bool) {
         let Some(held) = self.requests.get_mut(&id) else { return };
         held.crowded = crowded;
         if !held.waiting {
             held.waiting = true;
+            self.most.set(None);
             let calls = self.waiting.entry(held.told.function.clone()).or_default();
-            calls[usize::from(held.excess)].insert((held.aim, id));
+            calls.parts[usize::from(held.excess)].insert((held.aim, id));
         }
     }
 
