Live scheduler: calls are read and watched before any is begun, and a turn is bounded

Need: beside the module's cost, the loop itself let calls go unanswered once it had fallen behind. Nor was there a bound on what is due in a turn.

Change: Engine takes a call in constant time (Input::Arrived: its answer is watched from then on) and begins it apart (begin_next). How long a call that comes now would wait follows from the pace of the last begins; one that would be begun past its aim is refused at once with the wait as holdoff, as is one whose aim is past when its turn comes. The live scheduler's turn reads what has come, then begins; answers due go before attempts out of time and all else that is due, which ends after 2 ms a turn. The gateway is as before: Input::Call does both.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,3 +1,4 @@
+use crate::arrivals::{Arrival, Arrivals};
 use crate::hand::{Call, Order, Sent, Try, Waiter};
 use crate::repeats::{Ended, Repeats, Verdict};
 use crate::{
@@ -35,6 +36,7 @@
     calls: HashMap<CallId, Call<P>>,
     tries: HashMap<RequestId, Try>,
     waiters: HashMap<WaiterId, Waiter>,
+    arrivals: Arrivals,
     orders: HashMap<OrderId, Order>,
     due: Timers<Due>,
     /// Answers due to clients whose time is up: they go before all else.
@@ -62,6 +64,7 @@
             calls: HashMap::new(),
             tries: HashMap::new(),
             waiters: HashMap::new(),
+            arrivals: Arrivals::default(),
             orders: HashMap::new(),
             due: Timers::default(),
             answers: Timers::default(),
@@ -83,6 +86,11 @@
         answer.into_iter().chain(self.due.next()).min()
     }
 
+    /// How often the controller weighed a worker so far, see [`Controller::looks`].
+    pub fn looks(&self) -> u64 {
+        self.controller.looks()
+    }
+
     /// How late this loop lately was, which comes off each client's time.
     pub fn lateness(&self, now: Micros) -> Micros {
         self.margin.lateness(now)
@@ -96,7 +104,11 @@
     /// Takes one input at time `now` and appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input<P, R>, out: &mut Out<P, R>) {
         match input {
-            Input::Call(call) => self.call(now, call, out),
+            Input::Call(call) => {
+                self.call(now, call, out);
+                while self.begin_next(now, out) {}
+            }
+            Input::Arrived(call) => self.call(now, call, out),
             Input::Left(waiter) => self.left(now, waiter),
             Input::Ended(attempt, end) => self.ended(now, attempt, end, out),
             Input::Ordered(order, code, count) => self.ordered(now, order, code, count),
@@ -107,6 +119,45 @@
         self.settle(now, out);
     }
 
+    /// When the call came that has waited longest to be begun, see [`Engine::begin_next`].
+    pub fn oldest_arrival(&self) -> Option<Micros> {
+        self.arrivals.oldest()
+    }
+
+    /// Begins the call that has waited longest since [`Input::Arrived`]: the controller is told of it, or it
+    /// is turned away if its aim is past. False where none waits.
+    pub fn begin_next(&mut self, now: Micros, out: &mut Out<P, R>) -> bool {
+        while let Some(arrival) = self.arrivals.pop(now) {
+            // Its clients may have left, or have been answered as their time ran out.
+            if !self.calls.contains_key(&arrival.call) {
+                continue;
+            }
+            let by = arrival.by.saturating_sub(self.margin.lateness(now)).min(arrival.until);
+            if now >= arrival.aim.min(by) {
+                let wait = self.arrivals.wait();
+                if let Some(call) = self.withdraw(now, arrival.call) {
+                    let answer = match call.earlier {
+                        true => Answer::Failed(Failure::MayHaveRun),
+                        false => self.behind(wait),
+                    };
+                    self.answer_all(call.waiters, &answer, (0, None), out);
+                }
+            } else {
+                self.begin(now, arrival.call, by);
+                self.settle(now, out);
+            }
+            return true;
+        }
+        false
+    }
+
+    /// The answer to a call that would be begun too late.
+    fn behind(&self, wait: Micros) -> Answer<R> {
+        let limits = &self.settings.module.limits;
+        let wait = Some(wait.min(limits.max_retry_after)).filter(|_| limits.retry_after);
+        Answer::Refused(Refusal::Behind, wait)
+    }
+
     /// Bytes of an attempt are about to be given to a connection: from here on it may run.
     pub fn written(&mut self, id: AttemptId) {
         let sent = self.tries.get_mut(&id.request).and_then(|t| t.sent.get_mut(id.number));
@@ -121,21 +172,30 @@
         out.extend(waits.map(|(number, _)| Output::Abort(AttemptId { request, number })));
     }
 
-    /// Does what is due by `now`, answers first; no more than a small number of things, so that the caller
-    /// writes them and reads its clock in between. Where more is due, [`Engine::next_due`] says so.
-    ///
-    /// With an attempt to start it ends: whether bytes of it leave is known only once the caller has carried
-    /// that out, and a call whose time runs out in the same breath would be told that it never ran.
-    pub fn wake(&mut self, now: Micros, out: &mut Out<P, R>) {
+    /// Answers the clients whose time is up by `now`. True where it ended before the last, with an attempt to
+    /// start, as [`Engine::wake`] does.
+    pub fn answer_due(&mut self, now: Micros, out: &mut Out<P, R>) -> bool {
         let early = self.margin.lateness(now);
         while let Some((at, id)) = self.answers.due(now + early) {
             self.margin.woke(now, at);
             self.out_of_time(now, id, out);
             self.settle(now, out);
             if starts(out) {
-                return;
+                return true;
             }
         }
+        false
+    }
+
+    /// Does what is due by `now`, answers first; no more than a small number of things, so that the caller
+    /// writes them and reads its clock in between. Where more is due, [`Engine::next_due`] says so.
+    ///
+    /// With an attempt to start it ends: whether bytes of it leave is known only once the caller has carried
+    /// that out, and a call whose time runs out in the same breath would be told that it never ran.
+    pub fn wake(&mut self, now: Micros, out: &mut Out<P, R>) {
+        if self.answer_due(now, out) {
+            return;
+        }
         for _ in 0..BATCH {
             let Some((at, due)) = self.due.due(now) else { return };
             self.margin.woke(now, at);
@@ -163,6 +223,8 @@
         let by = told.deadline.saturating_sub(self.margin.way(told.deadline.saturating_sub(now)));
         let answer_by = by.saturating_sub(self.margin.lateness(now));
         let repeat = self.repeat_of(&told.function);
+        let class = self.settings.module.classes.get(told.function.class);
+        let aim = class.map_or(by, |c| by.min(now + c.aim));
         let direct = |answer| Output::Answer {
             waiter: told.waiter,
             answer,
@@ -199,6 +261,9 @@
             _ if self.calls.len() >= self.settings.in_hand => {
                 return out.push(direct(refused(Refusal::InHand)));
             }
+            _ if now + self.arrivals.wait() > aim => {
+                return out.push(direct(self.behind(self.arrivals.wait())));
+            }
             Verdict::FreshUntil(until) => until,
             Verdict::Fresh => Micros::MAX,
         };
@@ -207,11 +272,11 @@
         self.sequence += 1;
         let identity = Arc::new(told.identity);
         self.repeats.open(&identity, repeat, id);
-        let (waiters, current) = (vec![told.waiter], RequestId(0));
+        let (waiters, current) = (vec![told.waiter], None);
         let (function, payload) = (told.function, told.payload);
         let call = Call { identity, function, payload, waiters, current, attempts: 0, worker: None, earlier };
         self.calls.insert(id, call);
-        self.begin(now, id, answer_by.min(until));
+        self.arrivals.push(Arrival { call: id, came: now, aim, by, until });
         self.wait(told.waiter, id, by, Path::First);
     }
 
@@ -226,7 +291,7 @@
         let function = call.function.clone();
         let request = RequestId(self.sequence);
         self.sequence += 1;
-        call.current = request;
+        call.current = Some(request);
         let identity = call.identity.clone();
         self.events.push_back(Event::Request(Request {
             id: request,
@@ -254,13 +319,15 @@
         let Some(call) = self.calls.get_mut(&waiter.call) else { return };
         call.waiters.retain(|w| *w != id);
         let (attempts, worker, request) = (call.attempts, call.worker.clone(), call.current);
-        let over = call.waiters.is_empty() && !self.may_have_run(request);
+        let may_have_run = request.map_or(call.earlier, |request| self.may_have_run(request));
+        let Some(call) = self.calls.get(&waiter.call) else { return };
+        let over = call.waiters.is_empty() && !may_have_run;
         let answer = match over {
             true => Answer::Refused(Refusal::NotBegun, None),
             false => Answer::Failed(Failure::Deadline),
         };
         out.push(Output::Answer { waiter: id, answer, attempts, worker, path: waiter.path });
-        if over {
+        if let Some(request) = request.filter(|_| over) {
             self.call_off_unwritten(request, out);
         }
         match over {
@@ -302,11 +369,19 @@
     /// Nobody came back for the call.
     fn abandon(&mut self, now: Micros, id: CallId) {
         let Some(call) = self.calls.get(&id).filter(|c| c.waiters.is_empty()) else { return };
-        let request = call.current;
+        let Some(request) = call.current else { return drop(self.withdraw(now, id)) };
         self.events.push_back(Event::Gone { id: request });
         self.close(now, request, None);
     }
 
+    /// Takes a call that was never begun out of hand.
+    fn withdraw(&mut self, now: Micros, id: CallId) -> Option<Call<P>> {
+        let call = self.calls.remove(&id)?;
+        let repeat = self.repeat_of(&call.function);
+        self.repeats.close(now, &call.identity, repeat, Ended::NeverRan);
+        Some(call)
+    }
+
     // ---- ends --------------------------------------------------------------------------------------------
 
     /// Ends the call of a try: every client that still waits is answered, the record kept.
--- a/crates/engine/src/hand.rs
+++ b/crates/engine/src/hand.rs
@@ -16,7 +16,8 @@
     pub function: Arc<Function>,
     pub payload: Arc<P>,
     pub waiters: Vec<WaiterId>,
-    pub current: RequestId,
+    /// What the controller knows it as; none until it is begun.
+    pub current: Option<RequestId>,
     pub attempts: u32,
     pub worker: Option<WorkerId>,
     /// An earlier try of the event may have run.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,6 +6,7 @@
 //! sockets, in tests and in virtual time.
 #![warn(missing_docs)]
 
+mod arrivals;
 mod engine;
 mod hand;
 mod margin;
--- a/crates/engine/src/pace.rs
+++ b/crates/engine/src/pace.rs
@@ -3,8 +3,11 @@
 
 use basaltward::Micros;
 
-/// New work of one turn ends after this; at least one call is begun.
+/// New work of one turn ends after this; at least one call is begun. So does taking what has come, which is
+/// to be done even by a loop that has fallen behind with what it leads to.
 const NEW_US: Micros = 1_000;
+/// What is due ends after this in one turn, but for answers: what comes meanwhile is to be seen.
+const DUE_US: Micros = 2_000;
 /// Between two looks at what is due.
 const LOOK_US: Micros = 500;
 /// New connections wait while the oldest request read has waited this long, until it is under the second.
@@ -45,6 +48,7 @@
     began: Micros,
     looked: Micros,
     new: Option<Micros>,
+    read: Option<Micros>,
     held: bool,
     worst: Lag,
     told: Micros,
@@ -57,7 +61,19 @@
     /// counts as begun when it was due, for it may have been woken late.
     pub fn begin(&mut self, since: Micros, due: Micros, now: Micros) {
         let began = now.min(due.max(since));
-        (self.began, self.looked, self.new) = (began, now, None);
+        (self.began, self.looked, self.new, self.read) = (began, now, None, None);
+    }
+
+    /// Whether more of what is due may be done, which was begun at `since`.
+    pub fn goes_on(&self, since: Micros, now: Micros) -> bool {
+        now < since + DUE_US
+    }
+
+    /// Whether one more request may be read in this turn; its bytes have waited since they `came`.
+    pub fn may_read(&mut self, now: Micros, came: Micros) -> bool {
+        self.worst.waited = self.worst.waited.max(now.saturating_sub(came));
+        let first = *self.read.get_or_insert(now);
+        first == now || now < first + NEW_US
     }
 
     /// Whether it is time to look at what is due, in the middle of a turn.
@@ -107,6 +123,8 @@
         assert!(pace.may_begin(14_000, 0) && pace.may_begin(14_999, 0) && !pace.may_begin(15_000, 0));
         pace.begin(20_000, 20_000, 20_000);
         assert!(pace.may_begin(29_000, 0));
+        assert!(pace.may_read(30_500, 0) && pace.may_read(31_499, 0) && !pace.may_read(31_500, 0));
+        assert!(pace.goes_on(31_500, 33_499) && !pace.goes_on(31_500, 33_500));
         assert!(!pace.looks(20_499) && pace.looks(20_500) && !pace.looks(20_501));
     }
 
--- a/crates/engine/src/types.rs
+++ b/crates/engine/src/types.rs
@@ -69,8 +69,10 @@
 /// What an engine is told.
 #[derive(Clone, Debug)]
 pub enum Input<P, R> {
-    /// A call has come.
+    /// A call has come, and is begun at once.
     Call(NewCall<P>),
+    /// A call has come; [`Engine::begin_next`](crate::Engine::begin_next) begins it as the loop finds time.
+    Arrived(NewCall<P>),
     /// A client that waited has left.
     Left(WaiterId),
     /// An attempt has ended. Each [`Output::Start`] gets one.
@@ -94,6 +96,8 @@
     InHand,
     /// Too little of the client's patience was left.
     TooLate,
+    /// So many calls wait to be begun here that it would be begun past its aim.
+    Behind,
     /// Its time ran out, or its attempts did, before a worker took it.
     NotBegun,
     /// The tenant has no room left to guard against a second run.
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -32,6 +32,7 @@
                 "the workers have more than they can do in time; the call did not take effect"
             }
             Refusal::InHand => "too many calls are in hand here; the call was not begun",
+            Refusal::Behind => "this gateway has fallen behind; the call was not begun",
             Refusal::TooLate => "too little of the call's time is left to begin it",
             Refusal::NotBegun => "no worker could begin the call in its time; it did not take effect",
             Refusal::Guards => "this tenant has too many recent calls that must not run twice; not begun",
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -23,6 +23,9 @@
 /// Bytes given to a connection and not yet with its socket, past which requests wait outside.
 const UNSENT: usize = 64 << 10;
 
+/// Things due that are done at once.
+const BATCH: usize = 32;
+
 /// What a connection is used for.
 #[derive(Clone)]
 pub enum Job {
@@ -488,9 +491,11 @@
         }
     }
 
-    /// Does what is due: connections that do not stand, idle ones, attempts out of time.
+    /// Does what is due: connections that do not stand, idle ones, attempts out of time. No more than a small
+    /// number, so that answers that become due meanwhile go in between; [`Links::next_due`] tells of the rest.
     pub fn wake(&mut self, io: &mut Io, now: Micros, done: &mut Vec<Done>) {
-        while let Some((_, due)) = self.due.due(now) {
+        for _ in 0..BATCH {
+            let Some((_, due)) = self.due.due(now) else { return };
             match due {
                 Due::Attempt(id) => done.extend(self.give_up(io, now, Name::Attempt(id), Code::Timeout)),
                 Due::Conn(conn) => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -180,7 +180,7 @@
         let mut happened = Vec::new();
         loop {
             let now = monotonic();
-            let held = self.front.oldest().map_or(0, |came| now.saturating_sub(came));
+            let held = self.oldest().map_or(0, |came| now.saturating_sub(came));
             self.io.hold_accepting(!self.pace.accepts(held));
             let wait = self.wait(now);
             self.io.turn(Some(wait), &mut happened)?;
@@ -201,18 +201,25 @@
         let due = [self.engine.next_due(now), self.front.next_due(), self.links.next_due()];
         let due = due.into_iter().chain([self.follower.next_due(), term, last, reread]);
         let due = due.flatten().min().unwrap_or(now + 1_000_000);
-        if self.front.oldest().is_some() { 0 } else { due.saturating_sub(now) }
+        if self.oldest().is_some() { 0 } else { due.saturating_sub(now) }
+    }
+
+    /// When the oldest request came that was not read, or not begun.
+    fn oldest(&self) -> Option<Micros> {
+        self.front.oldest().into_iter().chain(self.engine.oldest_arrival()).min()
     }
 
     /// Whether SIGTERM came, all who may still come have been taken, and nothing is owed.
     fn is_over(&self, now: Micros) -> bool {
         let Some(term) = self.term.filter(|_| self.stopped) else { return false };
-        let none_waits = !self.accepted && self.io.accepts_all() && self.front.oldest().is_none();
+        let none_waits = !self.accepted && self.io.accepts_all() && self.oldest().is_none();
         let settled = none_waits && self.io.is_settled();
         self.engine.in_hand() == 0 && (settled || term + TERM_US + LAST_US <= now)
     }
 
-    /// One turn: what has ended and what is due, then what is new as far as its time goes.
+    /// One turn: what has ended and what is due, then what has come, then what it leads to, each as far as its
+    /// time goes. What has come is read before any of it is begun: its time runs, and a loop that has fallen
+    /// behind has to know of it to answer in time.
     fn turn(&mut self, (since, due): (Micros, Micros), happened: &mut Vec<Happened>) {
         let mut now = monotonic();
         let began = now;
@@ -231,7 +238,7 @@
         let mut steps = Vec::new();
         while let Some(came) = self.front.oldest() {
             now = monotonic();
-            if !self.pace.may_begin(now, came) {
+            if !self.pace.may_read(now, came) {
                 break;
             }
             self.front.look(&mut self.io, now, &mut steps);
@@ -239,13 +246,22 @@
                 match step {
                     Step::Call(call) => {
                         self.notes.taken(now, &call.payload.id);
-                        self.tell(now, Input::Call(call));
+                        self.tell(now, Input::Arrived(call));
                     }
                     Step::Left(waiters) => waiters.into_iter().for_each(|w| self.tell(now, Input::Left(w))),
                     Step::Done => {}
                 }
             }
         }
+        while let Some(came) = self.engine.oldest_arrival() {
+            now = monotonic();
+            if !self.pace.may_begin(now, came) {
+                break;
+            }
+            let mut outputs = std::mem::take(&mut self.outputs);
+            self.engine.begin_next(now, &mut outputs);
+            self.carry_out(now, outputs);
+        }
         self.flush();
         std::mem::swap(happened, &mut self.later);
         let Turn { began, lag, .. } = self.pace.end(monotonic(), thread_time());
@@ -324,9 +340,13 @@
         }
     }
 
-    /// Does all that is due.
+    /// Does what is due: answers first, the rest as far as its time in a turn goes.
     fn wake(&mut self, mut now: Micros) {
+        let since = now;
         loop {
+            let mut outputs = std::mem::take(&mut self.outputs);
+            self.engine.answer_due(now, &mut outputs);
+            self.carry_out(now, outputs);
             let mut done = Vec::new();
             self.links.wake(&mut self.io, now, &mut done);
             self.done(now, done);
@@ -350,7 +370,8 @@
             self.engine.wake(now, &mut outputs);
             self.carry_out(now, outputs);
             now = monotonic();
-            if self.engine.next_due(now).is_none_or(|due| due > now) {
+            let next = self.engine.next_due(now).into_iter().chain(self.links.next_due()).min();
+            if next.is_none_or(|due| due > now) || !self.pace.goes_on(since, now) {
                 return;
             }
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,8 @@
 const SWEEP_US: Micros = 50_000;
 const WALK_US: Micros = 500_000;
 const REPLACE_US: Micros = 1_000_000;
+/// Functions looked at for a re-placement in one sweep: some hundreds within the second.
+const MOVES: usize = 16;
 /// Evidence against a worker fades to 1/e in this time.
 const FORGET_US: f64 = 6_000_000.0;
 /// Slowness below this is chance.
@@ -387,15 +389,22 @@
         self.wake(after, Wake::Overdue(id, number), out);
     }
 
+    /// Functions worth a look at their home, those with least demand first.
+    fn by_demand(&self, now: Micros) -> Vec<FunctionId> {
+        let calls = self.functions.iter().map(|(n, f)| (f.rate.get(now, WINDOW_US), n.clone()));
+        let mut order: Vec<_> = calls.filter(|(calls, _)| *calls >= 2.0).collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(&a.1)));
+        order.into_iter().map(|(_, name)| name).collect()
+    }
+
     /// Moves functions, in falling demand, that gain past the threshold: the load is ordered at the target,
-    /// the source serves on, and the home switches once the copy stands.
+    /// the source serves on, and the home switches once the copy stands. A part of them a sweep: weighed all
+    /// at once, hundreds of functions at a large fleet would hold up what is due meanwhile.
     fn replace(&mut self, now: Micros, out: &mut Out) {
         let has_ration = self.ration(now);
-        let calls = self.functions.iter().map(|(n, f)| (f.rate.get(now, WINDOW_US), n.clone()));
-        let mut order: Vec<_> = calls.filter(|(calls, _)| *calls >= 2.0).collect();
-        order.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        for (_, name) in order {
-            let function = &self.functions[&name];
+        for _ in 0..MOVES {
+            let Some(name) = self.to_replace.pop() else { return };
+            let Some(function) = self.functions.get(&name) else { continue };
             let Some(home) = function.home.clone() else { continue };
             let at = |id| self.workers.get_key_value(id).filter(|(_, w)| w.usable);
             let choice = |at| self.choice(now, self.demand(now, function), at);
@@ -415,7 +424,7 @@
             let Some(function) = self.functions.get_mut(&name) else { continue };
             if ordered {
                 function.moving = Some(best);
-                return;
+                return self.to_replace.clear();
             }
             function.home = if stands { Some(best) } else { Some(home) };
         }
@@ -959,8 +968,11 @@
         if now >= self.next_replace {
             self.next_replace = now + REPLACE_US;
             out.extend(std::mem::take(&mut self.ask_list).then_some(Action::Watch));
-            self.replace(now, out);
+            if self.to_replace.is_empty() {
+                self.to_replace = self.by_demand(now);
+            }
         }
+        self.replace(now, out);
     }
 
     /// Gives up loads that never ended, releases idle copies and placements, and takes the fleet's sums.
--- a/src/state.rs
+++ b/src/state.rs
@@ -264,6 +264,8 @@
     pub(crate) next_token: u64,
     pub(crate) started: bool,
     pub(crate) next_replace: Micros,
+    /// Functions still to be looked at for a better home, the next one last.
+    pub(crate) to_replace: Vec<FunctionId>,
     /// The subscription to the list failed and is to be asked for again.
     pub(crate) ask_list: bool,
     /// Usual latency of each class, for functions not yet measured.
@@ -304,6 +306,7 @@
             next_token: 1,
             started: false,
             next_replace: 0,
+            to_replace: Vec::new(),
             ask_list: false,
             class_usual,
             sends: Fading::default(),
