Trial: a bed of many processes of the program with faults between them, and a judge

Need: how many processes behave together when parts fail; so far schedulers ran one in a thread of a test.

Change: crates/trial and `basaltward trial FILE`. A fleet of `basaltward node` processes by configuration files, a stand-in bulletin, workers and clients, and one loop of relays on every way between them, each party at an address set aside for it. Faults by script (XML, schema) and by seed: connections silent, broken, refused; datagrams lost, doubled, late, in one direction or all; processes killed, stopped, stalled, started again; a group cut off from all.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -17,7 +17,8 @@
   basaltward serve --config gateway.xml  run a gateway until SIGTERM
   basaltward worker --listen 127.0.0.1:7001
   basaltward call --to 127.0.0.1:8080 echo --data hello
-  basaltward play examples/play/bad-day.xml"
+  basaltward play examples/play/bad-day.xml
+  basaltward trial examples/trial/eight.xml"
 )]
 pub struct Args {
     #[command(flatten)]
@@ -45,6 +46,21 @@
     Play(Play),
     /// Judge records written by earlier runs
     Judge(Judge),
+    /// Run a fleet of scheduler processes with faults between them by a script, and judge it
+    Trial(Trial),
+}
+
+/// Options of `trial`.
+#[derive(ClapArgs)]
+pub struct Trial {
+    /// The script
+    pub script: PathBuf,
+    /// Draw the random choices from this in place of the script's seed
+    #[arg(long)]
+    pub seed: Option<u64>,
+    /// Write all records, the timeline as text and as a picture to this folder
+    #[arg(long, value_name = "DIR")]
+    pub records: Option<PathBuf>,
 }
 
 /// Options of `node`.
@@ -53,6 +69,9 @@
     /// Its configuration, in place of the file that NODE_CONFIG names
     #[arg(long, value_name = "FILE")]
     pub config: Option<PathBuf>,
+    /// Write what crosses the sockets to this file, as JSON lines
+    #[arg(long, value_name = "FILE")]
+    pub records: Option<PathBuf>,
 }
 
 /// How to log.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod records;
 mod report;
 mod serve;
+mod trial;
 mod worker;
 
 use args::{Args, Command};
@@ -41,6 +42,7 @@
         Command::Call(options) => call::run(options),
         Command::Play(options) => play::run(options),
         Command::Judge(options) => play::judge(options),
+        Command::Trial(options) => trial::run(options),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/cli/src/play.rs
+++ b/crates/cli/src/play.rs
@@ -1,10 +1,8 @@
 use crate::args::{Judge, Play};
 use crate::serve::settings;
-use crate::{Failed, report};
+use crate::{Failed, records, report};
 use basaltward_play::{load, play, rule_settings};
 use basaltward_rules::{check, read, service};
-use std::fs::File;
-use std::io::{BufWriter, Write};
 
 /// Plays a scripted day and judges it.
 pub fn run(options: &Play) -> Result<(), Failed> {
@@ -20,12 +18,7 @@
     );
     let verdict = play(&script)?;
     if let Some(path) = &options.records {
-        let mut out = BufWriter::new(File::create(path)?);
-        for record in &verdict.records {
-            serde_json::to_writer(&mut out, record)?;
-            out.write_all(b"\n")?;
-        }
-        out.flush()?;
+        records::write(path, &verdict.records)?;
     }
     report::tally(&verdict.tally);
     report::verdict(&verdict.records, &verdict.breaches, &verdict.service)
--- a/crates/cli/src/records.rs
+++ b/crates/cli/src/records.rs
@@ -1,12 +1,23 @@
 //! The file of records that a command may write.
 
 use crate::Failed;
-use basaltward_rules::Recorder;
-use std::io;
+use basaltward_rules::{Record, Recorder};
+use std::fs::File;
+use std::io::{self, BufWriter, Write};
 use std::path::Path;
 use std::thread::JoinHandle;
 use tracing::warn;
 
+/// Writes records to a file, as JSON lines.
+pub fn write(path: &Path, records: &[Record]) -> Result<(), Failed> {
+    let mut out = BufWriter::new(File::create(path)?);
+    for record in records {
+        serde_json::to_writer(&mut out, record)?;
+        out.write_all(b"\n")?;
+    }
+    Ok(out.flush()?)
+}
+
 /// A recorder with the thread that writes its file, if there is one.
 pub struct Records {
     /// Where records are put.
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -265,7 +265,7 @@
                     }
                 }
             }
-            Happened::Signal(_) | Happened::Woken => {}
+            Happened::Signal(_) | Happened::Woken | Happened::Datagrams(_) => {}
         }
     }
 
--- /dev/null
+++ b/crates/net/src/datagram.rs
@@ -0,0 +1,40 @@
+//! Datagrams beside the connections of a loop.
+
+use crate::{Io, NetError};
+use rustix::event::epoll;
+use std::net::{SocketAddr, UdpSocket};
+
+impl Io {
+    /// Takes datagrams at this address, told by [`Happened::Datagrams`](crate::Happened::Datagrams); gives the
+    /// socket's number and address.
+    ///
+    /// # Errors
+    /// Where the address can't be had.
+    pub fn datagrams(&mut self, at: SocketAddr) -> Result<(usize, SocketAddr), NetError> {
+        let socket = UdpSocket::bind(at)?;
+        socket.set_nonblocking(true)?;
+        let (number, address) = (self.sockets.len(), socket.local_addr()?);
+        epoll::add(&self.epoll, &socket, crate::io::datagram_event(number), epoll::EventFlags::IN)?;
+        self.sockets.push(socket);
+        Ok((number, address))
+    }
+
+    /// The next datagram at a socket: its length and its sender. What is longer than `into` is cut off.
+    pub fn receive(&mut self, number: usize, into: &mut [u8]) -> Option<(usize, SocketAddr)> {
+        let socket = self.sockets.get(number)?;
+        loop {
+            match socket.recv_from(into) {
+                Ok(told) => return Some(told),
+                // Told of what was sent before: nobody listened there. What waits is behind it.
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {}
+                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(_) => return None,
+            }
+        }
+    }
+
+    /// Sends one; false where the system did not take it, which is no more than a loss on the way.
+    pub fn send_to(&mut self, number: usize, to: SocketAddr, bytes: &[u8]) -> bool {
+        self.sockets.get(number).is_some_and(|socket| socket.send_to(bytes, to).is_ok())
+    }
+}
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 use std::mem::MaybeUninit;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
@@ -67,6 +67,8 @@
     Signal(i32),
     /// The loop's [`Waker`] was used.
     Woken,
+    /// Datagrams wait at a socket, by its number.
+    Datagrams(usize),
 }
 
 /// Bounds of one loop.
@@ -108,6 +110,7 @@
 const LISTENER: u64 = 1;
 const SIGNAL: u64 = 2;
 const WAKE: u64 = 3;
+const DATAGRAMS: u64 = 4;
 /// Room made for the first bytes of an output.
 const MESSAGE: usize = 512;
 /// Events taken from epoll in one turn; the rest come with the next.
@@ -120,11 +123,12 @@
 /// epoll is used level-triggered: on the ordinary path there is one read for each message and no call that
 /// changes interest, as with edges, while a pause in reading can lose no event.
 pub struct Io {
-    epoll: OwnedFd,
+    pub(crate) epoll: OwnedFd,
     limits: IoLimits,
     conns: Slab<Conn>,
     generation: u32,
     listeners: Vec<Option<TcpListener>>,
+    pub(crate) sockets: Vec<UdpSocket>,
     accepting: bool,
     /// The owner wants no new connections for now.
     held: bool,
@@ -157,6 +161,7 @@
             conns: Slab::new(),
             generation: 0,
             listeners: Vec::new(),
+            sockets: Vec::new(),
             accepting: true,
             held: false,
             accepted: 0,
@@ -221,9 +226,21 @@
     /// # Errors
     /// Where no socket can be had.
     pub fn connect(&mut self, to: SocketAddr) -> Result<ConnId, NetError> {
+        self.connect_from(None, to)
+    }
+
+    /// As [`Io::connect`], from this address.
+    ///
+    /// # Errors
+    /// Where no socket can be had, or not this address.
+    pub fn connect_from(&mut self, from: Option<SocketAddr>, to: SocketAddr) -> Result<ConnId, NetError> {
         let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
         let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+        if let Some(from) = from {
+            sockopt::set_socket_reuseaddr(&socket, true)?;
+            rustix::net::bind(&socket, &from)?;
+        }
         let failed = match rustix::net::connect(&socket, &to) {
             Ok(()) | Err(rustix::io::Errno::INPROGRESS) => false,
             Err(_) => true,
@@ -275,6 +292,11 @@
         self.get(id).is_some_and(|c| !c.ended && !c.closing)
     }
 
+    /// The other end's address, by asking the system.
+    pub fn peer_address(&mut self, id: ConnId) -> Option<SocketAddr> {
+        self.get(id).and_then(|c| c.stream.peer_addr().ok())
+    }
+
     /// Its own end's address, by asking the system.
     pub fn local_address(&mut self, id: ConnId) -> Option<SocketAddr> {
         self.get(id).and_then(|c| c.stream.local_addr().ok())
@@ -421,6 +443,7 @@
                     drain(&self.woken);
                     out.push(Happened::Woken);
                 }
+                DATAGRAMS => out.push(Happened::Datagrams(slot as usize)),
                 _ => self.ready(ConnId { slot, generation }, flags, out),
             }
         }
@@ -605,3 +628,7 @@
 fn data(kind: u64, slot: u32, generation: u32) -> epoll::EventData {
     epoll::EventData::new_u64(kind << KIND | u64::from(generation) << 32 | u64::from(slot))
 }
+
+pub(crate) fn datagram_event(number: usize) -> epoll::EventData {
+    data(DATAGRAMS, number as u32, 0)
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 mod clock;
+mod datagram;
 mod io;
 mod listen;
 mod wake;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -320,6 +320,7 @@
             },
             Happened::Signal(SIGHUP) => self.want(now, REREAD_NOW),
             Happened::Signal(_) => self.want(now, STOP),
+            Happened::Datagrams(_) => {}
             Happened::Woken => {
                 let wanted = self.wanted.swap(0, Ordering::AcqRel);
                 self.want(now, wanted);
--- a/crates/standins/src/line_worker.rs
+++ b/crates/standins/src/line_worker.rs
@@ -59,8 +59,12 @@
 
 type Script = dyn Fn(&Exec) -> Vec<Act> + Send + Sync;
 
+type Who = dyn Fn(SocketAddr) -> String + Send + Sync;
+
 struct Shared {
     name: String,
+    /// Names the scheduler behind a connection.
+    who: Box<Who>,
     script: Box<Script>,
     recorder: Recorder,
     came: AtomicUsize,
@@ -84,12 +88,26 @@
         name: &str,
         recorder: Recorder,
         script: impl Fn(&Exec) -> Vec<Act> + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        Self::start_for(name, recorder, |_| "n0".into(), script)
+    }
+
+    /// As [`LineWorker::start`], for several schedulers, told apart by where they come from.
+    ///
+    /// # Errors
+    /// As [`LineWorker::start`].
+    pub fn start_for(
+        name: &str,
+        recorder: Recorder,
+        who: impl Fn(SocketAddr) -> String + Send + Sync + 'static,
+        script: impl Fn(&Exec) -> Vec<Act> + Send + Sync + 'static,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         recorder.put(monotonic(), name, What::Born { capacity: 1.0, warm: true });
         let shared = Arc::new(Shared {
             name: name.into(),
+            who: Box::new(who),
             script: Box::new(script),
             recorder,
             came: AtomicUsize::new(0),
@@ -149,12 +167,13 @@
 
 impl Shared {
     fn connection(&self, stream: &TcpStream) {
-        let port = stream.peer_addr().map_or(0, |a| a.port());
-        let _ = self.serve(stream, port);
+        if let Ok(from) = stream.peer_addr() {
+            let _ = self.serve(stream, from);
+        }
         let _ = stream.shutdown(Shutdown::Both);
     }
 
-    fn serve(&self, stream: &TcpStream, port: u16) -> io::Result<()> {
+    fn serve(&self, stream: &TcpStream, from: SocketAddr) -> io::Result<()> {
         let (mut reader, mut out) = (BufReader::new(stream), stream);
         let mut line = String::new();
         loop {
@@ -174,7 +193,7 @@
                     body.truncate(length);
                     let nth = self.came.fetch_add(1, Ordering::SeqCst);
                     let exec = Exec { id: id.into(), fields: fields.into(), body, nth };
-                    if !self.act(&exec, port, stream)? {
+                    if !self.act(&exec, from, stream)? {
                         return Ok(());
                     }
                 }
@@ -191,8 +210,8 @@
     }
 
     /// Does what the script says; false where the connection is over.
-    fn act(&self, exec: &Exec, port: u16, mut stream: &TcpStream) -> io::Result<bool> {
-        let attempt = || format!("n0:{}@{port}", exec.id);
+    fn act(&self, exec: &Exec, from: SocketAddr, mut stream: &TcpStream) -> io::Result<bool> {
+        let attempt = || format!("{}:{}@{}", (self.who)(from), exec.id, from.port());
         let put = |what| self.recorder.put(monotonic(), &self.name, what);
         put(What::Arrived { event: exec.id.clone(), attempt: attempt(), work: 1 });
         for act in (self.script)(exec) {
--- /dev/null
+++ b/crates/trial/src/judge.rs
@@ -0,0 +1,184 @@
+//! The verdict on a run: the five rules over all that was recorded, and what holds for a fleet of processes.
+
+use crate::bed::{Bed, CLASSES};
+use crate::process::Change;
+use crate::way::{Party, Way};
+use basaltward_net::Micros;
+use basaltward_rules::{Breach, ClassRule, Final, Record, RepeatRule, RuleSettings, What, check};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// After a fault ends clients and schedulers need this long to be at each other again.
+const AFTER_US: Micros = 1_500_000;
+
+/// What a fleet has done wrong that no rule names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fleet {
+    /// A process ended though nobody told it to.
+    Crashed(String),
+    /// It ended after SIGTERM, but not well.
+    EndedBadly(String),
+    /// It sent a datagram longer than the platform allows.
+    TooLong(Way, u64),
+    /// It sent datagrams from an address that is not its own.
+    Strange(Way, u64),
+    /// Bytes crossed a way that was cut: the bed itself is broken.
+    Leaked(Way, u64),
+}
+
+impl fmt::Display for Fleet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Crashed(name) => write!(f, "{name} ended by itself"),
+            Self::EndedBadly(name) => write!(f, "{name} did not end well after SIGTERM"),
+            Self::TooLong(way, count) => write!(f, "{way}: {count} datagrams of more than 256 bytes"),
+            Self::Strange(way, count) => write!(f, "{way}: {count} datagrams from another's address"),
+            Self::Leaked(way, bytes) => write!(f, "{way}: {bytes} bytes crossed it while it was cut"),
+        }
+    }
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    /// Broken rules.
+    pub rules: Vec<Breach>,
+    /// What else is wrong.
+    pub fleet: Vec<Fleet>,
+    /// Calls asked, and of them served, refused and failed.
+    pub calls: (u64, u64, u64, u64),
+    /// Calls whose scheduler stood still, or whose way was cut, before they were answered: nothing is owed.
+    pub excused: u64,
+}
+
+impl Verdict {
+    /// Whether nothing is wrong.
+    pub fn is_good(&self) -> bool {
+        self.rules.is_empty() && self.fleet.is_empty()
+    }
+}
+
+/// Judges a run that has finished.
+pub fn judge(bed: &Bed, records: &[Record]) -> Verdict {
+    let mut verdict = Verdict::default();
+    let (records, excused) = excuse(records, &spells(bed));
+    verdict.excused = excused;
+    for record in &records {
+        match &record.what {
+            What::Asked { .. } => verdict.calls.0 += 1,
+            What::Answered { answer: Final::Served, .. } => verdict.calls.1 += 1,
+            What::Answered { answer: Final::Refused, .. } => verdict.calls.2 += 1,
+            What::Answered { .. } => verdict.calls.3 += 1,
+            _ => {}
+        }
+    }
+    verdict.rules = check(&records, &rules());
+    for (number, process) in bed.schedulers.iter().enumerate() {
+        let name = || Party::Scheduler(number).to_string();
+        for (_, change) in &process.changes {
+            match change {
+                Change::Crashed => verdict.fleet.push(Fleet::Crashed(name())),
+                Change::Ended(false) => verdict.fleet.push(Fleet::EndedBadly(name())),
+                _ => {}
+            }
+        }
+    }
+    for (way, counts) in bed.relay.counts() {
+        let found = [(counts.too_long, Fleet::TooLong as fn(_, _) -> _), (counts.strange, Fleet::Strange)];
+        verdict.fleet.extend(found.into_iter().filter(|(n, _)| *n > 0).map(|(n, what)| what(way, n)));
+    }
+    verdict.fleet.extend(bed.leaks.iter().map(|(way, bytes)| Fleet::Leaked(*way, *bytes)));
+    verdict
+}
+
+/// When clients of each scheduler's address could not reach it, by the bed's own faults: from, until.
+fn spells(bed: &Bed) -> BTreeMap<String, Vec<(Micros, Micros)>> {
+    let mut all: BTreeMap<String, Vec<(Micros, Micros)>> = BTreeMap::new();
+    for (number, process) in bed.schedulers.iter().enumerate() {
+        let spells = all.entry(bed.listens[number].to_string()).or_default();
+        let mut since = None;
+        for (t, change) in &process.changes {
+            match change {
+                Change::Stalled => since = Some(*t),
+                Change::Resumed => spells.extend(since.take().map(|from| (from, *t + AFTER_US))),
+                Change::Killed | Change::Ended(_) => drop(since.get_or_insert(*t)),
+                // Who comes up again has nothing left to catch up with.
+                Change::Up => spells.extend(since.take().map(|from| (from, *t))),
+                Change::Stopping | Change::Crashed => {}
+            }
+        }
+        spells.extend(since.map(|from| (from, Micros::MAX)));
+        let way = Way { from: Party::Clients, to: Party::Scheduler(number) };
+        let mut since = None;
+        for (t, _, what) in bed.faults.iter().filter(|(_, on, _)| *on == way) {
+            match (what.as_str(), since) {
+                ("pass", Some(from)) => {
+                    spells.push((from, *t + AFTER_US));
+                    since = None;
+                }
+                ("pass", None) | (_, Some(_)) => {}
+                (_, None) => since = Some(*t),
+            }
+        }
+        spells.extend(since.map(|from| (from, Micros::MAX)));
+    }
+    all
+}
+
+/// Who could not be answered in time by the bed's own fault has left. Answers that came in time stay, and so
+/// does all that rule 2 looks at.
+fn excuse(records: &[Record], spells: &BTreeMap<String, Vec<(Micros, Micros)>>) -> (Vec<Record>, u64) {
+    let mut ended = BTreeMap::new();
+    for record in records {
+        if let What::Answered { tried, .. } | What::Cut { tried } = &record.what {
+            ended.entry(*tried).or_insert(record);
+        }
+    }
+    let mut touched = BTreeMap::new();
+    for record in records {
+        let What::Asked { tried, to, deadline, .. } = &record.what else { continue };
+        let end = ended.get(tried);
+        let in_time = |r: &&Record| matches!(r.what, What::Answered { .. }) && r.t <= *deadline;
+        if end.is_some_and(in_time) {
+            continue;
+        }
+        let until = end.map_or(*deadline, |r| r.t);
+        let here = spells.get(to).map(Vec::as_slice).unwrap_or_default();
+        if here.iter().any(|(from, to)| *from <= until && record.t <= *to) {
+            touched.insert(*tried, *deadline);
+        }
+    }
+    let kept = |record: &&Record| match &record.what {
+        What::Answered { tried, .. } | What::Cut { tried } => !touched.contains_key(tried),
+        _ => true,
+    };
+    let mut all: Vec<_> = records.iter().filter(kept).cloned().collect();
+    let left = touched.iter().map(|(tried, deadline)| {
+        let (t, what) = (*deadline, What::Left { tried: *tried });
+        Record { t, by: "client".into(), what }
+    });
+    all.extend(left);
+    all.sort_by_key(|record| record.t);
+    (all, touched.len() as u64)
+}
+
+/// The rules as the bed's configuration has them.
+fn rules() -> RuleSettings {
+    let class = |(name, _, repeat): &(&str, u64, &str)| {
+        let repeat = if *repeat == "unsafe" { RepeatRule::Unsafe } else { RepeatRule::Safe };
+        ((*name).to_owned(), ClassRule { repeat, aim: 1_000_000, worth: 1.0, late_worth: 0.0 })
+    };
+    RuleSettings {
+        classes: CLASSES.iter().map(class).collect(),
+        groups: BTreeMap::new(),
+        // The rules' grace on sockets.
+        drain_grace: 1_050_000,
+        load_window: 0,
+        load_free: 0.0,
+        load_share: 0.0,
+        cold_from: 0.2,
+        warm_within: 16_000_000,
+        tip_multiple: 4.0,
+        fall: 1_500_000,
+    }
+}
--- /dev/null
+++ b/crates/trial/src/lib.rs
@@ -0,0 +1,23 @@
+//! A bed of many processes of the program on loopback: schedulers as their platform starts them, a stand-in
+//! bulletin, workers and clients, and between all of them relays that put faults on told ways at told times.
+//!
+//! Every party reaches every other at an address set aside for it, so that each pair and direction can be
+//! treated apart. Whatever a bed started it ends, by pid, also when its owner fails.
+#![warn(missing_docs)]
+
+mod bed;
+mod clients;
+mod judge;
+mod process;
+mod relay;
+mod script;
+mod timeline;
+mod way;
+
+pub use bed::{Bed, BedSpec, TrialError};
+pub use judge::{Fleet, Verdict, judge};
+pub use process::{Change, Process, ProcessError};
+pub use relay::{Counts, Laying, Relay};
+pub use script::{Act, Script, Step, load, run};
+pub use timeline::{lanes, picture};
+pub use way::{Loss, Party, Stream, Way};
--- /dev/null
+++ b/crates/trial/src/script.rs
@@ -0,0 +1,232 @@
+//! A trial by a script: a fleet, and what happens to it when.
+
+use crate::bed::{Bed, BedSpec, TrialError};
+use crate::way::{Loss, Party, Stream, Way};
+use basaltward_config::xml::{Node, checked};
+use basaltward_config::{ConfigError, Fault};
+use basaltward_net::{Micros, monotonic};
+use std::path::Path;
+use std::time::Duration;
+
+const SCHEMA: &str = include_str!("../trial.xsd");
+
+/// What happens at a time.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// A scheduler is killed outright.
+    Kill(usize),
+    /// A scheduler is told to stop, and waited for.
+    Stop(usize),
+    /// A scheduler that is down is started.
+    Start(usize),
+    /// A scheduler stands still, or goes on.
+    Stall(usize, bool),
+    /// A scheduler reads its configuration anew.
+    Reread(usize),
+    /// A group is cut off from everybody, or taken up again.
+    Cut(Vec<usize>, bool),
+    /// All datagrams.
+    Loss(Loss),
+    /// The datagrams of one way.
+    OneWay(usize, usize, Loss),
+    /// The connections of a way.
+    Stream(Way, Stream),
+}
+
+/// An act at its time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// From the start of the run.
+    pub at: Micros,
+    /// What happens.
+    pub act: Act,
+}
+
+/// A trial.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// The fleet.
+    pub fleet: BedSpec,
+    /// How long clients call.
+    pub span: Micros,
+    /// What happens, by time.
+    pub steps: Vec<Step>,
+}
+
+/// Reads a script; the program is the one that its schedulers run. `seed` goes before the script's.
+///
+/// # Errors
+/// All faults of the file.
+pub fn load(path: &Path, program: &Path, seed: Option<u64>) -> Result<Script, ConfigError> {
+    let told = path.display().to_string();
+    let text =
+        std::fs::read_to_string(path).map_err(|source| ConfigError::File { path: told.clone(), source })?;
+    checked(&text, &told, SCHEMA, |root, faults| script(root, program, seed, faults))
+}
+
+fn script(root: Node, program: &Path, seed: Option<u64>, faults: &mut Vec<Fault>) -> Script {
+    let part = root.child("fleet").unwrap_or(root);
+    let mut number = |name: &str, absent: u64| part.value::<u64>(name, faults).unwrap_or(absent);
+    let fleet = BedSpec {
+        program: program.into(),
+        schedulers: number("schedulers", 1) as usize,
+        workers: number("workers", 1) as usize,
+        work_ms: number("work-ms", 20),
+        pause_ms: number("pause-ms", 20),
+        seed: 0,
+    };
+    let span = number("ms", 1_000) * 1_000;
+    let seed = seed.or_else(|| root.value("seed", faults)).unwrap_or(1);
+    let fleet = BedSpec { seed, ..fleet };
+    let mut steps = Vec::new();
+    for (index, node) in root.children("at").into_iter().enumerate() {
+        let read = Reader { node, index: index as u64, fleet: &fleet };
+        read.step(faults, &mut steps);
+    }
+    // Stable: of two at one time the one written first goes first.
+    steps.sort_by_key(|step: &Step| step.at);
+    Script { fleet, span, steps }
+}
+
+struct Reader<'a> {
+    node: Node<'a>,
+    index: u64,
+    fleet: &'a BedSpec,
+}
+
+impl Reader<'_> {
+    /// A told number below `count`, or one drawn by the seed and the step's place in the script.
+    fn who(&self, name: &str, count: usize, faults: &mut Vec<Fault>) -> Option<usize> {
+        let told = self.node.text(name);
+        if told == Some("any") {
+            return Some(Bed::draw(self.fleet.seed, self.index, count));
+        }
+        let number = told.and_then(|text| text.parse().ok()).filter(|n| *n < count);
+        if number.is_none() {
+            let most = count.saturating_sub(1);
+            faults.push(self.node.fault(format!("this act needs {name}, any or from 0 to {most}")));
+        }
+        number
+    }
+
+    fn group(&self, faults: &mut Vec<Fault>) -> Option<Vec<usize>> {
+        let told = self.node.text("group").unwrap_or_default();
+        let group: Vec<usize> = told.split_whitespace().filter_map(|n| n.parse().ok()).collect();
+        let good = !group.is_empty() && group.iter().all(|n| *n < self.fleet.schedulers);
+        if !good {
+            let most = self.fleet.schedulers - 1;
+            faults.push(self.node.fault(format!("this act needs group, numbers from 0 to {most}")));
+        }
+        good.then_some(group)
+    }
+
+    fn loss(&self, faults: &mut Vec<Fault>) -> Loss {
+        let share = |name: &str, faults: &mut Vec<Fault>| self.node.value::<f64>(name, faults).unwrap_or(0.0);
+        let usual = Loss::default();
+        let late = self.node.value::<u64>("late-ms", faults).map_or(usual.late.1, |ms| ms * 1_000);
+        Loss { lost: share("lost", faults), doubled: share("doubled", faults), late: (usual.late.0, late) }
+    }
+
+    /// The step, and its end where it has one.
+    fn step(&self, faults: &mut Vec<Fault>, steps: &mut Vec<Step>) {
+        let at = self.node.value::<u64>("ms", faults).unwrap_or(0) * 1_000;
+        let lasts = self.node.value::<u64>("for-ms", faults).map(|ms| ms * 1_000);
+        let told = self.node.text("do").unwrap_or_default();
+        let schedulers = self.fleet.schedulers;
+        let way = |to, scheduler| Way { from: Party::Scheduler(scheduler), to };
+        let worker = |stream: Stream, faults: &mut Vec<Fault>| {
+            let scheduler = self.who("scheduler", schedulers, faults)?;
+            let worker = self.who("worker", self.fleet.workers, faults)?;
+            Some((Act::Stream(way(Party::Worker(worker), scheduler), stream), scheduler, worker))
+        };
+        let acts = match told {
+            "kill" | "stop" | "start" | "reread" => {
+                let Some(one) = self.who("scheduler", schedulers, faults) else { return };
+                match told {
+                    "kill" => (Act::Kill(one), Some(Act::Start(one))),
+                    "stop" => (Act::Stop(one), Some(Act::Start(one))),
+                    "start" => (Act::Start(one), None),
+                    _ => (Act::Reread(one), None),
+                }
+            }
+            "stall" => {
+                let Some(one) = self.who("scheduler", schedulers, faults) else { return };
+                (Act::Stall(one, true), Some(Act::Stall(one, false)))
+            }
+            "cut" => {
+                let Some(group) = self.group(faults) else { return };
+                (Act::Cut(group.clone(), true), Some(Act::Cut(group, false)))
+            }
+            "loss" => (Act::Loss(self.loss(faults)), Some(Act::Loss(Loss::default()))),
+            "one-way" => {
+                let Some(one) = self.who("scheduler", schedulers, faults) else { return };
+                let Some(to) = self.who("to", schedulers, faults) else { return };
+                let end = Act::OneWay(one, to, Loss::default());
+                (Act::OneWay(one, to, Loss { lost: 1.0, ..self.loss(faults) }), Some(end))
+            }
+            "late-bulletin" => {
+                let Some(one) = self.who("scheduler", schedulers, faults) else { return };
+                let way = way(Party::Bulletin, one);
+                (Act::Stream(way, Stream::Stall), Some(Act::Stream(way, Stream::Pass)))
+            }
+            _ => {
+                let stream = if told == "refuse-worker" { Stream::Refuse } else { Stream::Stall };
+                let Some((act, one, to)) = worker(stream, faults) else { return };
+                (act, Some(Act::Stream(way(Party::Worker(to), one), Stream::Pass)))
+            }
+        };
+        steps.push(Step { at, act: acts.0 });
+        let end = lasts.zip(acts.1).map(|(lasts, act)| Step { at: at + lasts, act });
+        steps.extend(end);
+    }
+}
+
+impl Act {
+    /// Does it.
+    ///
+    /// # Errors
+    /// Where a scheduler does not come up or does not end.
+    pub fn perform(&self, bed: &mut Bed) -> Result<(), TrialError> {
+        let all = 0..bed.schedulers.len();
+        match self {
+            Self::Kill(one) => bed.kill(*one),
+            Self::Stop(one) => bed.stop(*one)?,
+            Self::Start(one) => bed.up(*one)?,
+            Self::Stall(one, true) => bed.schedulers[*one].stall(),
+            Self::Stall(one, false) => bed.schedulers[*one].resume(),
+            Self::Reread(one) => bed.schedulers[*one].reread(),
+            Self::Cut(group, cut) => bed.cut(group, *cut),
+            Self::Loss(loss) => {
+                for (from, to) in all.clone().flat_map(|i| all.clone().map(move |j| (i, j))) {
+                    if from != to {
+                        bed.loss(Way { from: Party::Scheduler(from), to: Party::Scheduler(to) }, *loss);
+                    }
+                }
+            }
+            Self::OneWay(from, to, loss) => {
+                bed.loss(Way { from: Party::Scheduler(*from), to: Party::Scheduler(*to) }, *loss);
+            }
+            Self::Stream(way, stream) => bed.stream(*way, *stream),
+        }
+        Ok(())
+    }
+}
+
+/// Plays a script; gives the bed, its clients still calling, to be finished and judged.
+///
+/// # Errors
+/// Where the bed can't be made, or a scheduler is not as the script has it.
+pub fn run(script: &Script) -> Result<Bed, TrialError> {
+    let mut bed = Bed::start(script.fleet.clone())?;
+    bed.call();
+    let began = monotonic();
+    let until = |at: Micros| {
+        std::thread::sleep(Duration::from_micros((began + at).saturating_sub(monotonic())));
+    };
+    for step in script.steps.iter().take_while(|step| step.at <= script.span) {
+        until(step.at);
+        step.act.perform(&mut bed)?;
+    }
+    until(script.span);
+    Ok(bed)
+}
--- /dev/null
+++ b/crates/trial/src/timeline.rs
@@ -0,0 +1,109 @@
+//! The course of a run, a lane for each scheduler: who was up, stalled, stopped, cut off when.
+
+use crate::bed::Bed;
+use crate::process::Change;
+use crate::way::Party;
+use basaltward_net::Micros;
+use svg::Document;
+use svg::node::Text as Letters;
+use svg::node::element::{Line, Rectangle, Text, Title};
+
+/// One spell of a lane, from and until, in microseconds of the run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spell {
+    /// When it begins.
+    pub from: Micros,
+    /// When it ends.
+    pub until: Micros,
+    /// `up`, `stalled`, `stopping`, `cut`.
+    pub what: &'static str,
+}
+
+/// A scheduler's name with its spells by time.
+pub type Lane = (String, Vec<Spell>);
+
+/// The lanes of a bed, until `end`.
+pub fn lanes(bed: &Bed, end: Micros) -> Vec<Lane> {
+    let lane = |(number, process): (usize, &crate::Process)| {
+        let party = Party::Scheduler(number);
+        let mut spells = Vec::new();
+        let mut open: Option<(Micros, &'static str)> = None;
+        let mut turn = |t: Micros, next: Option<&'static str>, spells: &mut Vec<Spell>| {
+            let at = t.saturating_sub(bed.began);
+            let ended = open.take().map(|(from, what)| Spell { from, until: at, what });
+            spells.extend(ended);
+            open = next.map(|what| (at, what));
+        };
+        for (t, change) in &process.changes {
+            let next = match change {
+                Change::Up | Change::Resumed => Some("up"),
+                Change::Stalled => Some("stalled"),
+                Change::Stopping => Some("stopping"),
+                Change::Ended(_) | Change::Killed | Change::Crashed => None,
+            };
+            turn(*t, next, &mut spells);
+        }
+        turn(end, None, &mut spells);
+        let mut since = None;
+        for (t, way, what) in &bed.faults {
+            if way.from != Party::Clients || way.to != party {
+                continue;
+            }
+            let at = t.saturating_sub(bed.began);
+            if what != "pass" {
+                since.get_or_insert(at);
+            } else if let Some(from) = since.take() {
+                spells.push(Spell { from, until: at, what: "cut" });
+            }
+        }
+        let until = end.saturating_sub(bed.began);
+        spells.extend(since.map(|from| Spell { from, until, what: "cut" }));
+        (party.to_string(), spells)
+    };
+    bed.schedulers.iter().enumerate().map(lane).collect()
+}
+
+const LEFT: f64 = 60.0;
+const WIDTH: f64 = 900.0;
+const ROW: f64 = 18.0;
+
+/// The lanes as a picture.
+pub fn picture(lanes: &[Lane]) -> String {
+    let end = lanes.iter().flat_map(|(_, s)| s.iter().map(|s| s.until)).max().unwrap_or(1).max(1) as f64;
+    let x = |t: Micros| LEFT + t as f64 / end * WIDTH;
+    let height = ROW * (lanes.len() as f64 + 2.0);
+    let text = |x: f64, y: f64, letters: String| {
+        Text::new("").set("x", x).set("y", y).set("font-size", 11).add(Letters::new(letters))
+    };
+    let (whole_width, font) = (LEFT + WIDTH + 40.0, "sans-serif");
+    let mut page = Document::new()
+        .set("viewBox", (0.0, 0.0, whole_width, height))
+        .set("width", whole_width)
+        .set("font-family", font);
+    for second in 0..=(end / 1e6) as u64 {
+        let at = x(second * 1_000_000);
+        let line = Line::new().set("x1", at).set("x2", at).set("y1", ROW).set("y2", height - ROW);
+        page = page.add(line.set("stroke", "#dddddd")).add(text(at, height - 4.0, format!("{second} s")));
+    }
+    for (row, (name, spells)) in lanes.iter().enumerate() {
+        let top = ROW * (row as f64 + 1.0);
+        page = page.add(text(4.0, top + 12.0, name.clone()));
+        for spell in spells {
+            let (color, inset) = match spell.what {
+                "up" => ("#7fb37f", 3.0),
+                "stalled" => ("#d9a441", 3.0),
+                "stopping" => ("#8899bb", 3.0),
+                _ => ("#b34a4a", 9.0),
+            };
+            let told = format!("{name} {} {}-{} ms", spell.what, spell.from / 1_000, spell.until / 1_000);
+            let bar = Rectangle::new()
+                .set("x", x(spell.from))
+                .set("y", top + inset)
+                .set("width", (x(spell.until) - x(spell.from)).max(1.0))
+                .set("height", ROW - 3.0 - inset)
+                .set("fill", color);
+            page = page.add(bar.add(Title::new(told)));
+        }
+    }
+    page.to_string()
+}
--- /dev/null
+++ b/crates/trial/src/way.rs
@@ -0,0 +1,73 @@
+//! Who speaks to whom, and what is wrong on the way.
+
+use basaltward_net::Micros;
+use std::fmt;
+
+/// One end of a way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Party {
+    /// A scheduler, by its number.
+    Scheduler(usize),
+    /// A worker, by its number.
+    Worker(usize),
+    /// The bulletin.
+    Bulletin,
+    /// All clients.
+    Clients,
+}
+
+impl fmt::Display for Party {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Scheduler(number) => write!(f, "n{number}"),
+            Self::Worker(number) => write!(f, "s-{number}"),
+            Self::Bulletin => write!(f, "bulletin"),
+            Self::Clients => write!(f, "clients"),
+        }
+    }
+}
+
+/// A way from who connects or sends to who is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Way {
+    /// Who begins.
+    pub from: Party,
+    /// Who is reached.
+    pub to: Party,
+}
+
+impl fmt::Display for Way {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.from, self.to)
+    }
+}
+
+/// What becomes of the connections of a way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stream {
+    /// They carry.
+    #[default]
+    Pass,
+    /// They stay open and carry nothing; new ones stand and stay silent.
+    Stall,
+    /// They break, and new ones are refused.
+    Refuse,
+}
+
+/// What becomes of the datagrams of a way, in one direction.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Loss {
+    /// Share of them that is lost.
+    pub lost: f64,
+    /// Share that comes twice.
+    pub doubled: f64,
+    /// They are late by a time drawn between these; so they overtake one another.
+    pub late: (Micros, Micros),
+}
+
+impl Default for Loss {
+    /// None is lost; late as on the platform.
+    fn default() -> Self {
+        Self { lost: 0.0, doubled: 0.0, late: (1_200, 33_000) }
+    }
+}
