Live scheduler: the fleet's view over datagrams, and `basaltward fleet view`

Need: the view is to run between processes, switched by the configuration, and an operator has to see it.

Change: `basaltward node` keeps the view where its configuration has "fleet": {"view": true, "name", "operators"}; one UDP socket at peer_listen, members by `peers`, our number by selfIndex; without the field nothing listens and nothing is sent, as in `run`. A member is leaving from SIGTERM on and says at its end that it is no more. `basaltward fleet view --of ADDRESS [--json]` asks by the same datagrams, a page of eight at a time, and is answered where its address is among `operators`. Log lines for changes, at most 50 a second. The bed switches it on.

The view: a second round of questions before anybody is suspected; digests without refutation counts, which change many times a second at 30% lost; refutations are passed on even where digests are alike (they were dropped: a live member was taken for gone at start, 10 members, 15% lost); who is heard by us while few of our questions are answered is not accused (one that can't speak told all others of three that they were gone once it could).

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -46,10 +46,33 @@
     Play(Play),
     /// Judge records written by earlier runs
     Judge(Judge),
+    /// Ask about the fleet
+    Fleet(Fleet),
     /// Run a fleet of scheduler processes with faults between them by a script, and judge it
     Trial(Trial),
 }
 
+/// Options of `fleet`.
+#[derive(ClapArgs)]
+pub struct Fleet {
+    #[command(subcommand)]
+    pub command: FleetCommand,
+}
+
+/// What to ask.
+#[derive(Subcommand)]
+pub enum FleetCommand {
+    /// Print what a scheduler believes of its fellows
+    View {
+        /// Where it takes datagrams (`peer_listen`); it must name us among its operators
+        #[arg(long, value_name = "ADDRESS")]
+        of: SocketAddr,
+        /// One JSON object in place of lines
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 /// Options of `trial`.
 #[derive(ClapArgs)]
 pub struct Trial {
--- /dev/null
+++ b/crates/cli/src/fleet.rs
@@ -0,0 +1,40 @@
+use crate::Failed;
+use crate::args::{Fleet, FleetCommand};
+use basaltward_fleet::{Answer, State};
+use basaltward_node::ask_view;
+
+/// Asks about the fleet.
+pub fn run(options: &Fleet) -> Result<(), Failed> {
+    let FleetCommand::View { of, json } = &options.command;
+    let view = ask_view(*of)?;
+    if *json {
+        println!("{}", serde_json::to_string(&view)?);
+        return Ok(());
+    }
+    print(&view);
+    Ok(())
+}
+
+fn print(view: &Answer) {
+    let live = view.entries.iter().filter(|seen| seen.state.is_live()).count();
+    println!(
+        "n{} of {}: {live} live ({:?}), digest {:08x}, {}",
+        view.own,
+        view.size,
+        view.part,
+        view.digest,
+        if view.settled { "settled" } else { "not settled" }
+    );
+    for (number, seen) in view.entries.iter().enumerate() {
+        let heard = match (seen.heard_ms, number == usize::from(view.own)) {
+            (_, true) => "itself".into(),
+            (Some(ms), _) => format!("heard {:.1} s ago", ms as f64 / 1e3),
+            (None, _) => "never heard".into(),
+        };
+        let life = match seen.state {
+            State::Unknown => String::new(),
+            _ => format!(", life {}.{}", seen.incarnation.start, seen.incarnation.bump),
+        };
+        println!("n{number} {}, {heard}{life}", format!("{:?}", seen.state).to_lowercase());
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod call;
 mod demo;
+mod fleet;
 mod node;
 mod play;
 mod records;
@@ -42,6 +43,7 @@
         Command::Call(options) => call::run(options),
         Command::Play(options) => play::run(options),
         Command::Judge(options) => play::judge(options),
+        Command::Fleet(options) => fleet::run(options),
         Command::Trial(options) => trial::run(options),
     };
     match done {
--- /dev/null
+++ b/crates/fleet/src/ask.rs
@@ -0,0 +1,143 @@
+//! How an operator asks a member for its view: a question names where to begin, its answer holds a page.
+
+use crate::types::{Entry, Incarnation, Micros, Number, State};
+use crate::view::{Part, View};
+use crate::wire::{MOST, WireError};
+use serde::{Deserialize, Serialize};
+
+/// The first byte of a question and of an answer; a member's datagrams begin otherwise.
+const VERSION: u8 = 0x71;
+/// Entries in one answer: the largest fit.
+pub const PAGE: usize = 8;
+
+/// Asks for the view from this member on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// Comes back with the answer.
+    pub tag: u32,
+    /// The first member wanted.
+    pub first: Number,
+}
+
+/// What a member believes of one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// What it is.
+    pub state: State,
+    /// Of which life.
+    pub incarnation: Incarnation,
+    /// Milliseconds since it was heard itself; none for never.
+    pub heard_ms: Option<u64>,
+}
+
+/// A page of a view.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Of the question.
+    pub tag: u32,
+    /// Who answers.
+    pub own: Number,
+    /// Members in the configured list.
+    pub size: Number,
+    /// Equal for equal views.
+    pub digest: u32,
+    /// All that were heard of late hold the same.
+    pub settled: bool,
+    /// With how much of the fleet it is.
+    pub part: Part,
+    /// The first member of this page.
+    pub first: Number,
+    /// The page.
+    pub entries: Vec<Seen>,
+}
+
+fn write(message: &impl Serialize) -> Vec<u8> {
+    let mut bytes = vec![VERSION; MOST];
+    let length = postcard::to_slice(message, &mut bytes[1..]).map_or(0, |told| told.len());
+    bytes.truncate(length + 1);
+    bytes
+}
+
+fn read<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, WireError> {
+    let (version, rest) = bytes.split_first().ok_or(WireError::Length(0))?;
+    if bytes.len() > MOST {
+        return Err(WireError::Length(bytes.len()));
+    }
+    if *version != VERSION {
+        return Err(WireError::Version(*version));
+    }
+    match postcard::take_from_bytes(rest) {
+        Ok((message, [])) => Ok(message),
+        _ => Err(WireError::Form),
+    }
+}
+
+impl Question {
+    /// Its bytes.
+    pub fn write(&self) -> Vec<u8> {
+        write(self)
+    }
+
+    /// Reads one.
+    ///
+    /// # Errors
+    /// Where it is none.
+    pub fn read(bytes: &[u8]) -> Result<Self, WireError> {
+        read(bytes)
+    }
+}
+
+impl Answer {
+    /// The page of a view that a question asks for.
+    pub fn new(view: &View, now: Micros, question: Question) -> Self {
+        let seen = |entry: &Entry| Seen {
+            state: entry.state,
+            incarnation: entry.incarnation,
+            heard_ms: (entry.heard > 0).then(|| now.saturating_sub(entry.heard) / 1_000),
+        };
+        let entries = view.entries().iter().skip(question.first.into()).take(PAGE).map(seen).collect();
+        Self {
+            tag: question.tag,
+            own: view.own(),
+            size: view.entries().len() as Number,
+            digest: view.digest(),
+            settled: view.is_settled(now),
+            part: view.part(),
+            first: question.first,
+            entries,
+        }
+    }
+
+    /// Its bytes, at most [`MOST`].
+    pub fn write(&self) -> Vec<u8> {
+        write(self)
+    }
+
+    /// Reads one.
+    ///
+    /// # Errors
+    /// Where it is none.
+    pub fn read(bytes: &[u8]) -> Result<Self, WireError> {
+        read(bytes)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_largest_page_fits_and_comes_back_as_it_was() {
+        let incarnation = Incarnation { start: u64::MAX, bump: u32::MAX };
+        let seen = Seen { state: State::Stopped, incarnation, heard_ms: Some(u64::MAX) };
+        let (tag, digest, own, size, first) = (u32::MAX, u32::MAX, Number::MAX, Number::MAX, Number::MAX);
+        let (settled, part, entries) = (true, Part::Alone, vec![seen; PAGE]);
+        let answer = Answer { tag, own, size, digest, settled, part, first, entries };
+        let bytes = answer.write();
+        assert!(bytes.len() <= MOST && bytes.len() > 200, "{}", bytes.len());
+        assert_eq!(Answer::read(&bytes), Ok(answer));
+        assert!((0..bytes.len()).all(|cut| Answer::read(&bytes[..cut]).is_err()));
+        let question = Question { tag: 7, first: 300 };
+        assert_eq!(Question::read(&question.write()), Ok(question));
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! The view says what is believed; it decides nothing, and safety never rests on its being right.
 #![warn(missing_docs)]
 
+mod ask;
 mod budget;
 mod rumours;
 mod settings;
@@ -14,6 +15,7 @@
 mod wire;
 mod world;
 
+pub use ask::{Answer, PAGE, Question, Seen};
 pub use settings::{FleetSettings, SettingsError};
 pub use types::{Entry, Incarnation, Micros, Number, State};
 pub use view::{Counts, Output, Part, View};
--- a/crates/fleet/src/rumours.rs
+++ b/crates/fleet/src/rumours.rs
@@ -1,24 +1,32 @@
 //! News on its way: each piece is passed on a number of times, those passed on least first. One piece a
 //! member: what is later takes the place of what is earlier, so the queue is bounded by the fleet's size.
 
-use crate::types::{Number, State};
+use crate::types::Number;
 use crate::wire::{News, size};
 use std::collections::BTreeMap;
 
+/// A piece on its way.
+#[derive(Clone, Copy, Debug)]
+struct Piece {
+    news: News,
+    /// Digests differ until all know it.
+    shows: bool,
+}
+
 #[derive(Debug, Default)]
 pub struct Rumours {
     /// By how often each was passed on, then by member.
-    order: BTreeMap<(u32, Number), News>,
+    order: BTreeMap<(u32, Number), Piece>,
     at: BTreeMap<Number, u32>,
 }
 
 impl Rumours {
-    /// A piece of news that is new here.
-    pub fn add(&mut self, news: News) {
+    /// A piece of news that is new here; `shows` says that views without it have another digest.
+    pub fn add(&mut self, news: News, shows: bool) {
         if let Some(passed) = self.at.insert(news.of, 0) {
             self.order.remove(&(passed, news.of));
         }
-        self.order.insert((0, news.of), news);
+        self.order.insert((0, news.of), Piece { news, shows });
     }
 
     pub fn is_empty(&self) -> bool {
@@ -29,9 +37,9 @@
         self.order.len()
     }
 
-    /// Others hold what we hold: what digests tell of need not be passed on.
+    /// Others hold what we hold: what digests tell of need not be passed on. Suspicions and refutations must.
     pub fn known(&mut self) {
-        self.order.retain(|_, news| news.state == State::Suspect);
+        self.order.retain(|_, piece| !piece.shows);
         self.at.retain(|of, passed| self.order.contains_key(&(*passed, *of)));
     }
 
@@ -43,7 +51,7 @@
             told.push(news);
         }
         let mut passed = Vec::new();
-        for (key, news) in &self.order {
+        for (key, Piece { news, .. }) in &self.order {
             if size(news, base) > room {
                 break;
             }
@@ -54,10 +62,10 @@
             }
         }
         for key in passed {
-            let Some(news) = self.order.remove(&key) else { continue };
+            let Some(piece) = self.order.remove(&key) else { continue };
             let count = key.0 + 1;
             if count < repeats {
-                self.order.insert((count, key.1), news);
+                self.order.insert((count, key.1), piece);
                 self.at.insert(key.1, count);
             } else {
                 self.at.remove(&key.1);
@@ -70,22 +78,22 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::types::Incarnation;
+    use crate::types::{Incarnation, State};
 
     #[test]
     fn each_piece_goes_its_number_of_times_and_what_is_later_replaces_what_is_earlier() {
         let news = |of, bump| News { of, incarnation: Incarnation { start: 1, bump }, state: State::Up };
         let mut rumours = Rumours::default();
-        (0..3).for_each(|of| rumours.add(news(of, 0)));
-        rumours.add(news(1, 1));
+        (0..3).for_each(|of| rumours.add(news(of, 0), true));
+        rumours.add(news(1, 1), true);
         let two = size(&news(0, 0), 0) * 2;
         assert_eq!(rumours.take(two, 2, 0, None), [news(0, 0), news(1, 1)]);
         assert_eq!(rumours.take(two, 2, 0, None), [news(2, 0), news(0, 0)]);
         assert_eq!(rumours.take(two, 2, 0, Some(news(1, 1))), [news(1, 1)]);
         assert_eq!(rumours.take(two, 2, 0, None), [news(2, 0)]);
         assert!(rumours.is_empty() && rumours.at.is_empty());
-        rumours.add(news(1, 2));
-        rumours.add(News { state: State::Suspect, ..news(2, 1) });
+        rumours.add(news(1, 2), true);
+        rumours.add(news(2, 1), false);
         rumours.known();
         assert_eq!((rumours.len(), rumours.at.len()), (1, 1));
     }
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -13,6 +13,8 @@
     pub others: Micros,
     pub until: Micros,
     pub passed_on: bool,
+    /// It is asked a second time: one round of losses suspects nobody, at 30% lost one in five would fail.
+    pub again: bool,
 }
 
 /// A member that others asked us to ask.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -15,11 +15,16 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
 
 /// Members asked to ask another one.
 const OTHERS: usize = 3;
 /// Suspects asked again in each period, so that they hear of it.
 const AGAIN: usize = 2;
+/// How much the latest question weighs in the share of those answered.
+const WEIGHT: f64 = 0.2;
+/// With fewer answered than this it may be we who can't be heard.
+const DOUBT: f64 = 0.5;
 /// Errands held for others at most.
 const ERRANDS: usize = 64;
 /// Datagrams that answer one comparison at most; the next comparison brings the rest.
@@ -57,7 +62,7 @@
 }
 
 /// How much of the configured fleet we are with.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Part {
     /// All members are live.
     Whole,
@@ -108,6 +113,8 @@
     /// The one of the others that is not live to be asked next.
     lost: Number,
     sequence: u32,
+    /// Share of our questions that were answered, the latest weighing most.
+    answered: f64,
     /// Members heard in a row whose view was like ours.
     alike: u32,
     next_ask: Micros,
@@ -119,10 +126,12 @@
 
 type Out = Vec<Output>;
 
-/// What a digest takes of an entry: suspicions come and go, and are left out.
+/// What a digest takes of an entry: who is what, in which life. Suspicions and their refutations come and go,
+/// with 30% lost many times a second, and are left out: where one of them leads to something else for some and
+/// not for others, that differs and is found.
 fn print(of: Number, entry: &Entry) -> u32 {
     let state = if entry.state == State::Suspect { State::Up } else { entry.state };
-    let parts = [u64::from(of) << 8 | state as u64, entry.incarnation.start, entry.incarnation.bump.into()];
+    let parts = [u64::from(of) << 8 | state as u64, entry.incarnation.start];
     let mix = |hash: u64, part: u64| {
         let hash = (hash ^ part).wrapping_mul(0xff51_afd7_ed55_8ccd);
         hash ^ hash >> 32
@@ -152,6 +161,7 @@
             turn: Vec::new(),
             lost: 0,
             sequence: 0,
+            answered: 1.0,
             alike: 0,
             // Members that start together do not ask together.
             next_ask: now,
@@ -170,6 +180,11 @@
         &self.entries
     }
 
+    /// Our number.
+    pub fn own(&self) -> Number {
+        self.settings.own
+    }
+
     /// Our present incarnation.
     pub fn incarnation(&self) -> Incarnation {
         self.own
@@ -272,11 +287,9 @@
                 if let Some(errand) = self.watch.errands.remove(&sequence) {
                     self.send(now, errand.from, Kind::HereFor(errand.theirs, from), None, out);
                 }
-                self.watch.questions.retain(|q| q.sequence != sequence || q.to != from);
-            }
-            Kind::HereFor(sequence, to) => {
-                self.watch.questions.retain(|q| q.sequence != sequence || q.to != to);
+                self.answer(sequence, from);
             }
+            Kind::HereFor(sequence, to) => self.answer(sequence, to),
             Kind::Compare(salt, blocks) => self.differ(now, from, (salt, &blocks), out),
             Kind::Entries => self.correct(now, from, &stale, out),
             Kind::News | Kind::AskFor(..) => {}
@@ -288,6 +301,15 @@
         }
     }
 
+    /// A question of ours has its answer, if it is one of ours.
+    fn answer(&mut self, sequence: u32, of: Number) {
+        let before = self.watch.questions.len();
+        self.watch.questions.retain(|q| q.sequence != sequence || q.to != of);
+        if self.watch.questions.len() < before {
+            self.answered += WEIGHT * (1.0 - self.answered);
+        }
+    }
+
     /// A member itself has spoken. Gives what it has to be told of itself.
     fn heard(&mut self, now: Micros, message: &Message, out: &mut Out) -> Option<News> {
         let (of, incarnation) = (message.from, message.incarnation);
@@ -350,8 +372,9 @@
         if was != state {
             entry.since = now;
         }
-        self.digest ^= before ^ print(of, entry);
-        self.rumours.add(news);
+        let after = print(of, entry);
+        self.digest ^= before ^ after;
+        self.rumours.add(news, before != after);
         // A member that leaves and is silent is never told of as suspected: its word stands.
         match state {
             State::Suspect => {
@@ -420,9 +443,18 @@
     }
 
     fn overdue(&mut self, now: Micros, out: &mut Out) {
+        // Questions asked meanwhile come behind those that stay.
         for mut question in std::mem::take(&mut self.watch.questions) {
             if now >= question.until && question.passed_on {
-                self.suspect(now, question.to, out);
+                self.answered -= WEIGHT * self.answered;
+                // Whom we hear while few of our questions are answered does not hear us: that is our fault.
+                let heard = self.entries[usize::from(question.to)].heard;
+                let doubt = self.answered < DOUBT && heard + self.settings.round_trip * 4 > now;
+                match question.again {
+                    true if doubt => {}
+                    true => self.suspect(now, question.to, out),
+                    false => self.ask(now, question.to, true, out),
+                }
                 continue;
             }
             if now >= question.others && !question.passed_on {
@@ -454,14 +486,18 @@
         }
     }
 
+    fn ask(&mut self, now: Micros, to: Number, again: bool, out: &mut Out) {
+        let sequence = self.number();
+        let (others, until) = (now + self.settings.round_trip, now + self.settings.round_trip * 3);
+        self.watch.questions.push(Question { to, sequence, others, until, passed_on: false, again });
+        let told = self.accusation(to);
+        self.send(now, to, Kind::Ask(sequence), told, out);
+    }
+
     /// The questions of a period.
     fn ask_around(&mut self, now: Micros, out: &mut Out) {
         if let Some(to) = self.next_in_turn() {
-            let sequence = self.number();
-            let (others, until) = (now + self.settings.round_trip, now + self.settings.round_trip * 3);
-            self.watch.questions.push(Question { to, sequence, others, until, passed_on: false });
-            let told = self.accusation(to);
-            self.send(now, to, Kind::Ask(sequence), told, out);
+            self.ask(now, to, false, out);
         }
         let mut suspects: Vec<_> = self.watch.suspects.keys().copied().collect();
         suspects.shuffle(&mut self.rng);
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -55,7 +55,7 @@
     /// Datagrams between all.
     pub link: Link,
     /// Ways that carry nothing.
-    pub blocked: BTreeSet<(Number, Number)>,
+    blocked: BTreeSet<(Number, Number)>,
     /// The world's time.
     pub now: Micros,
     members: Vec<Member>,
@@ -188,6 +188,15 @@
         }
     }
 
+    /// A way in one direction carries nothing, or does again.
+    pub fn block(&mut self, way: (Number, Number), blocked: bool) {
+        if blocked {
+            self.blocked.insert(way);
+        } else {
+            self.blocked.remove(&way);
+        }
+    }
+
     fn arm(&mut self, of: Number) {
         let now = self.now;
         let member = &mut self.members[usize::from(of)];
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,10 +3,13 @@
 use basaltward_told::{Told, ToldError};
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use thiserror::Error;
 
+/// Members of a fleet at most.
+const MOST_PEERS: usize = 10_000;
+
 /// Why a configuration can't be used.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -19,6 +22,9 @@
     /// The settings object can't be used.
     #[error("configuration, at settings: {0}")]
     Settings(#[from] ToldError),
+    /// The fleet's view is switched on and can't be kept.
+    #[error("configuration, at fleet: {0}")]
+    Fleet(&'static str),
     /// The seed is not a number in hex digits.
     #[error("configuration, at seed: {0:?} is not a number of up to 16 hex digits")]
     Seed(String),
@@ -33,6 +39,34 @@
     bulletin: SocketAddr,
     known: Known,
     settings: Box<RawValue>,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    /// Absent, nothing listens for other schedulers and nothing is sent to them.
+    fleet: Option<FleetFile>,
+}
+
+#[derive(Deserialize)]
+struct FleetFile {
+    #[serde(default)]
+    view: bool,
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    operators: Vec<IpAddr>,
+}
+
+/// The fleet's view, where it is kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetConfig {
+    /// Names the fleet.
+    pub name: String,
+    /// Where datagrams of the others come.
+    pub listen: SocketAddr,
+    /// Where each is reached and comes from, by number, our own included.
+    pub peers: Vec<SocketAddr>,
+    /// From where operators may ask.
+    pub operators: Vec<IpAddr>,
 }
 
 #[derive(Deserialize)]
@@ -58,6 +92,8 @@
     pub known: Known,
     /// The settings.
     pub told: Told,
+    /// The fleet's view, where it is switched on.
+    pub fleet: Option<FleetConfig>,
 }
 
 /// Reads a configuration, whole or not at all.
@@ -71,6 +107,17 @@
 fn parse(bytes: &[u8]) -> Result<NodeConfig, ConfigError> {
     let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(bytes))?;
     let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?;
+    let told = basaltward_told::parse(file.settings.get())?;
+    let fleet = match file.fleet.filter(|fleet| fleet.view) {
+        None => None,
+        Some(FleetFile { name, operators, .. }) => {
+            let listen = file.peer_listen.ok_or(ConfigError::Fleet("peer_listen is missing"))?;
+            if file.peers.len() <= told.module.self_index as usize || file.peers.len() > MOST_PEERS {
+                return Err(ConfigError::Fleet("peers holds none of our number, or too many"));
+            }
+            Some(FleetConfig { name, listen, peers: file.peers, operators })
+        }
+    };
     Ok(NodeConfig {
         name: file.name,
         listen: file.listen,
@@ -78,7 +125,8 @@
         budget: Budget::new(file.limits.sockets, file.limits.memory_mb),
         bulletin: file.bulletin,
         known: file.known,
-        told: basaltward_told::parse(file.settings.get())?,
+        told,
+        fleet,
     })
 }
 
@@ -107,6 +155,12 @@
             ("\"repeat\":\"safe\"", "\"repeat\":\"never\"", "settings: repeat"),
             ("\"roundUs\":1000,", "", "roundUs"),
             ("\"onTimeUs\":500000", "\"onTimeUs\":0", "settings: class 0"),
+            ("\"peers\":[]", "\"peers\":[],\"fleet\":{\"view\":true}", "peer_listen"),
+            (
+                "\"peers\":[]",
+                "\"peers\":[],\"fleet\":{\"view\":true},\"peer_listen\":\"127.0.0.4:1\"",
+                "peers",
+            ),
         ];
         for (from, to, named) in wrong {
             let error = parse(GOOD.replace(from, to).as_bytes()).expect_err(named).to_string();
--- /dev/null
+++ b/crates/node/src/fellows.rs
@@ -0,0 +1,122 @@
+//! The fleet's view on the loop: datagrams carried between it and the one socket for other schedulers.
+
+use crate::config::{FleetConfig, NodeConfig};
+use basaltward_fleet::{Answer, FleetSettings, MOST, Number, Output, Question, View};
+use basaltward_net::{Clock, Io, Micros, NetError};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use tracing::info;
+
+/// Log lines on changes in a second at most; more are counted.
+const LINES: u32 = 50;
+/// The beginning of 2026, in milliseconds since 1970: incarnations count from there.
+const EPOCH_MS: u64 = 1_767_225_600_000;
+
+/// The view with its socket.
+pub struct Fellows {
+    view: View,
+    socket: usize,
+    /// Where each is reached.
+    peers: Vec<SocketAddr>,
+    numbers: HashMap<SocketAddr, Number>,
+    operators: Vec<IpAddr>,
+    /// The second that lines are counted for, those written in it, and those left out.
+    lines: (Micros, u32, u32),
+    out: Vec<Output>,
+}
+
+/// A hash of the fleet's name and size: members of another are not heeded.
+fn tag(fleet: &FleetConfig) -> u16 {
+    (crc32fast::hash(format!("{} {}", fleet.name, fleet.peers.len()).as_bytes()) >> 16) as u16
+}
+
+impl Fellows {
+    /// The view that a configuration asks for, if it does.
+    ///
+    /// # Errors
+    /// Where its address can't be had.
+    pub fn open(config: &NodeConfig, io: &mut Io, now: Micros) -> Result<Option<Self>, NetError> {
+        let Some(fleet) = &config.fleet else { return Ok(None) };
+        let (socket, _) = io.datagrams(fleet.listen)?;
+        let own = config.told.module.self_index as Number;
+        let start = (Clock::read().wall() / 1_000).saturating_sub(EPOCH_MS);
+        let size = fleet.peers.len() as Number;
+        let settings =
+            FleetSettings { fleet: tag(fleet), ..FleetSettings::new(size, own, start, config.seed) };
+        // The configuration has been checked for what this checks.
+        let Ok(view) = View::new(settings, now) else { return Ok(None) };
+        let numbers = fleet.peers.iter().enumerate().map(|(n, at)| (*at, n as Number)).collect();
+        let (peers, operators) = (fleet.peers.clone(), fleet.operators.clone());
+        Ok(Some(Self { view, socket, peers, numbers, operators, lines: (0, 0, 0), out: Vec::new() }))
+    }
+
+    pub fn next_due(&self) -> Micros {
+        self.view.next_due()
+    }
+
+    /// Takes what waits at the socket.
+    pub fn data(&mut self, io: &mut Io, now: Micros) {
+        let mut bytes = [0; MOST + 1];
+        // Bounded: whoever sends without end does not hold up the loop.
+        for _ in 0..64 {
+            let Some((length, from)) = io.receive(self.socket, &mut bytes) else { break };
+            let bytes = &bytes[..length];
+            if let Some(number) = self.numbers.get(&from) {
+                self.view.handle(now, *number, bytes, &mut self.out);
+            } else if self.operators.contains(&from.ip())
+                && let Ok(question) = Question::read(bytes)
+            {
+                let answer = Answer::new(&self.view, now, question).write();
+                io.send_to(self.socket, from, &answer);
+            }
+        }
+        self.carry_out(io, now);
+    }
+
+    pub fn wake(&mut self, io: &mut Io, now: Micros) {
+        if self.view.next_due() <= now {
+            self.view.wake(now, &mut self.out);
+            self.carry_out(io, now);
+        }
+    }
+
+    /// We leave, and finish what we have.
+    pub fn leave(&mut self, io: &mut Io, now: Micros) {
+        self.view.leave(now, &mut self.out);
+        self.carry_out(io, now);
+    }
+
+    /// We are no more.
+    pub fn stop(&mut self, io: &mut Io, now: Micros) {
+        self.view.stop(now, &mut self.out);
+        self.carry_out(io, now);
+    }
+
+    fn carry_out(&mut self, io: &mut Io, now: Micros) {
+        for output in std::mem::take(&mut self.out) {
+            match output {
+                Output::Send { to, bytes } => {
+                    if let Some(to) = self.peers.get(usize::from(to)) {
+                        io.send_to(self.socket, *to, &bytes);
+                    }
+                }
+                Output::Changed { of, is, .. } => self.note(now, of, is),
+            }
+        }
+    }
+
+    fn note(&mut self, now: Micros, of: Number, is: basaltward_fleet::State) {
+        if now >= self.lines.0 + 1_000_000 {
+            if self.lines.2 > 0 {
+                info!(left_out = self.lines.2, "fleet");
+            }
+            self.lines = (now, 0, 0);
+        }
+        if self.lines.1 < LINES {
+            self.lines.1 += 1;
+            info!(member = of, ?is, live = self.view.live(), part = ?self.view.part(), "fleet");
+        } else {
+            self.lines.2 += 1;
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,8 +3,10 @@
 //! the bytes; every decision on a call stays with the module.
 #![warn(missing_docs)]
 
+mod ask;
 mod budget;
 mod config;
+mod fellows;
 mod front;
 mod links;
 mod members;
@@ -12,6 +14,7 @@
 mod notes;
 mod work;
 
+pub use ask::ask_view;
 pub use budget::Budget;
-pub use config::{ConfigError, NodeConfig, load};
+pub use config::{ConfigError, FleetConfig, NodeConfig, load};
 pub use node::{Control, Node, NodeError};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,7 @@
 //! The loop: clients, engine, workers and bulletin joined. It carries bytes and messages between them.
 
 use crate::config::{ConfigError, NodeConfig, load};
+use crate::fellows::Fellows;
 use crate::front::{Front, Step};
 use crate::links::{Done, Job, Links, WrittenJob};
 use crate::members::Names;
@@ -55,6 +56,8 @@
     follower: Follower,
     feeds: HashMap<ConnId, FeedId>,
     names: Names,
+    /// The fleet's view, where the configuration asks for it.
+    fellows: Option<Fellows>,
     pace: Pace,
     /// When SIGTERM came.
     term: Option<Micros>,
@@ -119,7 +122,8 @@
         let config = load(&path)?;
         let limits =
             IoLimits { connections: config.budget.clients, input: config.budget.input, linger: 300_000 };
-        let io = Io::new(limits)?;
+        let mut io = Io::new(limits)?;
+        let fellows = Fellows::open(&config, &mut io, monotonic())?;
         let mut node = Self {
             name: config.name.clone(),
             path,
@@ -130,6 +134,7 @@
             follower: Follower::new(FollowerLimits::default(), config.bulletin, config.known.no),
             feeds: HashMap::new(),
             names: Names::new(&config),
+            fellows,
             pace: Pace::default(),
             term: None,
             stopped: false,
@@ -187,6 +192,8 @@
             self.turn((now, now + wait), &mut happened);
             self.io.forget_ended();
             if self.is_over(monotonic()) {
+                let now = monotonic();
+                self.fellows.iter_mut().for_each(|fellows| fellows.stop(&mut self.io, now));
                 self.notes.down(monotonic());
                 info!(name = self.name, "stopped");
                 return Ok(());
@@ -198,8 +205,9 @@
         let term = self.term.map(|at| at + TERM_US).filter(|at| *at > now || !self.stopped);
         let last = self.stopped.then_some(now + 5_000);
         let reread = self.reread.map(|(at, _)| at);
+        let fellows = self.fellows.as_ref().map(Fellows::next_due);
         let due = [self.engine.next_due(now), self.front.next_due(), self.links.next_due()];
-        let due = due.into_iter().chain([self.follower.next_due(), term, last, reread]);
+        let due = due.into_iter().chain([self.follower.next_due(), term, last, reread, fellows]);
         let due = due.flatten().min().unwrap_or(now + 1_000_000);
         if self.oldest().is_some() { 0 } else { due.saturating_sub(now) }
     }
@@ -320,7 +328,9 @@
             },
             Happened::Signal(SIGHUP) => self.want(now, REREAD_NOW),
             Happened::Signal(_) => self.want(now, STOP),
-            Happened::Datagrams(_) => {}
+            Happened::Datagrams(_) => {
+                self.fellows.iter_mut().for_each(|fellows| fellows.data(&mut self.io, now));
+            }
             Happened::Woken => {
                 let wanted = self.wanted.swap(0, Ordering::AcqRel);
                 self.want(now, wanted);
@@ -337,6 +347,7 @@
             info!(name = self.name, in_hand = self.engine.in_hand(), "stopping");
             self.term = Some(now);
             self.front.leave();
+            self.fellows.iter_mut().for_each(|fellows| fellows.leave(&mut self.io, now));
             self.notes.stopping(now);
         }
     }
@@ -344,6 +355,7 @@
     /// Does what is due: answers first, the rest as far as its time in a turn goes.
     fn wake(&mut self, mut now: Micros) {
         let since = now;
+        self.fellows.iter_mut().for_each(|fellows| fellows.wake(&mut self.io, now));
         loop {
             let mut outputs = std::mem::take(&mut self.outputs);
             self.engine.answer_due(now, &mut outputs);
--- a/crates/trial/src/bed.rs
+++ b/crates/trial/src/bed.rs
@@ -4,7 +4,9 @@
 use crate::process::{Process, ProcessError};
 use crate::relay::{Laying, Relay};
 use crate::way::{Loss, Party, Stream, Way};
+use basaltward_fleet::Answer;
 use basaltward_net::{Micros, NetError, monotonic};
+use basaltward_node::ask_view;
 use basaltward_rules::{Record, Recorder, What, read};
 use basaltward_standins::{Act, Board, Exec, LineWorker};
 use rand::rngs::StdRng;
@@ -261,6 +263,42 @@
         }
     }
 
+    /// What a scheduler believes of the fleet, asked as an operator asks.
+    ///
+    /// # Errors
+    /// Where it does not answer.
+    pub fn view(&self, i: usize) -> Result<Answer, TrialError> {
+        Ok(ask_view(self.peers[i])?)
+    }
+
+    /// Schedulers whose process runs and is not stalled.
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.schedulers.len()).filter(|i| self.schedulers[*i].runs()).collect()
+    }
+
+    /// Whether all of a group hold the same view, and in it those of the group that run, and no others, are live.
+    pub fn agrees(&self, group: &[usize]) -> bool {
+        let up: Vec<_> = self.running().into_iter().filter(|i| group.contains(i)).collect();
+        let views: Vec<_> = up.iter().filter_map(|i| self.view(*i).ok()).collect();
+        let live = |view: &Answer| -> Vec<usize> {
+            let all = view.entries.iter().enumerate();
+            all.filter(|(_, seen)| seen.state.is_live()).map(|(i, _)| i).collect()
+        };
+        views.len() == up.len() && views.iter().all(|view| view.digest == views[0].digest && live(view) == up)
+    }
+
+    /// Waits until [`Bed::agrees`]; how long that took, or nothing where it does not within this time.
+    pub fn agreement(&self, group: &[usize], within: Duration) -> Option<Duration> {
+        let began = std::time::Instant::now();
+        while began.elapsed() < within {
+            if self.agrees(group) {
+                return Some(began.elapsed());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
     /// A number drawn below `below`, the same for the same seed and step.
     pub fn draw(seed: u64, step: u64, below: usize) -> usize {
         StdRng::seed_from_u64(seed ^ step << 32).random_range(0..below.max(1))
@@ -334,6 +372,7 @@
         "name": name(number), "listen": text(&listen), "seed": format!("{:x}", spec.seed),
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512},
         "peer_listen": text(&peer_listen), "peers": peers.iter().map(text).collect::<Vec<_>>(),
+        "fleet": {"view": true, "name": "trial", "operators": ["127.0.0.1"]},
         "bulletin": text(&bulletin),
         "known": {"no": 1, "items": [{"no": 1, "roster": {"rev": 1, "all": true, "targets": targets}}]},
         "settings": {
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -69,6 +69,11 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Whether there is one, and it does not stand still.
+    pub fn runs(&self) -> bool {
+        self.child.is_some() && !self.stalled
+    }
+
     fn note(&mut self, change: Change) {
         self.changes.push((monotonic(), change));
     }
