Trial: eight processes agree on deaths, stalls, cuts and returns with calls in flight

Need: the view proven with processes of the program, not in virtual time alone.

Eight processes, 5% of datagrams lost, calls in flight: all that run and reach one another hold the same true view after a start, a death, a return, a stall of one, its going on (it has refuted), a cut into five and three (majority and minority said rightly), the heal and a leave; rules kept. Planted: a word from another's place, found by the judge.

--- a/crates/cli/tests/trial.rs
+++ b/crates/cli/tests/trial.rs
@@ -1,5 +1,8 @@
 //! Many processes of the program with faults between them, and faults planted that the judge must find.
-use basaltward_trial::{Bed, BedSpec, Change, Fleet, Party, Script, Stream, Verdict, Way, judge, load, run};
+use basaltward_fleet::{Part, State};
+use basaltward_trial::{
+    Bed, BedSpec, Change, Fleet, Loss, Party, Script, Stream, Verdict, Way, judge, load, run,
+};
 use rustix::process::{Pid, Signal, kill_process};
 use std::path::Path;
 use std::time::Duration;
@@ -118,3 +121,68 @@
     assert!(bed.leaks.is_empty());
     assert_eq!(verdict.excused, 0);
 }
+
+/// What a fault leads to: all that run and reach one another agree again, in this time.
+const AGREE: Duration = Duration::from_secs(20);
+
+fn all(bed: &Bed) -> Vec<usize> {
+    (0..bed.schedulers.len()).collect()
+}
+
+#[test]
+fn eight_processes_agree_on_deaths_stalls_cuts_and_returns_with_calls_in_flight() {
+    let mut bed = Bed::start(spec(8, 3)).expect("a bed");
+    bed.call();
+    let everybody = all(&bed);
+    assert!(bed.agreement(&everybody, AGREE).is_some(), "start");
+    for from in 0..8 {
+        for to in (0..8).filter(|to| *to != from) {
+            let way = Way { from: Party::Scheduler(from), to: Party::Scheduler(to) };
+            bed.loss(way, Loss { lost: 0.05, doubled: 0.02, ..Loss::default() });
+        }
+    }
+    bed.kill(2);
+    assert!(bed.agreement(&everybody, AGREE).is_some(), "a death");
+    bed.up(2).expect("it comes up");
+    assert!(bed.agreement(&everybody, AGREE).is_some(), "a return");
+    bed.schedulers[3].stall();
+    assert!(bed.agreement(&everybody, AGREE).is_some(), "one stands still");
+    bed.schedulers[3].resume();
+    assert!(bed.agreement(&everybody, AGREE).is_some(), "it goes on");
+    let refuted = bed.view(3).expect("it answers").entries[3].incarnation.bump;
+    assert!(refuted > 0, "it was taken for gone and has said otherwise");
+    bed.cut(&[5, 6, 7], true);
+    assert!(bed.agreement(&[0, 1, 2, 3, 4], AGREE).is_some(), "the larger part");
+    assert!(bed.agreement(&[5, 6, 7], AGREE).is_some(), "the smaller part");
+    let parts = [0, 6].map(|i| bed.view(i).expect("it answers").part);
+    assert_eq!(parts, [Part::Majority, Part::Minority]);
+    bed.cut(&[5, 6, 7], false);
+    assert!(bed.agreement(&everybody, AGREE).is_some(), "healed");
+    bed.stop(1).expect("it ends");
+    assert!(bed.agreement(&everybody, AGREE).is_some(), "one has left");
+    let left = bed.view(0).expect("it answers").entries[1].state;
+    assert_eq!(left, State::Stopped);
+    let (bed, verdict) = finished(bed);
+    assert!(verdict.is_good(), "{:?} {:?}", verdict.rules, verdict.fleet);
+    let crossed: u64 = bed.relay.counts().values().map(|c| c.datagrams.0).sum();
+    assert!(crossed > 500, "{crossed} datagrams crossed the relays");
+}
+
+/// A planted fault: one member's word comes to another as a third one's.
+#[test]
+fn a_word_from_anothers_place_is_found_by_the_judge() {
+    let bed = Bed::start(spec(3, 1)).expect("a bed");
+    let everybody = all(&bed);
+    assert!(bed.agreement(&everybody, AGREE).is_some(), "start");
+    let reached = bed.reach(0, 1);
+    let stranger = std::net::UdpSocket::bind("127.0.0.1:0").expect("bound");
+    stranger.send_to(b"\x01 not of us", reached).expect("sent");
+    let strange = |bed: &Bed| bed.relay.counts().values().map(|c| c.strange).sum::<u64>();
+    let until = std::time::Instant::now() + AGREE;
+    while strange(&bed) == 0 && std::time::Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let (_, verdict) = finished(bed);
+    let way = Way { from: Party::Scheduler(0), to: Party::Scheduler(1) };
+    assert_eq!(verdict.fleet, [Fleet::Strange(way, 1)]);
+}
--- a/crates/trial/src/bed.rs
+++ b/crates/trial/src/bed.rs
@@ -75,6 +75,8 @@
     pub workers: Vec<LineWorker>,
     /// What clients and workers saw.
     pub recorder: Recorder,
+    /// Where each reaches the others, by number.
+    mesh: Vec<Vec<SocketAddr>>,
     /// When it began.
     pub began: Micros,
     /// Faults put on ways, with their time.
@@ -170,6 +172,7 @@
             board,
             workers,
             recorder,
+            mesh,
             began,
             faults,
             leaks,
@@ -263,6 +266,11 @@
         }
     }
 
+    /// Where a scheduler reaches another with its datagrams.
+    pub fn reach(&self, from: usize, to: usize) -> SocketAddr {
+        self.mesh[from][to]
+    }
+
     /// What a scheduler believes of the fleet, asked as an operator asks.
     ///
     /// # Errors
