--- a/crates/fleet/src/types.rs
+++ b/crates/fleet/src/types.rs
@@ -61,3 +61,12 @@
         (incarnation, state) > (self.incarnation, self.state)
     }
 }
+
+impl Incarnation {
+    /// The incarnation by which a member that is `state` answers what it hears of itself; none where that says
+    /// no more than it says itself.
+    pub fn refuting(self, state: State, told: (Incarnation, State)) -> Option<Self> {
+        let beyond = state != State::Stopped && told > (self, state);
+        beyond.then(|| Self { start: told.0.start, bump: told.0.bump.saturating_add(1) })
+    }
+}
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -122,8 +122,13 @@
     /// When we were last at work.
     last: Micros,
     counts: Counts,
+    /// What says more: [`Entry::yields_to`], but where a test plants a fault.
+    newer: Newer,
 }
 
+/// Whether news of a member says more than an entry.
+pub type Newer = fn(&Entry, Incarnation, State) -> bool;
+
 type Out = Vec<Output>;
 
 /// What a digest takes of an entry: who is what, in which life. Suspicions and their refutations come and go,
@@ -168,6 +173,7 @@
             next_news: now,
             last: now,
             counts: Counts::default(),
+            newer: Entry::yields_to,
             settings,
         };
         view.next_ask += view.rng.random_range(0..settings.period);
@@ -175,6 +181,12 @@
         Ok(view)
     }
 
+    /// Plants a fault: what checks views has to find it.
+    #[doc(hidden)]
+    pub fn plant(&mut self, newer: Newer) {
+        self.newer = newer;
+    }
+
     /// What is believed of each member, by number.
     pub fn entries(&self) -> &[Entry] {
         &self.entries
@@ -316,7 +328,7 @@
         let state = if message.leaving { State::Leaving } else { State::Up };
         let entry = &mut self.entries[usize::from(of)];
         entry.heard = now;
-        if entry.yields_to(incarnation, state)
+        if (self.newer)(entry, incarnation, state)
             && !(entry.incarnation == incarnation && entry.state == State::Suspect)
         {
             self.put(now, News { of, incarnation, state }, out);
@@ -343,7 +355,7 @@
             return false;
         }
         let entry = self.entries[usize::from(news.of)];
-        if entry.yields_to(news.incarnation, news.state) {
+        if (self.newer)(&entry, news.incarnation, news.state) {
             self.put(now, news, out);
             return false;
         }
@@ -352,14 +364,12 @@
 
     fn answer_for_ourselves(&mut self, now: Micros, news: News, out: &mut Out) {
         let state = if self.leaving { State::Leaving } else { State::Up };
-        let known = self.entries[usize::from(self.settings.own)];
-        if known.state == State::Stopped || (news.incarnation, news.state) <= (self.own, state) {
-            return;
-        }
+        let known = self.entries[usize::from(self.settings.own)].state;
+        let state = if known == State::Stopped { known } else { state };
+        let Some(refuting) = self.own.refuting(state, (news.incarnation, news.state)) else { return };
         self.counts.twins += u64::from(news.incarnation.start > self.own.start);
         self.counts.refuted += 1;
-        let bump = news.incarnation.bump.saturating_add(1);
-        self.own = Incarnation { start: news.incarnation.start, bump };
+        self.own = refuting;
         self.put(now, News { of: self.settings.own, incarnation: self.own, state }, out);
     }
 
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -107,6 +107,12 @@
         self.members[usize::from(of)].view.as_ref()
     }
 
+    /// Plants a fault in a member that is up, see [`View::plant`].
+    #[doc(hidden)]
+    pub fn plant(&mut self, of: Number, newer: crate::view::Newer) {
+        self.members[usize::from(of)].view.iter_mut().for_each(|view| view.plant(newer));
+    }
+
     /// Whether it runs and is not paused.
     pub fn is_up(&self, of: Number) -> bool {
         let member = &self.members[usize::from(of)];
--- a/crates/fleet/tests/hard_cases.rs
+++ b/crates/fleet/tests/hard_cases.rs
@@ -38,7 +38,8 @@
             let life = world.lives(of);
             let fresh = std::mem::replace(&mut self.lives[own], life) != life;
             for (known, entry) in self.known[own].iter_mut().zip(view.entries()) {
-                assert!(fresh || entry.incarnation >= *known, "{of}: {known:?} then {:?}", entry.incarnation);
+                let told = entry.incarnation;
+                assert!(fresh || told >= *known, "incarnations run back at {of}: {known:?}, {told:?}");
                 *known = entry.incarnation;
             }
         }
@@ -257,3 +258,15 @@
     assert_eq!((view.counts().dropped, view.counts().taken, out), (4 + sent, 0, Vec::new()));
     drop(world);
 }
+
+/// A planted fault: one member takes the word of an earlier life where it says worse.
+#[test]
+#[should_panic(expected = "a return: no agreement")]
+fn a_member_that_takes_the_word_of_an_earlier_life_is_found() {
+    let (mut world, mut watch) = fleet(5, 1, 0.05);
+    world.plant(3, |entry, incarnation, state| (state, incarnation) > (entry.state, entry.incarnation));
+    world.kill(1);
+    agree(&mut world, &mut watch, "a death");
+    world.start(1);
+    agree(&mut world, &mut watch, "a return");
+}
--- /dev/null
+++ b/crates/fleet/tests/model.rs
@@ -0,0 +1,165 @@
+//! Suspicion and refutation, checked exhaustively with three members by the transitions of the code: every order
+//! of suspicions, expiries, a death and a return, and of news that is late, doubled or never comes.
+use basaltward_fleet::{Entry, Incarnation, State};
+use stateright::{Checker, Model, Property};
+use std::collections::BTreeSet;
+
+const MEMBERS: usize = 3;
+/// Refutations looked at, and lives of each member.
+const BUMPS: u32 = 2;
+const LIVES: u64 = 2;
+
+type Belief = (Incarnation, State);
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Member {
+    up: bool,
+    own: Incarnation,
+    beliefs: Vec<Belief>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Fleet {
+    members: Vec<Member>,
+    /// News on its way for good: whom it is of, and what it says. It may come to anybody, at any time, again.
+    news: BTreeSet<(usize, Belief)>,
+    /// A belief went back to an earlier incarnation.
+    back: bool,
+    /// Somebody believes more of a member than that member ever said or was accused of.
+    invented: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Step {
+    /// One suspects another.
+    Suspect(usize, usize),
+    /// A suspicion has stood for its time.
+    Expire(usize, usize),
+    /// News comes to a member.
+    Hear(usize, (usize, Belief)),
+    Kill(usize),
+    Start(usize),
+}
+
+struct Protocol {
+    newer: fn(&Entry, Incarnation, State) -> bool,
+}
+
+fn entry(belief: Belief) -> Entry {
+    Entry { incarnation: belief.0, state: belief.1, since: 0, heard: 0 }
+}
+
+impl Protocol {
+    fn believe(&self, fleet: &mut Fleet, at: usize, (of, told): (usize, Belief)) {
+        let member = &mut fleet.members[at];
+        if of == at {
+            if let Some(own) = member.own.refuting(State::Up, told) {
+                member.own = own;
+                member.beliefs[at] = (own, State::Up);
+                fleet.news.insert((at, (own, State::Up)));
+            }
+            return;
+        }
+        let known = member.beliefs[of];
+        if (self.newer)(&entry(known), told.0, told.1) {
+            fleet.back |= told.0 < known.0;
+            member.beliefs[of] = told;
+            fleet.news.insert((of, told));
+        }
+    }
+}
+
+impl Model for Protocol {
+    type State = Fleet;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<Fleet> {
+        let own = Incarnation { start: 1, bump: 0 };
+        let member = Member { up: true, own, beliefs: vec![(own, State::Up); MEMBERS] };
+        let (members, news) = (vec![member; MEMBERS], BTreeSet::new());
+        vec![Fleet { members, news, back: false, invented: false }]
+    }
+
+    fn actions(&self, fleet: &Fleet, steps: &mut Vec<Step>) {
+        for (i, member) in fleet.members.iter().enumerate() {
+            // The last of the three is the subject: one death, one return; the others stay.
+            if i == MEMBERS - 1 {
+                steps.extend(member.up.then_some(Step::Kill(i)));
+                steps.extend((!member.up && member.own.start < LIVES).then_some(Step::Start(i)));
+            }
+            if !member.up {
+                continue;
+            }
+            for j in (0..MEMBERS).filter(|j| *j != i) {
+                match member.beliefs[j] {
+                    (incarnation, State::Up) if incarnation.bump < BUMPS => steps.push(Step::Suspect(i, j)),
+                    (_, State::Suspect) => steps.push(Step::Expire(i, j)),
+                    _ => {}
+                }
+            }
+            steps.extend(fleet.news.iter().map(|news| Step::Hear(i, *news)));
+        }
+    }
+
+    fn next_state(&self, last: &Fleet, step: Step) -> Option<Fleet> {
+        let mut fleet = last.clone();
+        match step {
+            Step::Suspect(i, j) | Step::Expire(i, j) => {
+                let belief = &mut fleet.members[i].beliefs[j];
+                belief.1 = if belief.1 == State::Up { State::Suspect } else { State::Gone };
+                let told = *belief;
+                fleet.news.insert((j, told));
+            }
+            Step::Hear(i, news) => self.believe(&mut fleet, i, news),
+            Step::Kill(i) => fleet.members[i].up = false,
+            Step::Start(i) => {
+                let own = Incarnation { start: fleet.members[i].own.start + 1, bump: 0 };
+                let mut beliefs = vec![(Incarnation::default(), State::Unknown); MEMBERS];
+                beliefs[i] = (own, State::Up);
+                fleet.members[i] = Member { up: true, own, beliefs };
+                fleet.news.insert((i, (own, State::Up)));
+            }
+        }
+        for of in 0..MEMBERS {
+            let own = fleet.members[of].own;
+            fleet.invented |= fleet.members.iter().any(|m| m.beliefs[of].0 > own);
+        }
+        (fleet != *last).then_some(fleet)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::<Self>::always("no belief goes back", |_, fleet: &Fleet| !fleet.back),
+            Property::<Self>::always("nobody invents a life", |_, fleet: &Fleet| !fleet.invented),
+            Property::<Self>::sometimes("one held gone by all is up again for all", |_, fleet: &Fleet| {
+                let subject = &fleet.members[MEMBERS - 1];
+                let gone = (0..MEMBERS - 1).all(|i| {
+                    fleet.news.iter().any(|n| n.0 == MEMBERS - 1 && n.1.1 == State::Gone)
+                        && fleet.members[i].beliefs[MEMBERS - 1] == (subject.own, State::Up)
+                });
+                subject.up && subject.own.bump > 0 && gone
+            }),
+        ]
+    }
+}
+
+fn check(newer: fn(&Entry, Incarnation, State) -> bool) -> impl Checker<Protocol> {
+    Protocol { newer }.checker().threads(2).target_max_depth(DEPTH).spawn_bfs().join()
+}
+
+/// Steps of a history: a suspicion, its expiry, a refutation, and the same again after a return.
+const DEPTH: usize = 11;
+
+#[test]
+fn no_belief_goes_back_and_whoever_is_there_can_say_so() {
+    let checked = check(Entry::yields_to);
+    checked.assert_properties();
+    assert!(checked.unique_state_count() > 50_000, "{}", checked.unique_state_count());
+}
+
+/// A planted fault: the word of an earlier incarnation is taken where it says worse.
+#[test]
+fn the_word_of_an_earlier_incarnation_is_found_out() {
+    let checked = check(|entry, incarnation, state| (state, incarnation) > (entry.state, entry.incarnation));
+    assert!(checked.discovery("no belief goes back").is_some());
+}
