--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -10,6 +10,7 @@
 mod overload;
 mod parse;
 mod path;
+mod processes;
 mod proxy;
 
 use clap::{Parser, Subcommand};
@@ -88,6 +89,18 @@
         #[arg(long, default_value_t = 0.0)]
         hours: f64,
     },
+    /// The fleet's view between processes of the program, which has to be built beside this one
+    Processes {
+        /// How many, given for each run
+        #[arg(long, value_delimiter = ',', default_value = "8,40")]
+        counts: Vec<usize>,
+        /// Share of datagrams lost
+        #[arg(long, default_value_t = 0.05)]
+        lost: f64,
+        /// Rounds of a death, a return, a leave and a cut
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+    },
     /// Goodput at multiples of what the workers can do: offered, served, refused, failed, times, loop lag
     Overload {
         /// Multiples of the workers' capacity
@@ -141,6 +154,7 @@
         Command::Fleet { sizes, lost, seeds, rate, burst, hours } => {
             fleet::run(&sizes, lost, seeds, (rate, burst), hours)
         }
+        Command::Processes { counts, lost, rounds } => processes::run(&counts, lost, rounds),
         Command::Memory { connections } => memory::run(connections),
         Command::Parse { times } => parse::run(times),
     }
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -95,6 +95,9 @@
     /// Write what crosses the sockets to this file, as JSON lines
     #[arg(long, value_name = "FILE")]
     pub records: Option<PathBuf>,
+    /// Keep the fleet's view though the configuration says nothing of it
+    #[arg(long)]
+    pub view: bool,
 }
 
 /// How to log.
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -11,10 +11,11 @@
     let listen = std::env::var("NODE_LISTEN").ok().map(|text| text.parse::<SocketAddr>());
     let listen = listen.transpose().map_err(|_| Failed::Input("NODE_LISTEN is not an address".into()))?;
     let records = Records::open(options.records.as_deref())?;
-    let mut node = Node::new(path, listen, records.recorder.clone()).map_err(|error| match error {
-        NodeError::Net(error) => Failed::Run(error.to_string()),
-        error => Failed::Input(error.to_string()),
-    })?;
+    let mut node =
+        Node::new_as(path, listen, records.recorder.clone(), options.view).map_err(|error| match error {
+            NodeError::Net(error) => Failed::Run(error.to_string()),
+            error => Failed::Input(error.to_string()),
+        })?;
     node.take_signals()?;
     node.run()?;
     records.close()
--- a/crates/cli/tests/trial.rs
+++ b/crates/cli/tests/trial.rs
@@ -135,12 +135,7 @@
     bed.call();
     let everybody = all(&bed);
     assert!(bed.agreement(&everybody, AGREE).is_some(), "start");
-    for from in 0..8 {
-        for to in (0..8).filter(|to| *to != from) {
-            let way = Way { from: Party::Scheduler(from), to: Party::Scheduler(to) };
-            bed.loss(way, Loss { lost: 0.05, doubled: 0.02, ..Loss::default() });
-        }
-    }
+    bed.loss_of_all(Loss { lost: 0.05, doubled: 0.02, ..Loss::default() });
     bed.kill(2);
     assert!(bed.agreement(&everybody, AGREE).is_some(), "a death");
     bed.up(2).expect("it comes up");
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -101,14 +101,20 @@
 /// # Errors
 /// Where it can't be read or used; the error names the field.
 pub fn load(path: &Path) -> Result<NodeConfig, ConfigError> {
-    parse(&std::fs::read(path)?)
+    load_as(path, false)
 }
 
-fn parse(bytes: &[u8]) -> Result<NodeConfig, ConfigError> {
+/// As [`load`]; with `view` as if the fleet's view were asked for where nothing is said of it.
+pub fn load_as(path: &Path, view: bool) -> Result<NodeConfig, ConfigError> {
+    parse(&std::fs::read(path)?, view)
+}
+
+fn parse(bytes: &[u8], view: bool) -> Result<NodeConfig, ConfigError> {
     let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(bytes))?;
     let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?;
     let told = basaltward_told::parse(file.settings.get())?;
-    let fleet = match file.fleet.filter(|fleet| fleet.view) {
+    let unsaid = FleetFile { view, name: String::new(), operators: Vec::new() };
+    let fleet = match Some(file.fleet.unwrap_or(unsaid)).filter(|fleet| fleet.view) {
         None => None,
         Some(FleetFile { name, operators, .. }) => {
             let listen = file.peer_listen.ok_or(ConfigError::Fleet("peer_listen is missing"))?;
@@ -144,7 +150,7 @@
 
     #[test]
     fn a_configuration_is_read_and_what_is_wrong_is_named() {
-        let good = parse(GOOD.as_bytes()).expect("it is good");
+        let good = parse(GOOD.as_bytes(), false).expect("it is good");
         assert_eq!((good.name.as_str(), good.seed, good.known.no), ("n3", 0x8c1f_30d2_7a5b_e964, 3));
         assert_eq!((good.told.classes, good.told.links.streams), (vec!["call".to_owned()], 32));
         let wrong = [
@@ -163,9 +169,9 @@
             ),
         ];
         for (from, to, named) in wrong {
-            let error = parse(GOOD.replace(from, to).as_bytes()).expect_err(named).to_string();
+            let error = parse(GOOD.replace(from, to).as_bytes(), false).expect_err(named).to_string();
             assert!(error.contains(named) && !error.contains('\n'), "{error}");
         }
-        assert!(parse(&GOOD.as_bytes()[..200]).is_err());
+        assert!(parse(&GOOD.as_bytes()[..200], false).is_err());
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,6 @@
 //! The loop: clients, engine, workers and bulletin joined. It carries bytes and messages between them.
 
-use crate::config::{ConfigError, NodeConfig, load};
+use crate::config::{ConfigError, NodeConfig, load, load_as};
 use crate::fellows::Fellows;
 use crate::front::{Front, Step};
 use crate::links::{Done, Job, Links, WrittenJob};
@@ -119,7 +119,20 @@
     /// # Errors
     /// Where the configuration can't be used or the system refuses something.
     pub fn new(path: PathBuf, listen: Option<SocketAddr>, recorder: Recorder) -> Result<Self, NodeError> {
-        let config = load(&path)?;
+        Self::new_as(path, listen, recorder, false)
+    }
+
+    /// As [`Node::new`]; with `view` it keeps the fleet's view even where the configuration says nothing of it.
+    ///
+    /// # Errors
+    /// As [`Node::new`].
+    pub fn new_as(
+        path: PathBuf,
+        listen: Option<SocketAddr>,
+        recorder: Recorder,
+        view: bool,
+    ) -> Result<Self, NodeError> {
+        let config = load_as(&path, view)?;
         let limits =
             IoLimits { connections: config.budget.clients, input: config.budget.input, linger: 300_000 };
         let mut io = Io::new(limits)?;
--- a/crates/trial/src/bed.rs
+++ b/crates/trial/src/bed.rs
@@ -75,6 +75,8 @@
     pub workers: Vec<LineWorker>,
     /// What clients and workers saw.
     pub recorder: Recorder,
+    /// What becomes of datagrams where no other fault is on their way.
+    usual: Loss,
     /// Where each reaches the others, by number.
     mesh: Vec<Vec<SocketAddr>>,
     /// When it began.
@@ -172,6 +174,7 @@
             board,
             workers,
             recorder,
+            usual: Loss::default(),
             mesh,
             began,
             faults,
@@ -246,10 +249,24 @@
         self.faults.push((monotonic(), way, text));
     }
 
+    /// What becomes of all datagrams from now on, and of those of a way that is taken up again.
+    pub fn loss_of_all(&mut self, loss: Loss) {
+        self.usual = loss;
+        let all = 0..self.schedulers.len();
+        for (from, to) in all.clone().flat_map(|i| all.clone().map(move |j| (i, j))) {
+            if from != to {
+                self.loss(Way { from: Party::Scheduler(from), to: Party::Scheduler(to) }, loss);
+            }
+        }
+    }
+
     /// Cuts a group of schedulers off from all others, from workers, bulletin and clients, or takes it up again.
     /// Connections stay open and silent, as when a zone is cut.
     pub fn cut(&mut self, group: &[usize], cut: bool) {
-        let (stream, lost) = if cut { (Stream::Stall, 1.0) } else { (Stream::Pass, 0.0) };
+        let (stream, loss) = match cut {
+            true => (Stream::Stall, Loss { lost: 1.0, ..self.usual }),
+            false => (Stream::Pass, self.usual),
+        };
         for &i in group {
             let own = Party::Scheduler(i);
             self.stream(Way { from: Party::Clients, to: own }, stream);
@@ -260,7 +277,7 @@
             for j in (0..self.schedulers.len()).filter(|j| !group.contains(j)) {
                 let other = Party::Scheduler(j);
                 for way in [Way { from: own, to: other }, Way { from: other, to: own }] {
-                    self.loss(way, Loss { lost, ..Loss::default() });
+                    self.loss(way, loss);
                 }
             }
         }
--- a/crates/trial/src/script.rs
+++ b/crates/trial/src/script.rs
@@ -187,7 +187,6 @@
     /// # Errors
     /// Where a scheduler does not come up or does not end.
     pub fn perform(&self, bed: &mut Bed) -> Result<(), TrialError> {
-        let all = 0..bed.schedulers.len();
         match self {
             Self::Kill(one) => bed.kill(*one),
             Self::Stop(one) => bed.stop(*one)?,
@@ -196,13 +195,7 @@
             Self::Stall(one, false) => bed.schedulers[*one].resume(),
             Self::Reread(one) => bed.schedulers[*one].reread(),
             Self::Cut(group, cut) => bed.cut(group, *cut),
-            Self::Loss(loss) => {
-                for (from, to) in all.clone().flat_map(|i| all.clone().map(move |j| (i, j))) {
-                    if from != to {
-                        bed.loss(Way { from: Party::Scheduler(from), to: Party::Scheduler(to) }, *loss);
-                    }
-                }
-            }
+            Self::Loss(loss) => bed.loss_of_all(*loss),
             Self::OneWay(from, to, loss) => {
                 bed.loss(Way { from: Party::Scheduler(*from), to: Party::Scheduler(*to) }, *loss);
             }
