Fleet: a board of small facts by owner, spread by the same datagrams; calls of all summed

Need: what later parts tell one another (permits, versions, where copies stand) has to travel somewhere, bounded.

Change: facts by owner and key, versioned by the owner's life and count, ageing, 16 keys of 32 bytes and 10 minutes at most; they take the room that news leaves and go as often. Owners renew what is to stay. Counters under one key are summed. Each live scheduler tells its calls served, refused and failed; `basaltward fleet view` prints the sums.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -25,6 +25,9 @@
         view.digest,
         if view.settled { "settled" } else { "not settled" }
     );
+    if let [served, refused, failed] = view.calls[..] {
+        println!("calls told by all: {served} served, {refused} refused, {failed} failed");
+    }
     for (number, seen) in view.entries.iter().enumerate() {
         let heard = match (seen.heard_ms, number == usize::from(view.own)) {
             (_, true) => "itself".into(),
--- a/crates/cli/tests/trial.rs
+++ b/crates/cli/tests/trial.rs
@@ -135,6 +135,14 @@
     bed.call();
     let everybody = all(&bed);
     assert!(bed.agreement(&everybody, AGREE).is_some(), "start");
+    // What all have served is told to each, by the board.
+    let until = std::time::Instant::now() + AGREE;
+    let told =
+        |bed: &Bed| bed.view(5).is_ok_and(|view| view.calls.first().is_some_and(|served| *served > 500));
+    while !told(&bed) {
+        assert!(std::time::Instant::now() < until, "{:?}", bed.view(5));
+        std::thread::sleep(Duration::from_millis(50));
+    }
     bed.loss_of_all(Loss { lost: 0.05, doubled: 0.02, ..Loss::default() });
     bed.kill(2);
     assert!(bed.agreement(&everybody, AGREE).is_some(), "a death");
--- a/crates/fleet/src/ask.rs
+++ b/crates/fleet/src/ask.rs
@@ -8,7 +8,11 @@
 /// The first byte of a question and of an answer; a member's datagrams begin otherwise.
 const VERSION: u8 = 0x71;
 /// Entries in one answer: the largest fit.
-pub const PAGE: usize = 8;
+pub const PAGE: usize = 6;
+/// Totals told of at most.
+const TOTALS: usize = 3;
+/// The key of the counters whose totals are told: calls served, refused and failed.
+const CALLS: u8 = 0;
 
 /// Asks for the view from this member on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,6 +49,8 @@
     pub settled: bool,
     /// With how much of the fleet it is.
     pub part: Part,
+    /// Calls that members have lately told to have served, refused and failed, all together.
+    pub calls: Vec<u64>,
     /// The first member of this page.
     pub first: Number,
     /// The page.
@@ -103,6 +109,7 @@
             digest: view.digest(),
             settled: view.is_settled(now),
             part: view.part(),
+            calls: view.totals(now, CALLS).into_iter().take(TOTALS).collect(),
             first: question.first,
             entries,
         }
@@ -131,8 +138,8 @@
         let incarnation = Incarnation { start: u64::MAX, bump: u32::MAX };
         let seen = Seen { state: State::Stopped, incarnation, heard_ms: Some(u64::MAX) };
         let (tag, digest, own, size, first) = (u32::MAX, u32::MAX, Number::MAX, Number::MAX, Number::MAX);
-        let (settled, part, entries) = (true, Part::Alone, vec![seen; PAGE]);
-        let answer = Answer { tag, own, size, digest, settled, part, first, entries };
+        let (settled, part, entries, calls) = (true, Part::Alone, vec![seen; PAGE], vec![u64::MAX; TOTALS]);
+        let answer = Answer { tag, own, size, digest, settled, part, calls, first, entries };
         let bytes = answer.write();
         assert!(bytes.len() <= MOST && bytes.len() > 200, "{}", bytes.len());
         assert_eq!(Answer::read(&bytes), Ok(answer));
--- /dev/null
+++ b/crates/fleet/src/board.rs
@@ -0,0 +1,205 @@
+//! The board: small facts that members tell of themselves, by key. A later one of an owner takes the place of an
+//! earlier one, each ends with its time, and all are bounded, whatever comes. Owners renew what is to stay: news
+//! of it that was missed comes with the next renewal.
+
+use crate::types::{Micros, Number};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Keys that an owner has.
+pub const KEYS: u8 = 16;
+/// Most bytes of a value.
+pub const VALUE: usize = 32;
+/// Longest time for which a fact stands.
+pub const LONGEST: Micros = 600_000_000;
+
+/// A fact on its way.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fact {
+    /// Whose it is.
+    pub owner: Number,
+    /// Which of its facts.
+    pub key: u8,
+    /// The start of the owner's life, then its count of facts: a later one goes before.
+    pub version: (u64, u32),
+    /// Milliseconds for which it still stands.
+    pub left_ms: u32,
+    /// What it says.
+    pub value: Vec<u8>,
+}
+
+struct Held {
+    version: (u64, u32),
+    until: Micros,
+    value: Vec<u8>,
+    /// How often it is still to be passed on.
+    left: u32,
+}
+
+/// The facts that a member knows.
+#[derive(Default)]
+pub struct Board {
+    facts: BTreeMap<(Number, u8), Held>,
+    /// To be passed on: those that go most often yet, last.
+    pending: BTreeMap<(u32, Number, u8), ()>,
+    count: u32,
+}
+
+impl Board {
+    /// Tells a fact of ours; false where its key or its value is out of bounds.
+    pub fn tell(
+        &mut self,
+        now: Micros,
+        (own, start): (Number, u64),
+        (key, value): (u8, &[u8]),
+        stands: Micros,
+        repeats: u32,
+    ) -> bool {
+        self.count = self.count.wrapping_add(1);
+        let left_ms = (stands.min(LONGEST) / 1_000) as u32;
+        let (version, value) = ((start, self.count), value.to_vec());
+        self.learn(now, &Fact { owner: own, key, version, left_ms, value }, repeats)
+    }
+
+    /// Takes a fact if it is within bounds and later than what is known.
+    pub fn learn(&mut self, now: Micros, fact: &Fact, repeats: u32) -> bool {
+        let stands = Micros::from(fact.left_ms) * 1_000;
+        let bounded = fact.key < KEYS && fact.value.len() <= VALUE && (1..=LONGEST).contains(&stands);
+        let at = (fact.owner, fact.key);
+        if !bounded || self.facts.get(&at).is_some_and(|held| held.version >= fact.version) {
+            return false;
+        }
+        self.forget(at);
+        let (version, until, value) = (fact.version, now + stands, fact.value.clone());
+        self.facts.insert(at, Held { version, until, value, left: repeats });
+        self.pending.insert((repeats, at.0, at.1), ());
+        true
+    }
+
+    fn forget(&mut self, at: (Number, u8)) {
+        if let Some(held) = self.facts.remove(&at) {
+            self.pending.remove(&(held.left, at.0, at.1));
+        }
+    }
+
+    /// Ends what has stood for its time.
+    pub fn expire(&mut self, now: Micros) {
+        let over: Vec<_> = self.facts.iter().filter(|(_, h)| h.until <= now).map(|(at, _)| *at).collect();
+        over.into_iter().for_each(|at| self.forget(at));
+    }
+
+    /// Whether anything is still to be passed on.
+    pub fn is_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Takes facts that fit into `room` bytes, those passed on least first.
+    pub fn take(&mut self, now: Micros, mut room: usize) -> Vec<Fact> {
+        let mut told = Vec::new();
+        let order: Vec<_> = self.pending.keys().rev().copied().collect();
+        for (left, owner, key) in order {
+            let Some(held) = self.facts.get_mut(&(owner, key)) else { continue };
+            let left_ms = (held.until.saturating_sub(now) / 1_000) as u32;
+            let fact = Fact { owner, key, version: held.version, left_ms, value: held.value.clone() };
+            let mut bytes = [0; VALUE + 32];
+            let size = postcard::to_slice(&fact, &mut bytes).map_or(usize::MAX, |told| told.len());
+            if size > room {
+                break;
+            }
+            room -= size;
+            self.pending.remove(&(left, owner, key));
+            held.left = left - 1;
+            if held.left > 0 {
+                self.pending.insert((held.left, owner, key), ());
+            }
+            told.extend((left_ms > 0).then_some(fact));
+        }
+        told
+    }
+
+    /// A fact of a member, while it stands.
+    pub fn get(&self, now: Micros, owner: Number, key: u8) -> Option<&[u8]> {
+        self.facts.get(&(owner, key)).filter(|held| held.until > now).map(|held| held.value.as_slice())
+    }
+
+    /// The sums, place by place, of counters that members tell under a key.
+    pub fn totals(&self, now: Micros, key: u8) -> Vec<u64> {
+        let mut totals: Vec<u64> = Vec::new();
+        for ((_, of), held) in &self.facts {
+            let counters = (*of == key && held.until > now).then(|| counters(&held.value)).flatten();
+            for (at, counter) in counters.unwrap_or_default().into_iter().enumerate() {
+                match totals.get_mut(at) {
+                    Some(total) => *total = total.saturating_add(counter),
+                    None => totals.push(counter),
+                }
+            }
+        }
+        totals
+    }
+
+    /// Facts known.
+    pub fn len(&self) -> usize {
+        self.facts.len()
+    }
+}
+
+/// Counters as a value, as many as fit.
+pub fn value_of(counters: &[u64]) -> Vec<u8> {
+    (0..=counters.len())
+        .rev()
+        .find_map(|count| {
+            let mut bytes = [0; VALUE];
+            Some(postcard::to_slice(&counters[..count], &mut bytes).ok()?.to_vec())
+        })
+        .unwrap_or_default()
+}
+
+fn counters(value: &[u8]) -> Option<Vec<u64>> {
+    postcard::from_bytes(value).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Micros = 1_000_000;
+
+    fn fact(owner: Number, version: (u64, u32)) -> Fact {
+        Fact { owner, key: 1, version, left_ms: 5_000, value: value_of(&[2, 300]) }
+    }
+
+    #[test]
+    fn what_is_later_stands_until_its_time_and_what_is_out_of_bounds_is_not_taken() {
+        let mut board = Board::default();
+        assert!(board.learn(S, &fact(3, (7, 2)), 2));
+        let old_life = Fact { version: (6, 9), ..fact(3, (0, 0)) };
+        for wrong in [
+            fact(3, (7, 2)),
+            fact(3, (7, 1)),
+            old_life,
+            Fact { key: KEYS, ..fact(4, (9, 9)) },
+            Fact { value: vec![0; VALUE + 1], ..fact(4, (9, 9)) },
+            Fact { left_ms: u32::MAX, ..fact(4, (9, 9)) },
+            Fact { left_ms: 0, ..fact(4, (9, 9)) },
+        ] {
+            assert!(!board.learn(S, &wrong, 2), "{wrong:?}");
+        }
+        assert!(board.learn(S, &fact(4, (1, 1)), 2));
+        assert_eq!((board.totals(S, 1), board.totals(S, 2)), (vec![4, 600], Vec::new()));
+        assert!(board.get(5 * S, 3, 1).is_some() && board.get(6 * S, 3, 1).is_none());
+        board.expire(6 * S);
+        assert_eq!((board.len(), board.is_pending()), (0, false));
+    }
+
+    #[test]
+    fn each_fact_goes_its_number_of_times_and_no_more_than_fits() {
+        let mut board = Board::default();
+        (0..3).for_each(|owner| assert!(board.learn(S, &fact(owner, (1, 1)), 2)));
+        let owners = |told: Vec<Fact>| told.iter().map(|f| f.owner).collect::<Vec<_>>();
+        assert_eq!(owners(board.take(S, 24)), [2, 1]);
+        assert_eq!(owners(board.take(S, 24)), [0, 2]);
+        assert_eq!(owners(board.take(S, 1_000)), [1, 0]);
+        assert!(board.take(S, 1_000).is_empty() && !board.is_pending());
+        assert_eq!(counters(&value_of(&[u64::MAX; 9])).map(|c| c.len()), Some(3));
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 mod ask;
+mod board;
 mod budget;
 mod rumours;
 mod settings;
@@ -16,6 +17,7 @@
 mod world;
 
 pub use ask::{Answer, PAGE, Question, Seen};
+pub use board::{KEYS, LONGEST, VALUE, value_of};
 pub use settings::{FleetSettings, SettingsError};
 pub use types::{Entry, Incarnation, Micros, Number, State};
 pub use view::{Counts, Output, Part, View};
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,6 +6,7 @@
 //! the configured list, those that are gone are asked too, one a period: a partition heals by itself. What
 //! news has missed is found by digests (anti-entropy).
 
+use crate::board::Board;
 use crate::budget::Budget;
 use crate::rumours::Rumours;
 use crate::settings::{FleetSettings, SettingsError};
@@ -105,6 +106,7 @@
     /// The digest that each was last heard with.
     theirs: Vec<u32>,
     rumours: Rumours,
+    board: Board,
     watch: Watch,
     budget: Budget,
     rng: StdRng,
@@ -160,6 +162,7 @@
             digest: 0,
             theirs: vec![0; size],
             rumours: Rumours::default(),
+            board: Board::default(),
             watch: Watch::default(),
             budget: Budget::new(settings.bytes_per_s, settings.burst, now),
             rng: StdRng::seed_from_u64(settings.seed ^ u64::from(settings.own) << 32 ^ settings.start),
@@ -236,9 +239,33 @@
             && late.all(|(_, theirs)| *theirs == self.digest)
     }
 
+    /// Tells all a fact of ours under a key, which stands for this long; a later one takes its place. False
+    /// where the key or the value is out of bounds ([`KEYS`](crate::KEYS), [`VALUE`](crate::VALUE)).
+    pub fn tell_fact(&mut self, now: Micros, key: u8, value: &[u8], stands: Micros) -> bool {
+        let (whose, repeats) = ((self.settings.own, self.own.start), self.settings.repeats());
+        self.board.tell(now, whose, (key, value), stands, repeats)
+    }
+
+    /// A fact of a member, while it stands.
+    pub fn fact(&self, now: Micros, owner: Number, key: u8) -> Option<&[u8]> {
+        self.board.get(now, owner, key)
+    }
+
+    /// The sums, place by place, of the counters that members tell under a key, see
+    /// [`value_of`](crate::value_of).
+    pub fn totals(&self, now: Micros, key: u8) -> Vec<u64> {
+        self.board.totals(now, key)
+    }
+
+    /// Facts held: bounded by the members and their keys.
+    pub fn facts(&self) -> usize {
+        self.board.len()
+    }
+
     /// When [`View::wake`] is due next.
     pub fn next_due(&self) -> Micros {
-        let news = (!self.rumours.is_empty()).then_some(self.next_news);
+        let tells = !self.rumours.is_empty() || self.board.is_pending();
+        let news = tells.then_some(self.next_news);
         self.watch.next().into_iter().chain(news).fold(self.next_ask, Micros::min)
     }
 
@@ -284,6 +311,11 @@
                 stale.push(news.of);
             }
         }
+        for fact in
+            message.facts.iter().filter(|f| f.owner < self.settings.size && f.owner != self.settings.own)
+        {
+            self.board.learn(now, fact, self.settings.repeats());
+        }
         match message.kind {
             Kind::Ask(sequence) => self.send(now, from, Kind::Here(sequence), told, out),
             Kind::AskFor(theirs, to) if to < self.settings.size && to != self.settings.own => {
@@ -421,7 +453,8 @@
             self.next_ask = (self.next_ask + self.settings.period).max(now + self.settings.period / 2);
             self.ask_around(now, out);
         }
-        if now >= self.next_news && !self.rumours.is_empty() {
+        self.board.expire(now);
+        if now >= self.next_news && (!self.rumours.is_empty() || self.board.is_pending()) {
             self.next_news = now + self.settings.period / 3;
             if self.rumours.len() > STORM {
                 let to = self.some_live(1, None);
@@ -444,6 +477,8 @@
             self.counts.stalls += 1;
             self.watch.put_off(still);
             self.next_ask = now;
+            // Facts of before are as old as they say: those that have ended go now.
+            self.board.expire(now);
             if still > self.settings.suspicion() {
                 self.rumours = Rumours::default();
                 self.watch.questions.clear();
@@ -619,6 +654,7 @@
             digest: self.digest,
             kind,
             news: Vec::new(),
+            facts: Vec::new(),
         }
     }
 
@@ -631,7 +667,10 @@
             true => self.rumours.take(room, repeats, self.own.start, first),
             false => first.into_iter().collect(),
         };
-        if kind == Kind::News && message.news.is_empty() {
+        if rich {
+            message.facts = self.board.take(now, message.room());
+        }
+        if kind == Kind::News && message.news.is_empty() && message.facts.is_empty() {
             return;
         }
         self.write(now, to, &message, out);
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -1,5 +1,6 @@
 //! Datagrams: one version byte, then the message by serde. Nothing of it is trusted beyond its form.
 
+use crate::board::Fact;
 use crate::types::{Incarnation, Number, State};
 use serde::de::Error;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -122,6 +123,8 @@
     pub kind: Kind,
     /// What else it tells.
     pub news: Vec<News>,
+    /// Facts from the board.
+    pub facts: Vec<Fact>,
 }
 
 /// Bytes that one piece of news may take.
@@ -134,7 +137,7 @@
         let head = Head { fleet, from, incarnation, leaving, digest, kind };
         let told: Vec<_> = self.news.iter().map(|news| Told::new(news, incarnation.start)).collect();
         let mut bytes = vec![VERSION; MOST];
-        let length = postcard::to_slice(&(head, told), &mut bytes[1..]).ok()?.len();
+        let length = postcard::to_slice(&(head, told, &self.facts), &mut bytes[1..]).ok()?.len();
         bytes.truncate(length + 1);
         Some(bytes)
     }
@@ -151,13 +154,14 @@
         if *version != VERSION {
             return Err(WireError::Version(*version));
         }
-        let Ok(((head, told), [])) = postcard::take_from_bytes::<(Head, Vec<Told>)>(rest) else {
+        let Ok(((head, told, facts), [])) = postcard::take_from_bytes::<(Head, Vec<Told>, Vec<Fact>)>(rest)
+        else {
             return Err(WireError::Form);
         };
         let Head { fleet, from, incarnation, leaving, digest, kind } = head;
         let news = told.iter().map(|told| told.news(incarnation.start)).collect::<Option<Vec<_>>>();
         let news = news.ok_or(WireError::Form)?;
-        Ok(Self { fleet, from, incarnation, leaving, digest, kind, news })
+        Ok(Self { fleet, from, incarnation, leaving, digest, kind, news, facts })
     }
 
     /// Bytes left for news.
@@ -181,7 +185,8 @@
     fn message(news: Vec<News>) -> Message {
         let incarnation = Incarnation { start: 40_000_000_000, bump: 3 };
         let kind = Kind::Compare(200, Blocks([255; BLOCKS]));
-        Message { fleet: 9, from: 299, incarnation, leaving: false, digest: u32::MAX, kind, news }
+        let facts = vec![Fact { owner: 3, key: 1, version: (9, 9), left_ms: 4, value: vec![7; 5] }];
+        Message { fleet: 9, from: 299, incarnation, leaving: false, digest: u32::MAX, kind, news, facts }
     }
 
     #[test]
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -234,7 +234,8 @@
         }
     }
 
-    fn tell(&mut self, of: Number, act: impl FnOnce(&mut View, Micros, &mut Vec<Output>)) {
+    /// Has a member that runs do something, at its own time.
+    pub fn act(&mut self, of: Number, act: impl FnOnce(&mut View, Micros, &mut Vec<Output>)) {
         let (now, mut out) = (self.clock(of), Vec::new());
         if let Some(view) = &mut self.members[usize::from(of)].view {
             act(view, now, &mut out);
@@ -257,14 +258,14 @@
                     if member.paused && member.view.is_some() && member.inbox.len() < 200 {
                         member.inbox.push((from, bytes));
                     } else if !member.paused {
-                        self.tell(to, |view, now, out| view.handle(now, from, &bytes, out));
+                        self.act(to, |view, now, out| view.handle(now, from, &bytes, out));
                     }
                 }
                 Due::Wake(of) => {
                     let member = &mut self.members[usize::from(of)];
                     if member.armed == at && !member.paused {
                         member.armed = Micros::MAX;
-                        self.tell(of, |view, now, out| view.wake(now, out));
+                        self.act(of, |view, now, out| view.wake(now, out));
                     }
                 }
                 Due::Resume(of) => {
@@ -272,7 +273,7 @@
                     if std::mem::take(&mut member.paused) {
                         member.armed = Micros::MAX;
                         for (from, bytes) in std::mem::take(&mut member.inbox) {
-                            self.tell(of, |view, now, out| view.handle(now, from, &bytes, out));
+                            self.act(of, |view, now, out| view.handle(now, from, &bytes, out));
                         }
                         self.arm(of);
                     }
--- a/crates/fleet/tests/hard_cases.rs
+++ b/crates/fleet/tests/hard_cases.rs
@@ -259,6 +259,42 @@
     drop(world);
 }
 
+/// Counters of all come to all, those of an earlier life do not come back, and all of it ends with its time.
+#[test]
+fn facts_reach_all_and_end_with_their_time() {
+    for (seed, lost) in [(1, 0.0), (2, 0.1), (3, 0.3)] {
+        let (mut world, mut watch) = fleet(30, seed, lost);
+        let tell = |world: &mut World, of: Number, counter: u64, stands: Micros| {
+            let value = basaltward_fleet::value_of(&[counter, of.into()]);
+            world.act(of, |view, now, _| assert!(view.tell_fact(now, 2, &value, stands)));
+        };
+        let total = |world: &World, of| world.view(of).expect("up").totals(world.now, 2);
+        // A fact that somebody misses comes with its renewal.
+        let reached = |world: &World| world.numbers().all(|of| total(world, of) == [150, 435]);
+        let renewed = (0..5).any(|_| {
+            world.numbers().for_each(|of| tell(&mut world, of, 5, 20 * S));
+            world.run_until(world.now + 2 * S, reached).is_some()
+        });
+        assert!(renewed, "seed {seed}, {lost} lost");
+        world.kill(7);
+        pass(&mut world, &mut watch, S);
+        world.start(7);
+        let reached =
+            |world: &World| world.numbers().filter(|of| *of != 7).all(|of| total(world, of) == [146, 435]);
+        let renewed = (0..3).any(|_| {
+            tell(&mut world, 7, 1, 5 * S);
+            world.run_until(world.now + 2 * S, reached).is_some()
+        });
+        assert!(renewed, "seed {seed}, {lost} lost");
+        pass(&mut world, &mut watch, 25 * S);
+        assert!(
+            world
+                .numbers()
+                .all(|of| total(&world, of).is_empty() && world.view(of).expect("up").facts() == 0)
+        );
+    }
+}
+
 /// A planted fault: one member takes the word of an earlier life where it says worse.
 #[test]
 #[should_panic(expected = "a return: no agreement")]
--- a/crates/node/src/fellows.rs
+++ b/crates/node/src/fellows.rs
@@ -1,12 +1,15 @@
 //! The fleet's view on the loop: datagrams carried between it and the one socket for other schedulers.
 
 use crate::config::{FleetConfig, NodeConfig};
-use basaltward_fleet::{Answer, FleetSettings, MOST, Number, Output, Question, View};
+use basaltward_fleet::{Answer, FleetSettings, MOST, Number, Output, Question, View, value_of};
 use basaltward_net::{Clock, Io, Micros, NetError};
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use tracing::info;
 
+/// Counters of calls are told under this key, so often; three that are missed leave the last one standing.
+const CALLS: u8 = 0;
+const TELL_US: Micros = 5_000_000;
 /// Log lines on changes in a second at most; more are counted.
 const LINES: u32 = 50;
 /// The beginning of 2026, in milliseconds since 1970: incarnations count from there.
@@ -22,6 +25,9 @@
     operators: Vec<IpAddr>,
     /// The second that lines are counted for, those written in it, and those left out.
     lines: (Micros, u32, u32),
+    /// Calls served, refused and failed, and when they are told next.
+    calls: [u64; 3],
+    tell_calls: Micros,
     out: Vec<Output>,
 }
 
@@ -47,11 +53,26 @@
         let Ok(view) = View::new(settings, now) else { return Ok(None) };
         let numbers = fleet.peers.iter().enumerate().map(|(n, at)| (*at, n as Number)).collect();
         let (peers, operators) = (fleet.peers.clone(), fleet.operators.clone());
-        Ok(Some(Self { view, socket, peers, numbers, operators, lines: (0, 0, 0), out: Vec::new() }))
+        Ok(Some(Self {
+            view,
+            socket,
+            peers,
+            numbers,
+            operators,
+            lines: (0, 0, 0),
+            calls: [0; 3],
+            tell_calls: now,
+            out: Vec::new(),
+        }))
     }
 
     pub fn next_due(&self) -> Micros {
-        self.view.next_due()
+        self.view.next_due().min(self.tell_calls)
+    }
+
+    /// A call has its answer: served, refused or failed.
+    pub fn answered(&mut self, outcome: usize) {
+        self.calls[outcome] += 1;
     }
 
     /// Takes what waits at the socket.
@@ -74,6 +95,10 @@
     }
 
     pub fn wake(&mut self, io: &mut Io, now: Micros) {
+        if now >= self.tell_calls {
+            self.tell_calls = now + TELL_US;
+            self.view.tell_fact(now, CALLS, &value_of(&self.calls), TELL_US * 4);
+        }
         if self.view.next_due() <= now {
             self.view.wake(now, &mut self.out);
             self.carry_out(io, now);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,7 +9,9 @@
 use crate::work::{Served, Work};
 use basaltward::{Micros, SettingsError};
 use basaltward_bulletin::{FeedId, Follower, FollowerLimits, Roster, Step as Feed};
-use basaltward_engine::{Engine, EngineSettings, Input, MarginSettings, Output, Pace, RepeatLimits, Turn};
+use basaltward_engine::{
+    Answer, Engine, EngineSettings, Input, MarginSettings, Output, Pace, RepeatLimits, Turn,
+};
 use basaltward_net::{
     ConnId, Happened, Io, IoLimits, NetError, Signals, Waker, bind, monotonic, thread_time,
 };
@@ -457,10 +459,16 @@
     }
 
     fn output(&mut self, now: Micros, output: Output<Work, Served>) -> Option<Done> {
-        let Self { io, links, front, later, notes, .. } = self;
+        let Self { io, links, front, later, notes, fellows, .. } = self;
         match output {
             Output::Answer { waiter, answer, attempts, worker, .. } => {
                 let asked = front.answer(io, now, waiter, &answer)?;
+                let outcome = match answer {
+                    Answer::Served(_) => 0,
+                    Answer::Refused(..) => 1,
+                    Answer::Failed(_) => 2,
+                };
+                fellows.iter_mut().for_each(|fellows| fellows.answered(outcome));
                 notes.answered(now, &asked, &answer, (attempts, worker.as_ref()));
                 None
             }
