Fleet: a new list of members is taken at SIGHUP, by one member after another

Need: the list is in the configuration and may change while schedulers run.

Change: View::resize; `basaltward node` takes `peers` and `operators` anew at SIGHUP. The tag of a fleet is its name alone: by its size too, members with the old and the new list would have dropped one another's datagrams.

--- a/crates/fleet/src/board.rs
+++ b/crates/fleet/src/board.rs
@@ -88,6 +88,12 @@
         over.into_iter().for_each(|at| self.forget(at));
     }
 
+    /// Forgets the facts of members that are not in the list any more.
+    pub fn within(&mut self, size: Number) {
+        let over: Vec<_> = self.facts.keys().filter(|(owner, _)| *owner >= size).copied().collect();
+        over.into_iter().for_each(|at| self.forget(at));
+    }
+
     /// Whether anything is still to be passed on.
     pub fn is_pending(&self) -> bool {
         !self.pending.is_empty()
--- a/crates/fleet/src/rumours.rs
+++ b/crates/fleet/src/rumours.rs
@@ -43,6 +43,12 @@
         self.at.retain(|of, passed| self.order.contains_key(&(*passed, *of)));
     }
 
+    /// Forgets what is of members that are not in the list any more.
+    pub fn within(&mut self, size: Number) {
+        self.order.retain(|(_, of), _| *of < size);
+        self.at.retain(|of, _| *of < size);
+    }
+
     /// Takes what fits into `room` bytes; each piece goes `repeats` times in all. `first` goes before.
     pub fn take(&mut self, mut room: usize, repeats: u32, base: u64, first: Option<News>) -> Vec<News> {
         let mut told = Vec::new();
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -50,4 +50,11 @@
         }
         self.suspects.values_mut().for_each(|(_, until)| *until += by);
     }
+
+    /// Forgets what is of members that are not in the list any more.
+    pub fn within(&mut self, size: Number) {
+        self.suspects.retain(|of, _| *of < size);
+        self.questions.retain(|question| question.to < size);
+        self.errands.retain(|_, errand| errand.from < size);
+    }
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -283,6 +283,23 @@
         }
     }
 
+    /// The configured list is another: it has this many members now, those in it under their old numbers. False
+    /// where we would not be in it, and nothing changes then.
+    pub fn resize(&mut self, size: Number) -> bool {
+        if self.settings.own >= size {
+            return false;
+        }
+        self.settings.size = size;
+        self.entries.resize(size.into(), Entry::default());
+        self.theirs.resize(size.into(), 0);
+        self.digest = self.entries.iter().enumerate().fold(0, |all, (of, e)| all ^ print(of as Number, e));
+        self.rumours.within(size);
+        self.board.within(size);
+        self.watch.within(size);
+        self.turn.clear();
+        true
+    }
+
     // ---- what comes --------------------------------------------------------------------------------------
 
     /// Takes a datagram that came from this member's address.
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -49,6 +49,13 @@
     before: Counts,
 }
 
+impl Member {
+    fn new() -> Self {
+        let (inbox, before) = (Vec::new(), Counts::default());
+        Self { view: None, lives: 0, armed: Micros::MAX, paused: false, rate: 1.0, inbox, before }
+    }
+}
+
 /// The fleet and its network.
 pub struct World {
     settings: FleetSettings,
@@ -74,17 +81,8 @@
 impl World {
     /// So many members by these settings, none of them started.
     pub fn new(settings: FleetSettings, link: Link) -> Self {
-        let member = |_| Member {
-            view: None,
-            lives: 0,
-            armed: Micros::MAX,
-            paused: false,
-            rate: 1.0,
-            inbox: Vec::new(),
-            before: Counts::default(),
-        };
         Self {
-            members: (0..settings.size).map(member).collect(),
+            members: (0..settings.size).map(|_| Member::new()).collect(),
             rng: StdRng::seed_from_u64(settings.seed),
             settings,
             link,
@@ -119,6 +117,14 @@
         member.view.is_some() && !member.paused
     }
 
+    /// The configured list grows, or loses its last members, who end. Members hear of it by
+    /// [`View::resize`](crate::View::resize), each in its time; who starts from now on has the new list.
+    pub fn resize(&mut self, size: Number) {
+        (size..self.settings.size).for_each(|of| self.kill(of));
+        self.settings.size = size;
+        self.members.resize_with(size.into(), Member::new);
+    }
+
     /// How often it was started.
     pub fn lives(&self, of: Number) -> u32 {
         self.members[usize::from(of)].lives
@@ -217,6 +223,7 @@
     fn carry_out(&mut self, of: Number, out: Vec<Output>) {
         for output in out {
             match output {
+                Output::Send { to, .. } if to >= self.settings.size => {}
                 Output::Send { to, bytes } => {
                     self.longest = self.longest.max(bytes.len());
                     let copies = match (self.rng.random::<f64>(), self.rng.random::<f64>()) {
@@ -252,6 +259,7 @@
             let Some(Reverse((at, _, due))) = self.due.pop() else { return };
             self.now = at;
             match due {
+                Due::Datagram { to, .. } | Due::Wake(to) | Due::Resume(to) if to >= self.settings.size => {}
                 Due::Datagram { to, from, bytes } => {
                     let member = &mut self.members[usize::from(to)];
                     // A socket holds some for who stands still.
@@ -302,7 +310,8 @@
         up.iter().all(|of| {
             let view = self.view(*of);
             view.is_some_and(|view| {
-                let live = |other: Number| view.entries()[usize::from(other)].state.is_live();
+                let live =
+                    |other: Number| view.entries().get(usize::from(other)).is_some_and(|e| e.state.is_live());
                 Some(view.digest()) == digest
                     && self.numbers().all(|other| live(other) == up.contains(&other))
             })
@@ -313,7 +322,8 @@
     pub fn wrong(&self) -> Vec<(Number, Number)> {
         let up: Vec<_> = self.numbers().filter(|of| self.is_up(*of)).collect();
         let gone = |of: &Number, other: &Number| {
-            self.view(*of).is_some_and(|v| v.entries()[usize::from(*other)].state == State::Gone)
+            let entry = |view: &View| view.entries().get(usize::from(*other)).map(|e| e.state);
+            self.view(*of).and_then(entry) == Some(State::Gone)
         };
         let pairs = up.iter().flat_map(|of| up.iter().map(move |other| (*of, *other)));
         pairs.filter(|(of, other)| gone(of, other)).collect()
--- a/crates/fleet/tests/hard_cases.rs
+++ b/crates/fleet/tests/hard_cases.rs
@@ -259,6 +259,34 @@
     drop(world);
 }
 
+/// A new list reaches members one after another, as files and signals do; meanwhile nobody is taken for gone.
+#[test]
+fn a_list_that_grows_and_shrinks_is_taken_by_one_after_another() {
+    for seed in 0..8 {
+        let (mut world, _) = fleet(6, seed, 0.05);
+        for size in [9, 5] {
+            let before = world.numbers().end;
+            world.resize(size);
+            (before..size).for_each(|of| world.start(of));
+            let mut watch = Watch::new(&world);
+            for of in 0..before.min(size) {
+                world.act(of, |view, _, _| assert!(view.resize(size)));
+                pass(&mut world, &mut watch, S / 2);
+                assert!(world.wrong().is_empty(), "seed {seed}: {:?}", world.wrong());
+            }
+            agree(&mut world, &mut watch, &format!("a list of {size}, seed {seed}"));
+            world.act(4, |view, _, _| assert!(!view.resize(4), "who is not in it keeps the old one"));
+        }
+    }
+}
+
+/// Hundreds of members: some minutes, `cargo test --release -p basaltward-fleet -- --ignored`.
+#[test]
+#[ignore = "takes minutes"]
+fn three_hundred_agree_after_each_case() {
+    all_cases(300, 1);
+}
+
 /// Counters of all come to all, those of an earlier life do not come back, and all of it ends with its time.
 #[test]
 fn facts_reach_all_and_end_with_their_time() {
--- a/crates/node/src/fellows.rs
+++ b/crates/node/src/fellows.rs
@@ -31,9 +31,14 @@
     out: Vec<Output>,
 }
 
-/// A hash of the fleet's name and size: members of another are not heeded.
+/// A hash of the fleet's name: members of another are not heeded. Not of its size, as a new list reaches
+/// members one after another.
 fn tag(fleet: &FleetConfig) -> u16 {
-    (crc32fast::hash(format!("{} {}", fleet.name, fleet.peers.len()).as_bytes()) >> 16) as u16
+    (crc32fast::hash(fleet.name.as_bytes()) >> 16) as u16
+}
+
+fn numbers(peers: &[SocketAddr]) -> HashMap<SocketAddr, Number> {
+    peers.iter().enumerate().map(|(n, at)| (*at, n as Number)).collect()
 }
 
 impl Fellows {
@@ -51,7 +56,7 @@
             FleetSettings { fleet: tag(fleet), ..FleetSettings::new(size, own, start, config.seed) };
         // The configuration has been checked for what this checks.
         let Ok(view) = View::new(settings, now) else { return Ok(None) };
-        let numbers = fleet.peers.iter().enumerate().map(|(n, at)| (*at, n as Number)).collect();
+        let numbers = numbers(&fleet.peers);
         let (peers, operators) = (fleet.peers.clone(), fleet.operators.clone());
         Ok(Some(Self {
             view,
@@ -75,6 +80,15 @@
         self.calls[outcome] += 1;
     }
 
+    /// A new configuration: its list of members and its operators hold from now on.
+    pub fn reread(&mut self, fleet: &FleetConfig) {
+        if self.view.resize(fleet.peers.len() as Number) {
+            (self.peers, self.numbers) = (fleet.peers.clone(), numbers(&fleet.peers));
+            self.operators.clone_from(&fleet.operators);
+            info!(members = self.peers.len(), "fleet's list read");
+        }
+    }
+
     /// Takes what waits at the socket.
     pub fn data(&mut self, io: &mut Io, now: Micros) {
         let mut bytes = [0; MOST + 1];
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -560,12 +560,15 @@
     }
 
     /// SIGHUP has come: the configuration is read anew, whole or not at all. What it tells that can change in
-    /// a running scheduler is where the bulletin is.
+    /// a running scheduler is where the bulletin is, and who is in the fleet.
     fn reread(&mut self, now: Micros) {
         let Some((_, left)) = self.reread.take() else { return };
         match load(&self.path) {
             Ok(config) => {
                 info!(name = self.name, bulletin = %config.bulletin, "configuration read");
+                if let (Some(fellows), Some(fleet)) = (&mut self.fellows, &config.fleet) {
+                    fellows.reread(fleet);
+                }
                 self.follower.moved(now, config.bulletin);
                 self.follow(now, |follower, out| follower.wake(now, out));
             }
