Fleet: comparison and what is due in files of their own, one form of datagram

view.rs had grown past 700 lines; operators' questions were read and written by a twin of the members' datagrams; the bed had a type of its own for what virtual time calls a link.

--- a/crates/fleet/src/ask.rs
+++ b/crates/fleet/src/ask.rs
@@ -2,7 +2,7 @@
 
 use crate::types::{Entry, Incarnation, Micros, Number, State};
 use crate::view::{Part, View};
-use crate::wire::{MOST, WireError};
+use crate::wire::{WireError, close, open};
 use serde::{Deserialize, Serialize};
 
 /// The first byte of a question and of an answer; a member's datagrams begin otherwise.
@@ -57,31 +57,10 @@
     pub entries: Vec<Seen>,
 }
 
-fn write(message: &impl Serialize) -> Vec<u8> {
-    let mut bytes = vec![VERSION; MOST];
-    let length = postcard::to_slice(message, &mut bytes[1..]).map_or(0, |told| told.len());
-    bytes.truncate(length + 1);
-    bytes
-}
-
-fn read<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, WireError> {
-    let (version, rest) = bytes.split_first().ok_or(WireError::Length(0))?;
-    if bytes.len() > MOST {
-        return Err(WireError::Length(bytes.len()));
-    }
-    if *version != VERSION {
-        return Err(WireError::Version(*version));
-    }
-    match postcard::take_from_bytes(rest) {
-        Ok((message, [])) => Ok(message),
-        _ => Err(WireError::Form),
-    }
-}
-
 impl Question {
     /// Its bytes.
     pub fn write(&self) -> Vec<u8> {
-        write(self)
+        close(VERSION, self).unwrap_or_default()
     }
 
     /// Reads one.
@@ -89,7 +68,7 @@
     /// # Errors
     /// Where it is none.
     pub fn read(bytes: &[u8]) -> Result<Self, WireError> {
-        read(bytes)
+        open(VERSION, bytes)
     }
 }
 
@@ -115,9 +94,9 @@
         }
     }
 
-    /// Its bytes, at most [`MOST`].
+    /// Its bytes, at most [`MOST`](crate::MOST).
     pub fn write(&self) -> Vec<u8> {
-        write(self)
+        close(VERSION, self).unwrap_or_default()
     }
 
     /// Reads one.
@@ -125,13 +104,14 @@
     /// # Errors
     /// Where it is none.
     pub fn read(bytes: &[u8]) -> Result<Self, WireError> {
-        read(bytes)
+        open(VERSION, bytes)
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::MOST;
 
     #[test]
     fn the_largest_page_fits_and_comes_back_as_it_was() {
--- /dev/null
+++ b/crates/fleet/src/compare.rs
@@ -0,0 +1,100 @@
+//! What news has missed: views are compared by digests, and told where they differ.
+
+use crate::types::{Entry, Micros, Number, State};
+use crate::view::{KEPT, Out, View};
+use crate::wire::{BLOCKS, Blocks, Kind, MOST, News, size};
+use rand::RngExt;
+use rand::seq::SliceRandom;
+
+/// Datagrams that answer one comparison at most; the next comparison brings the rest.
+const ANSWERS: usize = 8;
+
+/// What a digest takes of an entry: who is what, in which life. Suspicions and their refutations come and go,
+/// with 30% lost many times a second, and are left out: where one of them leads to something else for some and
+/// not for others, that differs and is found.
+pub(crate) fn print(of: Number, entry: &Entry) -> u32 {
+    let state = if entry.state == State::Suspect { State::Up } else { entry.state };
+    let parts = [u64::from(of) << 8 | state as u64, entry.incarnation.start];
+    let mix = |hash: u64, part: u64| {
+        let hash = (hash ^ part).wrapping_mul(0xff51_afd7_ed55_8ccd);
+        hash ^ hash >> 32
+    };
+    if entry.state == State::Unknown { 0 } else { parts.into_iter().fold(0x9e37_79b9, mix) as u32 }
+}
+
+impl View {
+    /// Where somebody's view was lately heard to differ, and no news explains it, ours is compared with theirs.
+    pub(crate) fn compare(&mut self, now: Micros, out: &mut Out) {
+        let since = now.saturating_sub(self.settings.period * 2);
+        let lately = |e: &Entry| e.heard >= since && e.heard > 0 && e.state.is_live();
+        let differ = self.entries.iter().zip(&self.theirs).enumerate();
+        let differ = differ.filter(|(_, (e, theirs))| lately(e) && **theirs != self.digest);
+        let mut differ: Vec<_> = differ.map(|(of, _)| of as Number).collect();
+        let patient = !self.rumours.is_empty() && self.rng.random_range(0..4) > 0;
+        if patient || !self.budget.may(now, MOST as u64, KEPT) {
+            return;
+        }
+        differ.shuffle(&mut self.rng);
+        if let Some(to) = differ.pop() {
+            self.ask_difference(now, to, out);
+        }
+    }
+
+    pub(crate) fn ask_difference(&mut self, now: Micros, to: Number, out: &mut Out) {
+        let salt = self.number() as u8;
+        let message = self.message(Kind::Compare(salt, Blocks(self.blocks(salt))));
+        if self.budget.may(now, MOST as u64, KEPT) {
+            self.write(now, to, &message, out);
+        }
+    }
+
+    fn block(of: usize) -> usize {
+        of % BLOCKS
+    }
+
+    fn blocks(&self, salt: u8) -> [u8; BLOCKS] {
+        let mut blocks = [0; BLOCKS];
+        for (of, entry) in self.entries.iter().enumerate() {
+            let print = print(of as Number, entry).wrapping_mul(u32::from(salt) << 8 | 1);
+            blocks[Self::block(of)] ^= (print >> 24) as u8;
+        }
+        blocks
+    }
+
+    /// Tells a member what we believe of those in blocks in which its view differs.
+    pub(crate) fn differ(&mut self, now: Micros, to: Number, (salt, theirs): (u8, &Blocks), out: &mut Out) {
+        let own = self.blocks(salt);
+        let known = |e: &Entry| e.state != State::Unknown;
+        let differs = |of: usize| own[Self::block(of)] != theirs.0[Self::block(of)];
+        let wanted = |of: &usize| differs(*of) && known(&self.entries[*of]);
+        let mut of: Vec<_> = (0..self.entries.len()).filter(wanted).map(|of| of as Number).collect();
+        // Those of which news is new here first, else any: with many to tell each answer tells others.
+        of.shuffle(&mut self.rng);
+        self.tell(now, to, &of, Kind::Entries, ANSWERS, out);
+    }
+
+    /// What a member told us from its view is older than ours.
+    pub(crate) fn correct(&mut self, now: Micros, to: Number, stale: &[Number], out: &mut Out) {
+        self.tell(now, to, stale, Kind::News, 1, out);
+    }
+
+    fn tell(&mut self, now: Micros, to: Number, of: &[Number], kind: Kind, most: usize, out: &mut Out) {
+        let news = |of: &Number| {
+            let Entry { incarnation, state, .. } = self.entries[usize::from(*of)];
+            News { of: *of, incarnation, state }
+        };
+        let mut all: Vec<_> = of.iter().map(news).collect();
+        for _ in 0..most {
+            if all.is_empty() || !self.budget.may(now, MOST as u64, KEPT) {
+                return;
+            }
+            let mut message = self.message(kind);
+            let (mut room, base) = (message.room(), self.own.start);
+            while let Some(news) = all.pop_if(|news| size(news, base) <= room) {
+                room -= size(&news, base);
+                message.news.push(news);
+            }
+            self.write(now, to, &message, out);
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,8 @@
 mod ask;
 mod board;
 mod budget;
+mod compare;
+mod due;
 mod rumours;
 mod settings;
 mod suspicion;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -8,36 +8,26 @@
 
 use crate::board::Board;
 use crate::budget::Budget;
+use crate::compare::print;
+use crate::due::{OTHERS, STORM};
 use crate::rumours::Rumours;
 use crate::settings::{FleetSettings, SettingsError};
-use crate::suspicion::{Errand, Question, Watch};
+use crate::suspicion::{Errand, Watch};
 use crate::types::{Entry, Incarnation, Micros, Number, State};
-use crate::wire::{BLOCKS, Blocks, Kind, MOST, Message, News, size};
+use crate::wire::{Kind, MOST, Message, News};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 
-/// Members asked to ask another one.
-const OTHERS: usize = 3;
-/// Suspects asked again in each period, so that they hear of it.
-const AGAIN: usize = 2;
 /// How much the latest question weighs in the share of those answered.
-const WEIGHT: f64 = 0.2;
-/// With fewer answered than this it may be we who can't be heard.
-const DOUBT: f64 = 0.5;
+pub(crate) const WEIGHT: f64 = 0.2;
 /// Errands held for others at most.
 const ERRANDS: usize = 64;
-/// Datagrams that answer one comparison at most; the next comparison brings the rest.
-const ANSWERS: usize = 8;
-/// With more news than this, more than a datagram holds, it is no longer passed on blindly: views are compared,
-/// and only what differs is told. Three hundred that start or are joined again would else tell each other all
-/// of it a dozen times.
-const STORM: usize = 30;
 /// So many in a row with a view like ours: what digests tell of is known.
 const ALIKE: u32 = 3;
 /// Bytes of the budget that news leaves for questions and answers.
-const KEPT: u64 = 300;
+pub(crate) const KEPT: u64 = 300;
 
 /// What a view wants done or tells.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -98,53 +88,40 @@
 
 /// See the module's page.
 pub struct View {
-    settings: FleetSettings,
-    own: Incarnation,
-    leaving: bool,
-    entries: Vec<Entry>,
-    digest: u32,
+    pub(crate) settings: FleetSettings,
+    pub(crate) own: Incarnation,
+    pub(crate) leaving: bool,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) digest: u32,
     /// The digest that each was last heard with.
-    theirs: Vec<u32>,
-    rumours: Rumours,
-    board: Board,
-    watch: Watch,
-    budget: Budget,
-    rng: StdRng,
+    pub(crate) theirs: Vec<u32>,
+    pub(crate) rumours: Rumours,
+    pub(crate) board: Board,
+    pub(crate) watch: Watch,
+    pub(crate) budget: Budget,
+    pub(crate) rng: StdRng,
     /// Whom to ask next, shuffled anew each time round.
-    turn: Vec<Number>,
+    pub(crate) turn: Vec<Number>,
     /// The one of the others that is not live to be asked next.
-    lost: Number,
-    sequence: u32,
+    pub(crate) lost: Number,
+    pub(crate) sequence: u32,
     /// Share of our questions that were answered, the latest weighing most.
-    answered: f64,
+    pub(crate) answered: f64,
     /// Members heard in a row whose view was like ours.
-    alike: u32,
-    next_ask: Micros,
-    next_news: Micros,
+    pub(crate) alike: u32,
+    pub(crate) next_ask: Micros,
+    pub(crate) next_news: Micros,
     /// When we were last at work.
-    last: Micros,
-    counts: Counts,
+    pub(crate) last: Micros,
+    pub(crate) counts: Counts,
     /// What says more: [`Entry::yields_to`], but where a test plants a fault.
-    newer: Newer,
+    pub(crate) newer: Newer,
 }
 
 /// Whether news of a member says more than an entry.
 pub type Newer = fn(&Entry, Incarnation, State) -> bool;
 
-type Out = Vec<Output>;
-
-/// What a digest takes of an entry: who is what, in which life. Suspicions and their refutations come and go,
-/// with 30% lost many times a second, and are left out: where one of them leads to something else for some and
-/// not for others, that differs and is found.
-fn print(of: Number, entry: &Entry) -> u32 {
-    let state = if entry.state == State::Suspect { State::Up } else { entry.state };
-    let parts = [u64::from(of) << 8 | state as u64, entry.incarnation.start];
-    let mix = |hash: u64, part: u64| {
-        let hash = (hash ^ part).wrapping_mul(0xff51_afd7_ed55_8ccd);
-        hash ^ hash >> 32
-    };
-    if entry.state == State::Unknown { 0 } else { parts.into_iter().fold(0x9e37_79b9, mix) as u32 }
-}
+pub(crate) type Out = Vec<Output>;
 
 impl View {
     /// A view that knows the list of members and has heard of none.
@@ -389,7 +366,7 @@
     }
 
     /// What a member is accused of, if it is.
-    fn accusation(&self, of: Number) -> Option<News> {
+    pub(crate) fn accusation(&self, of: Number) -> Option<News> {
         let Entry { state, incarnation, .. } = self.entries[usize::from(of)];
         matches!(state, State::Suspect | State::Gone).then_some(News { of, incarnation, state })
     }
@@ -423,7 +400,7 @@
     }
 
     /// Believes a piece of news, and passes it on.
-    fn put(&mut self, now: Micros, news: News, out: &mut Out) {
+    pub(crate) fn put(&mut self, now: Micros, news: News, out: &mut Out) {
         let News { of, incarnation, state } = news;
         let entry = &mut self.entries[usize::from(of)];
         let (was, before) = (entry.state, print(of, entry));
@@ -446,223 +423,14 @@
         }
     }
 
-    // ---- what is due -------------------------------------------------------------------------------------
-
-    /// Does what is due by `now`.
-    pub fn wake(&mut self, now: Micros, out: &mut Out) {
-        self.catch_up(now);
-        self.watch.errands.retain(|_, errand| errand.until > now);
-        self.overdue(now, out);
-        let ended = |(of, (incarnation, until)): (&Number, &(Incarnation, Micros))| {
-            (*until <= now).then_some((*of, *incarnation))
-        };
-        let ended: Vec<_> = self.watch.suspects.iter().filter_map(ended).collect();
-        for (of, incarnation) in ended {
-            self.watch.suspects.remove(&of);
-            let entry = self.entries[usize::from(of)];
-            if entry.incarnation == incarnation && entry.state.is_live() {
-                self.counts.gone += 1;
-                self.put(now, News { of, incarnation, state: State::Gone }, out);
-            }
-        }
-        if now >= self.next_ask {
-            // Never several at once after a delay: each period has its question.
-            self.next_ask = (self.next_ask + self.settings.period).max(now + self.settings.period / 2);
-            self.ask_around(now, out);
-        }
-        self.board.expire(now);
-        if now >= self.next_news && (!self.rumours.is_empty() || self.board.is_pending()) {
-            self.next_news = now + self.settings.period / 3;
-            if self.rumours.len() > STORM {
-                let to = self.some_live(1, None);
-                to.into_iter().for_each(|to| self.ask_difference(now, to, out));
-            } else {
-                for to in self.some_live(2, None) {
-                    if self.budget.may(now, MOST as u64, KEPT) {
-                        self.send(now, to, Kind::News, None, out);
-                    }
-                }
-            }
-        }
-    }
-
-    /// We stood still: what others did not say meanwhile is not held against them, and what we meant to pass
-    /// on is old.
-    fn catch_up(&mut self, now: Micros) {
-        let still = now.saturating_sub(self.last);
-        if still > self.settings.period * 2 {
-            self.counts.stalls += 1;
-            self.watch.put_off(still);
-            self.next_ask = now;
-            // Facts of before are as old as they say: those that have ended go now.
-            self.board.expire(now);
-            if still > self.settings.suspicion() {
-                self.rumours = Rumours::default();
-                self.watch.questions.clear();
-            }
-        }
-        self.last = self.last.max(now);
-    }
-
-    fn overdue(&mut self, now: Micros, out: &mut Out) {
-        // Questions asked meanwhile come behind those that stay.
-        for mut question in std::mem::take(&mut self.watch.questions) {
-            if now >= question.until && question.passed_on {
-                self.answered -= WEIGHT * self.answered;
-                // Whom we hear while few of our questions are answered does not hear us: that is our fault.
-                let heard = self.entries[usize::from(question.to)].heard;
-                let doubt = self.answered < DOUBT && heard + self.settings.round_trip * 4 > now;
-                match question.again {
-                    true if doubt => {}
-                    true => self.suspect(now, question.to, out),
-                    false => self.ask(now, question.to, true, out),
-                }
-                continue;
-            }
-            if now >= question.others && !question.passed_on {
-                question.passed_on = true;
-                for via in self.some_live(OTHERS, Some(question.to)) {
-                    let told = self.accusation(question.to);
-                    self.send(now, via, Kind::AskFor(question.sequence, question.to), told, out);
-                }
-                // Late ourselves, its friends still get their time.
-                question.until = question.until.max(now + self.settings.round_trip * 2);
-            }
-            self.watch.questions.push(question);
-        }
-    }
-
-    fn suspect(&mut self, now: Micros, of: Number, out: &mut Out) {
-        let Entry { state, incarnation, .. } = self.entries[usize::from(of)];
-        match state {
-            State::Up => {
-                self.counts.suspected += 1;
-                self.put(now, News { of, incarnation, state: State::Suspect }, out);
-            }
-            // Its own word that it leaves stands beside the suspicion.
-            State::Leaving => {
-                let until = now + self.settings.suspicion();
-                self.watch.suspects.entry(of).or_insert((incarnation, until));
-            }
-            State::Unknown | State::Suspect | State::Gone | State::Stopped => {}
-        }
-    }
-
-    fn ask(&mut self, now: Micros, to: Number, again: bool, out: &mut Out) {
-        let sequence = self.number();
-        let (others, until) = (now + self.settings.round_trip, now + self.settings.round_trip * 3);
-        self.watch.questions.push(Question { to, sequence, others, until, passed_on: false, again });
-        let told = self.accusation(to);
-        self.send(now, to, Kind::Ask(sequence), told, out);
-    }
-
-    /// The questions of a period.
-    fn ask_around(&mut self, now: Micros, out: &mut Out) {
-        if let Some(to) = self.next_in_turn() {
-            self.ask(now, to, false, out);
-        }
-        let mut suspects: Vec<_> = self.watch.suspects.keys().copied().collect();
-        suspects.shuffle(&mut self.rng);
-        for to in suspects.into_iter().take(AGAIN) {
-            let (sequence, told) = (self.number(), self.accusation(to));
-            self.send(now, to, Kind::Ask(sequence), told, out);
-        }
-        // One that is not live, in turn; its silence is no news.
-        let size = self.settings.size;
-        let away = |of: &Number| *of != self.settings.own && !self.entries[usize::from(*of)].state.is_live();
-        let mut turn =
-            (1..=size).map(|step| ((u32::from(self.lost) + u32::from(step)) % u32::from(size)) as Number);
-        if let Some(to) = turn.find(away) {
-            self.lost = to;
-            let (sequence, told) = (self.number(), self.accusation(to));
-            self.send(now, to, Kind::Ask(sequence), told, out);
-        }
-        self.compare(now, out);
-    }
-
-    /// Where somebody's view was lately heard to differ, and no news explains it, ours is compared with theirs.
-    fn compare(&mut self, now: Micros, out: &mut Out) {
-        let since = now.saturating_sub(self.settings.period * 2);
-        let lately = |e: &Entry| e.heard >= since && e.heard > 0 && e.state.is_live();
-        let differ = self.entries.iter().zip(&self.theirs).enumerate();
-        let differ = differ.filter(|(_, (e, theirs))| lately(e) && **theirs != self.digest);
-        let mut differ: Vec<_> = differ.map(|(of, _)| of as Number).collect();
-        let patient = !self.rumours.is_empty() && self.rng.random_range(0..4) > 0;
-        if patient || !self.budget.may(now, MOST as u64, KEPT) {
-            return;
-        }
-        differ.shuffle(&mut self.rng);
-        if let Some(to) = differ.pop() {
-            self.ask_difference(now, to, out);
-        }
-    }
-
-    fn ask_difference(&mut self, now: Micros, to: Number, out: &mut Out) {
-        let salt = self.number() as u8;
-        let message = self.message(Kind::Compare(salt, Blocks(self.blocks(salt))));
-        if self.budget.may(now, MOST as u64, KEPT) {
-            self.write(now, to, &message, out);
-        }
-    }
-
-    fn block(of: usize) -> usize {
-        of % BLOCKS
-    }
-
-    fn blocks(&self, salt: u8) -> [u8; BLOCKS] {
-        let mut blocks = [0; BLOCKS];
-        for (of, entry) in self.entries.iter().enumerate() {
-            let print = print(of as Number, entry).wrapping_mul(u32::from(salt) << 8 | 1);
-            blocks[Self::block(of)] ^= (print >> 24) as u8;
-        }
-        blocks
-    }
-
-    /// Tells a member what we believe of those in blocks in which its view differs.
-    fn differ(&mut self, now: Micros, to: Number, (salt, theirs): (u8, &Blocks), out: &mut Out) {
-        let own = self.blocks(salt);
-        let known = |e: &Entry| e.state != State::Unknown;
-        let differs = |of: usize| own[Self::block(of)] != theirs.0[Self::block(of)];
-        let wanted = |of: &usize| differs(*of) && known(&self.entries[*of]);
-        let mut of: Vec<_> = (0..self.entries.len()).filter(wanted).map(|of| of as Number).collect();
-        // Those of which news is new here first, else any: with many to tell each answer tells others.
-        of.shuffle(&mut self.rng);
-        self.tell(now, to, &of, Kind::Entries, ANSWERS, out);
-    }
-
-    /// What a member told us from its view is older than ours.
-    fn correct(&mut self, now: Micros, to: Number, stale: &[Number], out: &mut Out) {
-        self.tell(now, to, stale, Kind::News, 1, out);
-    }
-
-    fn tell(&mut self, now: Micros, to: Number, of: &[Number], kind: Kind, most: usize, out: &mut Out) {
-        let news = |of: &Number| {
-            let Entry { incarnation, state, .. } = self.entries[usize::from(*of)];
-            News { of: *of, incarnation, state }
-        };
-        let mut all: Vec<_> = of.iter().map(news).collect();
-        for _ in 0..most {
-            if all.is_empty() || !self.budget.may(now, MOST as u64, KEPT) {
-                return;
-            }
-            let mut message = self.message(kind);
-            let (mut room, base) = (message.room(), self.own.start);
-            while let Some(news) = all.pop_if(|news| size(news, base) <= room) {
-                room -= size(&news, base);
-                message.news.push(news);
-            }
-            self.write(now, to, &message, out);
-        }
-    }
-
     // ---- sending -----------------------------------------------------------------------------------------
 
-    fn number(&mut self) -> u32 {
+    pub(crate) fn number(&mut self) -> u32 {
         self.sequence = self.sequence.wrapping_add(1);
         self.sequence
     }
 
-    fn message(&self, kind: Kind) -> Message {
+    pub(crate) fn message(&self, kind: Kind) -> Message {
         Message {
             fleet: self.settings.fleet,
             from: self.settings.own,
@@ -676,7 +444,7 @@
     }
 
     /// Sends a message with as much news as it holds and the budget allows; `first` goes in any case.
-    fn send(&mut self, now: Micros, to: Number, kind: Kind, first: Option<News>, out: &mut Out) {
+    pub(crate) fn send(&mut self, now: Micros, to: Number, kind: Kind, first: Option<News>, out: &mut Out) {
         let mut message = self.message(kind);
         let rich = self.budget.may(now, MOST as u64, KEPT) && self.rumours.len() <= STORM;
         let (room, repeats) = (message.room(), self.settings.repeats());
@@ -693,7 +461,7 @@
         self.write(now, to, &message, out);
     }
 
-    fn write(&mut self, now: Micros, to: Number, message: &Message, out: &mut Out) {
+    pub(crate) fn write(&mut self, now: Micros, to: Number, message: &Message, out: &mut Out) {
         let Some(bytes) = message.write() else { return };
         self.budget.take(now, bytes.len() as u64);
         self.counts.sent.0 += 1;
@@ -702,7 +470,7 @@
     }
 
     /// Some live members, not ourselves and not this one.
-    fn some_live(&mut self, count: usize, but: Option<Number>) -> Vec<Number> {
+    pub(crate) fn some_live(&mut self, count: usize, but: Option<Number>) -> Vec<Number> {
         let fit = |(of, e): (usize, &Entry)| {
             let of = of as Number;
             (e.state.is_live() && of != self.settings.own && Some(of) != but).then_some(of)
@@ -712,7 +480,7 @@
     }
 
     /// The live member to be asked next: all once, in an order drawn anew each time round.
-    fn next_in_turn(&mut self) -> Option<Number> {
+    pub(crate) fn next_in_turn(&mut self) -> Option<Number> {
         for _ in 0..2 {
             while let Some(of) = self.turn.pop() {
                 if of != self.settings.own && self.entries[usize::from(of)].state.is_live() {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -130,16 +130,39 @@
 /// Bytes that one piece of news may take.
 pub const NEWS: usize = 3 + 10 + 5;
 
+/// The bytes of a message behind its version; `None` where they are too many.
+pub fn close(version: u8, message: &impl Serialize) -> Option<Vec<u8>> {
+    let mut bytes = vec![version; MOST];
+    let length = postcard::to_slice(message, &mut bytes[1..]).ok()?.len();
+    bytes.truncate(length + 1);
+    Some(bytes)
+}
+
+/// The message behind its version, whole and with nothing after it.
+///
+/// # Errors
+/// Where there is none.
+pub fn open<'a, T: Deserialize<'a>>(version: u8, bytes: &'a [u8]) -> Result<T, WireError> {
+    let (told, rest) = bytes.split_first().ok_or(WireError::Length(0))?;
+    if bytes.len() > MOST {
+        return Err(WireError::Length(bytes.len()));
+    }
+    if *told != version {
+        return Err(WireError::Version(*told));
+    }
+    match postcard::take_from_bytes(rest) {
+        Ok((message, [])) => Ok(message),
+        _ => Err(WireError::Form),
+    }
+}
+
 impl Message {
     /// The bytes; `None` where they would be too many, which the caller's count of news rules out.
     pub fn write(&self) -> Option<Vec<u8>> {
         let Self { fleet, from, incarnation, leaving, digest, kind, .. } = *self;
         let head = Head { fleet, from, incarnation, leaving, digest, kind };
         let told: Vec<_> = self.news.iter().map(|news| Told::new(news, incarnation.start)).collect();
-        let mut bytes = vec![VERSION; MOST];
-        let length = postcard::to_slice(&(head, told, &self.facts), &mut bytes[1..]).ok()?.len();
-        bytes.truncate(length + 1);
-        Some(bytes)
+        close(VERSION, &(head, told, &self.facts))
     }
 
     /// Reads one.
@@ -147,17 +170,7 @@
     /// # Errors
     /// Where it is not one of ours.
     pub fn read(bytes: &[u8]) -> Result<Self, WireError> {
-        let (version, rest) = bytes.split_first().ok_or(WireError::Length(0))?;
-        if bytes.len() > MOST {
-            return Err(WireError::Length(bytes.len()));
-        }
-        if *version != VERSION {
-            return Err(WireError::Version(*version));
-        }
-        let Ok(((head, told, facts), [])) = postcard::take_from_bytes::<(Head, Vec<Told>, Vec<Fact>)>(rest)
-        else {
-            return Err(WireError::Form);
-        };
+        let (head, told, facts): (Head, Vec<Told>, Vec<Fact>) = open(VERSION, bytes)?;
         let Head { fleet, from, incarnation, leaving, digest, kind } = head;
         let news = told.iter().map(|told| told.news(incarnation.start)).collect::<Option<Vec<_>>>();
         let news = news.ok_or(WireError::Form)?;
--- a/crates/trial/src/bed.rs
+++ b/crates/trial/src/bed.rs
@@ -1,9 +1,10 @@
 //! The bed: a fleet of processes with its stand-ins, its relays and its records.
 
+use crate::Loss;
 use crate::clients::{ClientSpec, Clients};
 use crate::process::{Process, ProcessError};
 use crate::relay::{Laying, Relay};
-use crate::way::{Loss, Party, Stream, Way};
+use crate::way::{Party, Stream, Way};
 use basaltward_fleet::Answer;
 use basaltward_net::{Micros, NetError, monotonic};
 use basaltward_node::ask_view;
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -14,10 +14,12 @@
 mod timeline;
 mod way;
 
+/// What becomes of the datagrams of a way, in one direction: the same as in virtual time.
+pub use basaltward_fleet::Link as Loss;
 pub use bed::{Bed, BedSpec, TrialError};
 pub use judge::{Fleet, Verdict, judge};
 pub use process::{Change, Process, ProcessError};
 pub use relay::{Counts, Laying, Relay};
 pub use script::{Act, Script, Step, load, run};
 pub use timeline::{lanes, picture};
-pub use way::{Loss, Party, Stream, Way};
+pub use way::{Party, Stream, Way};
--- a/crates/trial/src/relay.rs
+++ b/crates/trial/src/relay.rs
@@ -4,7 +4,8 @@
 //! it, so that both ends name an attempt alike. A datagram leaves from the address at which its receiver knows
 //! its sender.
 
-use crate::way::{Loss, Party, Stream, Way};
+use crate::Loss;
+use crate::way::{Party, Stream, Way};
 use basaltward_net::{ConnId, End, Happened, Io, IoLimits, Micros, NetError, Waker, bind, monotonic};
 use basaltward_timers::Timers;
 use crossbeam_queue::SegQueue;
--- a/crates/trial/src/script.rs
+++ b/crates/trial/src/script.rs
@@ -1,7 +1,8 @@
 //! A trial by a script: a fleet, and what happens to it when.
 
+use crate::Loss;
 use crate::bed::{Bed, BedSpec, TrialError};
-use crate::way::{Loss, Party, Stream, Way};
+use crate::way::{Party, Stream, Way};
 use basaltward_config::xml::{Node, checked};
 use basaltward_config::{ConfigError, Fault};
 use basaltward_net::{Micros, monotonic};
--- a/crates/trial/src/way.rs
+++ b/crates/trial/src/way.rs
@@ -1,6 +1,5 @@
 //! Who speaks to whom, and what is wrong on the way.
 
-use basaltward_net::Micros;
 use std::fmt;
 
 /// One end of a way.
@@ -53,21 +52,3 @@
     /// They break, and new ones are refused.
     Refuse,
 }
-
-/// What becomes of the datagrams of a way, in one direction.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Loss {
-    /// Share of them that is lost.
-    pub lost: f64,
-    /// Share that comes twice.
-    pub doubled: f64,
-    /// They are late by a time drawn between these; so they overtake one another.
-    pub late: (Micros, Micros),
-}
-
-impl Default for Loss {
-    /// None is lost; late as on the platform.
-    fn default() -> Self {
-        Self { lost: 0.0, doubled: 0.0, late: (1_200, 33_000) }
-    }
-}
