Fleet: one constant names the key of the counters of calls

The key stood in crates/fleet, which sums the counters for an operator's answer, and again in crates/node, which tells them; apart they would have summed nothing. Behaviour is as it was: clippy, the crate's tests and the eight processes of the bed, which are asked for the sums, pass.

--- a/crates/fleet/src/ask.rs
+++ b/crates/fleet/src/ask.rs
@@ -11,8 +11,8 @@
 pub const PAGE: usize = 6;
 /// Totals told of at most.
 const TOTALS: usize = 3;
-/// The key of the counters whose totals are told: calls served, refused and failed.
-const CALLS: u8 = 0;
+/// The key under which members tell their counters of calls served, refused and failed; answers hold their totals.
+pub const CALLS: u8 = 0;
 
 /// Asks for the view from this member on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,7 +18,7 @@
 mod wire;
 mod world;
 
-pub use ask::{Answer, PAGE, Question, Seen};
+pub use ask::{Answer, CALLS, PAGE, Question, Seen};
 pub use board::{KEYS, LONGEST, VALUE, value_of};
 pub use settings::{FleetSettings, SettingsError};
 pub use types::{Entry, Incarnation, Micros, Number, State};
--- a/crates/node/src/fellows.rs
+++ b/crates/node/src/fellows.rs
@@ -1,15 +1,13 @@
 //! The fleet's view on the loop: datagrams carried between it and the one socket for other schedulers.
 
 use crate::config::{FleetConfig, NodeConfig};
-use basaltward_fleet::{Answer, FleetSettings, MOST, Number, Output, Question, View, value_of};
+use basaltward_fleet::{Answer, CALLS, FleetSettings, MOST, Number, Output, Question, View, value_of};
 use basaltward_net::{Clock, Io, Micros, NetError};
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use tracing::info;
 
-/// Counters of calls are told under this key.
-const CALLS: u8 = 0;
-/// So often, and no more often than this for each member: all of them pass on those of all. Three that are missed
+/// Counters of calls are told so often, and no more often than this for each member: all of them pass on those of all. Three that are missed
 /// leave the last one standing.
 const TELL_US: (Micros, Micros) = (5_000_000, 500_000);
 /// Log lines on changes in a second at most; more are counted.
