Trial: flapping, one-way cuts, new lists, doubled names and a planted process

The judge now looks at what each process believed of the lives of others, which may never run back while it lives, by its records. A bed can write a shorter or longer list of members, run another program in one place, and start a second process of one name.

--- /dev/null
+++ b/crates/cli/tests/view.rs
@@ -0,0 +1,127 @@
+//! The view between processes: flapping, one-way cuts, a new list, doubled names, and a fault planted in one.
+use basaltward_fleet::{Part, State};
+use basaltward_trial::{Bed, BedSpec, Fleet, Loss, Party, Verdict, Way, judge};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// What a fault leads to: all that run and reach one another agree again, in this time.
+const AGREE: Duration = Duration::from_secs(20);
+
+fn bed(schedulers: usize) -> (Bed, Vec<usize>) {
+    let program = env!("CARGO_BIN_EXE_basaltward").into();
+    let bed = Bed::start(BedSpec { program, schedulers, workers: 2, work_ms: 5, pause_ms: 20, seed: 1 });
+    let everybody: Vec<_> = (0..schedulers).collect();
+    let bed = bed.expect("a bed");
+    assert!(bed.agreement(&everybody, AGREE).is_some(), "start");
+    (bed, everybody)
+}
+
+fn finished(mut bed: Bed) -> Verdict {
+    let records = bed.finish().expect("it ends");
+    judge(&bed, &records)
+}
+
+/// Waits until a scheduler's view is as wanted.
+fn sees(bed: &Bed, who: usize, wanted: impl Fn(&basaltward_fleet::Answer) -> bool) {
+    let until = Instant::now() + AGREE;
+    while !bed.view(who).is_ok_and(|view| wanted(&view)) {
+        assert!(Instant::now() < until, "n{who}: {:?}", bed.view(who));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn all_agree_after_flapping_and_one_way_cuts_with_calls_in_flight() {
+    let (mut bed, everybody) = bed(8);
+    bed.call();
+    for _ in 0..3 {
+        bed.kill(4);
+        std::thread::sleep(Duration::from_millis(500));
+        bed.up(4).expect("it comes up");
+    }
+    assert!(bed.agreement(&everybody, AGREE).is_some(), "one flapped");
+    // First it can't be heard, then it can't hear: taken for gone each time, and back by its own word.
+    for hears in [true, false] {
+        let cut = Loss { lost: 1.0, ..Loss::default() };
+        for loss in [cut, Loss::default()] {
+            for other in (0..8).filter(|other| *other != 2) {
+                let (one, other) = (Party::Scheduler(2), Party::Scheduler(other));
+                let way = if hears { Way { from: one, to: other } } else { Way { from: other, to: one } };
+                bed.loss(way, loss);
+            }
+            if loss == cut && hears {
+                sees(&bed, 0, |view| view.entries[2].state == State::Gone);
+            } else if loss == cut {
+                sees(&bed, 2, |view| view.part == Part::Alone);
+            }
+        }
+        assert!(bed.agreement(&everybody, AGREE).is_some(), "hears: {hears}");
+    }
+    let refuted = bed.view(0).expect("it answers").entries[2].incarnation.bump;
+    assert!(refuted > 0, "n2 has said that it lives");
+    let verdict = finished(bed);
+    assert!(verdict.is_good(), "{:?} {:?}", verdict.rules, verdict.fleet);
+}
+
+#[test]
+fn a_new_list_is_taken_by_one_process_after_another() {
+    let (mut bed, everybody) = bed(6);
+    for (size, there) in [(5, 5), (6, 6)] {
+        if size == 5 {
+            bed.stop(5).expect("it ends");
+        }
+        bed.list(size).expect("files written");
+        for i in 0..5 {
+            bed.schedulers[i].reread();
+            sees(&bed, i, |view| usize::from(view.size) == size);
+        }
+        if size == 6 {
+            bed.up(5).expect("it comes up");
+        }
+        assert!(bed.agreement(&everybody[..there], AGREE).is_some(), "a list of {size}");
+        let parts: Vec<_> = (0..there).map(|i| bed.view(i).expect("it answers").part).collect();
+        assert_eq!(parts, vec![Part::Whole; there]);
+    }
+    let verdict = finished(bed);
+    assert!(verdict.is_good(), "{:?} {:?}", verdict.rules, verdict.fleet);
+}
+
+#[test]
+fn a_second_process_of_one_name_and_address_does_not_come_up() {
+    let (bed, everybody) = bed(3);
+    let mut twin = bed.schedulers[1].twin();
+    assert!(twin.start().is_err() && twin.pid().is_none());
+    assert!(bed.agreement(&everybody, AGREE).is_some(), "the first goes on");
+    assert!(bed.view(0).expect("it answers").entries.iter().all(|e| e.incarnation.bump == 0));
+    let verdict = finished(bed);
+    assert!(verdict.is_good(), "{:?} {:?}", verdict.rules, verdict.fleet);
+}
+
+/// A planted fault: one process takes the word of an earlier life.
+#[test]
+fn a_process_that_takes_old_word_is_found_by_its_records() {
+    let (mut bed, _) = bed(4);
+    let planted = Path::new(env!("CARGO_BIN_EXE_basaltward")).with_file_name("examples").join("planted");
+    assert!(planted.exists(), "`cargo build --example planted` builds it, and so does `cargo test`");
+    bed.kill(1);
+    bed.schedulers[1].set_program(&planted);
+    bed.up(1).expect("it comes up");
+    // Word of the earlier life goes round while the later one begins.
+    for _ in 0..6 {
+        bed.kill(2);
+        sees(&bed, 0, |view| view.entries[2].state == State::Gone);
+        bed.up(2).expect("it comes up");
+        sees(&bed, 0, |view| view.entries[2].state == State::Up);
+    }
+    let verdict = finished(bed);
+    assert!(
+        verdict.fleet.iter().any(|f| matches!(f, Fleet::RanBack(by, 2) if by == "n1")),
+        "{:?}",
+        verdict.fleet
+    );
+    assert!(
+        verdict.fleet.iter().all(|f| matches!(f, Fleet::RanBack(by, _) if by == "n1")),
+        "{:?}",
+        verdict.fleet
+    );
+}
--- a/crates/trial/src/bed.rs
+++ b/crates/trial/src/bed.rs
@@ -219,6 +219,24 @@
         Ok(self.schedulers[i].join()?)
     }
 
+    /// The list of members has this many from now on: the files of those in it are written anew. Each hears of it
+    /// by [`Process::reread`] or its next start.
+    ///
+    /// # Errors
+    /// Where a file can't be read or written.
+    pub fn list(&self, size: usize) -> Result<(), TrialError> {
+        for (i, mesh) in self.mesh.iter().enumerate().take(size) {
+            let path = self.folder.join(format!("n{i}.json"));
+            let text = std::fs::read_to_string(&path)?;
+            let mut told: serde_json::Value = serde_json::from_str(&text).map_err(std::io::Error::from)?;
+            told["peers"] = mesh.iter().take(size).map(ToString::to_string).collect();
+            let fresh = path.with_extension("new");
+            std::fs::write(&fresh, told.to_string())?;
+            std::fs::rename(&fresh, &path)?;
+        }
+        Ok(())
+    }
+
     /// Clients begin to call every scheduler.
     pub fn call(&mut self) {
         let classes = CLASSES.iter().map(|(name, patience, _)| ((*name).to_owned(), *patience)).collect();
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -5,14 +5,14 @@
 use crate::way::{Party, Way};
 use basaltward_net::Micros;
 use basaltward_rules::{Breach, ClassRule, Final, Record, RepeatRule, RuleSettings, What, check};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 /// After a fault ends clients and schedulers need this long to be at each other again.
 const AFTER_US: Micros = 1_500_000;
 
 /// What a fleet has done wrong that no rule names.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fleet {
     /// A process ended though nobody told it to.
     Crashed(String),
@@ -22,6 +22,8 @@
     TooLong(Way, u64),
     /// It sent datagrams from an address that is not its own.
     Strange(Way, u64),
+    /// A scheduler, in one life, went back from a later life of another to an earlier one.
+    RanBack(String, u16),
     /// Bytes crossed a way that was cut: the bed itself is broken.
     Leaked(Way, u64),
 }
@@ -33,6 +35,7 @@
             Self::EndedBadly(name) => write!(f, "{name} did not end well after SIGTERM"),
             Self::TooLong(way, count) => write!(f, "{way}: {count} datagrams of more than 256 bytes"),
             Self::Strange(way, count) => write!(f, "{way}: {count} datagrams from another's address"),
+            Self::RanBack(by, of) => write!(f, "{by} went back to an earlier life of n{of}"),
             Self::Leaked(way, bytes) => write!(f, "{way}: {bytes} bytes crossed it while it was cut"),
         }
     }
@@ -87,10 +90,31 @@
         let found = [(counts.too_long, Fleet::TooLong as fn(_, _) -> _), (counts.strange, Fleet::Strange)];
         verdict.fleet.extend(found.into_iter().filter(|(n, _)| *n > 0).map(|(n, what)| what(way, n)));
     }
+    verdict.fleet.extend(ran_back(&records));
     verdict.fleet.extend(bed.leaks.iter().map(|(way, bytes)| Fleet::Leaked(*way, *bytes)));
     verdict
 }
 
+/// What each believed of the others' lives never runs back while it lives itself.
+fn ran_back(records: &[Record]) -> BTreeSet<Fleet> {
+    let mut known: BTreeMap<(&str, u16), (u64, u32)> = BTreeMap::new();
+    let mut found = BTreeSet::new();
+    for Record { by, what, .. } in records {
+        match what {
+            What::Up { .. } => known.retain(|(who, _), _| who != by),
+            What::Believed { of, start, bump, .. } => {
+                let held = known.entry((by, *of)).or_default();
+                if (*start, *bump) < *held {
+                    found.insert(Fleet::RanBack(by.clone(), *of));
+                }
+                *held = (*start, *bump);
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
 /// When clients of each scheduler's address could not reach it, by the bed's own faults: from, until.
 fn spells(bed: &Bed) -> BTreeMap<String, Vec<(Micros, Micros)>> {
     let mut all: BTreeMap<String, Vec<(Micros, Micros)>> = BTreeMap::new();
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -64,6 +64,16 @@
         Self { name: name.into(), program, config, records, child: None, stalled: false, changes: Vec::new() }
     }
 
+    /// Another program from its next start on.
+    pub fn set_program(&mut self, program: &Path) {
+        self.program = program.into();
+    }
+
+    /// A place for a second one under the same name and configuration.
+    pub fn twin(&self) -> Self {
+        Self::new(&self.name, &self.program, &self.config, &self.records.with_extension("twin"))
+    }
+
     /// Its process id, while there is one.
     pub fn pid(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
