--- /dev/null
+++ b/crates/agreed/src/bounds.rs
@@ -0,0 +1,221 @@
+//! How many may be out at once. Out counts everything: permitted, told to be draining or gone, silent, crashed,
+//! never come back.
+
+use crate::ledger::{Ledger, PERMITS, Permit, Subject};
+use basaltward_fleet::Micros;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use thiserror::Error;
+
+/// How many of a group at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Most {
+    /// A number.
+    Number(u16),
+    /// A share in hundredths, rounded down, but one at least.
+    Percent(u8),
+}
+
+impl Most {
+    /// Of so many.
+    pub fn of(self, size: usize) -> usize {
+        match self {
+            Self::Number(number) => usize::from(number).min(size),
+            Self::Percent(share) => (size * usize::from(share.min(100)) / 100).max(1).min(size),
+        }
+    }
+}
+
+/// Bounds for schedulers and workers apart, in the whole fleet and in each zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Bounds {
+    /// Schedulers of the fleet.
+    pub schedulers: Most,
+    /// Schedulers of a zone.
+    pub schedulers_of_zone: Most,
+    /// Workers of the fleet.
+    pub workers: Most,
+    /// Workers of a zone.
+    pub workers_of_zone: Most,
+}
+
+impl Default for Bounds {
+    /// A tenth of each, a fifth of a zone.
+    fn default() -> Self {
+        let (all, zone) = (Most::Percent(10), Most::Percent(20));
+        Self { schedulers: all, schedulers_of_zone: zone, workers: all, workers_of_zone: zone }
+    }
+}
+
+/// What is seen of a subject.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// Its zone; zones are numbered by whoever looks.
+    pub zone: u8,
+    /// A mark of its present life.
+    pub life: u16,
+    /// It is in use, for so long without a break; none where it is told to be draining or gone, or silent.
+    pub used: Option<Micros>,
+    /// It alone is known to hold something that calls need.
+    pub sole: bool,
+}
+
+/// All that is known to exist, with what is seen of it.
+pub type Sight = BTreeMap<Subject, Seen>;
+
+/// Which bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Group {
+    /// All schedulers or all workers.
+    Fleet,
+    /// Those of a zone.
+    Zone(u8),
+}
+
+/// Why something is not done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+pub enum Denied {
+    /// Nobody of that name is known.
+    #[error("nobody of that name is known")]
+    Unknown,
+    /// Somebody has halted all of it.
+    #[error("halted")]
+    Halted,
+    /// It would be one too many.
+    #[error("{out} would be out, {most} may be, of {of:?}")]
+    Bound {
+        /// Of which group.
+        of: Group,
+        /// Out, with the one asked for.
+        out: u16,
+        /// The bound.
+        most: u16,
+    },
+    /// Nobody else is known to hold what it holds.
+    #[error("it holds the last copy of something that calls need")]
+    LastCopy,
+    /// It has a permit that another one has asked for.
+    #[error("it is out by another permit")]
+    Taken,
+    /// So many permits stand that no more fit.
+    #[error("{PERMITS} permits stand: no more fit")]
+    Full,
+    /// No majority of the council can be reached, or it has forgotten what is out and learns it.
+    #[error("no foreman: no majority of the council answers, or it learns what is out")]
+    NoForeman,
+    /// What it names is not what stands.
+    #[error("what it names is not what stands now")]
+    Stale,
+}
+
+fn kind(subject: Subject) -> bool {
+    matches!(subject, Subject::Scheduler(_))
+}
+
+/// All that are out: by permit, or seen to be.
+pub fn out(ledger: &Ledger, sight: &Sight) -> BTreeSet<Subject> {
+    let seen = sight.iter().filter(|(_, seen)| seen.used.is_none()).map(|(subject, _)| *subject);
+    seen.chain(ledger.permits.iter().map(|permit| permit.subject)).collect()
+}
+
+/// The permit for one more to be out, if it may be.
+///
+/// # Errors
+/// Why it may not.
+pub fn permit(ledger: &Ledger, sight: &Sight, bounds: &Bounds, subject: Subject) -> Result<Permit, Denied> {
+    let seen = sight.get(&subject).ok_or(Denied::Unknown)?;
+    if ledger.permit(subject).is_some() {
+        return Err(Denied::Taken);
+    }
+    if ledger.permits.len() >= PERMITS {
+        return Err(Denied::Full);
+    }
+    let mut out = out(ledger, sight);
+    out.insert(subject);
+    let (of_fleet, of_zone) = match subject {
+        Subject::Scheduler(_) => (bounds.schedulers, bounds.schedulers_of_zone),
+        Subject::Worker(_) => (bounds.workers, bounds.workers_of_zone),
+    };
+    for (group, most) in [(Group::Fleet, of_fleet), (Group::Zone(seen.zone), of_zone)] {
+        // What is out and not in sight any more, as it left the list, is counted in the whole fleet.
+        let within = |of: &Subject| {
+            let zone = sight.get(of).map(|seen| seen.zone);
+            kind(*of) == kind(subject) && (group == Group::Fleet || zone == Some(seen.zone))
+        };
+        let (count, most) = (
+            out.iter().filter(|of| within(of)).count(),
+            most.of(sight.keys().filter(|of| within(of)).count()),
+        );
+        if count > most {
+            return Err(Denied::Bound { of: group, out: count as u16, most: most as u16 });
+        }
+    }
+    if seen.sole {
+        return Err(Denied::LastCopy);
+    }
+    Ok(Permit { subject, number: ledger.given.wrapping_add(1), life: seen.life, back: false })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn sight(used: &[bool]) -> Sight {
+        let seen = |(at, used): (usize, &bool)| {
+            let used = used.then_some(1_000_000);
+            (Subject::Worker(at as u32), Seen { zone: (at % 2) as u8, life: 1, used, sole: at == 9 })
+        };
+        used.iter().enumerate().map(seen).collect()
+    }
+
+    #[test]
+    fn everything_that_is_out_counts_whoever_put_it_there() {
+        let bounds =
+            Bounds { workers: Most::Number(3), workers_of_zone: Most::Number(2), ..Bounds::default() };
+        let mut ledger = Ledger::default();
+        let ask =
+            |ledger: &Ledger, used: &[bool], of| permit(ledger, &sight(used), &bounds, Subject::Worker(of));
+        let all = [true; 10];
+        let given = ask(&ledger, &all, 0).expect("nobody is out");
+        assert!(ledger.add(given));
+        assert_eq!(ask(&ledger, &all, 0), Err(Denied::Taken));
+        assert_eq!(ask(&ledger, &all, 77), Err(Denied::Unknown));
+        assert_eq!(ask(&ledger, &all, 9), Err(Denied::LastCopy));
+        // One of the same zone has crashed: with the one permitted the zone has two.
+        let mut crashed = all;
+        crashed[4] = false;
+        let zone = Denied::Bound { of: Group::Zone(0), out: 3, most: 2 };
+        assert_eq!(ask(&ledger, &crashed, 2), Err(zone));
+        let other = ask(&ledger, &crashed, 1).expect("the other zone has room");
+        assert!(ledger.add(other));
+        let fleet = Denied::Bound { of: Group::Fleet, out: 4, most: 3 };
+        assert_eq!(ask(&ledger, &crashed, 3), Err(fleet));
+        // Who crashes while permitted counts once.
+        crashed[0] = false;
+        assert_eq!(out(&ledger, &sight(&crashed)).len(), 3);
+        // One that has left every list stays counted until it is written off.
+        assert_eq!(permit(&ledger, &sight(&all[2..]), &bounds, Subject::Worker(3)).map(|_| ()), Ok(()));
+    }
+
+    #[test]
+    fn a_share_is_one_at_least_and_never_more_than_there_are() {
+        let of = |most: Most| [0, 1, 9, 10, 300].map(|size| most.of(size));
+        assert_eq!(of(Most::Percent(10)), [0, 1, 1, 1, 30]);
+        assert_eq!(of(Most::Percent(200)), [0, 1, 9, 10, 300]);
+        assert_eq!(of(Most::Number(3)), [0, 1, 3, 3, 3]);
+    }
+
+    #[test]
+    fn no_more_permits_than_a_datagram_holds() {
+        let mut ledger = Ledger::default();
+        let all = |of: u32| Permit { subject: Subject::Worker(of), number: 1, life: 0, back: false };
+        assert!((0..PERMITS as u32).all(|of| ledger.add(all(of))));
+        assert!(!ledger.add(all(99)) && ledger.add(all(3)));
+        let bounds =
+            Bounds { workers: Most::Percent(100), workers_of_zone: Most::Percent(100), ..Bounds::default() };
+        let sight = sight(&[true; 30]);
+        assert_eq!(permit(&ledger, &sight, &bounds, Subject::Worker(25)), Err(Denied::Full));
+    }
+}
--- /dev/null
+++ b/crates/agreed/src/desk.rs
@@ -0,0 +1,102 @@
+//! The foreman's desk: what is asked for, what is answered once it is agreed, and when a permit ends.
+
+use crate::bounds::{Denied, Sight};
+use crate::ledger::{Ledger, Subject};
+use crate::settings::AgreedSettings;
+use basaltward_fleet::{Micros, Number};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Questions that wait and answers that are remembered, each at most: whoever asks without end waits.
+const ASKED: usize = 64;
+
+/// What is answered: the number of the permit that it is about, 0 where it is about none.
+pub type Answer = Result<u16, Denied>;
+
+/// Whose question, by its number there.
+pub type Asker = (Number, u32);
+
+/// A foreman's desk; a new foreman has a new one.
+#[derive(Debug, Default)]
+pub struct Desk {
+    /// When this foreman first knew of a permit.
+    known: BTreeMap<Subject, Micros>,
+    /// When this foreman first knew that nothing more is done by it.
+    back: BTreeMap<Subject, Micros>,
+    /// To be answered once this version is agreed.
+    waiting: Vec<(u32, Asker, u16)>,
+    answered: VecDeque<(Asker, Answer)>,
+}
+
+impl Desk {
+    /// The answer that this question has had, or that it waits; nothing where it is new.
+    pub fn repeated(&self, asker: Asker) -> Option<Option<Answer>> {
+        let waits = self.waiting.iter().any(|(_, of, _)| *of == asker).then_some(None);
+        waits.or_else(|| self.answered.iter().find(|(of, _)| *of == asker).map(|(_, answer)| Some(*answer)))
+    }
+
+    /// Remembers an answer, which may have to be given again.
+    pub fn answer(&mut self, asker: Asker, answer: Answer) {
+        if self.answered.len() == ASKED {
+            self.answered.pop_front();
+        }
+        self.answered.push_back((asker, answer));
+    }
+
+    /// A question waits until this version is agreed, and is answered by this number then; false where too many
+    /// wait.
+    pub fn wait(&mut self, version: u32, asker: Asker, number: u16) -> bool {
+        let room = self.waiting.len() < ASKED;
+        if room {
+            self.waiting.push((version, asker, number));
+        }
+        room
+    }
+
+    /// This version is agreed: whose questions are answered by it, and with what.
+    pub fn agreed(&mut self, version: u32) -> Vec<(Asker, u16)> {
+        let (ready, waiting) = self.waiting.drain(..).partition(|(of, ..)| *of <= version);
+        self.waiting = waiting;
+        let ready: Vec<(u32, Asker, u16)> = ready;
+        ready.into_iter().map(|(_, asker, number)| (asker, number)).collect()
+    }
+
+    /// A permit is given anew: what was known of an earlier one of its subject says nothing of it.
+    pub fn given(&mut self, now: Micros, subject: Subject) {
+        self.known.insert(subject, now);
+        self.back.remove(&subject);
+    }
+
+    /// The ledger without the permits whose subjects have proven to be back.
+    ///
+    /// A permit may be acted on for a lease from when it was asked for, so that a silence after we first knew of it
+    /// nobody begins to any more; a settling time later our view shows who did. Whoever asked may say earlier that
+    /// it is done. A drained worker is back when it is a new one, or when whoever drained it says so, and has been
+    /// used since.
+    pub fn settle(
+        &mut self,
+        now: Micros,
+        ledger: &Ledger,
+        sight: &Sight,
+        settings: &AgreedSettings,
+    ) -> Ledger {
+        self.known.retain(|subject, _| ledger.permit(*subject).is_some());
+        self.back.retain(|subject, _| ledger.permit(*subject).is_some_and(|permit| permit.back));
+        let mut left = ledger.clone();
+        for permit in &ledger.permits {
+            let subject = permit.subject;
+            let known = *self.known.entry(subject).or_insert(now);
+            let Some(seen) = sight.get(&subject) else { continue };
+            let warm = seen.used.is_some_and(|used| used >= settings.warm);
+            let shown = now >= known + settings.times.silence + settings.settle;
+            let back = permit.back.then(|| *self.back.entry(subject).or_insert(now));
+            let by_itself = match subject {
+                Subject::Scheduler(_) => shown,
+                Subject::Worker(_) => shown && seen.life != permit.life,
+            };
+            if warm && (by_itself || back.is_some_and(|since| now >= since + settings.warm)) {
+                left.remove(subject);
+            }
+        }
+        left
+    }
+}
--- /dev/null
+++ b/crates/agreed/src/eyes.rs
@@ -0,0 +1,45 @@
+//! What a member sees, by its view of the fleet and by what it is told of workers.
+
+use crate::bounds::{Seen, Sight};
+use crate::ledger::Subject;
+use crate::member::Eyes;
+use basaltward_fleet::{Entry, Micros, Number, State, View};
+
+/// See the module's page.
+pub struct Look<'a> {
+    /// The view.
+    pub view: &'a View,
+    /// Zones of the schedulers, by number; those that are not told are in zone 0.
+    pub zones: &'a [u8],
+    /// Workers, by what the bulletin tells.
+    pub workers: &'a Sight,
+    /// The wall clock, in milliseconds since the beginning of 2026.
+    pub wall_ms: u64,
+}
+
+impl Eyes for Look<'_> {
+    fn sight(&self, now: Micros) -> Sight {
+        let seen = |(of, entry): (usize, &Entry)| {
+            // One that is suspected is not known to be in use.
+            let used = (entry.state == State::Up).then(|| now.saturating_sub(entry.since));
+            let life = (entry.incarnation.start / 1_000) as u16;
+            let zone = self.zones.get(of).copied().unwrap_or(0);
+            (Subject::Scheduler(of as Number), Seen { zone, life, used, sole: false })
+        };
+        let mut sight: Sight = self.view.entries().iter().enumerate().map(seen).collect();
+        sight.extend(self.workers.iter().map(|(of, seen)| (*of, *seen)));
+        sight
+    }
+
+    fn live(&self) -> Vec<Number> {
+        let own = self.view.own();
+        let live = |(of, entry): (usize, &Entry)| {
+            (entry.state.is_live() && of != usize::from(own)).then_some(of as Number)
+        };
+        self.view.entries().iter().enumerate().filter_map(live).collect()
+    }
+
+    fn wall_ms(&self) -> u64 {
+        self.wall_ms
+    }
+}
--- /dev/null
+++ b/crates/agreed/src/keeper.rs
@@ -0,0 +1,278 @@
+//! A candidate, and what becomes of it: the foreman, who keeps the one value that the council agrees on. It does
+//! anything only while a majority of the seats has answered what it sent within the lease; each answer counts from
+//! the time at which that was sent, by its own clock, and only so long.
+
+use crate::seat::{Epoch, FromSeat, Stored, ToSeat};
+use basaltward_fleet::{Micros, Number};
+use std::collections::BTreeMap;
+
+/// The times that safety rests on, alike at all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Times {
+    /// An answer counts for so long from when its question was sent, and so does a permit from when it was asked
+    /// for, each on the clock of whoever sent or asked.
+    pub lease: Micros,
+    /// A seat is silent for so long after its start: longer than the lease by all that clocks may differ in rate.
+    pub silence: Micros,
+    /// A foreman who finds that too many have forgotten learns for so long: a silence, after which nobody acts on
+    /// what an earlier foreman permitted, and the time until it is seen who did.
+    pub learning: Micros,
+}
+
+/// Beats remembered: more than go out in a lease.
+const BEATS: usize = 64;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Heard<V> {
+    life: u32,
+    /// When that was sent to which it last answered.
+    sent: Option<Micros>,
+    /// What it yielded.
+    held: Option<Stored<V>>,
+    /// The version that it holds.
+    version: u32,
+}
+
+/// What a foreman does.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Stage<V> {
+    /// It asks for promises, since when.
+    Claiming(Micros),
+    /// Too few seats remember: it learns what is out until this time.
+    Learning(Micros, Option<V>),
+    /// It is foreman.
+    Keeping {
+        version: u32,
+        value: V,
+        /// The latest version that a majority holds.
+        agreed: u32,
+        /// The value of that version.
+        known: Option<V>,
+    },
+    /// It is not, or not any more.
+    Lost,
+}
+
+/// What has come of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Turn<V> {
+    /// Nothing new.
+    Same,
+    /// It has the promises of a majority, of which too few remember: it has to learn, see [`Keeper::learnt`]. With
+    /// what one that remembers holds.
+    Learns(Option<V>),
+    /// What it was to learn it has to give now.
+    Learnt,
+    /// A version is agreed.
+    Agreed(u32),
+    /// It is no foreman: too few answer, or a later epoch is about.
+    Lost,
+}
+
+/// See the module's page.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Keeper<V> {
+    times: Times,
+    /// Seats of the council.
+    seats: Vec<Number>,
+    epoch: Epoch,
+    beat: u32,
+    /// When the latest beats were sent.
+    sent: Vec<(u32, Micros)>,
+    heard: BTreeMap<Number, Heard<V>>,
+    stage: Stage<V>,
+    /// Planted: whoever has forgotten counts as one that remembers nothing.
+    pub(crate) heeds_memory: bool,
+}
+
+impl<V: Clone + PartialEq> Keeper<V> {
+    /// A candidate.
+    pub fn claim(times: Times, seats: &[Number], epoch: Epoch, now: Micros) -> Self {
+        let (sent, heard, stage) = (Vec::new(), BTreeMap::new(), Stage::Claiming(now));
+        Self { times, seats: seats.to_vec(), epoch, beat: 0, sent, heard, stage, heeds_memory: true }
+    }
+
+    /// Plants a fault: seats that have forgotten count like the others.
+    #[doc(hidden)]
+    pub fn plant_no_memory(&mut self) {
+        self.heeds_memory = false;
+    }
+
+    /// Its epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// A majority of the seats.
+    pub fn majority(&self) -> usize {
+        self.seats.len() / 2 + 1
+    }
+
+    /// The value, agreed or not, while it is foreman.
+    pub fn value(&self) -> Option<&V> {
+        match &self.stage {
+            Stage::Keeping { value, .. } => Some(value),
+            _ => None,
+        }
+    }
+
+    /// The latest version that is agreed, with its value.
+    pub fn agreed(&self) -> Option<Stored<V>> {
+        match &self.stage {
+            Stage::Keeping { agreed, known: Some(value), .. } => {
+                Some(Stored { epoch: self.epoch, version: *agreed, value: value.clone() })
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether it is foreman, or learns to be.
+    pub fn is_elected(&self) -> bool {
+        matches!(self.stage, Stage::Learning(..) | Stage::Keeping { .. })
+    }
+
+    /// Whether it has nothing left to do.
+    pub fn is_lost(&self) -> bool {
+        matches!(self.stage, Stage::Lost)
+    }
+
+    /// Seats that have answered within the lease.
+    pub fn answered(&self, now: Micros) -> usize {
+        self.fresh(now).count()
+    }
+
+    fn fresh(&self, now: Micros) -> impl Iterator<Item = (&Number, &Heard<V>)> {
+        let lease = self.times.lease;
+        self.heard.iter().filter(move |(_, heard)| heard.sent.is_some_and(|sent| now < sent + lease))
+    }
+
+    /// What goes to each seat now.
+    pub fn beat(&mut self, now: Micros) -> Vec<(Number, ToSeat<V>)> {
+        self.beat += 1;
+        if self.sent.len() == BEATS {
+            self.sent.remove(0);
+        }
+        self.sent.push((self.beat, now));
+        let (epoch, beat) = (self.epoch, self.beat);
+        let told = |seat: &Number| match &self.stage {
+            Stage::Claiming(_) | Stage::Learning(..) => Some((*seat, ToSeat::Claim { epoch, beat })),
+            Stage::Keeping { version, value, .. } => {
+                let life = self.heard.get(seat).map_or(0, |heard| heard.life);
+                let stored = Stored { epoch, version: *version, value: value.clone() };
+                Some((*seat, ToSeat::Store { beat, life, stored }))
+            }
+            Stage::Lost => None,
+        };
+        self.seats.iter().filter_map(told).collect()
+    }
+
+    /// A seat has answered.
+    pub fn handle(&mut self, now: Micros, from: Number, told: FromSeat<V>) {
+        let (epoch, beat, life) = match &told {
+            FromSeat::Yield { epoch, beat, life, .. } | FromSeat::Holds { epoch, beat, life, .. } => {
+                (*epoch, Some(*beat), *life)
+            }
+            FromSeat::No { epoch, life, .. } => (*epoch, None, *life),
+        };
+        if epoch != self.epoch || !self.seats.contains(&from) || self.is_lost() {
+            return;
+        }
+        if let FromSeat::No { promised, .. } = told {
+            if promised > self.epoch {
+                self.stage = Stage::Lost;
+            } else {
+                // It has forgotten, and is named by its new life from now on. That is no answer that counts.
+                self.heard.insert(from, Heard { life, sent: None, held: None, version: 0 });
+            }
+            return;
+        }
+        let sent = self.sent.iter().find(|(of, _)| Some(*of) == beat).map(|(_, sent)| *sent);
+        let Some(sent) = sent.filter(|sent| now < sent + self.times.lease) else { return };
+        let fresh = Heard { life, sent: None, held: None, version: 0 };
+        let known = self.heard.entry(from).or_insert_with(|| fresh.clone());
+        if known.life != life {
+            *known = fresh;
+        }
+        known.sent = known.sent.max(Some(sent));
+        match told {
+            FromSeat::Yield { held, .. } => known.held = held,
+            FromSeat::Holds { version, .. } => known.version = known.version.max(version),
+            FromSeat::No { .. } => {}
+        }
+    }
+
+    /// Looks what has come of it by `now`. Asked after each answer and whenever time has passed.
+    pub fn turn(&mut self, now: Micros) -> Turn<V> {
+        let (lease, majority) = (self.times.lease, self.majority());
+        let has_lease = self.answered(now) >= majority;
+        let holding = |version: u32| self.fresh(now).filter(|(_, heard)| heard.version >= version).count();
+        match &self.stage {
+            Stage::Lost => Turn::Same,
+            Stage::Claiming(since) if !has_lease => match now >= since + lease {
+                true => self.lose(),
+                false => Turn::Same,
+            },
+            Stage::Claiming(_) => self.elected(now),
+            _ if !has_lease => self.lose(),
+            Stage::Learning(until, _) if now < *until => Turn::Same,
+            Stage::Learning(..) => Turn::Learnt,
+            Stage::Keeping { version, agreed, .. } => {
+                let version = *version;
+                if *agreed == version || holding(version) < majority {
+                    return Turn::Same;
+                }
+                if let Stage::Keeping { agreed, known, value, .. } = &mut self.stage {
+                    (*agreed, *known) = (version, Some(value.clone()));
+                }
+                Turn::Agreed(version)
+            }
+        }
+    }
+
+    fn lose(&mut self) -> Turn<V> {
+        self.stage = Stage::Lost;
+        Turn::Lost
+    }
+
+    /// Gives up.
+    pub fn resign(&mut self) {
+        self.stage = Stage::Lost;
+    }
+
+    fn elected(&mut self, now: Micros) -> Turn<V> {
+        let held: Vec<_> = self.fresh(now).filter_map(|(_, heard)| heard.held.as_ref()).collect();
+        let latest = held.iter().max_by_key(|held| held.at()).map(|held| held.value.clone());
+        let remember = if self.heeds_memory { held.len() } else { self.answered(now) };
+        match latest {
+            Some(value) if remember >= self.majority() => {
+                self.keep(value);
+                Turn::Same
+            }
+            latest => {
+                self.stage = Stage::Learning(now + self.times.learning, latest.clone());
+                Turn::Learns(latest)
+            }
+        }
+    }
+
+    fn keep(&mut self, value: V) {
+        self.stage = Stage::Keeping { version: 1, value, agreed: 0, known: None };
+    }
+
+    /// What is out, as it was learnt: the value begins with it.
+    pub fn learnt(&mut self, now: Micros, value: V) {
+        if matches!(self.stage, Stage::Learning(until, _) if now >= until) {
+            self.keep(value);
+        }
+    }
+
+    /// Changes the value; gives the version that has to be agreed before anything is done by it.
+    pub fn change(&mut self, value: V) -> Option<u32> {
+        let Stage::Keeping { version, value: kept, .. } = &mut self.stage else { return None };
+        if *kept != value {
+            *version += 1;
+            *kept = value;
+        }
+        Some(*version)
+    }
+}
--- /dev/null
+++ b/crates/agreed/src/ledger.rs
@@ -0,0 +1,100 @@
+//! The one value that the council agrees on: who may be out, and the release that goes on. Small enough that each
+//! datagram holds all of it.
+
+use basaltward_fleet::Number;
+use serde::{Deserialize, Serialize};
+
+/// Permits at once at most: so many fit into a datagram.
+pub const PERMITS: usize = 15;
+
+/// Who can be out of use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Subject {
+    /// A scheduler, by its number in the configured list.
+    Scheduler(Number),
+    /// A worker, by a hash of its name: see [`worker`].
+    Worker(u32),
+}
+
+/// The subject that a worker's name stands for.
+pub fn worker(name: &str) -> Subject {
+    Subject::Worker(crc32fast::hash(name.as_bytes()))
+}
+
+/// Leave to be out, until its subject has proven to be back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Permit {
+    /// Whose.
+    pub subject: Subject,
+    /// Which of all that were given: whoever is done says with which.
+    pub number: u16,
+    /// A mark of its life as it was given: another one has been out.
+    pub life: u16,
+    /// Nobody takes it out by this any more: it may be used, and still counts until it has proven to be back.
+    pub back: bool,
+}
+
+/// What is agreed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Ledger {
+    /// By subject, each once.
+    pub permits: Vec<Permit>,
+    /// The number of the last one that was given.
+    pub given: u16,
+}
+
+impl Ledger {
+    /// A subject's permit.
+    pub fn permit(&self, subject: Subject) -> Option<&Permit> {
+        self.permits.iter().find(|permit| permit.subject == subject)
+    }
+
+    /// With a permit more; the one before stands where there is one. False where there is no room.
+    #[must_use]
+    pub fn add(&mut self, permit: Permit) -> bool {
+        if self.permit(permit.subject).is_some() {
+            return true;
+        }
+        if self.permits.len() == PERMITS {
+            return false;
+        }
+        self.permits.push(permit);
+        self.permits.sort_unstable();
+        true
+    }
+
+    /// Without a subject's permit.
+    pub fn remove(&mut self, subject: Subject) {
+        self.permits.retain(|permit| permit.subject != subject);
+    }
+
+    /// With all that another one says is out, as far as there is room; what there is none for is out by being
+    /// seen to be, or not at all any more.
+    pub fn join(&mut self, other: &Self) {
+        self.given = self.given.max(other.given);
+        for permit in &other.permits {
+            let _ = self.add(*permit);
+            if !permit.back {
+                self.permits
+                    .iter_mut()
+                    .filter(|own| own.subject == permit.subject)
+                    .for_each(|own| own.back = false);
+            }
+        }
+    }
+
+    /// Marks that nothing more is done by a permit; false where it does not stand.
+    pub fn bring_back(&mut self, subject: Subject, number: u16) -> bool {
+        let asked = |permit: &&mut Permit| (permit.subject, permit.number) == (subject, number);
+        let permit = self.permits.iter_mut().find(asked);
+        permit.is_some_and(|permit| {
+            permit.back = true;
+            true
+        })
+    }
+
+    /// Whether a worker is drained: nothing new goes there.
+    pub fn drains(&self, tag: u32) -> bool {
+        self.permit(Subject::Worker(tag)).is_some_and(|permit| !permit.back)
+    }
+}
--- /dev/null
+++ b/crates/agreed/src/member.rs
@@ -0,0 +1,504 @@
+//! A member: its seat, if it has one, the foreman while it is that, and what it knows to be agreed. Free of I/O.
+
+use crate::bounds::{Denied, Sight, out as all_out, permit};
+use crate::desk::{Answer, Desk};
+use crate::keeper::{Keeper, Turn};
+use crate::ledger::{Ledger, Subject};
+use crate::seat::{Epoch, Seat, Stored};
+use crate::settings::{AgreedSettings, SettingsError};
+use crate::wire::{Body, Halt, Message, Wish};
+use basaltward_fleet::{Micros, Number};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What is new goes on to so many, so often, this long apart.
+const PASSED: (usize, u32, Micros) = (2, 4, 100_000);
+/// One other is told in this time how far we know.
+const COMPARE_US: Micros = 1_000_000;
+/// Members asked in a tick what they know, by a foreman that learns.
+const RECALLED: usize = 16;
+/// Questions of ours that are out, at most; each is sent again after this.
+const ASKED: (usize, Micros) = (64, 300_000);
+
+/// What a member sees of the fleet.
+pub trait Eyes {
+    /// All that exist, with what is seen of them.
+    fn sight(&self, now: Micros) -> Sight;
+    /// Live members, not ourselves.
+    fn live(&self) -> Vec<Number>;
+    /// The wall clock, in milliseconds since the beginning of 2026.
+    fn wall_ms(&self) -> u64;
+}
+
+/// What a member puts out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send these bytes.
+    Send {
+        /// To whom.
+        to: Number,
+        /// At most [`basaltward_fleet::MOST`].
+        bytes: Vec<u8>,
+    },
+    /// Something else is agreed, or halted, see [`Member::known`].
+    Changed,
+    /// The answer to a question of ours. One that comes when nothing may be done by it any more is a `Stale`.
+    Answered {
+        /// The question.
+        tag: u32,
+        /// The answer.
+        answer: Answer,
+    },
+}
+
+type Out = Vec<Output>;
+
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    wish: Wish,
+    since: Micros,
+    again: Micros,
+}
+
+/// See the module's page.
+pub struct Member {
+    settings: AgreedSettings,
+    seat: Option<Seat<Ledger>>,
+    keeper: Option<Keeper<Ledger>>,
+    desk: Desk,
+    /// What members told while we learn.
+    learnt: Ledger,
+    /// Who is still to be asked what it knows.
+    recall: Vec<Number>,
+    known: Option<Stored<Ledger>>,
+    halt: Halt,
+    /// How often what is new still goes on.
+    passes: u32,
+    next_pass: Micros,
+    next_compare: Micros,
+    next_tick: Micros,
+    claim_at: Micros,
+    asked: BTreeMap<u32, Asked>,
+    tag: u32,
+    rng: StdRng,
+    /// Messages to ourselves.
+    own: VecDeque<Body>,
+    /// Planted: foremen that count only what they see, and not what is permitted.
+    counts_permits: bool,
+    forgets: bool,
+}
+
+impl Member {
+    /// A member whose life begins.
+    ///
+    /// # Errors
+    /// Where the settings can't be used.
+    pub fn new(settings: AgreedSettings, now: Micros) -> Result<Self, SettingsError> {
+        settings.check()?;
+        let has_seat = settings.seats.contains(&settings.own);
+        let seat = has_seat.then(|| Seat::new(settings.life, now, settings.times.silence));
+        let seed = settings.seed ^ u64::from(settings.own) << 32 ^ u64::from(settings.life);
+        let mut member = Self {
+            seat,
+            keeper: None,
+            desk: Desk::default(),
+            learnt: Ledger::default(),
+            recall: Vec::new(),
+            known: None,
+            halt: Halt::default(),
+            passes: 0,
+            next_pass: now,
+            next_compare: now,
+            next_tick: now,
+            claim_at: now,
+            asked: BTreeMap::new(),
+            // A foreman remembers what it answered an earlier life of ours: its numbers are not used again.
+            tag: settings.life,
+            rng: StdRng::seed_from_u64(seed),
+            own: VecDeque::new(),
+            counts_permits: true,
+            forgets: false,
+            settings,
+        };
+        member.put_off(now + member.settings.times.silence);
+        Ok(member)
+    }
+
+    /// Plants a fault, see [`Fault`].
+    #[doc(hidden)]
+    pub fn plant(&mut self, fault: Fault, now: Micros) {
+        match fault {
+            Fault::VotesAfterForgetting => {
+                self.forgets = true;
+                if self.seat.is_some() {
+                    self.seat = Some(Seat::new(self.settings.life, now, 0));
+                }
+            }
+            Fault::NoEpochs => self.seat.iter_mut().for_each(Seat::plant_no_epochs),
+            Fault::CountsTheViewAlone => self.counts_permits = false,
+        }
+    }
+
+    /// What is agreed, as far as we know.
+    pub fn known(&self) -> Option<&Stored<Ledger>> {
+        self.known.as_ref()
+    }
+
+    /// Whether all is halted, as far as we know.
+    pub fn halt(&self) -> Halt {
+        self.halt
+    }
+
+    /// Whether we are foreman, and know what is out.
+    pub fn is_foreman(&self) -> bool {
+        self.keeper.as_ref().is_some_and(|keeper| keeper.agreed().is_some())
+    }
+
+    /// Bounds from now on.
+    pub fn set_bounds(&mut self, bounds: crate::bounds::Bounds) {
+        self.settings.bounds = bounds;
+    }
+
+    /// When [`Member::wake`] is due next.
+    pub fn next_due(&self) -> Micros {
+        let passes = (self.passes > 0).then_some(self.next_pass);
+        let asked = self.asked.values().map(|asked| asked.again);
+        let due = [self.next_compare, self.next_tick];
+        due.into_iter().chain(passes).chain(asked).min().unwrap_or(Micros::MAX)
+    }
+
+    /// Asks the foreman for something; the answer names the number that this gives.
+    pub fn ask(&mut self, now: Micros, wish: Wish, eyes: &impl Eyes, out: &mut Out) -> u32 {
+        self.tag = self.tag.wrapping_add(1);
+        let tag = self.tag;
+        if self.asked.len() >= ASKED.0 {
+            out.push(Output::Answered { tag, answer: Err(Denied::Full) });
+            return tag;
+        }
+        self.asked.insert(tag, Asked { wish, since: now, again: now });
+        self.ask_again(now, eyes, out);
+        tag
+    }
+
+    /// Nothing new is permitted anywhere from now on: by our word alone, at once.
+    pub fn stop_all(&mut self, out: &mut Out) -> Halt {
+        let told = Halt { count: self.halt.count + 1, on: true };
+        self.hear_halt(told, out);
+        self.halt
+    }
+
+    // ---- what is due -------------------------------------------------------------------------------------
+
+    /// Does what is due by `now`.
+    pub fn wake(&mut self, now: Micros, eyes: &impl Eyes, out: &mut Out) {
+        if now >= self.next_tick {
+            self.next_tick = now + self.settings.tick;
+            self.tick(now, eyes, out);
+        }
+        if now >= self.next_compare {
+            self.next_compare = now + COMPARE_US;
+            let body = Body::Known(self.known.as_ref().map(Stored::at), self.halt);
+            self.some(1, eyes).into_iter().for_each(|to| self.send(to, body.clone(), out));
+        }
+        if self.passes > 0 && now >= self.next_pass {
+            self.passes -= 1;
+            self.next_pass = now + PASSED.2;
+            let body = Body::Tell(self.known.clone(), self.halt);
+            self.some(PASSED.0, eyes).into_iter().for_each(|to| self.send(to, body.clone(), out));
+        }
+        self.ask_again(now, eyes, out);
+        self.work(now, eyes, out);
+    }
+
+    /// Who hears a foreman waits for a lease and some more before it would be one.
+    fn put_off(&mut self, now: Micros) {
+        let lease = self.settings.times.lease;
+        self.claim_at = now + lease + self.rng.random_range(0..=lease);
+    }
+
+    fn tick(&mut self, now: Micros, eyes: &impl Eyes, out: &mut Out) {
+        let speaks = self.seat.as_ref().is_some_and(|seat| seat.speaks(now));
+        if self.keeper.is_none() && speaks && now >= self.claim_at {
+            let promised = self.seat.as_ref().map(Seat::promised).unwrap_or_default();
+            let latest = promised.max(self.known.as_ref().map(|known| known.epoch).unwrap_or_default());
+            let epoch = latest.next(eyes.wall_ms(), self.settings.own);
+            let mut keeper = Keeper::claim(self.settings.times, &self.settings.seats, epoch, now);
+            if self.forgets {
+                keeper.plant_no_memory();
+            }
+            (self.keeper, self.desk) = (Some(keeper), Desk::default());
+            self.put_off(now);
+        }
+        if let Some(value) = self.keeper.as_ref().and_then(Keeper::value).cloned()
+            && !value.permits.is_empty()
+        {
+            let left = self.desk.settle(now, &value, &eyes.sight(now), &self.settings);
+            self.change(left);
+        }
+        self.recall_some(out);
+        self.beat(now, out);
+    }
+
+    fn beat(&mut self, now: Micros, out: &mut Out) {
+        let told = self.keeper.as_mut().map(|keeper| keeper.beat(now)).unwrap_or_default();
+        for (to, told) in told {
+            self.send(to, Body::ToSeat(told), out);
+        }
+    }
+
+    fn recall_some(&mut self, out: &mut Out) {
+        let from = self.recall.len().saturating_sub(RECALLED);
+        for to in self.recall.split_off(from) {
+            self.send(to, Body::Recall, out);
+        }
+    }
+
+    fn change(&mut self, ledger: Ledger) -> Option<u32> {
+        self.keeper.as_mut()?.change(ledger)
+    }
+
+    /// What we told ourselves, and what has come of being foreman.
+    fn work(&mut self, now: Micros, eyes: &impl Eyes, out: &mut Out) {
+        loop {
+            while let Some(body) = self.own.pop_front() {
+                self.take(now, self.settings.own, body, eyes, out);
+            }
+            match self.keeper.as_mut().map_or(Turn::Same, |keeper| keeper.turn(now)) {
+                Turn::Same if self.own.is_empty() => break,
+                Turn::Same => {}
+                Turn::Lost => {
+                    self.keeper = None;
+                    self.put_off(now);
+                }
+                Turn::Learns(held) => {
+                    self.learnt = held.unwrap_or_default();
+                    if let Some(known) = &self.known {
+                        self.learnt.join(&known.value);
+                    }
+                    self.recall = eyes.live();
+                }
+                Turn::Learnt => {
+                    let learnt = std::mem::take(&mut self.learnt);
+                    self.keeper.iter_mut().for_each(|keeper| keeper.learnt(now, learnt.clone()));
+                    self.beat(now, out);
+                }
+                Turn::Agreed(version) => {
+                    let agreed = self.keeper.as_ref().and_then(Keeper::agreed);
+                    agreed.into_iter().for_each(|agreed| self.hear(agreed, out));
+                    for (asker, number) in self.desk.agreed(version) {
+                        self.answer(asker, Ok(number), out);
+                    }
+                }
+            }
+        }
+    }
+
+    fn ask_again(&mut self, now: Micros, eyes: &impl Eyes, out: &mut Out) {
+        let foreman = self.foreman();
+        let mut over = Vec::new();
+        let mut told = Vec::new();
+        for (tag, asked) in self.asked.iter_mut().filter(|(_, asked)| asked.again <= now) {
+            if now >= asked.since + self.settings.times.lease {
+                over.push(*tag);
+            } else {
+                asked.again = now + ASKED.1;
+                told.extend(foreman.map(|foreman| (foreman, Body::Ask(*tag, asked.wish))));
+            }
+        }
+        for tag in over {
+            self.asked.remove(&tag);
+            out.push(Output::Answered { tag, answer: Err(Denied::NoForeman) });
+        }
+        told.into_iter().for_each(|(to, body)| self.send(to, body, out));
+        while let Some(body) = self.own.pop_front() {
+            self.take(now, self.settings.own, body, eyes, out);
+        }
+    }
+
+    /// Who we believe to be foreman.
+    pub fn foreman(&self) -> Option<Number> {
+        let ours = self.keeper.as_ref().filter(|keeper| keeper.is_elected()).map(|_| self.settings.own);
+        let seen = self.seat.as_ref().map(Seat::promised).filter(|epoch| *epoch > Epoch::default());
+        ours.or(seen.max(self.known.as_ref().map(|known| known.epoch)).map(|epoch| epoch.by))
+    }
+
+    fn some(&mut self, count: usize, eyes: &impl Eyes) -> Vec<Number> {
+        let mut live = eyes.live();
+        live.partial_shuffle(&mut self.rng, count).0.to_vec()
+    }
+
+    fn send(&mut self, to: Number, body: Body, out: &mut Out) {
+        if to == self.settings.own {
+            self.own.push_back(body);
+            return;
+        }
+        let message = Message { fleet: self.settings.fleet, from: self.settings.own, body };
+        out.extend(message.write().map(|bytes| Output::Send { to, bytes }));
+    }
+
+    // ---- what comes --------------------------------------------------------------------------------------
+
+    /// Takes a datagram that came from this member's address; false where it is none of ours.
+    pub fn handle(
+        &mut self,
+        now: Micros,
+        from: Number,
+        bytes: &[u8],
+        eyes: &impl Eyes,
+        out: &mut Out,
+    ) -> bool {
+        let Ok(message) = Message::read(bytes) else { return false };
+        if message.fleet != self.settings.fleet || message.from != from || from == self.settings.own {
+            return false;
+        }
+        self.take(now, from, message.body, eyes, out);
+        self.work(now, eyes, out);
+        true
+    }
+
+    fn take(&mut self, now: Micros, from: Number, body: Body, eyes: &impl Eyes, out: &mut Out) {
+        match body {
+            Body::ToSeat(told) => {
+                if !self.settings.seats.contains(&from) {
+                    return;
+                }
+                let answer = self.seat.as_mut().and_then(|seat| seat.handle(now, told));
+                if let Some(answer) = answer {
+                    if !matches!(answer, crate::seat::FromSeat::No { .. }) && from != self.settings.own {
+                        self.put_off(now);
+                    }
+                    self.send(from, Body::FromSeat(answer), out);
+                }
+            }
+            Body::FromSeat(told) => {
+                self.keeper.iter_mut().for_each(|keeper| keeper.handle(now, from, told.clone()));
+            }
+            Body::Tell(stored, halt) => {
+                if let Some(stored) = stored {
+                    self.learnt.join(&stored.value);
+                    self.hear(stored, out);
+                }
+                self.hear_halt(halt, out);
+            }
+            Body::Known(at, halt) => {
+                self.hear_halt(halt, out);
+                let ours = self.known.as_ref().map(Stored::at);
+                if ours > at || self.halt > halt {
+                    self.send(from, Body::Tell(self.known.clone(), self.halt), out);
+                } else if at > ours {
+                    self.send(from, Body::Recall, out);
+                }
+            }
+            Body::Recall => self.send(from, Body::Tell(self.known.clone(), self.halt), out),
+            Body::Ask(tag, wish) => self.asked(now, (from, tag), wish, eyes, out),
+            Body::Reply(tag, answer) => {
+                if let Some(asked) = self.asked.remove(&tag) {
+                    // Whoever acts looks at the time itself: the permit may have ended by now.
+                    let late = now >= asked.since + self.settings.times.lease;
+                    let answer = if late { Err(Denied::Stale) } else { answer };
+                    out.push(Output::Answered { tag, answer });
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, stored: Stored<Ledger>, out: &mut Out) {
+        if self.known.as_ref().is_none_or(|known| known.at() < stored.at()) {
+            self.known = Some(stored);
+            self.passes = PASSED.1;
+            out.push(Output::Changed);
+        }
+    }
+
+    fn hear_halt(&mut self, halt: Halt, out: &mut Out) {
+        if halt > self.halt {
+            self.halt = halt;
+            self.passes = PASSED.1;
+            out.push(Output::Changed);
+        }
+    }
+
+    // ---- the foreman's desk ------------------------------------------------------------------------------
+
+    fn answer(&mut self, asker: (Number, u32), answer: Answer, out: &mut Out) {
+        self.desk.answer(asker, answer);
+        self.send(asker.0, Body::Reply(asker.1, answer), out);
+    }
+
+    fn asked(&mut self, now: Micros, asker: (Number, u32), wish: Wish, eyes: &impl Eyes, out: &mut Out) {
+        let value = self.keeper.as_ref().filter(|keeper| keeper.agreed().is_some()).and_then(Keeper::value);
+        let Some(ledger) = value.cloned() else {
+            return self.send(asker.0, Body::Reply(asker.1, Err(Denied::NoForeman)), out);
+        };
+        match self.desk.repeated(asker) {
+            Some(Some(answer)) => return self.send(asker.0, Body::Reply(asker.1, answer), out),
+            Some(None) => return,
+            None => {}
+        }
+        let (changed, number) = match self.granted(now, &ledger, wish, eyes, out) {
+            Ok(changed) => changed,
+            Err(why) => return self.answer(asker, Err(why), out),
+        };
+        match self.change(changed) {
+            Some(version) if self.desk.wait(version, asker, number) => self.beat(now, out),
+            _ => self.answer(asker, Err(Denied::Full), out),
+        }
+    }
+
+    fn granted(
+        &mut self,
+        now: Micros,
+        ledger: &Ledger,
+        wish: Wish,
+        eyes: &impl Eyes,
+        out: &mut Out,
+    ) -> Result<(Ledger, u16), Denied> {
+        let mut changed = ledger.clone();
+        match wish {
+            Wish::Out(_) if self.halt.on => Err(Denied::Halted),
+            Wish::Out(subject) => {
+                let none = Ledger { given: ledger.given, ..Ledger::default() };
+                let counted = if self.counts_permits { ledger } else { &none };
+                let given = permit(counted, &eyes.sight(now), &self.settings.bounds, subject)?;
+                if !changed.add(given) {
+                    return Err(Denied::Full);
+                }
+                changed.given = given.number;
+                self.desk.given(now, subject);
+                Ok((changed, given.number))
+            }
+            Wish::Done(subject, number) if changed.bring_back(subject, number) => Ok((changed, number)),
+            Wish::Done(..) => Err(Denied::Stale),
+            Wish::WriteOff(subject) if ledger.permit(subject).is_some() => {
+                changed.remove(subject);
+                Ok((changed, 0))
+            }
+            Wish::WriteOff(_) => Err(Denied::Stale),
+            Wish::Resume(count) if self.halt == (Halt { count, on: true }) => {
+                self.hear_halt(Halt { count: count + 1, on: false }, out);
+                Ok((changed, 0))
+            }
+            Wish::Resume(_) => Err(Denied::Stale),
+        }
+    }
+
+    /// All that are out, as a foreman counts them.
+    pub fn out(&self, now: Micros, eyes: &impl Eyes) -> std::collections::BTreeSet<Subject> {
+        let none = Ledger::default();
+        all_out(self.known.as_ref().map_or(&none, |known| &known.value), &eyes.sight(now))
+    }
+}
+
+/// Faults that checkers must find.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A seat has its voice at once after its start, and a foreman takes its word for a memory.
+    VotesAfterForgetting,
+    /// A seat takes what comes, of whatever epoch.
+    NoEpochs,
+    /// A foreman counts what it sees, and not what it has permitted.
+    CountsTheViewAlone,
+}
--- /dev/null
+++ b/crates/agreed/src/settings.rs
@@ -0,0 +1,119 @@
+use crate::bounds::Bounds;
+use crate::keeper::Times;
+use basaltward_fleet::{Micros, Number};
+use thiserror::Error;
+
+/// Seats of a council, at most.
+pub const SEATS: usize = 7;
+
+/// Figures of a member. All of a fleet need the same, but for `own`, `seed` and `life`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgreedSettings {
+    /// Names the fleet, as in its view.
+    pub fleet: u16,
+    /// Our number in the configured list.
+    pub own: Number,
+    /// Members who sit on the council, by number.
+    pub seats: Vec<Number>,
+    /// Another one with each life.
+    pub life: u32,
+    /// For choices.
+    pub seed: u64,
+    /// See [`Times`].
+    pub times: Times,
+    /// The foreman asks its seats for an answer so often.
+    pub tick: Micros,
+    /// By then a view shows what has become of a member: the view's settling time.
+    pub settle: Micros,
+    /// One that was out has to be in use for so long, to count as back.
+    pub warm: Micros,
+    /// How many may be out.
+    pub bounds: Bounds,
+}
+
+/// Why settings can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum SettingsError {
+    /// A council has an odd number of seats, up to [`SEATS`], each once.
+    #[error("{0} seats: a council has an odd number of them, each once, 7 at most")]
+    Seats(usize),
+    /// A time is too short.
+    #[error("{0} is too short")]
+    Short(&'static str),
+}
+
+/// The seats of a fleet of so many: five, or as many as there are, an odd number, far apart in the list, as
+/// neighbours in a list often stand in one zone and on one machine.
+pub fn council(size: Number) -> Vec<Number> {
+    let count: Number = match size {
+        0 => 0,
+        1 | 2 => 1,
+        3 | 4 => 3,
+        _ => 5,
+    };
+    (0..count).map(|seat| (u32::from(seat) * u32::from(size) / u32::from(count.max(1))) as Number).collect()
+}
+
+impl AgreedSettings {
+    /// The usual figures: a lease of 2 s, told four times in it, and clocks that differ by a tenth of their rate.
+    pub fn new(size: Number, own: Number, life: u32, seed: u64) -> Self {
+        let settle = basaltward_fleet::FleetSettings::new(size.max(1), 0, 0, 0).settling();
+        Self {
+            fleet: 0,
+            own,
+            seats: council(size),
+            life,
+            seed,
+            times: Times { lease: 2_000_000, silence: 2_500_000, learning: 2_500_000 + settle },
+            tick: 400_000,
+            settle,
+            warm: 5_000_000,
+            bounds: Bounds::default(),
+        }
+    }
+
+    /// Checks them.
+    ///
+    /// # Errors
+    /// Where they can't be used.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let mut each = self.seats.clone();
+        each.sort_unstable();
+        each.dedup();
+        if each.len() != self.seats.len() || each.len().is_multiple_of(2) || each.len() > SEATS {
+            return Err(SettingsError::Seats(self.seats.len()));
+        }
+        let Times { lease, silence, learning } = self.times;
+        // A clock that runs a tenth fast against one that runs a tenth slow: 1.1 / 0.9 < 1.25.
+        let figures = [
+            ("silence", silence >= lease + lease / 4),
+            ("learning", learning >= silence + self.settle),
+            ("lease", lease >= self.tick * 4),
+            ("tick", self.tick > 0),
+        ];
+        match figures.iter().find(|(_, good)| !good) {
+            Some((name, _)) => Err(SettingsError::Short(name)),
+            None => Ok(()),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_council_is_odd_and_within_the_list() {
+        for size in 1..400 {
+            let seats = council(size);
+            assert!(seats.len() % 2 == 1 && seats.iter().all(|seat| *seat < size), "{size}: {seats:?}");
+            assert_eq!(AgreedSettings::new(size, 0, 1, 1).check(), Ok(()), "{size}");
+        }
+        assert_eq!(council(300), [0, 60, 120, 180, 240]);
+        let good = AgreedSettings::new(9, 0, 1, 1);
+        let twice = AgreedSettings { seats: vec![1, 1, 2], ..good.clone() };
+        assert_eq!(twice.check(), Err(SettingsError::Seats(3)));
+        let short = Times { silence: 2_400_000, ..good.times };
+        assert_eq!(AgreedSettings { times: short, ..good }.check(), Err(SettingsError::Short("silence")));
+    }
+}
--- /dev/null
+++ b/crates/agreed/src/wire.rs
@@ -0,0 +1,104 @@
+//! Datagrams: a version byte, then one message by serde. Each holds the whole ledger where it tells of it.
+
+use crate::desk::Answer;
+use crate::ledger::{Ledger, Subject};
+use crate::seat::{Epoch, FromSeat, Stored, ToSeat};
+use basaltward_fleet::{Number, WireError, close, open};
+use serde::{Deserialize, Serialize};
+
+/// The first byte of all that is told here; a view's datagrams begin otherwise.
+pub const VERSION: u8 = 0x33;
+
+/// Whether all is halted: the later count goes before, and at one count a halt before its end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Halt {
+    /// Counts halts and their ends.
+    pub count: u32,
+    /// Nothing new is permitted.
+    pub on: bool,
+}
+
+/// What somebody wants of the foreman.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Wish {
+    /// A permit to be out.
+    Out(Subject),
+    /// Whoever asked for this one's permit, of this number, does nothing by it any more; it is in use again, or was
+    /// never out.
+    Done(Subject, u16),
+    /// This one's permit ends whatever is seen of it.
+    WriteOff(Subject),
+    /// The halt of this count ends.
+    Resume(u32),
+}
+
+/// What one member tells another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// From a candidate or the foreman to a seat.
+    ToSeat(ToSeat<Ledger>),
+    /// From a seat to it.
+    FromSeat(FromSeat<Ledger>),
+    /// What is agreed, as far as the sender knows.
+    Tell(Option<Stored<Ledger>>, Halt),
+    /// How far the sender knows it: whoever knows more tells.
+    Known(Option<(Epoch, u32)>, Halt),
+    /// Tell what you know.
+    Recall,
+    /// To the foreman, by a number that its answer names.
+    Ask(u32, Wish),
+    /// Its answer.
+    Reply(u32, Answer),
+}
+
+/// A datagram's content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// The fleet, as in its view.
+    pub fleet: u16,
+    /// Who sends it.
+    pub from: Number,
+    /// What it says.
+    pub body: Body,
+}
+
+impl Message {
+    /// Its bytes, at most [`basaltward_fleet::MOST`]; a ledger is bounded so that they are.
+    pub fn write(&self) -> Option<Vec<u8>> {
+        close(VERSION, self)
+    }
+
+    /// Reads one.
+    ///
+    /// # Errors
+    /// Where it is not one of ours.
+    pub fn read(bytes: &[u8]) -> Result<Self, WireError> {
+        open(VERSION, bytes)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ledger::{PERMITS, Permit};
+    use basaltward_fleet::MOST;
+
+    #[test]
+    fn the_largest_ledger_fits_and_comes_back_as_it_was() {
+        let subject = |of| Subject::Worker(u32::MAX - of);
+        let permit = |of| Permit { subject: subject(of), number: u16::MAX, life: u16::MAX, back: true };
+        let value = Ledger { permits: (0..PERMITS as u32).map(permit).collect(), given: u16::MAX };
+        let epoch = Epoch { ms: u64::MAX, by: Number::MAX };
+        let stored = Stored { epoch, version: u32::MAX, value };
+        let store = ToSeat::Store { beat: u32::MAX, life: u32::MAX, stored: stored.clone() };
+        let yields = FromSeat::Yield { epoch, beat: u32::MAX, life: u32::MAX, held: Some(stored.clone()) };
+        let halt = Halt { count: u32::MAX, on: true };
+        for body in [Body::ToSeat(store), Body::FromSeat(yields), Body::Tell(Some(stored), halt)] {
+            let message = Message { fleet: u16::MAX, from: Number::MAX, body };
+            let bytes = message.write().expect("it fits");
+            assert!(bytes.len() <= MOST && bytes.len() > 200, "{}", bytes.len());
+            assert!((0..bytes.len()).all(|cut| Message::read(&bytes[..cut]).is_err()));
+            assert_eq!(Message::read(&bytes), Ok(message));
+        }
+    }
+}
--- /dev/null
+++ b/crates/agreed/src/world.rs
@@ -0,0 +1,205 @@
+//! A fleet of schedulers in virtual time that are taken out and brought back by permits, while parts of it fail.
+//!
+//! Operators act as the command does: one asks a scheduler for a permit, looks at the time before it acts by it, and
+//! says when it is done. What is out is known here, whatever anybody believes.
+
+use crate::bounds::Sight;
+use crate::eyes::Look;
+use crate::ledger::Subject;
+use crate::member::{Fault, Member, Output};
+use crate::settings::AgreedSettings;
+use crate::wire::{VERSION, Wish};
+use basaltward_fleet::{FleetSettings, Link, Micros, Net, Number, Output as Seen, Party, View};
+use std::collections::BTreeMap;
+
+/// A scheduler: its view and its part in what is agreed.
+pub struct Scheduler {
+    /// The view.
+    pub view: View,
+    /// The part.
+    pub member: Member,
+    workers: Sight,
+    wall_ms: u64,
+}
+
+/// What a scheduler puts out.
+pub enum Told {
+    /// Bytes to another.
+    Send(Number, Vec<u8>),
+    /// Its view.
+    View(Seen),
+    /// What is agreed.
+    Agreed(Output),
+}
+
+impl Scheduler {
+    /// Has its part do something, by what it sees.
+    pub fn part<T>(
+        &mut self,
+        now: Micros,
+        out: &mut Vec<Told>,
+        act: impl FnOnce(&mut Member, &Look, &mut Vec<Output>) -> T,
+    ) -> T {
+        let wall_ms = self.wall_ms + now / 1_000;
+        let look = Look { view: &self.view, zones: &[], workers: &self.workers, wall_ms };
+        let mut told = Vec::new();
+        let done = act(&mut self.member, &look, &mut told);
+        out.extend(told.into_iter().map(|told| match told {
+            Output::Send { to, bytes } => Told::Send(to, bytes),
+            other => Told::Agreed(other),
+        }));
+        done
+    }
+}
+
+fn seen(told: Vec<Seen>, out: &mut Vec<Told>) {
+    out.extend(told.into_iter().map(|told| match told {
+        Seen::Send { to, bytes } => Told::Send(to, bytes),
+        other => Told::View(other),
+    }));
+}
+
+impl Party for Scheduler {
+    type Out = Told;
+
+    fn handle(&mut self, now: Micros, from: Number, bytes: &[u8], out: &mut Vec<Told>) {
+        if bytes.first() == Some(&VERSION) {
+            self.part(now, out, |member, look, out| member.handle(now, from, bytes, look, out));
+        } else {
+            let mut told = Vec::new();
+            self.view.handle(now, from, bytes, &mut told);
+            seen(told, out);
+        }
+    }
+
+    fn wake(&mut self, now: Micros, out: &mut Vec<Told>) {
+        if self.view.next_due() <= now {
+            let mut told = Vec::new();
+            self.view.wake(now, &mut told);
+            seen(told, out);
+        }
+        if self.member.next_due() <= now {
+            self.part(now, out, |member, look, out| member.wake(now, look, out));
+        }
+    }
+
+    fn next_due(&self) -> Micros {
+        self.view.next_due().min(self.member.next_due())
+    }
+
+    fn datagram(out: Told) -> Result<(Number, Vec<u8>), Told> {
+        match out {
+            Told::Send(to, bytes) => Ok((to, bytes)),
+            other => Err(other),
+        }
+    }
+}
+
+/// An operator's question that is out, by whom it was asked and its number there.
+#[derive(Clone, Copy, Debug)]
+struct Errand {
+    wish: Wish,
+    /// On the clock of whom it was asked through.
+    since: Micros,
+}
+
+/// An answer that an operator has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// When, in the world's time.
+    pub at: Micros,
+    /// Through whom it was asked.
+    pub by: Number,
+    /// What was wanted.
+    pub wish: Wish,
+    /// The answer.
+    pub answer: crate::desk::Answer,
+    /// Until when it may be acted on, on that one's clock.
+    pub until: Micros,
+}
+
+/// The fleet, its network and its operators.
+pub struct Fleet {
+    /// The network with all schedulers.
+    pub net: Net<Scheduler>,
+    settings: AgreedSettings,
+    workers: Sight,
+    asked: BTreeMap<(Number, u32), Errand>,
+    planted: Option<Fault>,
+    /// Answers that operators have had.
+    pub answers: Vec<Answer>,
+}
+
+/// The platform's wall clock at the world's beginning, in milliseconds since the beginning of 2026.
+const EPOCH_MS: u64 = 28_000_000_000;
+
+impl Fleet {
+    /// So many schedulers by these settings, none of them started.
+    pub fn new(size: Number, settings: AgreedSettings, workers: Sight, link: Link) -> Self {
+        let net = Net::new(size, settings.seed, link);
+        Self { net, settings, workers, asked: BTreeMap::new(), planted: None, answers: Vec::new() }
+    }
+
+    /// Whoever starts from now on has this fault.
+    #[doc(hidden)]
+    pub fn plant(&mut self, fault: Fault) {
+        self.planted = Some(fault);
+    }
+
+    /// Starts a scheduler, which knows nothing of an earlier life.
+    pub fn start(&mut self, of: Number) {
+        let (size, now) = (self.net.numbers().end, self.net.clock(of));
+        let wall = EPOCH_MS + self.net.now / 1_000;
+        let life = self.net.draw(u64::from(u32::MAX)) as u32;
+        let settings = AgreedSettings { own: of, life, ..self.settings.clone() };
+        let view = View::new(FleetSettings::new(size, of, wall, self.settings.seed), now);
+        let (Ok(view), Ok(mut member)) = (view, Member::new(settings, now)) else { return };
+        self.planted.into_iter().for_each(|fault| member.plant(fault, now));
+        let wall_ms = wall - now / 1_000;
+        let scheduler = Scheduler { view, member, workers: self.workers.clone(), wall_ms };
+        self.net.put(of, scheduler);
+    }
+
+    /// What all are told of workers from now on.
+    pub fn tell_workers(&mut self, workers: Sight) {
+        for of in self.net.numbers() {
+            self.net.party_mut(of).into_iter().for_each(|one| one.workers.clone_from(&workers));
+        }
+        self.workers = workers;
+    }
+
+    /// An operator asks for something through a scheduler that is up.
+    pub fn ask(&mut self, by: Number, wish: Wish) {
+        let mut tag = None;
+        self.net.act(by, |one, now, out| {
+            let asked = one.part(now, out, |member, look, out| member.ask(now, wish, look, out));
+            tag = Some((asked, now));
+        });
+        if let Some((tag, since)) = tag {
+            self.asked.insert((by, tag), Errand { wish, since });
+        }
+    }
+
+    /// Runs until this time, and reads the answers that have come.
+    pub fn run(&mut self, until: Micros) {
+        self.net.run(until);
+        for (at, by, told) in &self.net.told {
+            let Told::Agreed(Output::Answered { tag, answer }) = told else { continue };
+            let Some(Errand { wish, since }) = self.asked.remove(&(*by, *tag)) else { continue };
+            let until = since + self.settings.times.lease;
+            self.answers.push(Answer { at: *at, by: *by, wish, answer: *answer, until });
+        }
+        self.net.told.clear();
+    }
+
+    /// The schedulers that are foremen, by their own word.
+    pub fn foremen(&self) -> Vec<Number> {
+        let is = |of: &Number| self.net.party(*of).is_some_and(|one| one.member.is_foreman());
+        self.net.numbers().filter(is).collect()
+    }
+
+    /// Whether a scheduler does not run.
+    pub fn is_down(&self, subject: Subject) -> bool {
+        matches!(subject, Subject::Scheduler(of) if self.net.party(of).is_none())
+    }
+}
