Node, fleet command: drains, releases and halts asked for by operators

A drained worker is told to the module as leaving, by the event it has; each scheduler tells by the board how much it has in hand for drained workers. basaltward fleet status, drain, back, write-off, release, halt, resume ask any scheduler by datagrams from an operator's address; a release restarts schedulers one after another by a program, each by a permit. The plan of a release is not yet kept by the fleet.

--- a/crates/agreed/src/bounds.rs
+++ b/crates/agreed/src/bounds.rs
@@ -29,7 +29,7 @@
 
 /// Bounds for schedulers and workers apart, in the whole fleet and in each zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(default)]
 pub struct Bounds {
     /// Schedulers of the fleet.
     pub schedulers: Most,
--- a/crates/agreed/src/lib.rs
+++ b/crates/agreed/src/lib.rs
@@ -10,6 +10,7 @@
 mod keeper;
 mod ledger;
 mod member;
+mod operator;
 mod seat;
 mod settings;
 mod wire;
@@ -23,7 +24,8 @@
 #[doc(hidden)]
 pub use member::Fault;
 pub use member::{Eyes, Member, Output};
+pub use operator::{OPERATOR, Request, Response, Status, Told, Want};
 pub use seat::{Epoch, FromSeat, Seat, Stored, ToSeat};
 pub use settings::{AgreedSettings, SEATS, SettingsError, council};
 pub use wire::{Halt, VERSION, Wish};
-pub use world::{Answer, Fleet, Scheduler, Told};
+pub use world::{Answer, Fleet, Said, Scheduler};
--- a/crates/agreed/src/member.rs
+++ b/crates/agreed/src/member.rs
@@ -457,7 +457,11 @@
     ) -> Result<(Ledger, u16), Denied> {
         let mut changed = ledger.clone();
         match wish {
-            Wish::Out(_) if self.halt.on => Err(Denied::Halted),
+            Wish::Out(_) | Wish::Try(_) if self.halt.on => Err(Denied::Halted),
+            Wish::Try(subject) => {
+                permit(ledger, &eyes.sight(now), &self.settings.bounds, subject)?;
+                Ok((changed, 0))
+            }
             Wish::Out(subject) => {
                 let none = Ledger { given: ledger.given, ..Ledger::default() };
                 let counted = if self.counts_permits { ledger } else { &none };
--- a/crates/agreed/src/wire.rs
+++ b/crates/agreed/src/wire.rs
@@ -23,6 +23,8 @@
 pub enum Wish {
     /// A permit to be out.
     Out(Subject),
+    /// Whether one would be given now.
+    Try(Subject),
     /// Whoever asked for this one's permit, of this number, does nothing by it any more; it is in use again, or was
     /// never out.
     Done(Subject, u16),
--- a/crates/agreed/src/world.rs
+++ b/crates/agreed/src/world.rs
@@ -23,7 +23,7 @@
 }
 
 /// What a scheduler puts out.
-pub enum Told {
+pub enum Said {
     /// Bytes to another.
     Send(Number, Vec<u8>),
     /// Its view.
@@ -37,7 +37,7 @@
     pub fn part<T>(
         &mut self,
         now: Micros,
-        out: &mut Vec<Told>,
+        out: &mut Vec<Said>,
         act: impl FnOnce(&mut Member, &Look, &mut Vec<Output>) -> T,
     ) -> T {
         let wall_ms = self.wall_ms + now / 1_000;
@@ -45,24 +45,24 @@
         let mut told = Vec::new();
         let done = act(&mut self.member, &look, &mut told);
         out.extend(told.into_iter().map(|told| match told {
-            Output::Send { to, bytes } => Told::Send(to, bytes),
-            other => Told::Agreed(other),
+            Output::Send { to, bytes } => Said::Send(to, bytes),
+            other => Said::Agreed(other),
         }));
         done
     }
 }
 
-fn seen(told: Vec<Seen>, out: &mut Vec<Told>) {
+fn seen(told: Vec<Seen>, out: &mut Vec<Said>) {
     out.extend(told.into_iter().map(|told| match told {
-        Seen::Send { to, bytes } => Told::Send(to, bytes),
-        other => Told::View(other),
+        Seen::Send { to, bytes } => Said::Send(to, bytes),
+        other => Said::View(other),
     }));
 }
 
 impl Party for Scheduler {
-    type Out = Told;
+    type Out = Said;
 
-    fn handle(&mut self, now: Micros, from: Number, bytes: &[u8], out: &mut Vec<Told>) {
+    fn handle(&mut self, now: Micros, from: Number, bytes: &[u8], out: &mut Vec<Said>) {
         if bytes.first() == Some(&VERSION) {
             self.part(now, out, |member, look, out| member.handle(now, from, bytes, look, out));
         } else {
@@ -72,7 +72,7 @@
         }
     }
 
-    fn wake(&mut self, now: Micros, out: &mut Vec<Told>) {
+    fn wake(&mut self, now: Micros, out: &mut Vec<Said>) {
         if self.view.next_due() <= now {
             let mut told = Vec::new();
             self.view.wake(now, &mut told);
@@ -87,9 +87,9 @@
         self.view.next_due().min(self.member.next_due())
     }
 
-    fn datagram(out: Told) -> Result<(Number, Vec<u8>), Told> {
+    fn datagram(out: Said) -> Result<(Number, Vec<u8>), Said> {
         match out {
-            Told::Send(to, bytes) => Ok((to, bytes)),
+            Said::Send(to, bytes) => Ok((to, bytes)),
             other => Err(other),
         }
     }
@@ -184,7 +184,7 @@
     pub fn run(&mut self, until: Micros) {
         self.net.run(until);
         for (at, by, told) in &self.net.told {
-            let Told::Agreed(Output::Answered { tag, answer }) = told else { continue };
+            let Said::Agreed(Output::Answered { tag, answer }) = told else { continue };
             let Some(Errand { wish, since }) = self.asked.remove(&(*by, *tag)) else { continue };
             let until = since + self.settings.times.lease;
             self.answers.push(Answer { at: *at, by: *by, wish, answer: *answer, until });
--- /dev/null
+++ b/crates/cli/src/agreed.rs
@@ -0,0 +1,229 @@
+//! What operators ask of a fleet that agrees on who may be out: drains, releases, halts.
+
+use crate::Failed;
+use crate::args::{FleetCommand, Through};
+use basaltward_agreed::{Answered, Denied, Permit, Status, Subject, Told, Want, Wish, worker};
+use basaltward_node::ask_agreed;
+use serde_json::json;
+use std::path::Path;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+/// A permit may be acted on for so long from when it was asked for, see the design note.
+const ACT: Duration = Duration::from_secs(2);
+/// What was denied is asked again after this.
+const AGAIN: Duration = Duration::from_millis(500);
+
+/// Does what is asked.
+pub fn run(command: &FleetCommand) -> Result<(), Failed> {
+    match command {
+        FleetCommand::Status(through) => show(through),
+        FleetCommand::Drain { worker: name, dry_run, wait, through } => {
+            let subject = worker(name);
+            if *dry_run {
+                return tried(through, name, subject);
+            }
+            let until = Instant::now() + Duration::from_secs(*wait);
+            let (number, _) = permitted(through, name, subject, until)?;
+            say(through, name, "drained", json!({"permit": number}));
+            clear(through, name, until)
+        }
+        FleetCommand::Back { worker: name, through } => {
+            let subject = worker(name);
+            let number = standing(through, subject)?.number;
+            granted(through, Wish::Done(subject, number))?;
+            say(through, name, "back", json!({}));
+            Ok(())
+        }
+        FleetCommand::WriteOff { subject: name, scheduler, through } => {
+            let subject = if *scheduler { Subject::Scheduler(numbered(name)?) } else { worker(name) };
+            granted(through, Wish::WriteOff(subject))?;
+            say(through, name, "written off", json!({}));
+            Ok(())
+        }
+        FleetCommand::Release { run, only, dry_run, wait, through } => {
+            release(through, run, only, *dry_run, *wait)
+        }
+        FleetCommand::Halt(through) => match ask(through, Want::Halt)? {
+            Told::Halted(halt) => {
+                say(through, "all", "halted", json!({"count": halt.count}));
+                Ok(())
+            }
+            _ => Err(strange()),
+        },
+        FleetCommand::Resume(through) => {
+            let halt = status(through)?.halt;
+            granted(through, Wish::Resume(halt.count))?;
+            say(through, "all", "resumed", json!({"count": halt.count}));
+            Ok(())
+        }
+        FleetCommand::View { .. } => Ok(()),
+    }
+}
+
+fn strange() -> Failed {
+    Failed::Run("an answer to another question".into())
+}
+
+fn numbered(name: &str) -> Result<u16, Failed> {
+    name.parse().map_err(|_| Failed::Input(format!("{name} is not a scheduler's number")))
+}
+
+/// One line, or one JSON object, for each step.
+fn say(through: &Through, of: &str, what: &str, more: serde_json::Value) {
+    if through.json {
+        println!("{}", json!({"of": of, "what": what, "more": more}));
+    } else if more.as_object().is_some_and(|more| !more.is_empty()) {
+        println!("{of}: {what} {more}");
+    } else {
+        println!("{of}: {what}");
+    }
+}
+
+/// The answer of the first that gives one.
+fn ask(through: &Through, want: Want) -> Result<Told, Failed> {
+    let mut last = Failed::Input("nobody to ask".into());
+    for of in &through.of {
+        match ask_agreed(*of, want) {
+            Ok(told) => return Ok(told),
+            Err(error) => last = Failed::Run(format!("{of}: {error}")),
+        }
+    }
+    Err(last)
+}
+
+fn wished(through: &Through, wish: Wish) -> Result<Answered, Failed> {
+    match ask(through, Want::Wish(wish))? {
+        Told::Answer(answer) => Ok(answer),
+        _ => Err(strange()),
+    }
+}
+
+fn granted(through: &Through, wish: Wish) -> Result<u16, Failed> {
+    wished(through, wish)?.map_err(|why| Failed::Run(why.to_string()))
+}
+
+fn status(through: &Through) -> Result<Status, Failed> {
+    match ask(through, Want::Status)? {
+        Told::Status(status) => Ok(status),
+        _ => Err(strange()),
+    }
+}
+
+fn standing(through: &Through, subject: Subject) -> Result<Permit, Failed> {
+    let permits = status(through)?.permits;
+    let permit = permits.into_iter().find(|permit| permit.subject == subject);
+    permit.ok_or_else(|| Failed::Run("it has no permit to be out".into()))
+}
+
+fn tried(through: &Through, name: &str, subject: Subject) -> Result<(), Failed> {
+    match wished(through, Wish::Try(subject))? {
+        Ok(_) => say(through, name, "might go now", json!({})),
+        Err(why) => say(through, name, "might not go now", json!({"why": why.to_string()})),
+    }
+    Ok(())
+}
+
+/// Asks until it is permitted, and gives the permit's number and when it was asked for. What another try can't change
+/// ends it.
+fn permitted(
+    through: &Through,
+    name: &str,
+    subject: Subject,
+    until: Instant,
+) -> Result<(u16, Instant), Failed> {
+    let mut told = None;
+    loop {
+        let asked = Instant::now();
+        let why = match wished(through, Wish::Out(subject)) {
+            Ok(Ok(number)) => return Ok((number, asked)),
+            Ok(Err(why @ (Denied::Unknown | Denied::Taken))) => {
+                return Err(Failed::Run(format!("{name}: {why}")));
+            }
+            Ok(Err(why)) => why.to_string(),
+            Err(Failed::Run(why) | Failed::Input(why)) => why,
+        };
+        if Instant::now() >= until {
+            return Err(Failed::Run(format!("{name}: {why}")));
+        }
+        if told.as_ref() != Some(&why) {
+            say(through, name, "waits", json!({"why": why}));
+            told = Some(why);
+        }
+        std::thread::sleep(AGAIN);
+    }
+}
+
+/// Waits until every scheduler has said that it has nothing in hand for drained workers.
+fn clear(through: &Through, name: &str, until: Instant) -> Result<(), Failed> {
+    loop {
+        let unclear = status(through)?.unclear;
+        if unclear == 0 {
+            say(through, name, "clear", json!({}));
+            return Ok(());
+        }
+        if Instant::now() >= until {
+            return Err(Failed::Run(format!(
+                "{name}: {unclear} schedulers have not said that they have nothing there"
+            )));
+        }
+        std::thread::sleep(AGAIN);
+    }
+}
+
+fn show(through: &Through) -> Result<(), Failed> {
+    let status = status(through)?;
+    if through.json {
+        println!("{}", serde_json::to_string(&status)?);
+        return Ok(());
+    }
+    let foreman = status.foreman.map_or("nobody".into(), |of| format!("n{of}"));
+    let halted = if status.halt.on { ", HALTED" } else { "" };
+    println!("by n{}: foreman {foreman}{halted}", status.own);
+    println!("out: {} schedulers, {} workers; unclear: {}", status.out.0, status.out.1, status.unclear);
+    for permit in &status.permits {
+        let back = if permit.back { ", comes back" } else { "" };
+        println!("permit {}: {:?}{back}", permit.number, permit.subject);
+    }
+    Ok(())
+}
+
+/// Restarts one after another. Whoever dies here leaves a permit that counts until its subject has proven to be back;
+/// run again, it goes on.
+fn release(through: &Through, run: &Path, only: &[u16], dry_run: bool, wait: u64) -> Result<(), Failed> {
+    let of = match only {
+        [] => {
+            let first = through.of.first().ok_or_else(|| Failed::Input("nobody to ask".into()))?;
+            (0..basaltward_node::ask_view(*first)?.size).collect()
+        }
+        only => only.to_vec(),
+    };
+    for number in of {
+        let (name, subject) = (format!("n{number}"), Subject::Scheduler(number));
+        if dry_run {
+            tried(through, &name, subject)?;
+            continue;
+        }
+        let until = Instant::now() + Duration::from_secs(wait);
+        let permit = loop {
+            let (permit, asked) = permitted(through, &name, subject, until)?;
+            // Whoever acts looks at the time itself: the answer may have been long on its way.
+            if asked.elapsed() < ACT {
+                break permit;
+            }
+            let _ = wished(through, Wish::Done(subject, permit));
+        };
+        say(through, &name, "goes", json!({"permit": permit}));
+        let ended = Command::new(run).arg(number.to_string()).status()?;
+        if !ended.success() {
+            let _ = ask(through, Want::Halt);
+            return Err(Failed::Run(format!("{name}: {} ended with {ended}; all is halted", run.display())));
+        }
+        // Where this is lost the permit ends by what is seen, later.
+        if let Err(Failed::Run(why) | Failed::Input(why)) = granted(through, Wish::Done(subject, permit)) {
+            say(through, &name, "is back, but that could not be told", json!({"why": why}));
+        }
+        say(through, &name, "is back", json!({}));
+    }
+    Ok(())
+}
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -71,6 +71,70 @@
         #[arg(long)]
         json: bool,
     },
+    /// Print what is agreed: who may be out, whether all is halted
+    Status(Through),
+    /// Take a worker out of use, and wait until no scheduler has anything there
+    Drain {
+        /// The worker's name in the bulletin
+        worker: String,
+        /// Ask whether it might be, and leave it
+        #[arg(long)]
+        dry_run: bool,
+        /// Wait for the permit and for the calls in hand, in seconds
+        #[arg(long, default_value_t = 120)]
+        wait: u64,
+        #[command(flatten)]
+        through: Through,
+    },
+    /// Take a worker's drain back: it is used again, and counts as out until it is warm
+    Back {
+        /// The worker's name in the bulletin
+        worker: String,
+        #[command(flatten)]
+        through: Through,
+    },
+    /// End a permit whatever is seen of its subject. This can't be undone
+    WriteOff {
+        /// The worker's name in the bulletin, or with --scheduler a scheduler's number
+        subject: String,
+        /// It is a scheduler
+        #[arg(long)]
+        scheduler: bool,
+        #[command(flatten)]
+        through: Through,
+    },
+    /// Restart schedulers one after another by a program, each by a permit
+    Release {
+        /// Restarts the scheduler whose number it is given, and ends well once that serves again
+        #[arg(long, value_name = "PROGRAM")]
+        run: PathBuf,
+        /// Which, by number; all without
+        #[arg(long, value_delimiter = ',')]
+        only: Vec<u16>,
+        /// Say for each whether it might go now, and restart nothing
+        #[arg(long)]
+        dry_run: bool,
+        /// Wait for each permit, in seconds
+        #[arg(long, default_value_t = 300)]
+        wait: u64,
+        #[command(flatten)]
+        through: Through,
+    },
+    /// Permit nothing new anywhere, at once
+    Halt(Through),
+    /// End a halt
+    Resume(Through),
+}
+
+/// Through whom to ask.
+#[derive(ClapArgs)]
+pub struct Through {
+    /// Where schedulers take datagrams (`peer_listen`), the first that answers; they must name us as an operator
+    #[arg(long, value_name = "ADDRESS", required = true, value_delimiter = ',')]
+    pub of: Vec<SocketAddr>,
+    /// JSON in place of lines
+    #[arg(long)]
+    pub json: bool,
 }
 
 /// Options of `trial`.
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,11 +1,11 @@
-use crate::Failed;
 use crate::args::{Fleet, FleetCommand};
+use crate::{Failed, agreed};
 use basaltward_fleet::{Answer, State};
 use basaltward_node::ask_view;
 
 /// Asks about the fleet.
 pub fn run(options: &Fleet) -> Result<(), Failed> {
-    let FleetCommand::View { of, json } = &options.command;
+    let FleetCommand::View { of, json } = &options.command else { return agreed::run(&options.command) };
     let view = ask_view(*of)?;
     if *json {
         println!("{}", serde_json::to_string(&view)?);
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The `basaltward` program.
 
+mod agreed;
 mod args;
 mod call;
 mod demo;
--- a/crates/fleet/src/board.rs
+++ b/crates/fleet/src/board.rs
@@ -160,7 +160,8 @@
         .unwrap_or_default()
 }
 
-fn counters(value: &[u8]) -> Option<Vec<u64>> {
+/// The counters that a value holds.
+pub fn counters(value: &[u8]) -> Option<Vec<u64>> {
     postcard::from_bytes(value).ok()
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,7 +20,7 @@
 mod world;
 
 pub use ask::{Answer, CALLS, PAGE, Question, Seen};
-pub use board::{KEYS, LONGEST, VALUE, value_of};
+pub use board::{KEYS, LONGEST, VALUE, counters as counters_of, value_of};
 pub use net::{Link, Net, Party};
 pub use settings::{FleetSettings, SettingsError};
 pub use types::{Entry, Incarnation, Micros, Number, State};
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -1,5 +1,6 @@
 //! Asks a scheduler for its view of the fleet, as an operator.
 
+use basaltward_agreed::{Request, Response, Told, Want};
 use basaltward_fleet::{Answer, MOST, Number, Question, Seen};
 use std::io::{Error, ErrorKind, Result};
 use std::net::{SocketAddr, UdpSocket};
@@ -7,16 +8,38 @@
 
 /// An answer comes within this, or the question is asked again, so often.
 const WAIT: (Duration, u32) = (Duration::from_millis(300), 5);
+/// A request of what is agreed goes so often: longer than a foreman is given to answer.
+const AGREED: u32 = 9;
+
+/// Asks for something that the fleet agrees on; the same request again until it is answered, but no longer than the
+/// answer would count.
+///
+/// # Errors
+/// Where nobody answers there.
+pub fn ask_agreed(of: SocketAddr, want: Want) -> Result<Told> {
+    let socket = socket(of)?;
+    let tag =
+        crc32fast::hash(format!("{:?} {:?}", socket.local_addr()?, std::time::SystemTime::now()).as_bytes());
+    let request = Request { tag, want }.write();
+    for _ in 0..AGREED {
+        socket.send(&request)?;
+        let mut bytes = [0; MOST];
+        while let Ok(length) = socket.recv(&mut bytes) {
+            match Response::read(&bytes[..length]) {
+                Ok(response) if response.tag == tag => return Ok(response.told),
+                _ => {}
+            }
+        }
+    }
+    Err(Error::new(ErrorKind::TimedOut, "no answer: not a scheduler that takes us for an operator"))
+}
 
 /// The whole view: the last page with the entries of all.
 ///
 /// # Errors
 /// Where nobody answers there.
 pub fn ask_view(of: SocketAddr) -> Result<Answer> {
-    let any: SocketAddr = if of.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
-    let socket = UdpSocket::bind(any)?;
-    socket.connect(of)?;
-    socket.set_read_timeout(Some(WAIT.0))?;
+    let socket = socket(of)?;
     let mut all: Vec<Seen> = Vec::new();
     let mut tag = 0;
     loop {
@@ -31,6 +54,14 @@
     }
 }
 
+fn socket(of: SocketAddr) -> Result<UdpSocket> {
+    let any: SocketAddr = if of.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
+    let socket = UdpSocket::bind(any)?;
+    socket.connect(of)?;
+    socket.set_read_timeout(Some(WAIT.0))?;
+    Ok(socket)
+}
+
 fn page(socket: &UdpSocket, question: Question) -> Result<Answer> {
     for _ in 0..WAIT.1 {
         socket.send(&question.write())?;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,4 +1,5 @@
 use crate::Budget;
+use basaltward_agreed::Bounds;
 use basaltward_bulletin::Known;
 use basaltward_told::{Told, ToldError};
 use serde::Deserialize;
@@ -54,6 +55,14 @@
     name: String,
     #[serde(default)]
     operators: Vec<IpAddr>,
+    /// Absent, this scheduler has no part in what the fleet agrees on.
+    agreed: Option<AgreedFile>,
+}
+
+#[derive(Deserialize)]
+struct AgreedFile {
+    #[serde(default)]
+    bounds: Bounds,
 }
 
 /// The fleet's view, where it is kept.
@@ -67,6 +76,8 @@
     pub peers: Vec<SocketAddr>,
     /// From where operators may ask.
     pub operators: Vec<IpAddr>,
+    /// How many may be out at once, where the fleet agrees on that.
+    pub bounds: Option<Bounds>,
 }
 
 #[derive(Deserialize)]
@@ -113,15 +124,16 @@
     let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(bytes))?;
     let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?;
     let told = basaltward_told::parse(file.settings.get())?;
-    let unsaid = FleetFile { view, name: String::new(), operators: Vec::new() };
+    let unsaid = FleetFile { view, name: String::new(), operators: Vec::new(), agreed: None };
     let fleet = match Some(file.fleet.unwrap_or(unsaid)).filter(|fleet| fleet.view) {
         None => None,
-        Some(FleetFile { name, operators, .. }) => {
+        Some(FleetFile { name, operators, agreed, .. }) => {
             let listen = file.peer_listen.ok_or(ConfigError::Fleet("peer_listen is missing"))?;
             if file.peers.len() <= told.module.self_index as usize || file.peers.len() > MOST_PEERS {
                 return Err(ConfigError::Fleet("peers holds none of our number, or too many"));
             }
-            Some(FleetConfig { name, listen, peers: file.peers, operators })
+            let bounds = agreed.map(|agreed| agreed.bounds);
+            Some(FleetConfig { name, listen, peers: file.peers, operators, bounds })
         }
     };
     Ok(NodeConfig {
--- a/crates/node/src/fellows.rs
+++ b/crates/node/src/fellows.rs
@@ -1,7 +1,10 @@
 //! The fleet's view on the loop: datagrams carried between it and the one socket for other schedulers.
 
+use crate::agreement::Agreement;
 use crate::config::{FleetConfig, NodeConfig};
 use crate::notes::Notes;
+use basaltward_agreed::{Request, VERSION};
+use basaltward_bulletin::Roster;
 use basaltward_fleet::{Answer, CALLS, FleetSettings, MOST, Newer, Number, Output, Question, View, value_of};
 use basaltward_net::{Clock, Io, Micros, NetError};
 use std::collections::HashMap;
@@ -14,7 +17,7 @@
 /// Log lines on changes in a second at most; more are counted.
 const LINES: u32 = 50;
 /// The beginning of 2026, in milliseconds since 1970: incarnations count from there.
-const EPOCH_MS: u64 = 1_767_225_600_000;
+pub(crate) const EPOCH_MS: u64 = 1_767_225_600_000;
 
 /// The view with its socket.
 pub struct Fellows {
@@ -30,6 +33,10 @@
     calls: [u64; 3],
     tell_calls: Micros,
     out: Vec<Output>,
+    /// Our part in what is agreed, where the configuration asks for it.
+    agreement: Option<Agreement>,
+    /// News of workers whose drain began or ended, until the loop takes it.
+    drains: Vec<Roster>,
 }
 
 /// A hash of the fleet's name: members of another are not heeded. Not of its size, as a new list reaches
@@ -57,6 +64,8 @@
             FleetSettings { fleet: tag(fleet), ..FleetSettings::new(size, own, start, config.seed) };
         // The configuration has been checked for what this checks.
         let Ok(view) = View::new(settings, now) else { return Ok(None) };
+        let zones = config.told.zones.clone();
+        let agreement = fleet.bounds.and_then(|bounds| Agreement::new(&settings, bounds, zones, now));
         let numbers = numbers(&fleet.peers);
         let (peers, operators) = (fleet.peers.clone(), fleet.operators.clone());
         Ok(Some(Self {
@@ -69,6 +78,8 @@
             calls: [0; 3],
             tell_calls: now,
             out: Vec::new(),
+            agreement,
+            drains: Vec::new(),
         }))
     }
 
@@ -78,7 +89,8 @@
     }
 
     pub fn next_due(&self) -> Micros {
-        self.view.next_due().min(self.tell_calls)
+        let agreed = self.agreement.as_ref().map_or(Micros::MAX, Agreement::next_due);
+        self.view.next_due().min(self.tell_calls).min(agreed)
     }
 
     /// A call has its answer: served, refused or failed.
@@ -91,6 +103,9 @@
         if self.view.resize(fleet.peers.len() as Number) {
             (self.peers, self.numbers) = (fleet.peers.clone(), numbers(&fleet.peers));
             self.operators.clone_from(&fleet.operators);
+            if let (Some(agreement), Some(bounds)) = (&mut self.agreement, fleet.bounds) {
+                agreement.set_bounds(bounds);
+            }
             info!(members = self.peers.len(), "fleet's list read");
         }
     }
@@ -102,28 +117,44 @@
         for _ in 0..64 {
             let Some((length, from)) = io.receive(self.socket, &mut bytes) else { break };
             let bytes = &bytes[..length];
-            if let Some(number) = self.numbers.get(&from) {
+            let kind = bytes.first().copied();
+            if let Some(number) = self.numbers.get(&from).filter(|_| kind == Some(VERSION)) {
+                if let Some(agreement) = &mut self.agreement {
+                    agreement.handle(&self.view, now, *number, bytes);
+                }
+            } else if let Some(number) = self.numbers.get(&from) {
                 self.view.handle(now, *number, bytes, &mut self.out);
             } else if self.operators.contains(&from.ip())
                 && let Ok(question) = Question::read(bytes)
             {
                 let answer = Answer::new(&self.view, now, question).write();
                 io.send_to(self.socket, from, &answer);
+            } else if self.operators.contains(&from.ip())
+                && let Ok(request) = Request::read(bytes)
+            {
+                match &mut self.agreement {
+                    Some(agreement) => agreement.asked(&self.view, now, from, request, io, self.socket),
+                    None => Agreement::none(io, self.socket, from, request.tag),
+                }
             }
         }
         self.carry_out(io, now, notes);
     }
 
-    pub fn wake(&mut self, io: &mut Io, now: Micros, notes: &Notes) {
+    /// Does what is due; `in_hand` says how much these workers have of ours.
+    pub fn wake(&mut self, io: &mut Io, now: Micros, notes: &Notes, in_hand: impl FnOnce(&[&str]) -> usize) {
         if now >= self.tell_calls {
             let gap = TELL_US.0.max(TELL_US.1 * self.peers.len() as Micros);
             self.tell_calls = now + gap;
             self.view.tell_fact(now, CALLS, &value_of(&self.calls), gap * 4);
         }
+        if let Some(agreement) = &mut self.agreement {
+            agreement.wake(&mut self.view, now, in_hand);
+        }
         if self.view.next_due() <= now {
             self.view.wake(now, &mut self.out);
-            self.carry_out(io, now, notes);
         }
+        self.carry_out(io, now, notes);
     }
 
     /// We leave, and finish what we have.
@@ -138,7 +169,20 @@
         self.carry_out(io, now, notes);
     }
 
+    /// What the bulletin tells, as the module is to hear it.
+    pub fn told(&mut self, now: Micros, roster: &Roster) -> Roster {
+        self.agreement.as_mut().map_or_else(|| roster.clone(), |agreement| agreement.told(now, roster))
+    }
+
+    /// News of workers whose drain began or ended.
+    pub fn take_drains(&mut self) -> Vec<Roster> {
+        std::mem::take(&mut self.drains)
+    }
+
     fn carry_out(&mut self, io: &mut Io, now: Micros, notes: &Notes) {
+        if let Some(agreement) = &mut self.agreement {
+            self.drains.extend(agreement.carry_out(io, now, self.socket, &self.peers));
+        }
         for output in std::mem::take(&mut self.out) {
             match output {
                 Output::Send { to, bytes } => {
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -227,6 +227,12 @@
         }
     }
 
+    /// Jobs that these workers have of ours.
+    pub fn in_hand(&self, workers: &[&str]) -> usize {
+        let there = self.conns.values().filter(|link| workers.contains(&&*link.worker.to_string()));
+        there.map(LinkConn::load).sum()
+    }
+
     /// A connection takes no more jobs; it ends at once where none is on it.
     fn retire(&mut self, io: &mut Io, conn: ConnId) {
         let Some(link) = self.conns.get_mut(&conn) else { return };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -351,6 +351,7 @@
             Happened::Signal(_) => self.want(now, STOP),
             Happened::Datagrams(_) => {
                 self.fellows.iter_mut().for_each(|fellows| fellows.data(&mut self.io, now, &self.notes));
+                self.drains(now);
             }
             Happened::Woken => {
                 let wanted = self.wanted.swap(0, Ordering::AcqRel);
@@ -376,7 +377,11 @@
     /// Does what is due: answers first, the rest as far as its time in a turn goes.
     fn wake(&mut self, mut now: Micros) {
         let since = now;
-        self.fellows.iter_mut().for_each(|fellows| fellows.wake(&mut self.io, now, &self.notes));
+        if let Some(fellows) = &mut self.fellows {
+            let links = &self.links;
+            fellows.wake(&mut self.io, now, &self.notes, |workers| links.in_hand(workers));
+        }
+        self.drains(now);
         loop {
             let mut outputs = std::mem::take(&mut self.outputs);
             self.engine.answer_due(now, &mut outputs);
@@ -552,7 +557,23 @@
         }
     }
 
+    /// Workers whose drain began or ended, by what the fleet agrees on.
+    fn drains(&mut self, now: Micros) {
+        let news = self.fellows.as_mut().map(Fellows::take_drains).unwrap_or_default();
+        news.iter().for_each(|roster| self.heard(now, roster));
+    }
+
     fn roster(&mut self, now: Micros, roster: &Roster) {
+        match &mut self.fellows {
+            Some(fellows) => {
+                let told = fellows.told(now, roster);
+                self.heard(now, &told);
+            }
+            None => self.heard(now, roster),
+        }
+    }
+
+    fn heard(&mut self, now: Micros, roster: &Roster) {
         let (kind, members) = self.names.members(roster);
         let addressed: Vec<_> =
             members.iter().cloned().zip(roster.targets.iter().map(|t| t.endpoint)).collect();
