Drains and releases between processes; who starts anew asks first what is drained

Two tests between processes with calls in flight: a worker is drained by five schedulers, the bound holds while the foreman is killed and another takes its place, the drain is taken back and the worker used again; a halt reaches all of four, and two are restarted by a program, each by a permit.

They found three faults. A wish that changes nothing waited for a version that was agreed already (member.rs, asked): dry runs and resumes were never answered. A scheduler that started anew sent two calls to a drained worker before it had heard of the drain: it now asks the council at its start and holds its workers back until it is told, 0.5 s at the longest. The command said clear when the scheduler it asked did not know of the drain yet, 50 ms after another did: it now looks for the permit in what that one knows.

--- a/crates/agreed/src/member.rs
+++ b/crates/agreed/src/member.rs
@@ -82,6 +82,8 @@
     claim_at: Micros,
     asked: BTreeMap<u32, Asked>,
     tag: u32,
+    /// Another one has told us what it knows since our start.
+    heard: bool,
     rng: StdRng,
     /// Messages to ourselves.
     own: VecDeque<Body>,
@@ -116,6 +118,7 @@
             asked: BTreeMap::new(),
             // A foreman remembers what it answered an earlier life of ours: its numbers are not used again.
             tag: settings.life,
+            heard: false,
             rng: StdRng::seed_from_u64(seed),
             own: VecDeque::new(),
             counts_permits: true,
@@ -151,6 +154,19 @@
         self.halt
     }
 
+    /// Whether another one has told us what it knows since our start: before, a worker may be drained and we not
+    /// know of it.
+    pub fn has_heard(&self) -> bool {
+        self.heard
+    }
+
+    /// Asks the council what it knows. For whoever has just started, as a view has nobody to ask yet.
+    pub fn recall(&mut self, out: &mut Out) {
+        let own = self.settings.own;
+        let seats = self.settings.seats.clone().into_iter();
+        seats.filter(|seat| *seat != own).for_each(|to| self.send(to, Body::Recall, out));
+    }
+
     /// Whether we are foreman, and know what is out.
     pub fn is_foreman(&self) -> bool {
         self.keeper.as_ref().is_some_and(|keeper| keeper.agreed().is_some())
@@ -376,6 +392,7 @@
                 self.keeper.iter_mut().for_each(|keeper| keeper.handle(now, from, told.clone()));
             }
             Body::Tell(stored, halt) => {
+                self.heard = true;
                 if let Some(stored) = stored {
                     self.learnt.join(&stored.value);
                     self.hear(stored, out);
@@ -441,7 +458,10 @@
             Ok(changed) => changed,
             Err(why) => return self.answer(asker, Err(why), out),
         };
+        let agreed = self.keeper.as_ref().and_then(Keeper::agreed).map_or(0, |agreed| agreed.version);
         match self.change(changed) {
+            // It changes nothing, and what stands is agreed.
+            Some(version) if version <= agreed => self.answer(asker, Ok(number), out),
             Some(version) if self.desk.wait(version, asker, number) => self.beat(now, out),
             _ => self.answer(asker, Err(Denied::Full), out),
         }
--- a/crates/bench/src/processes.rs
+++ b/crates/bench/src/processes.rs
@@ -36,7 +36,15 @@
     );
     for &schedulers in counts {
         let (work_ms, pause_ms, seed) = (5, 50, 1);
-        let spec = BedSpec { program: program.clone(), schedulers, workers: 1, work_ms, pause_ms, seed };
+        let spec = BedSpec {
+            program: program.clone(),
+            schedulers,
+            workers: 1,
+            work_ms,
+            pause_ms,
+            seed,
+            bounds: None,
+        };
         let mut bed = Bed::start(spec)?;
         let all: Vec<_> = (0..schedulers).collect();
         let half: Vec<_> = (0..schedulers / 2).collect();
--- a/crates/cli/src/agreed.rs
+++ b/crates/cli/src/agreed.rs
@@ -26,7 +26,7 @@
             let until = Instant::now() + Duration::from_secs(*wait);
             let (number, _) = permitted(through, name, subject, until)?;
             say(through, name, "drained", json!({"permit": number}));
-            clear(through, name, until)
+            clear(through, name, (subject, number), until)
         }
         FleetCommand::Back { worker: name, through } => {
             let subject = worker(name);
@@ -154,11 +154,13 @@
     }
 }
 
-/// Waits until every scheduler has said that it has nothing in hand for drained workers.
-fn clear(through: &Through, name: &str, until: Instant) -> Result<(), Failed> {
+/// Waits until every scheduler has said that it has nothing in hand for drained workers. Whoever we ask has to know of
+/// this drain first: until then it tells of others.
+fn clear(through: &Through, name: &str, of: (Subject, u16), until: Instant) -> Result<(), Failed> {
     loop {
-        let unclear = status(through)?.unclear;
-        if unclear == 0 {
+        let Status { unclear, permits, .. } = status(through)?;
+        let knows = permits.iter().any(|permit| (permit.subject, permit.number) == of);
+        if unclear == 0 && knows {
             say(through, name, "clear", json!({}));
             return Ok(());
         }
--- /dev/null
+++ b/crates/cli/tests/agreed.rs
@@ -0,0 +1,177 @@
+//! Drains, releases and halts between processes, with calls in flight and parts that fail.
+use basaltward_agreed::{Bounds, Most};
+use basaltward_rules::{Record, What};
+use basaltward_trial::{Bed, BedSpec, Verdict, judge};
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+/// How long a new fleet may take until it knows what is out, and gives permits.
+const READY: Duration = Duration::from_secs(60);
+
+fn bed(schedulers: usize, workers: usize, bounds: Bounds) -> Bed {
+    let program = env!("CARGO_BIN_EXE_basaltward").into();
+    let spec =
+        BedSpec { program, schedulers, workers, work_ms: 5, pause_ms: 10, seed: 1, bounds: Some(bounds) };
+    let mut bed = Bed::start(spec).expect("a bed");
+    bed.call();
+    bed
+}
+
+fn one() -> Bounds {
+    let most = Most::Number(1);
+    Bounds { schedulers: most, schedulers_of_zone: most, workers: most, workers_of_zone: most }
+}
+
+/// Asks through a scheduler, as an operator does.
+fn fleet(bed: &Bed, through: usize, args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_basaltward"));
+    command.arg("fleet").args(args).arg("--of").arg(bed.peers[through].to_string());
+    command.output().expect("it runs")
+}
+
+fn says(output: &Output) -> String {
+    String::from_utf8_lossy(&[&output.stdout[..], &output.stderr[..]].concat()).into_owned()
+}
+
+fn done(bed: &Bed, through: usize, args: &[&str]) -> String {
+    let output = fleet(bed, through, args);
+    assert!(output.status.success(), "{args:?}: {}", says(&output));
+    says(&output)
+}
+
+fn denied(bed: &Bed, through: usize, args: &[&str], why: &str) {
+    let output = fleet(bed, through, args);
+    assert!(output.status.code() == Some(1) && says(&output).contains(why), "{args:?}: {}", says(&output));
+}
+
+/// Waits until a scheduler's status holds these words.
+fn shows(bed: &Bed, through: usize, words: &str) {
+    let until = Instant::now() + READY;
+    loop {
+        let told = says(&fleet(bed, through, &["status"]));
+        if told.contains(words) {
+            return;
+        }
+        assert!(Instant::now() < until, "n{through}: {told}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// The number of the scheduler that this one takes for foreman.
+fn foreman(bed: &Bed, through: usize) -> usize {
+    let told = done(bed, through, &["status"]);
+    let number = told.split("foreman n").nth(1).and_then(|rest| rest.split(['\n', ',']).next());
+    number.and_then(|number| number.parse().ok()).unwrap_or_else(|| panic!("{told}"))
+}
+
+fn finished(mut bed: Bed) -> (Verdict, Vec<Record>) {
+    let records = bed.finish().expect("it ends");
+    (judge(&bed, &records), records)
+}
+
+/// How many calls a worker has begun so far.
+fn ran(bed: &Bed, worker: &str) -> usize {
+    let mut count = 0;
+    bed.recorder.wait(Duration::ZERO, |all| {
+        count = all.iter().filter(|r| r.by == worker && matches!(r.what, What::Ran { .. })).count();
+        true
+    });
+    count
+}
+
+#[test]
+fn a_worker_is_drained_by_all_and_comes_back_though_the_foreman_dies() {
+    let mut bed = bed(5, 10, one());
+    // The first permit comes once the foreman has learnt what is out.
+    let told = done(&bed, 1, &["drain", "s-3", "--wait", "60"]);
+    assert!(told.contains("clear"), "{told}");
+    let there = ran(&bed, "s-3");
+    denied(&bed, 2, &["drain", "s-4", "--wait", "1"], "2 would be out, 1 may be");
+    let of = foreman(&bed, 2);
+    bed.kill(of);
+    let other = (of + 1) % 5;
+    let next = Instant::now() + READY;
+    while foreman(&bed, other) == of {
+        assert!(Instant::now() < next, "nobody takes its place");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    // The bound is kept by whoever is foreman next.
+    denied(&bed, other, &["drain", "s-4", "--wait", "4"], "2 would be out, 1 may be");
+    bed.up(of).expect("it comes up");
+    // Whoever starts anew hears of the drain before long.
+    shows(&bed, of, "Worker(");
+    assert_eq!(ran(&bed, "s-3"), there, "nothing new has gone there");
+    done(&bed, of, &["back", "s-3"]);
+    let until = Instant::now() + READY;
+    while ran(&bed, "s-3") == there {
+        assert!(Instant::now() < until, "it is not used again");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    // Once it is warm another may go.
+    done(&bed, other, &["drain", "s-4", "--wait", "60"]);
+    let (verdict, records) = finished(bed);
+    assert!(verdict.is_good(), "{:?} {:?}", verdict.rules, verdict.fleet);
+    let leaving = |r: &&Record| matches!(&r.what, What::Told { worker, state } if worker == "s-3" && state == "leaving");
+    assert!(records.iter().filter(leaving).count() >= 5, "the module of each heard of it");
+}
+
+#[test]
+fn a_halt_reaches_all_and_a_release_restarts_one_after_another_with_calls_in_flight() {
+    let mut bed = bed(4, 3, one());
+    // The foreman has learnt what is out.
+    let until = Instant::now() + READY;
+    loop {
+        let told = done(&bed, 0, &["drain", "s-0", "--dry-run"]);
+        if told.contains("might go now") {
+            break;
+        }
+        assert!(Instant::now() < until, "{told}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    done(&bed, 2, &["halt"]);
+    let began = Instant::now();
+    (0..4).for_each(|i| shows(&bed, i, "HALTED"));
+    assert!(began.elapsed() < Duration::from_secs(20));
+    denied(&bed, 1, &["drain", "s-0", "--wait", "1"], "halted");
+    done(&bed, 3, &["resume"]);
+    // The program that the release names tells the test which one goes, and waits until it serves again.
+    let folder = std::env::temp_dir().join(format!("basaltward-release-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let run = folder.join("restart");
+    let text = "#!/bin/sh\ncd \"$(dirname \"$0\")\" || exit 1\n: > \"go.$1\"\nn=0\nwhile [ ! -e \"done.$1\" ]; do\n\
+        n=$((n + 1)); [ $n -lt 600 ] || exit 1; sleep 0.05\ndone\n";
+    std::fs::write(&run, text).expect("written");
+    let mode = std::os::unix::fs::PermissionsExt::from_mode(0o755);
+    std::fs::set_permissions(&run, mode).expect("it may be run");
+    let through: Vec<_> = bed.peers.iter().map(ToString::to_string).collect();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_basaltward"));
+    command
+        .args(["fleet", "release", "--only", "1,3", "--wait", "100", "--run"])
+        .arg(&run)
+        .args(["--of", &through.join(",")]);
+    let mut child = command.spawn().expect("it runs");
+    let until = Instant::now() + Duration::from_secs(200);
+    let mut gone = Vec::new();
+    let status = loop {
+        assert!(Instant::now() < until, "restarted {gone:?}");
+        if let Some(status) = child.try_wait().expect("waited for") {
+            break status;
+        }
+        for i in 0..4 {
+            if !gone.contains(&i) && folder.join(format!("go.{i}")).exists() {
+                assert!(bed.running().len() == 4, "one after another");
+                bed.stop(i).expect("it ends");
+                bed.up(i).expect("it comes up");
+                gone.push(i);
+                std::fs::write(folder.join(format!("done.{i}")), "").expect("written");
+            }
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    assert!(status.success() && gone == [1, 3], "{gone:?}");
+    std::fs::remove_dir_all(&folder).expect("removed");
+    let (verdict, _) = finished(bed);
+    assert!(verdict.is_good(), "{:?} {:?}", verdict.rules, verdict.fleet);
+    let (asked, served, ..) = verdict.calls;
+    assert!(served * 10 > asked * 9, "{served} of {asked} served");
+}
--- a/crates/cli/tests/trial.rs
+++ b/crates/cli/tests/trial.rs
@@ -11,7 +11,7 @@
 
 fn spec(schedulers: usize, workers: usize) -> BedSpec {
     let program = env!("CARGO_BIN_EXE_basaltward").into();
-    BedSpec { program, schedulers, workers, work_ms: 5, pause_ms: 5, seed: 1 }
+    BedSpec { program, schedulers, workers, work_ms: 5, pause_ms: 5, seed: 1, bounds: None }
 }
 
 fn finished(mut bed: Bed) -> (Bed, Verdict) {
--- a/crates/cli/tests/view.rs
+++ b/crates/cli/tests/view.rs
@@ -9,7 +9,15 @@
 
 fn bed(schedulers: usize) -> (Bed, Vec<usize>) {
     let program = env!("CARGO_BIN_EXE_basaltward").into();
-    let bed = Bed::start(BedSpec { program, schedulers, workers: 2, work_ms: 5, pause_ms: 20, seed: 1 });
+    let bed = Bed::start(BedSpec {
+        program,
+        schedulers,
+        workers: 2,
+        work_ms: 5,
+        pause_ms: 20,
+        seed: 1,
+        bounds: None,
+    });
     let everybody: Vec<_> = (0..schedulers).collect();
     let bed = bed.expect("a bed");
     assert!(bed.agreement(&everybody, AGREE).is_some(), "start");
--- a/crates/node/src/agreement.rs
+++ b/crates/node/src/agreement.rs
@@ -19,6 +19,9 @@
 pub const DRAINS: u8 = 1;
 /// That is told so often, and no more often than this for each member.
 const TELL_US: (Micros, Micros) = (1_000_000, 100_000);
+/// Whoever starts uses no worker until it has heard what is drained, but for no longer than this: with nobody there to
+/// tell, it serves. It asks this often.
+const LEARN_US: (Micros, Micros) = (500_000, 50_000);
 /// A member that has been gone for so long has nothing in hand any more: no call lasts so long.
 const CLEAR_US: Micros = 60_000_000;
 
@@ -44,6 +47,10 @@
     drained: BTreeSet<u32>,
     errands: VecDeque<Errand>,
     tell: Micros,
+    /// Until when workers wait for what is drained, and when it is asked for again.
+    learns: Option<(Micros, Micros)>,
+    /// Workers no longer wait.
+    released: bool,
     out: Vec<Output>,
 }
 
@@ -66,7 +73,18 @@
         };
         let member = Member::new(settings, now).ok()?;
         let (workers, drained, errands) = (BTreeMap::new(), BTreeSet::new(), VecDeque::new());
-        Some(Self { member, zones, workers, drained, errands, tell: now, out: Vec::new() })
+        let learns = (fleet.size > 1).then_some((now + LEARN_US.0, now));
+        Some(Self {
+            member,
+            zones,
+            workers,
+            drained,
+            errands,
+            tell: now,
+            learns,
+            released: false,
+            out: Vec::new(),
+        })
     }
 
     pub fn set_bounds(&mut self, bounds: Bounds) {
@@ -74,7 +92,9 @@
     }
 
     pub fn next_due(&self) -> Micros {
-        if self.drained.is_empty() { self.member.next_due() } else { self.member.next_due().min(self.tell) }
+        let tell = if self.drained.is_empty() { Micros::MAX } else { self.tell };
+        let learns = self.learns.map_or(Micros::MAX, |(_, again)| again);
+        self.member.next_due().min(tell).min(learns)
     }
 
     fn sight(&self, now: Micros) -> Sight {
@@ -105,6 +125,17 @@
         if self.member.next_due() <= now {
             self.act(view, now, |member, look, out| member.wake(now, look, out));
         }
+        if let Some((until, again)) = self.learns
+            && now >= again
+        {
+            if now < until && !self.member.has_heard() {
+                self.learns = Some((until, now + LEARN_US.1));
+                self.member.recall(&mut self.out);
+            } else {
+                self.learns = None;
+                self.released = true;
+            }
+        }
         if !self.drained.is_empty() && now >= self.tell {
             let gap = TELL_US.0.max(TELL_US.1 * view.entries().len() as Micros);
             self.tell = now + gap;
@@ -215,7 +246,8 @@
     }
 
     fn heard(&self, target: &Target) -> Target {
-        let drained = target.state == Standing::Ready && self.drained.contains(&tag(&target.uid));
+        let held = self.learns.is_some() || self.drained.contains(&tag(&target.uid));
+        let drained = target.state == Standing::Ready && held;
         let state = if drained { Standing::Terminating } else { target.state };
         Target { state, ..target.clone() }
     }
@@ -248,6 +280,11 @@
                 }
             }
         }
+        if std::mem::take(&mut self.released) {
+            let _ = self.changed(now);
+            let targets = self.workers.values().map(|worker| self.heard(&worker.target)).collect();
+            return Some(Roster { all: false, targets });
+        }
         changed.then(|| self.changed(now)).flatten()
     }
 
--- a/crates/trial/src/bed.rs
+++ b/crates/trial/src/bed.rs
@@ -5,6 +5,7 @@
 use crate::process::{Process, ProcessError};
 use crate::relay::{Laying, Relay};
 use crate::way::{Party, Stream, Way};
+use basaltward_agreed::Bounds;
 use basaltward_fleet::Answer;
 use basaltward_net::{Micros, NetError, monotonic};
 use basaltward_node::ask_view;
@@ -47,6 +48,8 @@
     pub work_ms: u64,
     /// Pause of a client between an answer and its next call, in milliseconds.
     pub pause_ms: u64,
+    /// How many may be out at once, where the fleet is to agree on that.
+    pub bounds: Option<Bounds>,
     /// Every random choice follows from it.
     pub seed: u64,
 }
@@ -412,11 +415,15 @@
 ) -> serde_json::Value {
     let text = |address: &SocketAddr| address.to_string();
     let class = |(name, patience, repeat): &(&str, u64, &str)| json!({"name": name, "deadlineUs": patience * 1_000, "onTimeUs": 1_000_000, "repeat": repeat});
+    let mut fleet = json!({"view": true, "name": "trial", "operators": ["127.0.0.1"]});
+    if let Some(bounds) = spec.bounds {
+        fleet["agreed"] = json!({"bounds": bounds});
+    }
     json!({
         "name": name(number), "listen": text(&listen), "seed": format!("{:x}", spec.seed),
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512},
         "peer_listen": text(&peer_listen), "peers": peers.iter().map(text).collect::<Vec<_>>(),
-        "fleet": {"view": true, "name": "trial", "operators": ["127.0.0.1"]},
+        "fleet": fleet,
         "bulletin": text(&bulletin),
         "known": {"no": 1, "items": [{"no": 1, "roster": {"rev": 1, "all": true, "targets": targets}}]},
         "settings": {
--- a/crates/trial/src/script.rs
+++ b/crates/trial/src/script.rs
@@ -74,6 +74,7 @@
         workers: number("workers", 1) as usize,
         work_ms: number("work-ms", 20),
         pause_ms: number("pause-ms", 20),
+        bounds: None,
         seed: 0,
     };
     let span = number("ms", 1_000) * 1_000;
