Trial: the judge looks at what is agreed; drains through a kill, a stall and a cut

Each scheduler records what it hears to be agreed. The judge finds more permits than the bound allows and two values under one epoch and count; a program whose foremen count what they see alone is found by it (planted).

A wave between processes: five operators drain a worker each, two at once at most, among eight schedulers and twelve workers under load, while the foreman is killed and comes back, another seat stands still for 5 s and a half is cut off for 6 s. Each is permitted and clear in the end and taken back; rules kept.

--- a/crates/cli/examples/planted.rs
+++ b/crates/cli/examples/planted.rs
@@ -1,7 +1,9 @@
-//! A scheduler with a fault planted in its view: whatever it hears last of another it believes, the word of an
-//! earlier life too. Trials run it in place of the program, and the judge has to find it.
+//! A scheduler with faults planted: whatever it hears last of another it believes, the word of an earlier life too; and
+//! as foreman it counts what it sees to be out, not what it has permitted. Trials run it in place of the program, and
+//! the judge has to find it.
 //!
 //! Started as `basaltward ... node --records FILE` is, with `NODE_CONFIG`.
+use basaltward_agreed::Fault;
 use basaltward_node::Node;
 use basaltward_rules::Recorder;
 use std::path::Path;
@@ -13,6 +15,7 @@
     let (recorder, writer) = Recorder::file(Path::new(&records))?;
     let mut node = Node::new(config.into(), None, recorder.clone())?;
     node.plant(|entry, incarnation, state| (entry.incarnation, entry.state) != (incarnation, state));
+    node.plant_agreed(Fault::CountsTheViewAlone);
     node.take_signals()?;
     node.run()?;
     drop(recorder);
--- a/crates/cli/tests/agreed.rs
+++ b/crates/cli/tests/agreed.rs
@@ -1,7 +1,8 @@
 //! Drains, releases and halts between processes, with calls in flight and parts that fail.
 use basaltward_agreed::{Bounds, Most};
 use basaltward_rules::{Record, What};
-use basaltward_trial::{Bed, BedSpec, Verdict, judge};
+use basaltward_trial::{Bed, BedSpec, Fleet, Verdict, judge};
+use std::path::Path;
 use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,11 @@
 const READY: Duration = Duration::from_secs(60);
 
 fn bed(schedulers: usize, workers: usize, bounds: Bounds) -> Bed {
-    let program = env!("CARGO_BIN_EXE_basaltward").into();
+    bed_of(Path::new(env!("CARGO_BIN_EXE_basaltward")), schedulers, workers, bounds)
+}
+
+fn bed_of(program: &Path, schedulers: usize, workers: usize, bounds: Bounds) -> Bed {
+    let program = program.into();
     let spec =
         BedSpec { program, schedulers, workers, work_ms: 5, pause_ms: 10, seed: 1, bounds: Some(bounds) };
     let mut bed = Bed::start(spec).expect("a bed");
@@ -175,3 +180,64 @@
     let (asked, served, ..) = verdict.calls;
     assert!(served * 10 > asked * 9, "{served} of {asked} served");
 }
+
+/// A wave of drains while the foreman is killed, another seat stands still and a half is cut off: each is permitted in
+/// the end and taken back, two at once at most.
+#[test]
+fn a_wave_of_drains_ends_whole_through_a_kill_a_stall_and_a_cut() {
+    let most = Most::Number(2);
+    let mut bed = bed(8, 12, Bounds { workers: most, workers_of_zone: most, ..one() });
+    let through = bed.peers.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+    let ask = |args: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_basaltward"));
+        command.arg("fleet").args(args).args(["--of", &through]).output().expect("it runs")
+    };
+    std::thread::scope(|scope| {
+        let operators = ["s-1", "s-2", "s-3", "s-4", "s-5"].map(|worker| {
+            scope.spawn(move || {
+                let told = ask(&["drain", worker, "--wait", "150"]);
+                assert!(told.status.success(), "{worker}: {}", says(&told));
+                // Another one may be foreman by now, or none yet.
+                let until = Instant::now() + READY;
+                while !ask(&["back", worker]).status.success() {
+                    assert!(Instant::now() < until, "{worker} is not taken back");
+                }
+            })
+        });
+        let ready = Instant::now() + READY;
+        while !says(&fleet(&bed, 0, &["status"])).contains("permit ") {
+            assert!(Instant::now() < ready, "no permit");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        let of = foreman(&bed, 0);
+        bed.kill(of);
+        std::thread::sleep(Duration::from_secs(2));
+        bed.up(of).expect("it comes up");
+        let seat = [0, 1, 3, 4, 6].into_iter().find(|seat| *seat != of).expect("another seat");
+        bed.schedulers[seat].stall();
+        std::thread::sleep(Duration::from_secs(5));
+        bed.schedulers[seat].resume();
+        bed.cut(&[4, 5, 6, 7], true);
+        std::thread::sleep(Duration::from_secs(6));
+        bed.cut(&[4, 5, 6, 7], false);
+        for operator in operators {
+            operator.join().expect("drained, and back");
+        }
+    });
+    let (verdict, records) = finished(bed);
+    assert!(verdict.is_good(), "{:?} {:?}", verdict.rules, verdict.fleet);
+    let agreed = records.iter().filter(|r| matches!(r.what, What::Agreed { .. })).count();
+    assert!(agreed > 40, "{agreed}");
+}
+
+/// A planted fault: foremen that count what they see, and not what they permit.
+#[test]
+fn a_council_that_permits_too_many_is_found() {
+    let planted = Path::new(env!("CARGO_BIN_EXE_basaltward")).with_file_name("examples").join("planted");
+    assert!(planted.exists(), "`cargo build --example planted` builds it, and so does `cargo test`");
+    let bed = bed_of(&planted, 3, 4, one());
+    done(&bed, 0, &["drain", "s-0", "--wait", "60"]);
+    done(&bed, 0, &["drain", "s-1", "--wait", "60"]);
+    let (verdict, _) = finished(bed);
+    assert!(verdict.fleet.contains(&Fleet::TooMany("workers", 2)), "{:?}", verdict.fleet);
+}
--- a/crates/cli/tests/view.rs
+++ b/crates/cli/tests/view.rs
@@ -114,12 +114,18 @@
     bed.kill(1);
     bed.schedulers[1].set_program(&planted);
     bed.up(1).expect("it comes up");
-    // Word of the earlier life goes round while the later one begins.
-    for _ in 0..6 {
+    // Word of the earlier life from one member comes when the later one has long spoken for itself.
+    let late = Duration::from_millis(2_000).as_micros() as u64;
+    let way = Way { from: Party::Scheduler(3), to: Party::Scheduler(1) };
+    bed.loss(way, Loss { late: (late, late + 100_000), ..Loss::default() });
+    for _ in 0..3 {
         bed.kill(2);
         sees(&bed, 0, |view| view.entries[2].state == State::Gone);
+        sees(&bed, 3, |view| view.entries[2].state == State::Gone);
         bed.up(2).expect("it comes up");
         sees(&bed, 0, |view| view.entries[2].state == State::Up);
+        // As long as the last such word is on its way.
+        std::thread::sleep(Duration::from_micros(late + 500_000));
     }
     let verdict = finished(bed);
     assert!(
--- a/crates/node/src/agreement.rs
+++ b/crates/node/src/agreement.rs
@@ -1,8 +1,9 @@
 //! What the fleet agrees on, on the loop: which workers are drained, and what operators ask for.
 
+use crate::notes::Notes;
 use basaltward_agreed::{
-    AgreedSettings, Answered, Bounds, Denied, Halt, Look, Member, Output, Request, Response, Seen, Sight,
-    Status, Subject, Told, Want, worker,
+    AgreedSettings, Answered, Bounds, Denied, Epoch, Fault, Halt, Look, Member, Output, Request, Response,
+    Seen, Sight, Status, Subject, Told, Want, worker,
 };
 use basaltward_bulletin::{Roster, Standing, Target};
 use basaltward_fleet::{FleetSettings, MOST, Number, State, View, value_of};
@@ -49,6 +50,8 @@
     tell: Micros,
     /// Until when workers wait for what is drained, and when it is asked for again.
     learns: Option<(Micros, Micros)>,
+    /// The latest that is recorded.
+    noted: Option<(Epoch, u32)>,
     /// Workers no longer wait.
     released: bool,
     out: Vec<Output>,
@@ -82,11 +85,17 @@
             errands,
             tell: now,
             learns,
+            noted: None,
             released: false,
             out: Vec::new(),
         })
     }
 
+    /// See [`Member::plant`].
+    pub fn plant(&mut self, fault: Fault, now: Micros) {
+        self.member.plant(fault, now);
+    }
+
     pub fn set_bounds(&mut self, bounds: Bounds) {
         self.member.set_bounds(bounds);
     }
@@ -257,6 +266,7 @@
         &mut self,
         io: &mut Io,
         now: Micros,
+        notes: &Notes,
         socket: usize,
         peers: &[SocketAddr],
     ) -> Option<Roster> {
@@ -281,16 +291,20 @@
             }
         }
         if std::mem::take(&mut self.released) {
-            let _ = self.changed(now);
+            let _ = self.changed(now, notes);
             let targets = self.workers.values().map(|worker| self.heard(&worker.target)).collect();
             return Some(Roster { all: false, targets });
         }
-        changed.then(|| self.changed(now)).flatten()
+        changed.then(|| self.changed(now, notes)).flatten()
     }
 
-    fn changed(&mut self, now: Micros) -> Option<Roster> {
+    fn changed(&mut self, now: Micros, notes: &Notes) -> Option<Roster> {
         let Halt { on, count } = self.member.halt();
         let known = self.member.known()?;
+        if self.noted < Some(known.at()) {
+            self.noted = Some(known.at());
+            notes.agreed(now, known);
+        }
         info!(
             by = known.epoch.by,
             version = known.version,
--- a/crates/node/src/fellows.rs
+++ b/crates/node/src/fellows.rs
@@ -88,6 +88,11 @@
         self.view.plant(newer);
     }
 
+    /// See [`Agreement::plant`].
+    pub fn plant_agreed(&mut self, fault: basaltward_agreed::Fault, now: Micros) {
+        self.agreement.iter_mut().for_each(|agreement| agreement.plant(fault, now));
+    }
+
     pub fn next_due(&self) -> Micros {
         let agreed = self.agreement.as_ref().map_or(Micros::MAX, Agreement::next_due);
         self.view.next_due().min(self.tell_calls).min(agreed)
@@ -181,7 +186,7 @@
 
     fn carry_out(&mut self, io: &mut Io, now: Micros, notes: &Notes) {
         if let Some(agreement) = &mut self.agreement {
-            self.drains.extend(agreement.carry_out(io, now, self.socket, &self.peers));
+            self.drains.extend(agreement.carry_out(io, now, notes, self.socket, &self.peers));
         }
         for output in std::mem::take(&mut self.out) {
             match output {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -178,6 +178,12 @@
         self.fellows.iter_mut().for_each(|fellows| fellows.plant(newer));
     }
 
+    /// Plants a fault in its part in what is agreed, see [`basaltward_agreed::Member::plant`].
+    #[doc(hidden)]
+    pub fn plant_agreed(&mut self, fault: basaltward_agreed::Fault) {
+        self.fellows.iter_mut().for_each(|fellows| fellows.plant_agreed(fault, monotonic()));
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/node/src/notes.rs
+++ b/crates/node/src/notes.rs
@@ -4,6 +4,7 @@
 use crate::links::{Written, WrittenJob};
 use crate::work::Served;
 use basaltward::{Member, MembersKind, Micros, State, WorkerId};
+use basaltward_agreed::{Ledger, Permit, Stored, Subject};
 use basaltward_engine::{Answer, AttemptEnd, AttemptId};
 use basaltward_fleet::{Incarnation, Number};
 use basaltward_net::{Io, monotonic};
@@ -53,6 +54,19 @@
         }
     }
 
+    /// Something later is agreed in the fleet.
+    pub fn agreed(&self, now: Micros, known: &Stored<Ledger>) {
+        if self.recorder.is_on() {
+            let permit = |permit: &Permit| match permit.subject {
+                Subject::Scheduler(of) => format!("scheduler {of} {}", permit.number),
+                Subject::Worker(of) => format!("worker {of:08x} {}", permit.number),
+            };
+            let permits = known.value.permits.iter().map(permit).collect();
+            let (epoch, version) = ((known.epoch.ms, known.epoch.by), known.version);
+            self.put(now, What::Agreed { epoch, version, permits });
+        }
+    }
+
     pub fn taken(&self, now: Micros, id: &str) {
         if self.recorder.is_on() {
             self.put(now, What::Taken { event: id.into() });
--- a/crates/rules/src/record.rs
+++ b/crates/rules/src/record.rs
@@ -116,6 +116,15 @@
         /// `up`, `suspect`, `leaving`, `gone` or `stopped`.
         state: String,
     },
+    /// A scheduler has heard of something later that the fleet agrees on.
+    Agreed {
+        /// The foreman's epoch: when it was drawn, in milliseconds since the beginning of 2026, and by whom.
+        epoch: (u64, u16),
+        /// The foreman's count.
+        version: u32,
+        /// Who may be out, by kind and number or mark, with the number of the permit.
+        permits: Vec<String>,
+    },
     /// A scheduler was told of a worker's state.
     Told {
         /// The worker.
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -24,6 +24,10 @@
     Strange(Way, u64),
     /// A scheduler, in one life, went back from a later life of another to an earlier one.
     RanBack(String, u16),
+    /// More may be out by what is agreed than the bound allows: of schedulers or workers, so many.
+    TooMany(&'static str, usize),
+    /// Two schedulers hold something else under one epoch and count.
+    Forked((u64, u16), u32),
     /// Bytes crossed a way that was cut: the bed itself is broken.
     Leaked(Way, u64),
 }
@@ -36,6 +40,10 @@
             Self::TooLong(way, count) => write!(f, "{way}: {count} datagrams of more than 256 bytes"),
             Self::Strange(way, count) => write!(f, "{way}: {count} datagrams from another's address"),
             Self::RanBack(by, of) => write!(f, "{by} went back to an earlier life of n{of}"),
+            Self::TooMany(what, count) => write!(f, "{count} {what} may be out at once"),
+            Self::Forked((ms, by), version) => {
+                write!(f, "two are agreed under epoch {ms} of n{by}, version {version}")
+            }
             Self::Leaked(way, bytes) => write!(f, "{way}: {bytes} bytes crossed it while it was cut"),
         }
     }
@@ -91,6 +99,7 @@
         verdict.fleet.extend(found.into_iter().filter(|(n, _)| *n > 0).map(|(n, what)| what(way, n)));
     }
     verdict.fleet.extend(ran_back(&records));
+    verdict.fleet.extend(permitted(bed, &records));
     verdict.fleet.extend(bed.leaks.iter().map(|(way, bytes)| Fleet::Leaked(*way, *bytes)));
     verdict
 }
@@ -115,6 +124,30 @@
     found
 }
 
+/// What is agreed is one thing at all, and permits no more to be out than the bound allows.
+fn permitted(bed: &Bed, records: &[Record]) -> BTreeSet<Fleet> {
+    let mut found = BTreeSet::new();
+    let Some(bounds) = bed.spec.bounds else { return found };
+    let of = [
+        ("schedulers", "scheduler ", bounds.schedulers.of(bed.schedulers.len())),
+        ("workers", "worker ", bounds.workers.of(bed.workers.len())),
+    ];
+    let mut known: BTreeMap<((u64, u16), u32), &Vec<String>> = BTreeMap::new();
+    for Record { what, .. } in records {
+        let What::Agreed { epoch, version, permits } = what else { continue };
+        if *known.entry((*epoch, *version)).or_insert(permits) != permits {
+            found.insert(Fleet::Forked(*epoch, *version));
+        }
+        for (what, kind, most) in of {
+            let count = permits.iter().filter(|permit| permit.starts_with(kind)).count();
+            if count > most {
+                found.insert(Fleet::TooMany(what, count));
+            }
+        }
+    }
+    found
+}
+
 /// When clients of each scheduler's address could not reach it, by the bed's own faults: from, until.
 fn spells(bed: &Bed) -> BTreeMap<String, Vec<(Micros, Micros)>> {
     let mut all: BTreeMap<String, Vec<(Micros, Micros)>> = BTreeMap::new();
