--- /dev/null
+++ b/crates/agreed/src/foreman.rs
@@ -0,0 +1,94 @@
+//! What a member does as foreman: it answers what is asked of it once that is agreed.
+
+use crate::bounds::{Denied, out as all_out, permit};
+use crate::desk::Answer;
+use crate::keeper::Keeper;
+use crate::ledger::{Ledger, Subject};
+use crate::member::{Eyes, Member, Out};
+use crate::wire::{Body, Halt, Wish};
+use basaltward_fleet::{Micros, Number};
+use std::collections::BTreeSet;
+
+impl Member {
+    pub(crate) fn answer(&mut self, asker: (Number, u32), answer: Answer, out: &mut Out) {
+        self.desk.answer(asker, answer);
+        self.send(asker.0, Body::Reply(asker.1, answer), out);
+    }
+
+    pub(crate) fn asked(
+        &mut self,
+        now: Micros,
+        asker: (Number, u32),
+        wish: Wish,
+        eyes: &impl Eyes,
+        out: &mut Out,
+    ) {
+        let value = self.keeper.as_ref().filter(|keeper| keeper.agreed().is_some()).and_then(Keeper::value);
+        let Some(ledger) = value.cloned() else {
+            return self.send(asker.0, Body::Reply(asker.1, Err(Denied::NoForeman)), out);
+        };
+        match self.desk.repeated(asker) {
+            Some(Some(answer)) => return self.send(asker.0, Body::Reply(asker.1, answer), out),
+            Some(None) => return,
+            None => {}
+        }
+        let (changed, number) = match self.granted(now, &ledger, wish, eyes, out) {
+            Ok(changed) => changed,
+            Err(why) => return self.answer(asker, Err(why), out),
+        };
+        let agreed = self.keeper.as_ref().and_then(Keeper::agreed).map_or(0, |agreed| agreed.version);
+        match self.change(changed) {
+            // It changes nothing, and what stands is agreed.
+            Some(version) if version <= agreed => self.answer(asker, Ok(number), out),
+            Some(version) if self.desk.wait(version, asker, number) => self.beat(now, out),
+            _ => self.answer(asker, Err(Denied::Full), out),
+        }
+    }
+
+    fn granted(
+        &mut self,
+        now: Micros,
+        ledger: &Ledger,
+        wish: Wish,
+        eyes: &impl Eyes,
+        out: &mut Out,
+    ) -> Result<(Ledger, u16), Denied> {
+        let mut changed = ledger.clone();
+        match wish {
+            Wish::Out(_) | Wish::Try(_) if self.halt.on => Err(Denied::Halted),
+            Wish::Try(subject) => {
+                permit(ledger, &eyes.sight(now), &self.settings.bounds, subject)?;
+                Ok((changed, 0))
+            }
+            Wish::Out(subject) => {
+                let none = Ledger { given: ledger.given, ..Ledger::default() };
+                let counted = if self.counts_permits { ledger } else { &none };
+                let given = permit(counted, &eyes.sight(now), &self.settings.bounds, subject)?;
+                if !changed.add(given) {
+                    return Err(Denied::Full);
+                }
+                changed.given = given.number;
+                self.desk.given(now, subject);
+                Ok((changed, given.number))
+            }
+            Wish::Done(subject, number) if changed.bring_back(subject, number) => Ok((changed, number)),
+            Wish::Done(..) => Err(Denied::Stale),
+            Wish::WriteOff(subject) if ledger.permit(subject).is_some() => {
+                changed.remove(subject);
+                Ok((changed, 0))
+            }
+            Wish::WriteOff(_) => Err(Denied::Stale),
+            Wish::Resume(count) if self.halt == (Halt { count, on: true }) => {
+                self.hear_halt(Halt { count: count + 1, on: false }, out);
+                Ok((changed, 0))
+            }
+            Wish::Resume(_) => Err(Denied::Stale),
+        }
+    }
+
+    /// All that are out, as a foreman counts them.
+    pub fn out(&self, now: Micros, eyes: &impl Eyes) -> BTreeSet<Subject> {
+        let none = Ledger::default();
+        all_out(self.known.as_ref().map_or(&none, |known| &known.value), &eyes.sight(now))
+    }
+}
--- a/crates/agreed/src/lib.rs
+++ b/crates/agreed/src/lib.rs
@@ -7,6 +7,7 @@
 mod bounds;
 mod desk;
 mod eyes;
+mod foreman;
 mod keeper;
 mod ledger;
 mod member;
--- a/crates/agreed/src/member.rs
+++ b/crates/agreed/src/member.rs
@@ -1,6 +1,6 @@
 //! A member: its seat, if it has one, the foreman while it is that, and what it knows to be agreed. Free of I/O.
 
-use crate::bounds::{Denied, Sight, out as all_out, permit};
+use crate::bounds::{Denied, Sight};
 use crate::desk::{Answer, Desk};
 use crate::keeper::{Keeper, Turn};
 use crate::ledger::{Ledger, Subject};
@@ -22,6 +22,9 @@
 /// Questions of ours that are out, at most; each is sent again after this.
 const ASKED: (usize, Micros) = (64, 300_000);
 
+/// Outcomes of questions for permits remembered.
+const OUTCOMES: usize = 256;
+
 /// What a member sees of the fleet.
 pub trait Eyes {
     /// All that exist, with what is seen of them.
@@ -53,7 +56,7 @@
     },
 }
 
-type Out = Vec<Output>;
+pub(crate) type Out = Vec<Output>;
 
 #[derive(Clone, Copy, Debug)]
 struct Asked {
@@ -64,16 +67,16 @@
 
 /// See the module's page.
 pub struct Member {
-    settings: AgreedSettings,
+    pub(crate) settings: AgreedSettings,
     seat: Option<Seat<Ledger>>,
-    keeper: Option<Keeper<Ledger>>,
-    desk: Desk,
+    pub(crate) keeper: Option<Keeper<Ledger>>,
+    pub(crate) desk: Desk,
     /// What members told while we learn.
     learnt: Ledger,
     /// Who is still to be asked what it knows.
     recall: Vec<Number>,
-    known: Option<Stored<Ledger>>,
-    halt: Halt,
+    pub(crate) known: Option<Stored<Ledger>>,
+    pub(crate) halt: Halt,
     /// How often what is new still goes on.
     passes: u32,
     next_pass: Micros,
@@ -82,13 +85,15 @@
     claim_at: Micros,
     asked: BTreeMap<u32, Asked>,
     tag: u32,
+    /// What came of the latest questions for permits: the number, 0 for none.
+    outcomes: VecDeque<(u32, Subject, u16)>,
     /// Another one has told us what it knows since our start.
     heard: bool,
     rng: StdRng,
     /// Messages to ourselves.
     own: VecDeque<Body>,
     /// Planted: foremen that count only what they see, and not what is permitted.
-    counts_permits: bool,
+    pub(crate) counts_permits: bool,
     forgets: bool,
 }
 
@@ -118,6 +123,7 @@
             asked: BTreeMap::new(),
             // A foreman remembers what it answered an earlier life of ours: its numbers are not used again.
             tag: settings.life,
+            outcomes: VecDeque::new(),
             heard: false,
             rng: StdRng::seed_from_u64(seed),
             own: VecDeque::new(),
@@ -257,7 +263,7 @@
         self.beat(now, out);
     }
 
-    fn beat(&mut self, now: Micros, out: &mut Out) {
+    pub(crate) fn beat(&mut self, now: Micros, out: &mut Out) {
         let told = self.keeper.as_mut().map(|keeper| keeper.beat(now)).unwrap_or_default();
         for (to, told) in told {
             self.send(to, Body::ToSeat(told), out);
@@ -271,7 +277,7 @@
         }
     }
 
-    fn change(&mut self, ledger: Ledger) -> Option<u32> {
+    pub(crate) fn change(&mut self, ledger: Ledger) -> Option<u32> {
         self.keeper.as_mut()?.change(ledger)
     }
 
@@ -324,7 +330,9 @@
             }
         }
         for tag in over {
-            self.asked.remove(&tag);
+            if let Some(asked) = self.asked.remove(&tag) {
+                self.remember(tag, asked.wish, None);
+            }
             out.push(Output::Answered { tag, answer: Err(Denied::NoForeman) });
         }
         told.into_iter().for_each(|(to, body)| self.send(to, body, out));
@@ -345,7 +353,7 @@
         live.partial_shuffle(&mut self.rng, count).0.to_vec()
     }
 
-    fn send(&mut self, to: Number, body: Body, out: &mut Out) {
+    pub(crate) fn send(&mut self, to: Number, body: Body, out: &mut Out) {
         if to == self.settings.own {
             self.own.push_back(body);
             return;
@@ -410,14 +418,38 @@
             }
             Body::Recall => self.send(from, Body::Tell(self.known.clone(), self.halt), out),
             Body::Ask(tag, wish) => self.asked(now, (from, tag), wish, eyes, out),
-            Body::Reply(tag, answer) => {
-                if let Some(asked) = self.asked.remove(&tag) {
-                    // Whoever acts looks at the time itself: the permit may have ended by now.
-                    let late = now >= asked.since + self.settings.times.lease;
-                    let answer = if late { Err(Denied::Stale) } else { answer };
-                    out.push(Output::Answered { tag, answer });
-                }
+            Body::Reply(tag, answer) => self.answered(now, tag, answer, eyes, out),
+        }
+    }
+
+    /// An answer to a question of ours. Whoever acts looks at the time itself: a permit that comes too late, or that a
+    /// question brings which was an hour on its way, is nobody's, and is given back.
+    fn answered(&mut self, now: Micros, tag: u32, answer: Answer, eyes: &impl Eyes, out: &mut Out) {
+        let asked = self.asked.remove(&tag);
+        let late = asked.is_some_and(|asked| now >= asked.since + self.settings.times.lease);
+        let known = self.outcomes.iter().find(|(of, ..)| *of == tag).copied();
+        let nobodys = match (asked.map(|asked| asked.wish), known, answer) {
+            (Some(Wish::Out(subject)), _, Ok(number)) if late => Some((subject, number)),
+            (None, Some((_, subject, taken)), Ok(number)) if number != taken => Some((subject, number)),
+            _ => None,
+        };
+        if let Some(asked) = asked {
+            self.remember(tag, asked.wish, answer.ok().filter(|_| !late));
+            let answer = if late { Err(Denied::Stale) } else { answer };
+            out.push(Output::Answered { tag, answer });
+        }
+        if let Some((subject, number)) = nobodys {
+            self.ask(now, Wish::Done(subject, number), eyes, out);
+        }
+    }
+
+    /// What came of a question for a permit: its number, or none.
+    fn remember(&mut self, tag: u32, wish: Wish, number: Option<u16>) {
+        if let Wish::Out(subject) = wish {
+            if self.outcomes.len() == OUTCOMES {
+                self.outcomes.pop_front();
             }
+            self.outcomes.push_back((tag, subject, number.unwrap_or(0)));
         }
     }
 
@@ -429,90 +461,13 @@
         }
     }
 
-    fn hear_halt(&mut self, halt: Halt, out: &mut Out) {
+    pub(crate) fn hear_halt(&mut self, halt: Halt, out: &mut Out) {
         if halt > self.halt {
             self.halt = halt;
             self.passes = PASSED.1;
             out.push(Output::Changed);
         }
     }
-
-    // ---- the foreman's desk ------------------------------------------------------------------------------
-
-    fn answer(&mut self, asker: (Number, u32), answer: Answer, out: &mut Out) {
-        self.desk.answer(asker, answer);
-        self.send(asker.0, Body::Reply(asker.1, answer), out);
-    }
-
-    fn asked(&mut self, now: Micros, asker: (Number, u32), wish: Wish, eyes: &impl Eyes, out: &mut Out) {
-        let value = self.keeper.as_ref().filter(|keeper| keeper.agreed().is_some()).and_then(Keeper::value);
-        let Some(ledger) = value.cloned() else {
-            return self.send(asker.0, Body::Reply(asker.1, Err(Denied::NoForeman)), out);
-        };
-        match self.desk.repeated(asker) {
-            Some(Some(answer)) => return self.send(asker.0, Body::Reply(asker.1, answer), out),
-            Some(None) => return,
-            None => {}
-        }
-        let (changed, number) = match self.granted(now, &ledger, wish, eyes, out) {
-            Ok(changed) => changed,
-            Err(why) => return self.answer(asker, Err(why), out),
-        };
-        let agreed = self.keeper.as_ref().and_then(Keeper::agreed).map_or(0, |agreed| agreed.version);
-        match self.change(changed) {
-            // It changes nothing, and what stands is agreed.
-            Some(version) if version <= agreed => self.answer(asker, Ok(number), out),
-            Some(version) if self.desk.wait(version, asker, number) => self.beat(now, out),
-            _ => self.answer(asker, Err(Denied::Full), out),
-        }
-    }
-
-    fn granted(
-        &mut self,
-        now: Micros,
-        ledger: &Ledger,
-        wish: Wish,
-        eyes: &impl Eyes,
-        out: &mut Out,
-    ) -> Result<(Ledger, u16), Denied> {
-        let mut changed = ledger.clone();
-        match wish {
-            Wish::Out(_) | Wish::Try(_) if self.halt.on => Err(Denied::Halted),
-            Wish::Try(subject) => {
-                permit(ledger, &eyes.sight(now), &self.settings.bounds, subject)?;
-                Ok((changed, 0))
-            }
-            Wish::Out(subject) => {
-                let none = Ledger { given: ledger.given, ..Ledger::default() };
-                let counted = if self.counts_permits { ledger } else { &none };
-                let given = permit(counted, &eyes.sight(now), &self.settings.bounds, subject)?;
-                if !changed.add(given) {
-                    return Err(Denied::Full);
-                }
-                changed.given = given.number;
-                self.desk.given(now, subject);
-                Ok((changed, given.number))
-            }
-            Wish::Done(subject, number) if changed.bring_back(subject, number) => Ok((changed, number)),
-            Wish::Done(..) => Err(Denied::Stale),
-            Wish::WriteOff(subject) if ledger.permit(subject).is_some() => {
-                changed.remove(subject);
-                Ok((changed, 0))
-            }
-            Wish::WriteOff(_) => Err(Denied::Stale),
-            Wish::Resume(count) if self.halt == (Halt { count, on: true }) => {
-                self.hear_halt(Halt { count: count + 1, on: false }, out);
-                Ok((changed, 0))
-            }
-            Wish::Resume(_) => Err(Denied::Stale),
-        }
-    }
-
-    /// All that are out, as a foreman counts them.
-    pub fn out(&self, now: Micros, eyes: &impl Eyes) -> std::collections::BTreeSet<Subject> {
-        let none = Ledger::default();
-        all_out(self.known.as_ref().map_or(&none, |known| &known.value), &eyes.sight(now))
-    }
 }
 
 /// Faults that checkers must find.
--- a/crates/cli/src/agreed.rs
+++ b/crates/cli/src/agreed.rs
@@ -168,7 +168,8 @@
 fn clear(through: &Through, name: &str, of: (Subject, u16), until: Instant) -> Result<(), Failed> {
     loop {
         let Status { unclear, permits, .. } = status(through)?;
-        let knows = permits.iter().any(|permit| (permit.subject, permit.number) == of);
+        let knows =
+            permits.iter().any(|permit| (permit.subject, permit.number, permit.back) == (of.0, of.1, false));
         if unclear == 0 && knows {
             say(through, name, "clear", json!({}));
             return Ok(());
