Releases: the fleet keeps the plan; whoever carries out its steps may die

Need: a release was a list in the operator's command and was lost with it. The plan stands in what is agreed; who is done follows from what each scheduler says that it runs, in its present life. The foreman chooses who goes next, one at first, then as many at once as are done, within the bound; a way back begins with those started last; a step that does not come back within 180 s halts all, and so does a program that fails.

--- a/crates/agreed/src/bounds.rs
+++ b/crates/agreed/src/bounds.rs
@@ -60,6 +60,8 @@
     pub used: Option<Micros>,
     /// It alone is known to hold something that calls need.
     pub sole: bool,
+    /// The mark of the version that it says it runs.
+    pub runs: Option<u32>,
 }
 
 /// All that is known to exist, with what is seen of it.
@@ -105,6 +107,12 @@
     /// No majority of the council can be reached, or it has forgotten what is out and learns it.
     #[error("no foreman: no majority of the council answers, or it learns what is out")]
     NoForeman,
+    /// All that are to run the version do.
+    #[error("all run it")]
+    Over,
+    /// Those that are left are out, or have not said what they run, or as many are out as this wave may have.
+    #[error("those left are out, or have not said what they run, or the wave is full")]
+    Waits,
     /// What it names is not what stands.
     #[error("what it names is not what stands now")]
     Stale,
@@ -165,7 +173,10 @@
     fn sight(used: &[bool]) -> Sight {
         let seen = |(at, used): (usize, &bool)| {
             let used = used.then_some(1_000_000);
-            (Subject::Worker(at as u32), Seen { zone: (at % 2) as u8, life: 1, used, sole: at == 9 })
+            (
+                Subject::Worker(at as u32),
+                Seen { zone: (at % 2) as u8, life: 1, used, sole: at == 9, runs: None },
+            )
         };
         used.iter().enumerate().map(seen).collect()
     }
--- a/crates/agreed/src/desk.rs
+++ b/crates/agreed/src/desk.rs
@@ -66,6 +66,14 @@
         self.back.remove(&subject);
     }
 
+    /// Whether a scheduler's permit has stood for longer than a step may take.
+    pub fn is_overdue(&self, now: Micros, ledger: &Ledger, step: Micros) -> bool {
+        let schedulers =
+            ledger.permits.iter().filter(|permit| matches!(permit.subject, Subject::Scheduler(_)));
+        let known = schedulers.filter_map(|permit| self.known.get(&permit.subject));
+        ledger.plan.is_some() && known.min().is_some_and(|known| now >= known + step)
+    }
+
     /// The ledger without the permits whose subjects have proven to be back.
     ///
     /// A permit may be acted on for a lease from when it was asked for, so that a silence after we first knew of it
--- a/crates/agreed/src/eyes.rs
+++ b/crates/agreed/src/eyes.rs
@@ -3,7 +3,10 @@
 use crate::bounds::{Seen, Sight};
 use crate::ledger::Subject;
 use crate::member::Eyes;
-use basaltward_fleet::{Entry, Micros, Number, State, View};
+use basaltward_fleet::{Entry, Micros, Number, State, View, counters_of};
+
+/// The key under which members tell the mark of the version that they run.
+pub const RUNS: u8 = 2;
 
 /// See the module's page.
 pub struct Look<'a> {
@@ -19,12 +22,16 @@
 
 impl Eyes for Look<'_> {
     fn sight(&self, now: Micros) -> Sight {
+        let runs = |of: usize| {
+            let told = self.view.fact_of_this_life(now, of as Number, RUNS).and_then(counters_of)?;
+            told.first().and_then(|mark| u32::try_from(*mark).ok())
+        };
         let seen = |(of, entry): (usize, &Entry)| {
             // One that is suspected is not known to be in use.
             let used = (entry.state == State::Up).then(|| now.saturating_sub(entry.since));
             let life = (entry.incarnation.start / 1_000) as u16;
             let zone = self.zones.get(of).copied().unwrap_or(0);
-            (Subject::Scheduler(of as Number), Seen { zone, life, used, sole: false })
+            (Subject::Scheduler(of as Number), Seen { zone, life, used, sole: false, runs: runs(of) })
         };
         let mut sight: Sight = self.view.entries().iter().enumerate().map(seen).collect();
         sight.extend(self.workers.iter().map(|(of, seen)| (*of, *seen)));
--- a/crates/agreed/src/foreman.rs
+++ b/crates/agreed/src/foreman.rs
@@ -3,8 +3,9 @@
 use crate::bounds::{Denied, out as all_out, permit};
 use crate::desk::Answer;
 use crate::keeper::Keeper;
-use crate::ledger::{Ledger, Subject};
+use crate::ledger::{Ledger, Plan, Subject};
 use crate::member::{Eyes, Member, Out};
+use crate::plan::next;
 use crate::wire::{Body, Halt, Wish};
 use basaltward_fleet::{Micros, Number};
 use std::collections::BTreeSet;
@@ -55,11 +56,22 @@
     ) -> Result<(Ledger, u16), Denied> {
         let mut changed = ledger.clone();
         match wish {
-            Wish::Out(_) | Wish::Try(_) if self.halt.on => Err(Denied::Halted),
+            Wish::Out(_) | Wish::Try(_) | Wish::Next(_) if self.halt.on => Err(Denied::Halted),
             Wish::Try(subject) => {
                 permit(ledger, &eyes.sight(now), &self.settings.bounds, subject)?;
                 Ok((changed, 0))
             }
+            Wish::Plan(to, from, back) => {
+                let number = ledger.given.wrapping_add(1);
+                (changed.given, changed.plan) = (number, Some(Plan { number, to, from, back }));
+                Ok((changed, number))
+            }
+            Wish::Next(number) => {
+                let sight = eyes.sight(now);
+                let plan = ledger.plan.filter(|plan| plan.number == number).ok_or(Denied::Stale)?;
+                let subject = next(ledger, &plan, &sight, self.settings.own)?;
+                self.granted(now, ledger, Wish::Out(subject), eyes, out)
+            }
             Wish::Out(subject) => {
                 let none = Ledger { given: ledger.given, ..Ledger::default() };
                 let counted = if self.counts_permits { ledger } else { &none };
--- a/crates/agreed/src/ledger.rs
+++ b/crates/agreed/src/ledger.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Permits at once at most: so many fit into a datagram.
-pub const PERMITS: usize = 15;
+pub const PERMITS: usize = 12;
 
 /// Who can be out of use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -34,13 +34,33 @@
     pub back: bool,
 }
 
+/// A release that goes on: every scheduler is to run one version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Plan {
+    /// Which of all plans and permits.
+    pub number: u16,
+    /// The version that all are to run, by a hash of its name: see [`version`].
+    pub to: u32,
+    /// The one that they ran, for the way back.
+    pub from: u32,
+    /// It is a way back: the newest go first.
+    pub back: bool,
+}
+
+/// The mark that a version's name stands for.
+pub fn version(name: &str) -> u32 {
+    crc32fast::hash(name.as_bytes())
+}
+
 /// What is agreed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Ledger {
     /// By subject, each once.
     pub permits: Vec<Permit>,
-    /// The number of the last one that was given.
+    /// The number of the last one that was given, and of the last plan.
     pub given: u16,
+    /// The release that goes on.
+    pub plan: Option<Plan>,
 }
 
 impl Ledger {
@@ -72,6 +92,8 @@
     /// seen to be, or not at all any more.
     pub fn join(&mut self, other: &Self) {
         self.given = self.given.max(other.given);
+        let later = |plan: &Plan| self.plan.is_none_or(|own| own.number < plan.number);
+        self.plan = other.plan.filter(later).or(self.plan);
         for permit in &other.permits {
             let _ = self.add(*permit);
             if !permit.back {
--- a/crates/agreed/src/lib.rs
+++ b/crates/agreed/src/lib.rs
@@ -12,6 +12,7 @@
 mod ledger;
 mod member;
 mod operator;
+mod plan;
 mod seat;
 mod settings;
 mod wire;
@@ -19,13 +20,14 @@
 
 pub use bounds::{Bounds, Denied, Group, Most, Seen, Sight, out, permit};
 pub use desk::Answer as Answered;
-pub use eyes::Look;
+pub use eyes::{Look, RUNS};
 pub use keeper::{Keeper, Times, Turn};
-pub use ledger::{Ledger, PERMITS, Permit, Subject, worker};
+pub use ledger::{Ledger, PERMITS, Permit, Plan, Subject, version, worker};
 #[doc(hidden)]
 pub use member::Fault;
 pub use member::{Eyes, Member, Output};
 pub use operator::{OPERATOR, Request, Response, Status, Told, Want};
+pub use plan::{done, next};
 pub use seat::{Epoch, FromSeat, Seat, Stored, ToSeat};
 pub use settings::{AgreedSettings, SEATS, SettingsError, council};
 pub use wire::{Halt, VERSION, Wish};
--- a/crates/agreed/src/member.rs
+++ b/crates/agreed/src/member.rs
@@ -258,6 +258,9 @@
         {
             let left = self.desk.settle(now, &value, &eyes.sight(now), &self.settings);
             self.change(left);
+            if !self.halt.on && self.desk.is_overdue(now, &value, self.settings.step) {
+                self.stop_all(out);
+            }
         }
         self.recall_some(out);
         self.beat(now, out);
--- a/crates/agreed/src/operator.rs
+++ b/crates/agreed/src/operator.rs
@@ -1,7 +1,7 @@
 //! How an operator asks a member, and what it is answered.
 
 use crate::desk::Answer;
-use crate::ledger::Permit;
+use crate::ledger::{Permit, Plan};
 use crate::seat::Epoch;
 use crate::wire::{Halt, Wish};
 use basaltward_fleet::{Number, WireError, close, open};
@@ -45,6 +45,8 @@
     pub out: (u16, u16),
     /// Members that have not said that they have nothing in hand for drained workers, as they know them now.
     pub unclear: u16,
+    /// The release that goes on, and how many say that they run its version.
+    pub plan: Option<(Plan, u16)>,
     /// Permits that stand.
     pub permits: Vec<Permit>,
 }
@@ -108,6 +110,7 @@
             halt: Halt { count: u32::MAX, on: true },
             out: (u16::MAX, u16::MAX),
             unclear: u16::MAX,
+            plan: Some((Plan { number: u16::MAX, to: u32::MAX, from: u32::MAX, back: true }, u16::MAX)),
             permits: (0..PERMITS as u32).map(|of| permit(u32::MAX - of)).collect(),
         };
         let response = Response { tag: u32::MAX, told: Told::Status(status) };
--- /dev/null
+++ b/crates/agreed/src/plan.rs
@@ -0,0 +1,78 @@
+//! The next step of a release: who goes, and how many at once. One at first, then as many more as are done, within the
+//! bound.
+
+use crate::bounds::{Denied, Seen, Sight};
+use crate::ledger::{Ledger, Plan, Subject};
+use basaltward_fleet::Number;
+
+fn schedulers(sight: &Sight) -> impl Iterator<Item = (Number, &Seen)> {
+    sight.iter().filter_map(|(subject, seen)| match subject {
+        Subject::Scheduler(of) => Some((*of, seen)),
+        Subject::Worker(_) => None,
+    })
+}
+
+/// How many say that they run the version of a plan.
+pub fn done(plan: &Plan, sight: &Sight) -> usize {
+    schedulers(sight).filter(|(_, seen)| seen.runs == Some(plan.to)).count()
+}
+
+/// The scheduler that goes next: of those in use that say that they run another version the first by number, on a way
+/// back the one that was started last; the foreman itself at the end.
+///
+/// # Errors
+/// Where all run it, or where the next step has to wait.
+pub fn next(ledger: &Ledger, plan: &Plan, sight: &Sight, foreman: Number) -> Result<Subject, Denied> {
+    let done = done(plan, sight);
+    if schedulers(sight).all(|(_, seen)| seen.runs == Some(plan.to)) {
+        return Err(Denied::Over);
+    }
+    let permitted = |of: Number| ledger.permit(Subject::Scheduler(of)).is_some();
+    let out = schedulers(sight).filter(|(of, _)| permitted(*of)).count();
+    if out > done {
+        return Err(Denied::Waits);
+    }
+    let left = schedulers(sight).filter(|(of, seen)| {
+        seen.used.is_some() && seen.runs.is_some_and(|runs| runs != plan.to) && !permitted(*of)
+    });
+    let turn = |(of, seen): &(Number, &Seen)| {
+        let newest = if plan.back { seen.used.unwrap_or_default() } else { 0 };
+        (*of == foreman, newest, *of)
+    };
+    left.min_by_key(turn).map(|(of, _)| Subject::Scheduler(of)).ok_or(Denied::Waits)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ledger::Permit;
+
+    fn sight(runs: &[Option<u32>]) -> Sight {
+        let seen = |(of, runs): (usize, &Option<u32>)| {
+            let used = Some(1_000_000 * (10 - of as u64));
+            (Subject::Scheduler(of as Number), Seen { zone: 0, life: 0, used, sole: false, runs: *runs })
+        };
+        runs.iter().enumerate().map(seen).collect()
+    }
+
+    #[test]
+    fn one_goes_first_then_more_and_the_foreman_last() {
+        let plan = Plan { number: 1, to: 2, from: 1, back: false };
+        let mut ledger = Ledger::default();
+        let (old, new) = (Some(1), Some(2));
+        let of = |of| Ok(Subject::Scheduler(of));
+        assert_eq!(next(&ledger, &plan, &sight(&[old, old, old, old]), 0), of(1));
+        let permit = |of| Permit { subject: Subject::Scheduler(of), number: 1, life: 0, back: false };
+        assert!(ledger.add(permit(1)));
+        assert_eq!(next(&ledger, &plan, &sight(&[old, old, old, old]), 0), Err(Denied::Waits));
+        // With one done two may be out.
+        assert_eq!(next(&ledger, &plan, &sight(&[old, new, old, old]), 0), of(2));
+        ledger.remove(Subject::Scheduler(1));
+        assert_eq!(next(&ledger, &plan, &sight(&[old, new, new, None]), 0), of(0));
+        assert_eq!(next(&ledger, &plan, &sight(&[new, new, new, None]), 0), Err(Denied::Waits));
+        assert_eq!(next(&ledger, &plan, &sight(&[new, new, new, new]), 0), Err(Denied::Over));
+        // A way back begins with those started last.
+        let back = Plan { back: true, to: 1, from: 2, ..plan };
+        assert_eq!(next(&ledger, &back, &sight(&[new, new, new, old]), 0), of(2));
+    }
+}
--- a/crates/agreed/src/settings.rs
+++ b/crates/agreed/src/settings.rs
@@ -27,6 +27,8 @@
     pub settle: Micros,
     /// One that was out has to be in use for so long, to count as back.
     pub warm: Micros,
+    /// A scheduler whose permit stands for longer than this while a release goes on halts all.
+    pub step: Micros,
     /// How many may be out.
     pub bounds: Bounds,
 }
@@ -68,6 +70,7 @@
             tick: 400_000,
             settle,
             warm: 5_000_000,
+            step: 180_000_000,
             bounds: Bounds::default(),
         }
     }
--- a/crates/agreed/src/wire.rs
+++ b/crates/agreed/src/wire.rs
@@ -30,6 +30,10 @@
     Done(Subject, u16),
     /// This one's permit ends whatever is seen of it.
     WriteOff(Subject),
+    /// All schedulers are to run the version of this mark; they ran that one. It takes the place of another plan.
+    Plan(u32, u32, bool),
+    /// A permit for the next scheduler of this plan, of its choosing.
+    Next(u16),
     /// The halt of this count ends.
     Resume(u32),
 }
@@ -82,14 +86,15 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::ledger::{PERMITS, Permit};
+    use crate::ledger::{PERMITS, Permit, Plan};
     use basaltward_fleet::MOST;
 
     #[test]
     fn the_largest_ledger_fits_and_comes_back_as_it_was() {
         let subject = |of| Subject::Worker(u32::MAX - of);
         let permit = |of| Permit { subject: subject(of), number: u16::MAX, life: u16::MAX, back: true };
-        let value = Ledger { permits: (0..PERMITS as u32).map(permit).collect(), given: u16::MAX };
+        let plan = Some(Plan { number: u16::MAX, to: u32::MAX, from: u32::MAX, back: true });
+        let value = Ledger { permits: (0..PERMITS as u32).map(permit).collect(), given: u16::MAX, plan };
         let epoch = Epoch { ms: u64::MAX, by: Number::MAX };
         let stored = Stored { epoch, version: u32::MAX, value };
         let store = ToSeat::Store { beat: u32::MAX, life: u32::MAX, stored: stored.clone() };
--- a/crates/agreed/src/world.rs
+++ b/crates/agreed/src/world.rs
@@ -4,14 +4,17 @@
 //! says when it is done. What is out is known here, whatever anybody believes.
 
 use crate::bounds::Sight;
-use crate::eyes::Look;
+use crate::eyes::{Look, RUNS};
 use crate::ledger::Subject;
 use crate::member::{Fault, Member, Output};
 use crate::settings::AgreedSettings;
 use crate::wire::{VERSION, Wish};
-use basaltward_fleet::{FleetSettings, Link, Micros, Net, Number, Output as Seen, Party, View};
+use basaltward_fleet::{FleetSettings, Link, Micros, Net, Number, Output as Seen, Party, View, value_of};
 use std::collections::BTreeMap;
 
+/// Each tells the version that it runs so often.
+const TELL_US: Micros = 5_000_000;
+
 /// A scheduler: its view and its part in what is agreed.
 pub struct Scheduler {
     /// The view.
@@ -22,6 +25,8 @@
     wall_ms: u64,
     /// Sent for what is agreed.
     bytes: u64,
+    runs: u32,
+    tell_runs: Micros,
 }
 
 /// What a scheduler puts out.
@@ -78,6 +83,10 @@
     }
 
     fn wake(&mut self, now: Micros, out: &mut Vec<Said>) {
+        if now >= self.tell_runs {
+            self.tell_runs = now + TELL_US;
+            self.view.tell_fact(now, RUNS, &value_of(&[self.runs.into()]), TELL_US * 4);
+        }
         if self.view.next_due() <= now {
             let mut told = Vec::new();
             self.view.wake(now, &mut told);
@@ -89,7 +98,7 @@
     }
 
     fn next_due(&self) -> Micros {
-        self.view.next_due().min(self.member.next_due())
+        self.view.next_due().min(self.member.next_due()).min(self.tell_runs)
     }
 
     fn datagram(out: Said) -> Result<(Number, Vec<u8>), Said> {
@@ -153,6 +162,11 @@
 
     /// Starts a scheduler, which knows nothing of an earlier life.
     pub fn start(&mut self, of: Number) {
+        self.start_as(of, 0);
+    }
+
+    /// As [`Fleet::start`], with the mark of the version that it runs.
+    pub fn start_as(&mut self, of: Number, runs: u32) {
         let (size, now) = (self.net.numbers().end, self.net.clock(of));
         let wall = EPOCH_MS + self.net.now / 1_000;
         let life = self.net.draw(u64::from(u32::MAX)) as u32;
@@ -161,7 +175,15 @@
         let (Ok(view), Ok(mut member)) = (view, Member::new(settings, now)) else { return };
         self.planted.into_iter().for_each(|fault| member.plant(fault, now));
         let wall_ms = wall - now / 1_000;
-        let scheduler = Scheduler { view, member, workers: self.workers.clone(), wall_ms, bytes: 0 };
+        let scheduler = Scheduler {
+            view,
+            member,
+            workers: self.workers.clone(),
+            wall_ms,
+            bytes: 0,
+            runs,
+            tell_runs: now,
+        };
         self.net.put(of, scheduler);
     }
 
--- a/crates/agreed/tests/workers.rs
+++ b/crates/agreed/tests/workers.rs
@@ -8,7 +8,7 @@
 const S: Micros = 1_000_000;
 
 fn workers(count: u32) -> Sight {
-    let seen = |of: u32| Seen { zone: (of % 4) as u8, life: 1, used: Some(60 * S), sole: false };
+    let seen = |of: u32| Seen { zone: (of % 4) as u8, life: 1, used: Some(60 * S), sole: false, runs: None };
     (0..count).map(|of| (Subject::Worker(of), seen(of))).collect()
 }
 
--- a/crates/bench/src/agreed.rs
+++ b/crates/bench/src/agreed.rs
@@ -57,7 +57,7 @@
         let mut quiet = 0.0;
         for seed in 1..=seeds {
             let settings = AgreedSettings { bounds: wide(), ..AgreedSettings::new(size, 0, 0, seed) };
-            let seen = Seen { zone: 0, life: 0, used: Some(60 * S), sole: false };
+            let seen = Seen { zone: 0, life: 0, used: Some(60 * S), sole: false, runs: None };
             let workers: Sight = (0..40).map(|of| (Subject::Worker(of), seen)).collect();
             let mut fleet = Fleet::new(size, settings, workers, Link { lost, ..Link::default() });
             fleet.net.numbers().for_each(|of| fleet.start(of));
--- a/crates/cli/src/agreed.rs
+++ b/crates/cli/src/agreed.rs
@@ -2,7 +2,7 @@
 
 use crate::Failed;
 use crate::args::{FleetCommand, Through};
-use basaltward_agreed::{Answered, Denied, Permit, Status, Subject, Told, Want, Wish, worker};
+use basaltward_agreed::{Answered, Denied, Permit, Status, Subject, Told, Want, Wish, version, worker};
 use basaltward_node::ask_agreed;
 use serde_json::json;
 use std::path::Path;
@@ -41,8 +41,9 @@
             say(through, name, "written off", json!({}));
             Ok(())
         }
-        FleetCommand::Release { run, only, dry_run, wait, through } => {
-            release(through, run, only, *dry_run, *wait)
+        FleetCommand::Release { run, to, from, back: _, dry_run, wait, through } => {
+            let wait = Duration::from_secs(*wait);
+            release(through, &Release { run, to: to.as_deref(), from, dry_run: *dry_run, wait })
         }
         FleetCommand::Halt(through) => match ask(through, Want::Halt)? {
             Told::Halted(halt) => {
@@ -193,6 +194,10 @@
     let halted = if status.halt.on { ", HALTED" } else { "" };
     println!("by n{}: foreman {foreman}{halted}", status.own);
     println!("out: {} schedulers, {} workers; unclear: {}", status.out.0, status.out.1, status.unclear);
+    if let Some((plan, done)) = &status.plan {
+        let what = if plan.back { "way back" } else { "release" };
+        println!("{what} {}: {done} run version {:08x}, from {:08x}", plan.number, plan.to, plan.from);
+    }
     for permit in &status.permits {
         let back = if permit.back { ", comes back" } else { "" };
         println!("permit {}: {:?}{back}", permit.number, permit.subject);
@@ -200,42 +205,96 @@
     Ok(())
 }
 
-/// Restarts one after another. Whoever dies here leaves a permit that counts until its subject has proven to be back;
-/// run again, it goes on.
-fn release(through: &Through, run: &Path, only: &[u16], dry_run: bool, wait: u64) -> Result<(), Failed> {
-    let of = match only {
-        [] => {
-            let first = through.of.first().ok_or_else(|| Failed::Input("nobody to ask".into()))?;
-            (0..basaltward_node::ask_view(*first)?.size).collect()
-        }
-        only => only.to_vec(),
+/// A release, as it was asked for.
+struct Release<'a> {
+    run: &'a Path,
+    to: Option<&'a str>,
+    from: &'a str,
+    dry_run: bool,
+    wait: Duration,
+}
+
+/// The number of the plan: that which stands, where it is the one asked for, or a new one.
+fn planned(through: &Through, asked: &Release) -> Result<u16, Failed> {
+    let stands = status(through)?.plan.map(|(plan, _)| plan);
+    let (to, from, back) = match (asked.to, stands) {
+        (Some(name), Some(plan)) if plan.to == version(name) && !plan.back => return Ok(plan.number),
+        (Some(name), Some(plan)) => (version(name), plan.to, false),
+        (Some(name), None) => (version(name), version(asked.from), false),
+        (None, Some(plan)) if plan.back => return Ok(plan.number),
+        (None, Some(plan)) => (plan.from, plan.to, true),
+        (None, None) => return Err(Failed::Run("no release stands that could be taken back".into())),
     };
-    for number in of {
-        let (name, subject) = (format!("n{number}"), Subject::Scheduler(number));
-        if dry_run {
-            tried(through, &name, subject)?;
-            continue;
+    granted(through, Wish::Plan(to, from, back))
+}
+
+/// Carries out the steps of a plan that the fleet keeps. Whoever dies here loses nothing: run again, it goes on. A
+/// permit that nobody acts on ends by itself.
+fn release(through: &Through, asked: &Release) -> Result<(), Failed> {
+    if asked.dry_run {
+        return show(through);
+    }
+    let mut until = Instant::now() + asked.wait;
+    let number = loop {
+        match planned(through, asked) {
+            Ok(number) => break number,
+            Err(why) if Instant::now() >= until => return Err(why),
+            Err(_) => std::thread::sleep(AGAIN),
         }
-        let until = Instant::now() + Duration::from_secs(wait);
-        let permit = loop {
-            let (permit, asked) = permitted(through, &name, subject, until)?;
-            // Whoever acts looks at the time itself: the answer may have been long on its way.
-            if asked.elapsed() < ACT {
-                break permit;
+    };
+    say(through, "release", "goes on", json!({"plan": number}));
+    loop {
+        let since = Instant::now();
+        let why = match wished(through, Wish::Next(number)) {
+            Ok(Err(Denied::Over)) => {
+                say(through, "release", "done", json!({"plan": number}));
+                return Ok(());
+            }
+            Ok(Err(why @ (Denied::Halted | Denied::Stale))) => return Err(Failed::Run(why.to_string())),
+            Ok(Err(why)) => why.to_string(),
+            Err(Failed::Run(why) | Failed::Input(why)) => why,
+            Ok(Ok(permit)) => {
+                step(through, asked.run, permit, since)?;
+                until = Instant::now() + asked.wait;
+                continue;
             }
-            let _ = wished(through, Wish::Done(subject, permit));
         };
-        say(through, &name, "goes", json!({"permit": permit}));
-        let ended = Command::new(run).arg(number.to_string()).status()?;
-        if !ended.success() {
-            let _ = ask(through, Want::Halt);
-            return Err(Failed::Run(format!("{name}: {} ended with {ended}; all is halted", run.display())));
+        if Instant::now() >= until {
+            return Err(Failed::Run(format!("no step for {} s: {why}", asked.wait.as_secs())));
         }
-        // Where this is lost the permit ends by what is seen, later.
-        if let Err(Failed::Run(why) | Failed::Input(why)) = granted(through, Wish::Done(subject, permit)) {
-            say(through, &name, "is back, but that could not be told", json!({"why": why}));
+        std::thread::sleep(AGAIN);
+    }
+}
+
+/// One scheduler is restarted by its permit, while that may be acted on.
+fn step(through: &Through, run: &Path, permit: u16, since: Instant) -> Result<(), Failed> {
+    let of = loop {
+        let permits = status(through)?.permits;
+        let one = permits.iter().find(|one| one.number == permit && !one.back);
+        if let Some(Subject::Scheduler(of)) = one.map(|one| one.subject) {
+            break of;
+        }
+        if since.elapsed() >= ACT {
+            return Ok(());
         }
-        say(through, &name, "is back", json!({}));
+        std::thread::sleep(Duration::from_millis(50));
+    };
+    let (name, subject) = (format!("n{of}"), Subject::Scheduler(of));
+    // Whoever acts looks at the time itself: the answer may have been long on its way.
+    if since.elapsed() >= ACT {
+        let _ = wished(through, Wish::Done(subject, permit));
+        return Ok(());
+    }
+    say(through, &name, "goes", json!({"permit": permit}));
+    let ended = Command::new(run).arg(of.to_string()).status()?;
+    if !ended.success() {
+        let _ = ask(through, Want::Halt);
+        return Err(Failed::Run(format!("{name}: {} ended with {ended}; all is halted", run.display())));
+    }
+    // Where this is lost the permit ends by what is seen, later.
+    if let Err(Failed::Run(why) | Failed::Input(why)) = granted(through, Wish::Done(subject, permit)) {
+        say(through, &name, "is back, but that could not be told", json!({"why": why}));
     }
+    say(through, &name, "is back", json!({}));
     Ok(())
 }
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -103,18 +103,24 @@
         #[command(flatten)]
         through: Through,
     },
-    /// Restart schedulers one after another by a program, each by a permit
+    /// Bring all schedulers to a version, step by step, by a program that restarts one; or go on with what stands
     Release {
-        /// Restarts the scheduler whose number it is given, and ends well once that serves again
+        /// Brings the scheduler whose number it is given to the version, and ends well once that serves again
         #[arg(long, value_name = "PROGRAM")]
         run: PathBuf,
-        /// Which, by number; all without
-        #[arg(long, value_delimiter = ',')]
-        only: Vec<u16>,
-        /// Say for each whether it might go now, and restart nothing
+        /// The version, as `fleet.agreed.version` names it in the configuration that the program brings
+        #[arg(long, value_name = "NAME", required_unless_present = "back")]
+        to: Option<String>,
+        /// The version that all run now, for the way back
+        #[arg(long, value_name = "NAME", default_value = "")]
+        from: String,
+        /// Back to the version from which the release that stands began, newest first
+        #[arg(long, conflicts_with = "to")]
+        back: bool,
+        /// Say what stands and how many have done it, and restart nothing
         #[arg(long)]
         dry_run: bool,
-        /// Wait for each permit, in seconds
+        /// Wait for each step, in seconds
         #[arg(long, default_value_t = 300)]
         wait: u64,
         #[command(flatten)]
--- a/crates/cli/tests/agreed.rs
+++ b/crates/cli/tests/agreed.rs
@@ -148,13 +148,13 @@
     std::fs::write(&run, text).expect("written");
     let mode = std::os::unix::fs::PermissionsExt::from_mode(0o755);
     std::fs::set_permissions(&run, mode).expect("it may be run");
-    let through: Vec<_> = bed.peers.iter().map(ToString::to_string).collect();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_basaltward"));
-    command
-        .args(["fleet", "release", "--only", "1,3", "--wait", "100", "--run"])
-        .arg(&run)
-        .args(["--of", &through.join(",")]);
-    let mut child = command.spawn().expect("it runs");
+    let through = bed.peers.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+    let begin = || {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_basaltward"));
+        command.args(["fleet", "release", "--to", "b", "--wait", "100", "--run"]).arg(&run);
+        command.args(["--of", &through]).spawn().expect("it runs")
+    };
+    let mut child = begin();
     let until = Instant::now() + Duration::from_secs(200);
     let mut gone = Vec::new();
     let status = loop {
@@ -165,15 +165,24 @@
         for i in 0..4 {
             if !gone.contains(&i) && folder.join(format!("go.{i}")).exists() {
                 assert!(bed.running().len() == 4, "one after another");
+                bed.version(i, "b").expect("written");
                 bed.stop(i).expect("it ends");
                 bed.up(i).expect("it comes up");
                 gone.push(i);
                 std::fs::write(folder.join(format!("done.{i}")), "").expect("written");
+                if gone.len() == 2 {
+                    // The operator's command dies in the middle of a step; another goes on.
+                    child.kill().expect("killed");
+                    child.wait().expect("ended");
+                    child = begin();
+                }
             }
         }
         std::thread::sleep(Duration::from_millis(20));
     };
-    assert!(status.success() && gone == [1, 3], "{gone:?}");
+    gone.sort_unstable();
+    assert!(status.success() && gone == [0, 1, 2, 3], "{gone:?}");
+    shows(&bed, 1, "4 run version");
     std::fs::remove_dir_all(&folder).expect("removed");
     let (verdict, _) = finished(bed);
     assert!(verdict.is_good(), "{:?} {:?}", verdict.rules, verdict.fleet);
--- a/crates/fleet/src/board.rs
+++ b/crates/fleet/src/board.rs
@@ -128,6 +128,12 @@
         self.facts.get(&(owner, key)).filter(|held| held.until > now).map(|held| held.value.as_slice())
     }
 
+    /// As [`Board::get`], where it was told in the life that began then.
+    pub fn get_of(&self, now: Micros, owner: Number, key: u8, life: u64) -> Option<&[u8]> {
+        let same = self.facts.get(&(owner, key)).is_some_and(|held| held.version.0 == life);
+        self.get(now, owner, key).filter(|_| same)
+    }
+
     /// The sums, place by place, of counters that members tell under a key.
     pub fn totals(&self, now: Micros, key: u8) -> Vec<u64> {
         let mut totals: Vec<u64> = Vec::new();
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -246,6 +246,13 @@
         self.board.get(now, owner, key)
     }
 
+    /// As [`View::fact`], but only where the member told it in the life that we know of: what an earlier life said of
+    /// itself may be otherwise now.
+    pub fn fact_of_this_life(&self, now: Micros, owner: Number, key: u8) -> Option<&[u8]> {
+        let life = self.entries.get(usize::from(owner))?.incarnation.start;
+        self.board.get_of(now, owner, key, life)
+    }
+
     /// The sums, place by place, of the counters that members tell under a key, see
     /// [`value_of`](crate::value_of).
     pub fn totals(&self, now: Micros, key: u8) -> Vec<u64> {
--- a/crates/node/src/agreement.rs
+++ b/crates/node/src/agreement.rs
@@ -2,8 +2,8 @@
 
 use crate::notes::Notes;
 use basaltward_agreed::{
-    AgreedSettings, Answered, Bounds, Denied, Epoch, Fault, Halt, Look, Member, Output, Request, Response,
-    Seen, Sight, Status, Subject, Told, Want, worker,
+    AgreedSettings, Answered, Bounds, Denied, Epoch, Eyes, Fault, Halt, Look, Member, Output, RUNS, Request,
+    Response, Seen, Sight, Status, Subject, Told, Want, done, worker,
 };
 use basaltward_bulletin::{Roster, Standing, Target};
 use basaltward_fleet::{FleetSettings, MOST, Number, State, View, value_of};
@@ -23,6 +23,8 @@
 /// Whoever starts uses no worker until it has heard what is drained, but for no longer than this: with nobody there to
 /// tell, it serves. It asks this often.
 const LEARN_US: (Micros, Micros) = (500_000, 50_000);
+/// What we run is told so often, and no more often than this for each member.
+const TELL_RUNS_US: (Micros, Micros) = (5_000_000, 500_000);
 /// A member that has been gone for so long has nothing in hand any more: no call lasts so long.
 const CLEAR_US: Micros = 60_000_000;
 
@@ -50,6 +52,9 @@
     tell: Micros,
     /// Until when workers wait for what is drained, and when it is asked for again.
     learns: Option<(Micros, Micros)>,
+    /// The mark of the version that we run, and when it is told next.
+    runs: u32,
+    tell_runs: Micros,
     /// The latest that is recorded.
     noted: Option<(Epoch, u32)>,
     /// Workers no longer wait.
@@ -66,7 +71,12 @@
 
 impl Agreement {
     /// A member's part in a fleet of this view.
-    pub fn new(fleet: &FleetSettings, bounds: Bounds, zones: Vec<String>, now: Micros) -> Option<Self> {
+    pub fn new(
+        fleet: &FleetSettings,
+        bounds: Bounds,
+        (zones, runs): (Vec<String>, u32),
+        now: Micros,
+    ) -> Option<Self> {
         let life =
             [fleet.start, fleet.seed, u64::from(std::process::id()), now].map(u64::to_le_bytes).concat();
         let settings = AgreedSettings {
@@ -86,6 +96,8 @@
             tell: now,
             learns,
             noted: None,
+            runs,
+            tell_runs: now,
             released: false,
             out: Vec::new(),
         })
@@ -103,7 +115,7 @@
     pub fn next_due(&self) -> Micros {
         let tell = if self.drained.is_empty() { Micros::MAX } else { self.tell };
         let learns = self.learns.map_or(Micros::MAX, |(_, again)| again);
-        self.member.next_due().min(tell).min(learns)
+        self.member.next_due().min(tell).min(learns).min(self.tell_runs)
     }
 
     fn sight(&self, now: Micros) -> Sight {
@@ -111,7 +123,10 @@
             let Target { az, boot_ms, state, .. } = &worker.target;
             let zone = self.zones.iter().position(|zone| zone == az).unwrap_or(self.zones.len()) as u8;
             let used = (*state == Standing::Ready).then(|| now.saturating_sub(worker.since));
-            (Subject::Worker(*tag), Seen { zone, life: (boot_ms / 1_000) as u16, used, sole: false })
+            (
+                Subject::Worker(*tag),
+                Seen { zone, life: (boot_ms / 1_000) as u16, used, sole: false, runs: None },
+            )
         };
         self.workers.iter().map(seen).collect()
     }
@@ -145,6 +160,11 @@
                 self.released = true;
             }
         }
+        if now >= self.tell_runs {
+            let gap = TELL_RUNS_US.0.max(TELL_RUNS_US.1 * view.entries().len() as Micros);
+            self.tell_runs = now + gap;
+            view.tell_fact(now, RUNS, &value_of(&[self.runs.into()]), gap * 4);
+        }
         if !self.drained.is_empty() && now >= self.tell {
             let gap = TELL_US.0.max(TELL_US.1 * view.entries().len() as Micros);
             self.tell = now + gap;
@@ -224,6 +244,10 @@
             halt: self.member.halt(),
             out: ((all.len() - of_workers) as u16, of_workers as u16),
             unclear: if self.drained.is_empty() { 0 } else { self.unclear(view, now) as u16 },
+            plan: known.and_then(|known| known.value.plan).map(|plan| {
+                let done = done(&plan, &look.sight(now));
+                (plan, done as u16)
+            }),
             permits: known.map(|known| known.value.permits.clone()).unwrap_or_default(),
         }
     }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -63,6 +63,8 @@
 struct AgreedFile {
     #[serde(default)]
     bounds: Bounds,
+    #[serde(default)]
+    version: String,
 }
 
 /// The fleet's view, where it is kept.
@@ -78,6 +80,8 @@
     pub operators: Vec<IpAddr>,
     /// How many may be out at once, where the fleet agrees on that.
     pub bounds: Option<Bounds>,
+    /// The version that this configuration and its program are, by its operators' name.
+    pub version: String,
 }
 
 #[derive(Deserialize)]
@@ -132,8 +136,9 @@
             if file.peers.len() <= told.module.self_index as usize || file.peers.len() > MOST_PEERS {
                 return Err(ConfigError::Fleet("peers holds none of our number, or too many"));
             }
+            let version = agreed.as_ref().map(|agreed| agreed.version.clone()).unwrap_or_default();
             let bounds = agreed.map(|agreed| agreed.bounds);
-            Some(FleetConfig { name, listen, peers: file.peers, operators, bounds })
+            Some(FleetConfig { name, listen, peers: file.peers, operators, bounds, version })
         }
     };
     Ok(NodeConfig {
--- a/crates/trial/src/bed.rs
+++ b/crates/trial/src/bed.rs
@@ -229,17 +229,30 @@
     /// Where a file can't be read or written.
     pub fn list(&self, size: usize) -> Result<(), TrialError> {
         for (i, mesh) in self.mesh.iter().enumerate().take(size) {
-            let path = self.folder.join(format!("n{i}.json"));
-            let text = std::fs::read_to_string(&path)?;
-            let mut told: serde_json::Value = serde_json::from_str(&text).map_err(std::io::Error::from)?;
-            told["peers"] = mesh.iter().take(size).map(ToString::to_string).collect();
-            let fresh = path.with_extension("new");
-            std::fs::write(&fresh, told.to_string())?;
-            std::fs::rename(&fresh, &path)?;
+            let peers = mesh.iter().take(size).map(ToString::to_string).collect();
+            self.rewrite(i, |told| told["peers"] = peers)?;
         }
         Ok(())
     }
 
+    /// A scheduler's configuration is of this version from its next start on.
+    ///
+    /// # Errors
+    /// Where the file can't be read or written.
+    pub fn version(&self, i: usize, name: &str) -> Result<(), TrialError> {
+        self.rewrite(i, |told| told["fleet"]["agreed"]["version"] = name.into())
+    }
+
+    fn rewrite(&self, i: usize, change: impl FnOnce(&mut serde_json::Value)) -> Result<(), TrialError> {
+        let path = self.folder.join(format!("n{i}.json"));
+        let text = std::fs::read_to_string(&path)?;
+        let mut told: serde_json::Value = serde_json::from_str(&text).map_err(std::io::Error::from)?;
+        change(&mut told);
+        let fresh = path.with_extension("new");
+        std::fs::write(&fresh, told.to_string())?;
+        Ok(std::fs::rename(&fresh, &path)?)
+    }
+
     /// Clients begin to call every scheduler.
     pub fn call(&mut self) {
         let classes = CLASSES.iter().map(|(name, patience, _)| ((*name).to_owned(), *patience)).collect();
