Node: the zones of schedulers, for bounds by zone

Bounds by zone held for workers alone: nothing told in which zone a scheduler stands, so all stood in one. fleet.zones names the zone of each of peers; read again at SIGHUP with the bounds. Unit test of the configuration; that a zone's bound counts what is out there is tested in crates/agreed (bounds.rs).

--- a/crates/node/src/agreement.rs
+++ b/crates/node/src/agreement.rs
@@ -1,9 +1,10 @@
 //! What the fleet agrees on, on the loop: which workers are drained, and what operators ask for.
 
+use crate::config::FleetConfig;
 use crate::notes::Notes;
 use basaltward_agreed::{
     AgreedSettings, Answered, Bounds, Denied, Epoch, Eyes, Fault, Halt, Look, Member, Output, RUNS, Request,
-    Response, Seen, Sight, Status, Subject, Told, Want, done, worker,
+    Response, Seen, Sight, Status, Subject, Told, Want, done, version, worker,
 };
 use basaltward_bulletin::{Roster, Standing, Target};
 use basaltward_fleet::{FleetSettings, MOST, Number, State, View, value_of};
@@ -52,6 +53,8 @@
     tell: Micros,
     /// Until when workers wait for what is drained, and when it is asked for again.
     learns: Option<(Micros, Micros)>,
+    /// Zones of the schedulers, by number.
+    peers_zones: Vec<u8>,
     /// The mark of the version that we run, and when it is told next.
     runs: u32,
     tell_runs: Micros,
@@ -73,8 +76,8 @@
     /// A member's part in a fleet of this view.
     pub fn new(
         fleet: &FleetSettings,
-        bounds: Bounds,
-        (zones, runs): (Vec<String>, u32),
+        (bounds, zones): (Bounds, Vec<String>),
+        told: &FleetConfig,
         now: Micros,
     ) -> Option<Self> {
         let life =
@@ -96,7 +99,8 @@
             tell: now,
             learns,
             noted: None,
-            runs,
+            runs: version(&told.version),
+            peers_zones: told.zones.clone(),
             tell_runs: now,
             released: false,
             out: Vec::new(),
@@ -108,8 +112,10 @@
         self.member.plant(fault, now);
     }
 
-    pub fn set_bounds(&mut self, bounds: Bounds) {
+    /// A new configuration.
+    pub fn reread(&mut self, bounds: Bounds, zones: &[u8]) {
         self.member.set_bounds(bounds);
+        self.peers_zones = zones.to_vec();
     }
 
     pub fn next_due(&self) -> Micros {
@@ -134,7 +140,11 @@
     fn act(&mut self, view: &View, now: Micros, act: impl FnOnce(&mut Member, &Look, &mut Vec<Output>)) {
         let workers = self.sight(now);
         let wall_ms = (Clock::read().wall() / 1_000).saturating_sub(crate::fellows::EPOCH_MS);
-        act(&mut self.member, &Look { view, zones: &[], workers: &workers, wall_ms }, &mut self.out);
+        act(
+            &mut self.member,
+            &Look { view, zones: &self.peers_zones, workers: &workers, wall_ms },
+            &mut self.out,
+        );
     }
 
     /// A datagram of another member.
@@ -233,7 +243,7 @@
 
     fn status(&self, view: &View, now: Micros) -> Status {
         let workers = self.sight(now);
-        let look = Look { view, zones: &[], workers: &workers, wall_ms: 0 };
+        let look = Look { view, zones: &self.peers_zones, workers: &workers, wall_ms: 0 };
         let all = self.member.out(now, &look);
         let of_workers = all.iter().filter(|of| matches!(of, Subject::Worker(_))).count();
         let known = self.member.known();
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -55,6 +55,8 @@
     name: String,
     #[serde(default)]
     operators: Vec<IpAddr>,
+    #[serde(default)]
+    zones: Vec<String>,
     /// Absent, this scheduler has no part in what the fleet agrees on.
     agreed: Option<AgreedFile>,
 }
@@ -78,6 +80,8 @@
     pub peers: Vec<SocketAddr>,
     /// From where operators may ask.
     pub operators: Vec<IpAddr>,
+    /// The zone of each of `peers`, as a number; those that are not told stand in the first.
+    pub zones: Vec<u8>,
     /// How many may be out at once, where the fleet agrees on that.
     pub bounds: Option<Bounds>,
     /// The version that this configuration and its program are, by its operators' name.
@@ -128,17 +132,26 @@
     let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(bytes))?;
     let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?;
     let told = basaltward_told::parse(file.settings.get())?;
-    let unsaid = FleetFile { view, name: String::new(), operators: Vec::new(), agreed: None };
+    let unsaid =
+        FleetFile { view, name: String::new(), operators: Vec::new(), agreed: None, zones: Vec::new() };
     let fleet = match Some(file.fleet.unwrap_or(unsaid)).filter(|fleet| fleet.view) {
         None => None,
-        Some(FleetFile { name, operators, agreed, .. }) => {
+        Some(FleetFile { name, operators, agreed, zones, .. }) => {
             let listen = file.peer_listen.ok_or(ConfigError::Fleet("peer_listen is missing"))?;
             if file.peers.len() <= told.module.self_index as usize || file.peers.len() > MOST_PEERS {
                 return Err(ConfigError::Fleet("peers holds none of our number, or too many"));
             }
             let version = agreed.as_ref().map(|agreed| agreed.version.clone()).unwrap_or_default();
             let bounds = agreed.map(|agreed| agreed.bounds);
-            Some(FleetConfig { name, listen, peers: file.peers, operators, bounds, version })
+            Some(FleetConfig {
+                name,
+                listen,
+                peers: file.peers,
+                operators,
+                zones: numbered(&zones)?,
+                bounds,
+                version,
+            })
         }
     };
     Ok(NodeConfig {
@@ -153,6 +166,20 @@
     })
 }
 
+/// Names as numbers, in the order in which they first come.
+fn numbered(names: &[String]) -> Result<Vec<u8>, ConfigError> {
+    let mut seen: Vec<&String> = Vec::new();
+    let mut number = |name| {
+        let known = seen.iter().position(|known| *known == name);
+        let at = known.unwrap_or_else(|| {
+            seen.push(name);
+            seen.len() - 1
+        });
+        u8::try_from(at).map_err(|_| ConfigError::Fleet("zones holds more than 256 names"))
+    };
+    names.iter().map(&mut number).collect()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -190,5 +217,14 @@
             assert!(error.contains(named) && !error.contains('\n'), "{error}");
         }
         assert!(parse(&GOOD.as_bytes()[..200], false).is_err());
+        let fleet = r#""peers":["127.0.0.4:1","127.0.0.4:2","127.0.0.4:3"],"peer_listen":"127.0.0.4:1","fleet":{
+            "view":true,"zones":["west","east","west"],"agreed":{"version":"a","bounds":{"workers":{"number":3}}}}"#;
+        let fleet = parse(GOOD.replace("\"peers\":[]", fleet).as_bytes(), false).expect("good").fleet;
+        let fleet = fleet.expect("the view is on");
+        assert_eq!((fleet.zones, fleet.version.as_str()), (vec![0, 1, 0], "a"));
+        let bounds = Bounds { workers: basaltward_agreed::Most::Number(3), ..Bounds::default() };
+        assert_eq!(fleet.bounds, Some(bounds));
+        let many: Vec<_> = (0..257).map(|of: u32| of.to_string()).collect();
+        assert!(numbered(&many).is_err() && numbered(&many[..256]).is_ok());
     }
 }
--- a/crates/node/src/fellows.rs
+++ b/crates/node/src/fellows.rs
@@ -3,7 +3,7 @@
 use crate::agreement::Agreement;
 use crate::config::{FleetConfig, NodeConfig};
 use crate::notes::Notes;
-use basaltward_agreed::{Request, VERSION, version};
+use basaltward_agreed::{Request, VERSION};
 use basaltward_bulletin::Roster;
 use basaltward_fleet::{Answer, CALLS, FleetSettings, MOST, Newer, Number, Output, Question, View, value_of};
 use basaltward_net::{Clock, Io, Micros, NetError};
@@ -65,9 +65,8 @@
         // The configuration has been checked for what this checks.
         let Ok(view) = View::new(settings, now) else { return Ok(None) };
         let zones = config.told.zones.clone();
-        let agreement = fleet
-            .bounds
-            .and_then(|bounds| Agreement::new(&settings, bounds, (zones, version(&fleet.version)), now));
+        let agreement =
+            fleet.bounds.and_then(|bounds| Agreement::new(&settings, (bounds, zones), fleet, now));
         let numbers = numbers(&fleet.peers);
         let (peers, operators) = (fleet.peers.clone(), fleet.operators.clone());
         Ok(Some(Self {
@@ -111,7 +110,7 @@
             (self.peers, self.numbers) = (fleet.peers.clone(), numbers(&fleet.peers));
             self.operators.clone_from(&fleet.operators);
             if let (Some(agreement), Some(bounds)) = (&mut self.agreement, fleet.bounds) {
-                agreement.set_bounds(bounds);
+                agreement.reread(bounds, &fleet.zones);
             }
             info!(members = self.peers.len(), "fleet's list read");
         }
