Node: a member that was never heard counts as clear a minute after our start

A configured scheduler that never started was counted as perhaps having calls in hand for a drained worker for ever, so that no drain became clear. It counts as clear once it could have been heard for 60 s, as one that is gone does.

--- a/crates/node/src/agreement.rs
+++ b/crates/node/src/agreement.rs
@@ -53,6 +53,7 @@
     tell: Micros,
     /// Until when workers wait for what is drained, and when it is asked for again.
     learns: Option<(Micros, Micros)>,
+    started: Micros,
     /// Zones of the schedulers, by number.
     peers_zones: Vec<u8>,
     /// The mark of the version that we run, and when it is told next.
@@ -98,6 +99,7 @@
             errands,
             tell: now,
             learns,
+            started: now,
             noted: None,
             runs: version(&told.version),
             peers_zones: told.zones.clone(),
@@ -234,6 +236,8 @@
             let ended = match entry.state {
                 State::Stopped => true,
                 State::Gone => now >= entry.since + CLEAR_US,
+                // Never there, as far as we can have heard.
+                State::Unknown => now >= self.started + CLEAR_US,
                 _ => false,
             };
             !clear && !ended
