Module's interface: one constructor of a worker long started

Five places listed the same seven fields of a member (two tests and two benches of the engine and the module, the example). Member::active serves them all; no behaviour changes.

--- a/crates/bench/src/jam.rs
+++ b/crates/bench/src/jam.rs
@@ -8,7 +8,7 @@
 use crate::spread;
 use basaltward::{
     Action, Class, Code, Controller, CopyNote, Event, Group, Member, MembersKind, Micros, Outcome, Repeat,
-    Request, RequestId, Settings, State, WorkerId,
+    Request, RequestId, Settings, WorkerId,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -296,15 +296,7 @@
         events: 0,
         away_from: warm,
     };
-    let member = |i: usize| Member {
-        worker: format!("w{i}").as_str().into(),
-        state: State::Active,
-        started: 0,
-        hint: 1.0,
-        kind: 0,
-        zone: 0,
-        cell: 0,
-    };
+    let member = |i: usize| Member::active(&format!("w{i}"));
     let members = (0..shape.workers).map(member).collect();
     run.tell(0, Event::Members { kind: MembersKind::Whole, members });
     // Copies everywhere first, by a call of each function now and then.
--- a/crates/bench/src/module.rs
+++ b/crates/bench/src/module.rs
@@ -3,7 +3,7 @@
 use crate::spread;
 use basaltward::{
     Action, Class, Code, Controller, CopyNote, Event, Member, MembersKind, Micros, Outcome, Repeat, Request,
-    RequestId, Settings, State, WorkerId,
+    RequestId, Settings, WorkerId,
 };
 use std::collections::BTreeMap;
 use std::error::Error;
@@ -91,15 +91,7 @@
         let (due, sent) = (BTreeMap::new(), BTreeMap::new());
         let (spent, worst) = (Duration::ZERO, Duration::ZERO);
         let mut run = Run { controller, due, number: 0, sent, spent, worst };
-        let member = |i: usize| Member {
-            worker: format!("10.0.{}.{}:7000", i / 250, i % 250).as_str().into(),
-            state: State::Active,
-            started: 0,
-            hint: 1.0,
-            kind: 0,
-            zone: 0,
-            cell: 0,
-        };
+        let member = |i: usize| Member::active(&format!("10.0.{}.{}:7000", i / 250, i % 250));
         let members = (0..workers).map(member).collect();
         run.tell(0, Event::Members { kind: MembersKind::Whole, members });
         let total: f64 = (1..=functions).map(|rank| 1.0 / rank as f64).sum();
--- a/crates/engine/tests/behind.rs
+++ b/crates/engine/tests/behind.rs
@@ -1,7 +1,7 @@
 //! A loop with a fifth of a core, whose clock runs on by what its work costs: whatever the fleet does, each
 //! call has its answer in time. No socket; the order of a turn is that of the live scheduler's loop.
 use basaltward::{
-    Class, Code, CopyNote, FunctionId, Member, MembersKind, Micros, Repeat, Settings, State, WorkerId,
+    Class, Code, CopyNote, FunctionId, Member, MembersKind, Micros, Repeat, Settings, WorkerId,
 };
 use basaltward_engine::*;
 use rand::rngs::StdRng;
@@ -101,15 +101,7 @@
             late: Vec::new(),
             longest: 0,
         };
-        let member = |i: usize| Member {
-            worker: format!("w{i}").as_str().into(),
-            state: State::Active,
-            started: 0,
-            hint: 1.0,
-            kind: 0,
-            zone: 0,
-            cell: 0,
-        };
+        let member = |i: usize| Member::active(&format!("w{i}"));
         let members = (0..WORKERS).map(member).collect();
         all.engine.handle(0, Input::Members(MembersKind::Whole, members), &mut all.out);
         all.carry_out();
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -1,5 +1,5 @@
 //! Calls through the engine: inputs and times in, outputs out, no socket and no clock.
-use basaltward::{Class, Code, CopyNote, Member, MembersKind, Micros, Repeat, Settings, State};
+use basaltward::{Class, Code, CopyNote, Member, MembersKind, Micros, Repeat, Settings};
 use basaltward_engine::*;
 use std::sync::Arc;
 
@@ -101,15 +101,7 @@
 
 /// Worker w0, w1, ..., long started.
 fn member(number: usize) -> Member {
-    Member {
-        worker: format!("w{number}").as_str().into(),
-        state: State::Active,
-        started: 0,
-        hint: 1.0,
-        kind: 0,
-        zone: 0,
-        cell: 0,
-    }
+    Member::active(&format!("w{number}"))
 }
 
 fn served(text: &'static str) -> Answer<Text> {
--- a/examples/first.rs
+++ b/examples/first.rs
@@ -1,5 +1,5 @@
 //! The README's example.
-use basaltward::{Action, Class, Controller, Event, Member, MembersKind, Repeat, Request, Settings, State};
+use basaltward::{Action, Class, Controller, Event, Member, MembersKind, Repeat, Request, Settings};
 
 fn main() -> Result<(), basaltward::SettingsError> {
     let mut settings = Settings::new(vec![Class::new(500_000, 2_000_000, Repeat::Safe)], vec![16_384.0]);
@@ -7,15 +7,7 @@
     settings.family.orders = false;
     let mut controller = Controller::new(settings, 7)?;
     let mut actions = Vec::new();
-    let worker = Member {
-        worker: "10.0.0.1:7000".into(),
-        state: State::Active,
-        started: 0,
-        hint: 1.0,
-        kind: 0,
-        zone: 0,
-        cell: 0,
-    };
+    let worker = Member::active("10.0.0.1:7000");
     controller.handle(0, Event::Members { kind: MembersKind::Whole, members: vec![worker] }, &mut actions);
     controller.handle(1_000, Event::Request(Request::new(1, "resize", 384.0, 2, 2_000_000)), &mut actions);
     assert!(actions.iter().any(|a| matches!(a, Action::Send { .. })));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -320,6 +320,14 @@
     pub cell: u64,
 }
 
+impl Member {
+    /// A worker in use, long started, of the first kind, zone and cell, of a size like the others'.
+    pub fn active(name: &str) -> Self {
+        let (worker, state) = (name.into(), State::Active);
+        Self { worker, state, started: 0, hint: 1.0, kind: 0, zone: 0, cell: 0 }
+    }
+}
+
 /// How a list of workers is to be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MembersKind {
