Agreed: what is seen of workers is put together when looked at; one mark of a name

Found by reading the change again. A scheduler with a part in what is agreed listed all workers for each datagram, though only a foreman that is asked or ends permits looks at them: Look takes a function now. A foreman that learns kept a value nobody read. The hash of a name was written twice, the gap between two tellings three times, its figures twice.

--- a/crates/agreed/src/eyes.rs
+++ b/crates/agreed/src/eyes.rs
@@ -14,8 +14,8 @@
     pub view: &'a View,
     /// Zones of the schedulers, by number; those that are not told are in zone 0.
     pub zones: &'a [u8],
-    /// Workers, by what the bulletin tells.
-    pub workers: &'a Sight,
+    /// Workers, by what the bulletin tells: put together when they are looked at, which few datagrams lead to.
+    pub workers: &'a dyn Fn(Micros) -> Sight,
     /// The wall clock, in milliseconds since the beginning of 2026.
     pub wall_ms: u64,
 }
@@ -34,7 +34,7 @@
             (Subject::Scheduler(of as Number), Seen { zone, life, used, sole: false, runs: runs(of) })
         };
         let mut sight: Sight = self.view.entries().iter().enumerate().map(seen).collect();
-        sight.extend(self.workers.iter().map(|(of, seen)| (*of, *seen)));
+        sight.extend((self.workers)(now));
         sight
     }
 
--- a/crates/agreed/src/keeper.rs
+++ b/crates/agreed/src/keeper.rs
@@ -39,7 +39,7 @@
     /// It asks for promises, since when.
     Claiming(Micros),
     /// Too few seats remember: it learns what is out until this time.
-    Learning(Micros, Option<V>),
+    Learning(Micros),
     /// It is foreman.
     Keeping {
         version: u32,
@@ -128,11 +128,11 @@
 
     /// Whether it is foreman, or learns to be.
     pub fn is_elected(&self) -> bool {
-        matches!(self.stage, Stage::Learning(..) | Stage::Keeping { .. })
+        matches!(self.stage, Stage::Learning(_) | Stage::Keeping { .. })
     }
 
     /// Whether it has nothing left to do.
-    pub fn is_lost(&self) -> bool {
+    fn is_lost(&self) -> bool {
         matches!(self.stage, Stage::Lost)
     }
 
@@ -155,7 +155,7 @@
         self.sent.push((self.beat, now));
         let (epoch, beat) = (self.epoch, self.beat);
         let told = |seat: &Number| match &self.stage {
-            Stage::Claiming(_) | Stage::Learning(..) => Some((*seat, ToSeat::Claim { epoch, beat })),
+            Stage::Claiming(_) | Stage::Learning(_) => Some((*seat, ToSeat::Claim { epoch, beat })),
             Stage::Keeping { version, value, .. } => {
                 let life = self.heard.get(seat).map_or(0, |heard| heard.life);
                 let stored = Stored { epoch, version: *version, value: value.clone() };
@@ -215,8 +215,8 @@
             },
             Stage::Claiming(_) => self.elected(now),
             _ if !has_lease => self.lose(),
-            Stage::Learning(until, _) if now < *until => Turn::Same,
-            Stage::Learning(..) => Turn::Learnt,
+            Stage::Learning(until) if now < *until => Turn::Same,
+            Stage::Learning(_) => Turn::Learnt,
             Stage::Keeping { version, agreed, .. } => {
                 let version = *version;
                 if *agreed == version || holding(version) < majority {
@@ -245,7 +245,7 @@
                 Turn::Same
             }
             latest => {
-                self.stage = Stage::Learning(now + self.times.learning, latest.clone());
+                self.stage = Stage::Learning(now + self.times.learning);
                 Turn::Learns(latest)
             }
         }
@@ -257,7 +257,7 @@
 
     /// What is out, as it was learnt: the value begins with it.
     pub fn learnt(&mut self, now: Micros, value: V) {
-        if matches!(self.stage, Stage::Learning(until, _) if now >= until) {
+        if matches!(self.stage, Stage::Learning(until) if now >= until) {
             self.keep(value);
         }
     }
--- a/crates/agreed/src/ledger.rs
+++ b/crates/agreed/src/ledger.rs
@@ -18,7 +18,7 @@
 
 /// The subject that a worker's name stands for.
 pub fn worker(name: &str) -> Subject {
-    Subject::Worker(crc32fast::hash(name.as_bytes()))
+    Subject::Worker(mark(name))
 }
 
 /// Leave to be out, until its subject has proven to be back.
@@ -39,7 +39,7 @@
 pub struct Plan {
     /// Which of all plans and permits.
     pub number: u16,
-    /// The version that all are to run, by a hash of its name: see [`version`].
+    /// The version that all are to run, by a hash of its name: see [`mark`].
     pub to: u32,
     /// The one that they ran, for the way back.
     pub from: u32,
@@ -47,8 +47,8 @@
     pub back: bool,
 }
 
-/// The mark that a version's name stands for.
-pub fn version(name: &str) -> u32 {
+/// The mark that the name of a worker or of a version stands for.
+pub fn mark(name: &str) -> u32 {
     crc32fast::hash(name.as_bytes())
 }
 
--- a/crates/agreed/src/lib.rs
+++ b/crates/agreed/src/lib.rs
@@ -22,7 +22,7 @@
 pub use desk::Answer as Answered;
 pub use eyes::{Look, RUNS};
 pub use keeper::{Keeper, Times, Turn};
-pub use ledger::{Ledger, PERMITS, Permit, Plan, Subject, version, worker};
+pub use ledger::{Ledger, PERMITS, Permit, Plan, Subject, mark, worker};
 #[doc(hidden)]
 pub use member::Fault;
 pub use member::{Eyes, Member, Output};
--- a/crates/agreed/src/world.rs
+++ b/crates/agreed/src/world.rs
@@ -48,7 +48,8 @@
         act: impl FnOnce(&mut Member, &Look, &mut Vec<Output>) -> T,
     ) -> T {
         let wall_ms = self.wall_ms + now / 1_000;
-        let look = Look { view: &self.view, zones: &[], workers: &self.workers, wall_ms };
+        let told = &self.workers;
+        let look = Look { view: &self.view, zones: &[], workers: &|_| told.clone(), wall_ms };
         let mut told = Vec::new();
         let done = act(&mut self.member, &look, &mut told);
         let bytes =
--- a/crates/cli/src/agreed.rs
+++ b/crates/cli/src/agreed.rs
@@ -2,7 +2,7 @@
 
 use crate::Failed;
 use crate::args::{FleetCommand, Through};
-use basaltward_agreed::{Answered, Denied, Permit, Status, Subject, Told, Want, Wish, version, worker};
+use basaltward_agreed::{Answered, Denied, Permit, Status, Subject, Told, Want, Wish, mark, worker};
 use basaltward_node::ask_agreed;
 use serde_json::json;
 use std::path::Path;
@@ -218,9 +218,9 @@
 fn planned(through: &Through, asked: &Release) -> Result<u16, Failed> {
     let stands = status(through)?.plan.map(|(plan, _)| plan);
     let (to, from, back) = match (asked.to, stands) {
-        (Some(name), Some(plan)) if plan.to == version(name) && !plan.back => return Ok(plan.number),
-        (Some(name), Some(plan)) => (version(name), plan.to, false),
-        (Some(name), None) => (version(name), version(asked.from), false),
+        (Some(name), Some(plan)) if plan.to == mark(name) && !plan.back => return Ok(plan.number),
+        (Some(name), Some(plan)) => (mark(name), plan.to, false),
+        (Some(name), None) => (mark(name), mark(asked.from), false),
         (None, Some(plan)) if plan.back => return Ok(plan.number),
         (None, Some(plan)) => (plan.from, plan.to, true),
         (None, None) => return Err(Failed::Run("no release stands that could be taken back".into())),
--- a/crates/node/src/agreement.rs
+++ b/crates/node/src/agreement.rs
@@ -1,10 +1,11 @@
 //! What the fleet agrees on, on the loop: which workers are drained, and what operators ask for.
 
 use crate::config::FleetConfig;
+use crate::fellows::gap;
 use crate::notes::Notes;
 use basaltward_agreed::{
     AgreedSettings, Answered, Bounds, Denied, Epoch, Eyes, Fault, Halt, Look, Member, Output, RUNS, Request,
-    Response, Seen, Sight, Status, Subject, Told, Want, done, version, worker,
+    Response, Seen, Sight, Status, Subject, Told, Want, done, mark,
 };
 use basaltward_bulletin::{Roster, Standing, Target};
 use basaltward_fleet::{FleetSettings, MOST, Number, State, View, value_of};
@@ -24,8 +25,6 @@
 /// Whoever starts uses no worker until it has heard what is drained, but for no longer than this: with nobody there to
 /// tell, it serves. It asks this often.
 const LEARN_US: (Micros, Micros) = (500_000, 50_000);
-/// What we run is told so often, and no more often than this for each member.
-const TELL_RUNS_US: (Micros, Micros) = (5_000_000, 500_000);
 /// A member that has been gone for so long has nothing in hand any more: no call lasts so long.
 const CLEAR_US: Micros = 60_000_000;
 
@@ -66,13 +65,6 @@
     out: Vec<Output>,
 }
 
-fn tag(uid: &str) -> u32 {
-    match worker(uid) {
-        Subject::Worker(tag) => tag,
-        Subject::Scheduler(_) => 0,
-    }
-}
-
 impl Agreement {
     /// A member's part in a fleet of this view.
     pub fn new(
@@ -101,7 +93,7 @@
             learns,
             started: now,
             noted: None,
-            runs: version(&told.version),
+            runs: mark(&told.version),
             peers_zones: told.zones.clone(),
             tell_runs: now,
             released: false,
@@ -126,21 +118,22 @@
         self.member.next_due().min(tell).min(learns).min(self.tell_runs)
     }
 
-    fn sight(&self, now: Micros) -> Sight {
+    fn sight(workers: &BTreeMap<u32, Worker>, zones: &[String], now: Micros) -> Sight {
         let seen = |(tag, worker): (&u32, &Worker)| {
             let Target { az, boot_ms, state, .. } = &worker.target;
-            let zone = self.zones.iter().position(|zone| zone == az).unwrap_or(self.zones.len()) as u8;
+            let zone = zones.iter().position(|zone| zone == az).unwrap_or(zones.len()) as u8;
             let used = (*state == Standing::Ready).then(|| now.saturating_sub(worker.since));
             (
                 Subject::Worker(*tag),
                 Seen { zone, life: (boot_ms / 1_000) as u16, used, sole: false, runs: None },
             )
         };
-        self.workers.iter().map(seen).collect()
+        workers.iter().map(seen).collect()
     }
 
-    fn act(&mut self, view: &View, now: Micros, act: impl FnOnce(&mut Member, &Look, &mut Vec<Output>)) {
-        let workers = self.sight(now);
+    fn act(&mut self, view: &View, act: impl FnOnce(&mut Member, &Look, &mut Vec<Output>)) {
+        let (known, zones) = (&self.workers, &self.zones);
+        let workers = move |now| Self::sight(known, zones, now);
         let wall_ms = (Clock::read().wall() / 1_000).saturating_sub(crate::fellows::EPOCH_MS);
         act(
             &mut self.member,
@@ -151,7 +144,7 @@
 
     /// A datagram of another member.
     pub fn handle(&mut self, view: &View, now: Micros, from: Number, bytes: &[u8]) {
-        self.act(view, now, |member, look, out| {
+        self.act(view, |member, look, out| {
             member.handle(now, from, bytes, look, out);
         });
     }
@@ -159,7 +152,7 @@
     /// Does what is due; tells what we have in hand for drained workers.
     pub fn wake(&mut self, view: &mut View, now: Micros, in_hand: impl FnOnce(&[&str]) -> usize) {
         if self.member.next_due() <= now {
-            self.act(view, now, |member, look, out| member.wake(now, look, out));
+            self.act(view, |member, look, out| member.wake(now, look, out));
         }
         if let Some((until, again)) = self.learns
             && now >= again
@@ -173,12 +166,12 @@
             }
         }
         if now >= self.tell_runs {
-            let gap = TELL_RUNS_US.0.max(TELL_RUNS_US.1 * view.entries().len() as Micros);
+            let gap = gap(crate::fellows::TELL_US, view.entries().len());
             self.tell_runs = now + gap;
             view.tell_fact(now, RUNS, &value_of(&[self.runs.into()]), gap * 4);
         }
         if !self.drained.is_empty() && now >= self.tell {
-            let gap = TELL_US.0.max(TELL_US.1 * view.entries().len() as Micros);
+            let gap = gap(TELL_US, view.entries().len());
             self.tell = now + gap;
             let names =
                 self.drained.iter().filter_map(|tag| Some(self.workers.get(tag)?.target.uid.as_str()));
@@ -221,7 +214,7 @@
             self.errands.pop_front();
         }
         let mut ours = 0;
-        self.act(view, now, |member, look, out| ours = member.ask(now, wish, look, out));
+        self.act(view, |member, look, out| ours = member.ask(now, wish, look, out));
         info!(%from, ?wish, "asked by an operator");
         self.errands.push_back(Errand { from, theirs: request.tag, ours, answer: None });
     }
@@ -246,7 +239,8 @@
     }
 
     fn status(&self, view: &View, now: Micros) -> Status {
-        let workers = self.sight(now);
+        let (known, zones) = (&self.workers, &self.zones);
+        let workers = move |now| Self::sight(known, zones, now);
         let look = Look { view, zones: &self.peers_zones, workers: &workers, wall_ms: 0 };
         let all = self.member.out(now, &look);
         let of_workers = all.iter().filter(|of| matches!(of, Subject::Worker(_))).count();
@@ -269,7 +263,7 @@
     /// What the bulletin tells, as the module is to hear it: whoever is drained leaves.
     pub fn told(&mut self, now: Micros, roster: &Roster) -> Roster {
         if roster.all {
-            let listed: BTreeSet<_> = roster.targets.iter().map(|target| tag(&target.uid)).collect();
+            let listed: BTreeSet<_> = roster.targets.iter().map(|target| mark(&target.uid)).collect();
             let absent = self.workers.iter_mut().filter(|(tag, _)| !listed.contains(tag));
             for worker in absent.map(|(_, worker)| worker).filter(|w| w.target.state != Standing::Gone) {
                 (worker.target.state, worker.since) = (Standing::Gone, now);
@@ -279,8 +273,8 @@
             let same = |known: &&Worker| {
                 known.target.state == target.state && known.target.boot_ms == target.boot_ms
             };
-            let since = self.workers.get(&tag(&target.uid)).filter(same).map_or(now, |known| known.since);
-            self.workers.insert(tag(&target.uid), Worker { target: target.clone(), since });
+            let since = self.workers.get(&mark(&target.uid)).filter(same).map_or(now, |known| known.since);
+            self.workers.insert(mark(&target.uid), Worker { target: target.clone(), since });
         }
         let kept = |tag: &u32, worker: &Worker| {
             worker.target.state != Standing::Gone
@@ -293,7 +287,7 @@
     }
 
     fn heard(&self, target: &Target) -> Target {
-        let held = self.learns.is_some() || self.drained.contains(&tag(&target.uid));
+        let held = self.learns.is_some() || self.drained.contains(&mark(&target.uid));
         let drained = target.state == Standing::Ready && held;
         let state = if drained { Standing::Terminating } else { target.state };
         Target { state, ..target.clone() }
--- a/crates/node/src/fellows.rs
+++ b/crates/node/src/fellows.rs
@@ -11,9 +11,9 @@
 use std::net::{IpAddr, SocketAddr};
 use tracing::{error, info};
 
-/// Counters of calls are told so often, and no more often than this for each member: all of them pass on those
+/// Counters of calls, and what we run, are told so often, and no more often than this for each member: all of them pass on those
 /// of all. Three that are missed leave the last one standing.
-const TELL_US: (Micros, Micros) = (5_000_000, 500_000);
+pub(crate) const TELL_US: (Micros, Micros) = (5_000_000, 500_000);
 /// Log lines on changes in a second at most; more are counted.
 const LINES: u32 = 50;
 /// The beginning of 2026, in milliseconds since 1970: incarnations count from there.
@@ -45,6 +45,11 @@
     (crc32fast::hash(fleet.name.as_bytes()) >> 16) as u16
 }
 
+/// Between two tellings of a fact: the least time, or what each member adds where that is more.
+pub(crate) fn gap((least, each): (Micros, Micros), members: usize) -> Micros {
+    least.max(each * members as Micros)
+}
+
 fn numbers(peers: &[SocketAddr]) -> HashMap<SocketAddr, Number> {
     peers.iter().enumerate().map(|(n, at)| (*at, n as Number)).collect()
 }
@@ -150,7 +155,7 @@
     /// Does what is due; `in_hand` says how much these workers have of ours.
     pub fn wake(&mut self, io: &mut Io, now: Micros, notes: &Notes, in_hand: impl FnOnce(&[&str]) -> usize) {
         if now >= self.tell_calls {
-            let gap = TELL_US.0.max(TELL_US.1 * self.peers.len() as Micros);
+            let gap = gap(TELL_US, self.peers.len());
             self.tell_calls = now + gap;
             self.view.tell_fact(now, CALLS, &value_of(&self.calls), gap * 4);
         }
