Sites: settings by the schema, rooms for shed

Gateways of several sites are to stand in for one another (overload as one, a lost site's work, the best site for a call). The types between the rooms and the loops, the settings (sites, fellows, kept classes; off unless configured; unknown, doubled and missing names refused with their line) and one list of the board's keys come first, so that the rooms can be built side by side.

--- a/crates/agreed/src/eyes.rs
+++ b/crates/agreed/src/eyes.rs
@@ -3,10 +3,7 @@
 use crate::bounds::{Seen, Sight};
 use crate::ledger::Subject;
 use crate::member::Eyes;
-use basaltward_fleet::{Entry, Micros, Number, State, View, counters_of};
-
-/// The key under which members tell the mark of the version that they run.
-pub const RUNS: u8 = 2;
+use basaltward_fleet::{Entry, Micros, Number, RUNS, State, View, counters_of};
 
 /// See the module's page.
 pub struct Look<'a> {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,10 +5,12 @@
 mod error;
 mod parse;
 mod settings;
+mod sites;
 pub mod xml;
 
 pub use error::{ConfigError, Fault};
 pub use settings::*;
+pub use sites::{FellowConfig, JournalConfig, KeptConfig, SitesConfig, Unheld};
 
 /// The schema that settings are checked by.
 pub const SCHEMA: &str = include_str!("../basaltward.xsd");
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -1,3 +1,4 @@
+use crate::sites::{kept, sites};
 use crate::xml::{Node, checked};
 use crate::{
     Config, ConfigError, Fault, FrontConfig, FunctionConfig, LinkConfig, MarginConfig, RepeatsConfig, SCHEMA,
@@ -127,6 +128,7 @@
     let memory: Vec<f64> =
         list("kinds", "kind").iter().map(|k| k.value("memory-mb", faults).unwrap_or(1.0)).collect();
     let told: Vec<Class> = list("classes", "class").iter().map(|c| class(c, faults)).collect();
+    let kept: Vec<_> = list("classes", "class").iter().map(|c| kept(c, faults)).collect();
     let largest = memory.iter().copied().fold(0.0, f64::max);
     let functions =
         list("functions", "function").iter().map(|f| function(f, &classes, largest, faults)).collect();
@@ -185,11 +187,17 @@
         faults.push(told.fault("remember-ms must not be below the deadline of a keyed or unsafe class"));
     }
     let margin = part("margin");
+    let name =
+        gateway.0.and_then(|g| g.text("name")).map_or_else(|| format!("gateway-{index}"), str::to_owned);
+    let sites = root.child("sites").and_then(|node| sites(&node, &name, faults));
+    if let Some(node) = list("classes", "class").iter().zip(&kept).find_map(|(node, kept)| kept.map(|_| node))
+    {
+        if root.child("sites").is_none() {
+            faults.push(node.fault("pending=\"kept\" needs a sites element: neighbours hold what is kept"));
+        }
+    }
     Config {
-        name: gateway
-            .0
-            .and_then(|g| g.text("name"))
-            .map_or_else(|| format!("gateway-{index}"), str::to_owned),
+        name,
         index,
         count,
         threads: gateway.number("threads", 1, faults),
@@ -199,6 +207,7 @@
         zones,
         kinds,
         classes,
+        kept,
         tenants,
         functions,
         module,
@@ -236,6 +245,7 @@
             most: margin.millis("most-ms", 25.0, faults),
         },
         records: file(root.child("records"), "file", folder),
+        sites,
     }
 }
 
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,3 +1,4 @@
+use crate::sites::{KeptConfig, SitesConfig};
 use basaltward::{FunctionId, Micros, Settings};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -108,6 +109,8 @@
     pub kinds: Vec<String>,
     /// Names of the classes, by position.
     pub classes: Vec<String>,
+    /// How each class keeps its events, by position; none where it does not.
+    pub kept: Vec<Option<KeptConfig>>,
     /// Names of tenants, by position; empty without tenants.
     pub tenants: Vec<String>,
     /// The functions.
@@ -126,6 +129,8 @@
     pub margin: MarginConfig,
     /// Where records are written, if anywhere.
     pub records: Option<PathBuf>,
+    /// Sites that stand in for one another, if any.
+    pub sites: Option<SitesConfig>,
 }
 
 impl Config {
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -1,6 +1,6 @@
 //! Settings as files: good ones with their defaults, bad ones with the place of each fault.
 use basaltward::{Group, Repeat};
-use basaltward_config::{ConfigError, Fault, read};
+use basaltward_config::{ConfigError, Fault, KeptConfig, Unheld, read};
 use std::path::Path;
 
 const GOOD: &str = r#"<basaltward xmlns="urn:basaltward:config:1">
@@ -58,3 +58,45 @@
         assert!(found.iter().any(|f| fits(&f)), "{to:?}: line {line} with {said:?} not in {found:#?}");
     }
 }
+
+const SITES: &str = r#"<sites fleet="cadastre" listen="127.0.0.1:7000" journal-listen="127.0.0.1:7100" operators="127.0.0.1" lease-ms="2000">
+    <site name="cusco"><fellow name="c0" tell="127.0.0.1:7001" front="127.0.0.1:8080" journal="127.0.0.1:7101"/></site>
+    <site name="lima">
+      <fellow name="l0" tell="127.0.0.1:7002" front="127.0.0.1:8081" journal="127.0.0.1:7102"/>
+      <fellow name="l1" tell="127.0.0.1:7003" front="127.0.0.1:8082" journal="127.0.0.1:7103"/>
+    </site>
+  </sites>
+</basaltward>"#;
+
+fn with_sites() -> String {
+    let kept = r#"repeat="safe" pending="kept" holders="2" unheld="go-on""#;
+    let named = GOOD.replace("<gateway index", "<gateway name=\"l0\" index");
+    named.replace("repeat=\"safe\"", kept).replace("</basaltward>", SITES)
+}
+
+#[test]
+fn sites_name_every_gateway_once_and_ourselves_among_them() {
+    let config = read(&with_sites(), Path::new("x.xml")).expect("good");
+    let kept = KeptConfig { holders: 2, unheld: Unheld::GoOn, owed: false };
+    assert_eq!(config.kept, [Some(kept), None]);
+    let sites = config.sites.expect("told");
+    assert_eq!((sites.own, sites.names.len(), sites.fellows.len()), (1, 2, 3));
+    assert_eq!((sites.fellows[2].site, sites.journal.lease, sites.hand_over), (1, 2_000_000, true));
+    let cases = [
+        ("name=\"l1\"", "name=\"l0\"", 15, "fellow \"l0\" stands twice"),
+        ("name=\"lima\"", "name=\"cusco\"", 13, "site \"cusco\" stands twice"),
+        ("127.0.0.1:7003", "127.0.0.1:7002", 15, "another fellow's"),
+        ("gateway name=\"l0\"", "gateway name=\"x\"", 11, "no fellow is named \"x\""),
+        ("lease-ms=\"2000\"", "lease-ms=\"20\"", 11, "lease-ms below 500"),
+        ("operators=\"127.0.0.1\"", "operators=\"host\"", 11, "addresses of hosts"),
+        ("pending=\"kept\"", "pending=\"none\"", 7, "are for classes with"),
+        ("front=\"127.0.0.1:8081\"", "front=\"here\"", 14, "here"),
+    ];
+    for (from, to, line, said) in cases {
+        let found = faults(&with_sites().replacen(from, to, 1));
+        let fits = |f: &&Fault| f.line == line && f.message.contains(said);
+        assert!(found.iter().any(|f| fits(&f)), "{to:?}: line {line} with {said:?} not in {found:#?}");
+    }
+    let alone = GOOD.replace("repeat=\"safe\"", "repeat=\"safe\" pending=\"kept\"");
+    assert!(faults(&alone).iter().any(|f| f.line == 7 && f.message.contains("needs a sites element")));
+}
--- a/crates/fleet/src/ask.rs
+++ b/crates/fleet/src/ask.rs
@@ -1,5 +1,6 @@
 //! How an operator asks a member for its view: a question names where to begin, its answer holds a page.
 
+use crate::keys::CALLS;
 use crate::types::{Entry, Incarnation, Micros, Number, State};
 use crate::view::{Part, View};
 use crate::wire::{WireError, close, open};
@@ -11,8 +12,6 @@
 pub const PAGE: usize = 6;
 /// Totals told of at most.
 const TOTALS: usize = 3;
-/// The key under which members tell their counters of calls served, refused and failed; answers hold their totals.
-pub const CALLS: u8 = 0;
 
 /// Asks for the view from this member on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,7 +10,9 @@
 mod budget;
 mod compare;
 mod due;
+mod keys;
 mod net;
+mod places;
 mod rumours;
 mod settings;
 mod suspicion;
@@ -19,9 +21,11 @@
 mod wire;
 mod world;
 
-pub use ask::{Answer, CALLS, PAGE, Question, Seen};
+pub use ask::{Answer, PAGE, Question, Seen};
 pub use board::{KEYS, LONGEST, VALUE, counters as counters_of, value_of};
+pub use keys::{CALLS, DRAINS, PENDING, ROUTE, RUNS, SHED};
 pub use net::{Link, Net, Party};
+pub use places::{Places, Site};
 pub use settings::{FleetSettings, SettingsError};
 pub use types::{Entry, Incarnation, Micros, Number, State};
 #[doc(hidden)]
--- /dev/null
+++ b/crates/fleet/src/places.rs
@@ -0,0 +1,74 @@
+//! Which member stands at which site. Told by the settings of all alike; nothing of it is learnt.
+
+use crate::types::Number;
+
+/// A site's number in the configured list.
+pub type Site = u8;
+
+/// The sites of all members, by number.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Places {
+    of: Vec<Site>,
+    own: Number,
+}
+
+impl Places {
+    /// The site of each member, and our number among them; none where that is not in the list.
+    pub fn new(of: Vec<Site>, own: Number) -> Option<Self> {
+        (usize::from(own) < of.len()).then_some(Self { of, own })
+    }
+
+    /// Our number.
+    pub fn own(&self) -> Number {
+        self.own
+    }
+
+    /// Our site.
+    pub fn here(&self) -> Site {
+        self.of[usize::from(self.own)]
+    }
+
+    /// The site of a member; none where it is not in the list.
+    pub fn site(&self, of: Number) -> Option<Site> {
+        self.of.get(usize::from(of)).copied()
+    }
+
+    /// The members at a site.
+    pub fn members(&self, at: Site) -> impl Iterator<Item = Number> {
+        let all = self.of.iter().enumerate();
+        all.filter(move |(_, site)| **site == at).map(|(number, _)| number as Number)
+    }
+
+    /// Members of all sites.
+    pub fn len(&self) -> usize {
+        self.of.len()
+    }
+
+    /// Whether there are none, which [`Places::new`] rules out.
+    pub fn is_empty(&self) -> bool {
+        self.of.is_empty()
+    }
+
+    /// All sites that have members, in order.
+    pub fn sites(&self) -> Vec<Site> {
+        let mut sites = self.of.clone();
+        sites.sort_unstable();
+        sites.dedup();
+        sites
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn members_stand_where_the_list_says() {
+        let places = Places::new(vec![0, 1, 0, 2], 3).expect("in the list");
+        assert_eq!((places.own(), places.here(), places.len()), (3, 2, 4));
+        assert_eq!((places.site(1), places.site(4)), (Some(1), None));
+        assert_eq!(places.members(0).collect::<Vec<_>>(), [0, 2]);
+        assert_eq!(places.sites(), [0, 1, 2]);
+        assert_eq!(Places::new(vec![0], 1), None);
+    }
+}
--- a/crates/node/src/agreement.rs
+++ b/crates/node/src/agreement.rs
@@ -4,11 +4,11 @@
 use crate::fellows::gap;
 use crate::notes::Notes;
 use basaltward_agreed::{
-    AgreedSettings, Answered, Bounds, Denied, Epoch, Eyes, Fault, Halt, Look, Member, Output, RUNS, Request,
+    AgreedSettings, Answered, Bounds, Denied, Epoch, Eyes, Fault, Halt, Look, Member, Output, Request,
     Response, Seen, Sight, Status, Subject, Told, Want, done, mark,
 };
 use basaltward_bulletin::{Roster, Standing, Target};
-use basaltward_fleet::{FleetSettings, MOST, Number, State, View, value_of};
+use basaltward_fleet::{DRAINS, FleetSettings, MOST, Number, RUNS, State, View, value_of};
 use basaltward_net::{Clock, Io, Micros};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -18,8 +18,6 @@
 const ERRANDS: usize = 64;
 /// A worker that is gone counts as out for so long: by then it has been replaced, or is not meant to be.
 const GONE_US: Micros = 300_000_000;
-/// The key under which members tell how much they have in hand for drained workers.
-pub const DRAINS: u8 = 1;
 /// That is told so often, and no more often than this for each member.
 const TELL_US: (Micros, Micros) = (1_000_000, 100_000);
 /// Whoever starts uses no worker until it has heard what is drained, but for no longer than this: with nobody there to
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,9 @@
+//! Which site answers a call: the pressure ratio one floor higher. By told tables of what each site has warm, how long its
+//! queue is and how far it is, each function has a cost at each site; a call is answered where that is least, and a
+//! function's home moves only past a threshold. Free of I/O: counts, frames of other sites and times in, frames and tables
+//! out.
+#![warn(missing_docs)]
+
+mod types;
+
+pub use types::{Counted, Counts, Handed, HandedEnd, Where};
--- /dev/null
+++ b/crates/shed/src/lib.rs
@@ -0,0 +1,8 @@
+//! What the fleet sheds, decided alike by all of its gateways: each tells coarsely what comes and what is served, by
+//! class and tenant; from what all tell each works out the same shares. A loop asks at its door, by a whole table that
+//! the control thread last made. Free of I/O: counts, facts and times in, facts and tables out.
+#![warn(missing_docs)]
+
+mod types;
+
+pub use types::{Asked, Count, Counts, Verdict};
--- /dev/null
+++ b/crates/shed/src/types.rs
@@ -0,0 +1,51 @@
+use basaltward_fleet::Micros;
+
+/// What a call is to the door.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Asked {
+    /// Its client's first try.
+    First,
+    /// A try after another one: it is paid for by the budget of retries.
+    Retry,
+    /// Handed over by another site: counted there as what it is, a try more here.
+    HandedOver,
+    /// An event that the fleet owes an answer: never shed.
+    Owed,
+}
+
+/// What the door says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Take it.
+    Take,
+    /// Turn it away: nothing of it has run, and it is to come again after this time.
+    Shed(Micros),
+}
+
+/// Calls of one class and tenant at one loop since it counted last.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// First tries that came.
+    pub first: u32,
+    /// Further tries that came.
+    pub retries: u32,
+    /// Answered served within their aim.
+    pub served: u32,
+    /// Turned away at the door.
+    pub shed: u32,
+    /// Refused or failed after the door.
+    pub ended: u32,
+    /// What those begun had waited, all together.
+    pub waited: Micros,
+}
+
+/// What a loop counted over a span.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// The span.
+    pub span: Micros,
+    /// By class, then tenant: `classes * tenants` places; one tenant where none are configured.
+    pub by: Vec<Count>,
+    /// Calls in hand at its end.
+    pub in_hand: u32,
+}
