--- a/crates/agreed/src/world.rs
+++ b/crates/agreed/src/world.rs
@@ -4,12 +4,14 @@
 //! says when it is done. What is out is known here, whatever anybody believes.
 
 use crate::bounds::Sight;
-use crate::eyes::{Look, RUNS};
+use crate::eyes::Look;
 use crate::ledger::Subject;
 use crate::member::{Fault, Member, Output};
 use crate::settings::AgreedSettings;
 use crate::wire::{VERSION, Wish};
-use basaltward_fleet::{FleetSettings, Link, Micros, Net, Number, Output as Seen, Party, View, value_of};
+use basaltward_fleet::{
+    FleetSettings, Link, Micros, Net, Number, Output as Seen, Party, RUNS, View, value_of,
+};
 use std::collections::BTreeMap;
 
 /// Each tells the version that it runs so often.
--- a/crates/rules/src/record.rs
+++ b/crates/rules/src/record.rs
@@ -105,6 +105,13 @@
         /// The event's name.
         event: String,
     },
+    /// A scheduler has handed a call to a gateway of another site.
+    HandedOver {
+        /// The event's name.
+        event: String,
+        /// That gateway's name.
+        to: String,
+    },
     /// A scheduler believes something else of one of the fleet.
     Believed {
         /// Of whom, by number.
