Shed: door, tables and counts of a gateway's loops

With it: each class and tenant by its own rate.

Need: overload is answered by each gateway alone. The shapes between loops and control thread come first, so that the gateway can be built on them; a door without a table takes everything.

--- a/crates/shed/src/lib.rs
+++ b/crates/shed/src/lib.rs
@@ -3,6 +3,14 @@
 //! the control thread last made. Free of I/O: counts, facts and times in, facts and tables out.
 #![warn(missing_docs)]
 
+mod door;
+mod settings;
+mod shed;
+mod table;
 mod types;
 
-pub use types::{Asked, Count, Counts, Verdict};
+pub use door::Door;
+pub use settings::{ClassOf, ShedError, ShedSettings};
+pub use shed::Shed;
+pub use table::{Share, Table};
+pub use types::{Asked, Count, Counts, Ended, Verdict};
--- /dev/null
+++ b/crates/shed/src/settings.rs
@@ -0,0 +1,118 @@
+use basaltward_fleet::{Micros, Places};
+use thiserror::Error;
+
+/// A class of calls, as the door needs to know it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ClassOf {
+    /// Worth of one answer in time.
+    pub worth: f64,
+    /// An answer within this span is served.
+    pub aim: Micros,
+    /// How long its clients wait in all.
+    pub deadline: Micros,
+}
+
+/// Figures of what the fleet sheds. All gateways need the same, but for `places` and `loops`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShedSettings {
+    /// Classes, in the order of the settings.
+    pub classes: Vec<ClassOf>,
+    /// Calls a second within each tenant's share, over all gateways; empty without tenants.
+    pub quotas: Vec<f64>,
+    /// Worth of a call past its tenant's share, as a share of its class's.
+    pub over_share_worth: f64,
+    /// Which gateway stands at which site, ours among them.
+    pub places: Places,
+    /// Traffic loops of this gateway.
+    pub loops: usize,
+    /// Retries that nobody asked for, as a share of first tries, over the fleet.
+    pub retry_share: f64,
+    /// Our load is told so often.
+    pub tell: Micros,
+    /// Load that was told longer ago is not believed; a table holds for a fifth of it.
+    pub stands: Micros,
+}
+
+/// Why settings can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ShedError {
+    /// There is no class.
+    #[error("no class of calls is configured: give at least one")]
+    NoClass,
+    /// There are more pairs of class and tenant than facts can name.
+    #[error("{0} pairs of class and tenant: at most 16383 can be told apart, so merge classes or tenants")]
+    Cells(usize),
+    /// A class's worth or times can't be used.
+    #[error("class {0}: worth has to be a number of 0 or more, aim and deadline above 0")]
+    Class(usize),
+    /// A figure is out of its range.
+    #[error("{0} is out of its range: see the settings of sites")]
+    Figure(&'static str),
+}
+
+impl ShedSettings {
+    /// The usual figures.
+    pub fn new(classes: Vec<ClassOf>, quotas: Vec<f64>, places: Places) -> Self {
+        Self {
+            classes,
+            quotas,
+            over_share_worth: 1.0,
+            places,
+            loops: 1,
+            retry_share: 0.2,
+            tell: 500_000,
+            stands: 5_000_000,
+        }
+    }
+
+    /// Checks them.
+    ///
+    /// # Errors
+    /// Where they can't be used.
+    pub fn check(&self) -> Result<(), ShedError> {
+        if self.classes.is_empty() {
+            return Err(ShedError::NoClass);
+        }
+        if self.cells() >= 1 << 14 {
+            return Err(ShedError::Cells(self.cells()));
+        }
+        let share = |figure: f64| (0.0..=1.0).contains(&figure);
+        let usable = |c: &ClassOf| c.worth.is_finite() && c.worth >= 0.0 && c.aim > 0 && c.deadline > 0;
+        if let Some(class) = self.classes.iter().position(|class| !usable(class)) {
+            return Err(ShedError::Class(class));
+        }
+        let figures = [
+            ("quota of a tenant", self.quotas.iter().all(|quota| quota.is_finite() && *quota >= 0.0)),
+            ("over_share_worth", share(self.over_share_worth)),
+            ("retry_share", share(self.retry_share)),
+            ("number of loops", self.loops > 0),
+            ("tell", self.tell >= 50_000),
+            ("stands", self.stands >= self.tell * 4),
+        ];
+        match figures.iter().find(|(_, usable)| !usable) {
+            Some((name, _)) => Err(ShedError::Figure(name)),
+            None => Ok(()),
+        }
+    }
+
+    /// Tenants, one where none are configured.
+    pub fn tenants(&self) -> usize {
+        self.quotas.len().max(1)
+    }
+
+    /// Pairs of class and tenant.
+    pub fn cells(&self) -> usize {
+        self.classes.len() * self.tenants()
+    }
+
+    /// The pair of a class and a tenant; what is out of the list is taken for its last.
+    pub fn cell(&self, class: usize, tenant: usize) -> usize {
+        class.min(self.classes.len() - 1) * self.tenants() + tenant.min(self.tenants() - 1)
+    }
+
+    /// The wait at which calls are held: a fifth of the shortest aim, 5 ms to 250 ms.
+    pub fn wait(&self) -> Micros {
+        let least = self.classes.iter().map(|class| class.aim).min().unwrap_or_default();
+        (least / 5).clamp(5_000, 250_000)
+    }
+}
--- /dev/null
+++ b/crates/shed/src/table.rs
@@ -0,0 +1,33 @@
+use basaltward_fleet::Micros;
+
+/// What one loop may take: calls a second.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Share {
+    /// By class, then tenant.
+    pub rates: Vec<f64>,
+    /// For any of them, beyond its own.
+    pub spare: f64,
+    /// Retries that nobody asked for, by class, then tenant.
+    pub retries: Vec<f64>,
+}
+
+/// What this gateway may take, whole, as the control thread last worked it out.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Table {
+    /// Counts up: a later table has a greater one.
+    pub number: u64,
+    /// Past this time the own share alone holds.
+    pub until: Micros,
+    /// The share of each loop; none while our site's capacity is not known: then all is taken.
+    pub shares: Option<Vec<Share>>,
+    /// The share of each loop past `until`: an even part of our site among all that are configured there.
+    pub alone: Option<Vec<Share>>,
+}
+
+impl Table {
+    /// What a loop goes by at this time.
+    pub fn share(&self, now: Micros, loop_no: usize) -> Option<&Share> {
+        let shares = if now < self.until { &self.shares } else { &self.alone };
+        shares.as_ref()?.get(loop_no)
+    }
+}
--- a/crates/shed/src/types.rs
+++ b/crates/shed/src/types.rs
@@ -3,9 +3,9 @@
 /// What a call is to the door.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Asked {
-    /// Its client's first try.
+    /// Its client's first try, or a try that its client does not mark: the door tells from its memory.
     First,
-    /// A try after another one: it is paid for by the budget of retries.
+    /// A try after another one, by its client's mark: paid for by the budget of retries.
     Retry,
     /// Handed over by another site: counted there as what it is, a try more here.
     HandedOver,
@@ -22,6 +22,17 @@
     Shed(Micros),
 }
 
+/// How a call that the door took has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Answered within its aim, begun after this wait.
+    Served(Micros),
+    /// Answered later than its aim, begun after this wait.
+    Late(Micros),
+    /// Refused or failed after this wait.
+    Failed(Micros),
+}
+
 /// Calls of one class and tenant at one loop since it counted last.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Count {
@@ -29,8 +40,16 @@
     pub first: u32,
     /// Further tries that came.
     pub retries: u32,
+    /// Further tries that were taken by the budget of retries.
+    pub budgeted: u32,
+    /// Further tries that came at the time they had been told, and were taken.
+    pub booked: u32,
+    /// Calls that other sites handed over.
+    pub handed: u32,
     /// Answered served within their aim.
     pub served: u32,
+    /// Answered later than their aim.
+    pub late: u32,
     /// Turned away at the door.
     pub shed: u32,
     /// Refused or failed after the door.
@@ -39,6 +58,18 @@
     pub waited: Micros,
 }
 
+impl Count {
+    /// All that came.
+    pub fn came(&self) -> u32 {
+        self.first + self.retries + self.handed
+    }
+
+    /// All that was answered.
+    pub fn answered(&self) -> u32 {
+        self.served + self.late
+    }
+}
+
 /// What a loop counted over a span.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
