--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,6 +4,12 @@
 //! out.
 #![warn(missing_docs)]
 
+mod route;
+mod router;
+mod settings;
 mod types;
 
-pub use types::{Counted, Counts, Handed, HandedEnd, Where};
+pub use route::Route;
+pub use router::Router;
+pub use settings::{FunctionTold, RouteError, RouteSettings};
+pub use types::{Counted, Counts, Handed, HandedEnd, Row, Table, WAYS, Way, Where};
--- /dev/null
+++ b/crates/route/src/router.rs
@@ -0,0 +1,132 @@
+//! A loop's own part: it reads the newest table and counts at once what it sent by it.
+
+use crate::types::{Handed, HandedEnd, Table, Way, Where};
+use basaltward_fleet::{Micros, Places, Site};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::HashMap;
+
+/// Pause after calls that ended badly, doubled by each further one up to the longest.
+const PAUSE: (Micros, Micros) = (100_000, 3_200_000);
+/// Refused ones among so many calls pause a site: one refusal is chance, a quarter is none.
+const REFUSED: f32 = 0.25;
+/// An answer that is late by this multiple of what was expected says that the site is silent.
+const SILENT: u64 = 4;
+/// No silence is read from less.
+const SILENT_LEAST: Micros = 250_000;
+
+/// What a loop has seen of a site itself.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    /// Calls handed over that have not ended.
+    out: u32,
+    /// Since when there was nothing heard while some were out.
+    quiet_since: Micros,
+    /// What an answer was thought to take at the last hand-over.
+    expected: Micros,
+    /// Until when nothing goes there.
+    shut: Micros,
+    /// The pause that made it so.
+    pause: Micros,
+    /// Share refused of late.
+    refused: f32,
+}
+
+/// Chooses for each call of a loop, by the newest table.
+#[derive(Debug)]
+pub struct Router {
+    places: Places,
+    rng: StdRng,
+    /// Number of the table by which `sent` was counted.
+    number: u64,
+    /// Sent since, by function and site.
+    sent: HashMap<(u32, Site), u16>,
+    seen: Vec<Seen>,
+}
+
+impl Router {
+    /// One loop's. The same seed draws the same.
+    pub fn new(places: Places, seed: u64) -> Self {
+        let sites = places.sites().last().map_or(0, |last| usize::from(*last) + 1);
+        let rng = StdRng::seed_from_u64(seed);
+        Self { places, rng, number: 0, sent: HashMap::new(), seen: vec![Seen::default(); sites] }
+    }
+
+    /// Where a call with this patience left is answered. One that came handed over is answered here whatever a table
+    /// says: there is one hop.
+    pub fn choose(
+        &mut self,
+        now: Micros,
+        table: Option<&Table>,
+        function: u32,
+        patience: Micros,
+        handed_already: bool,
+    ) -> Where {
+        let Some(table) = table.filter(|t| now < t.until && !handed_already) else { return Where::Here };
+        let Some(row) = table.rows.get(function as usize) else { return Where::Here };
+        if table.number != self.number {
+            self.number = table.number;
+            self.sent.clear();
+        }
+        let mut draw = self.rng.random::<u16>();
+        let drawn = row.ways.iter().find(|way| {
+            let taken = draw < way.share;
+            draw = draw.saturating_sub(way.share);
+            taken
+        });
+        // Here it would be late: any that is in time and has room is better.
+        let late = row.here > patience;
+        let spare = row.ways.iter().filter(|way| late && way.there <= patience);
+        let way =
+            drawn.into_iter().chain(spare).find(|way| self.takes(now, function, way, patience, row.here));
+        let Some(way) = way.copied() else { return Where::Here };
+        self.leaves(now, function, &way);
+        Where::There { site: way.site, fellow: way.fellow }
+    }
+
+    /// A call that this loop handed over has ended.
+    pub fn ended(&mut self, now: Micros, handed: &Handed) {
+        let site = self.places.site(handed.to);
+        let Some(seen) = site.and_then(|site| self.seen.get_mut(usize::from(site))) else { return };
+        seen.out = seen.out.saturating_sub(1);
+        let refused = f32::from(u8::from(handed.end == HandedEnd::Refused));
+        seen.refused += (refused - seen.refused) * 0.1;
+        let bad = match handed.end {
+            HandedEnd::Served => {
+                (seen.quiet_since, seen.pause) = (now, 0);
+                return;
+            }
+            HandedEnd::Refused => {
+                seen.quiet_since = now;
+                seen.refused > REFUSED
+            }
+            HandedEnd::Unreached | HandedEnd::Lost => true,
+        };
+        // Those that were out together end together: they are one sign, not many.
+        if bad && now >= seen.shut {
+            seen.pause = (seen.pause * 2).clamp(PAUSE.0, PAUSE.1);
+            seen.shut = now + seen.pause;
+        }
+    }
+
+    fn takes(&self, now: Micros, function: u32, way: &Way, patience: Micros, here: Micros) -> bool {
+        let Some(seen) = self.seen.get(usize::from(way.site)) else { return false };
+        let late = way.there > patience && here <= way.there;
+        let silent =
+            seen.out > 0 && now.saturating_sub(seen.quiet_since) > (seen.expected * SILENT).max(SILENT_LEAST);
+        let sent = self.sent.get(&(function, way.site)).copied().unwrap_or(0);
+        // After a pause one goes there alone, until it has ended.
+        let probing = seen.pause > 0 && seen.out > 0;
+        way.share > 0 && !late && !silent && now >= seen.shut && !probing && sent < way.room
+    }
+
+    fn leaves(&mut self, now: Micros, function: u32, way: &Way) {
+        *self.sent.entry((function, way.site)).or_default() += 1;
+        let Some(seen) = self.seen.get_mut(usize::from(way.site)) else { return };
+        if seen.out == 0 {
+            seen.quiet_since = now;
+        }
+        seen.out += 1;
+        seen.expected = way.there;
+    }
+}
--- /dev/null
+++ b/crates/route/src/settings.rs
@@ -0,0 +1,120 @@
+use basaltward_fleet::{Micros, Places};
+
+/// What is told of a function, the same at all sites.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FunctionTold {
+    /// Memory of a copy.
+    pub memory_mb: u32,
+    /// Calls that a copy takes at once.
+    pub lanes: u32,
+    /// Time to load a copy, where it is told.
+    pub load: Option<Micros>,
+    /// Time within which an answer is of full worth.
+    pub aim: Micros,
+    /// Time after which it is of none.
+    pub deadline: Micros,
+}
+
+/// What a gateway is told of sites and functions.
+#[derive(Clone, Debug)]
+pub struct RouteSettings {
+    /// Which gateway stands at which site.
+    pub places: Places,
+    /// All functions, by position.
+    pub functions: Vec<FunctionTold>,
+    /// Memory of one worker.
+    pub worker_mb: u32,
+    /// Most workers that a site is believed to have, whatever it says.
+    pub workers_most: u32,
+    /// How long an idle copy is kept.
+    pub keep: Micros,
+    /// Traffic loops of a gateway.
+    pub loops: u16,
+    /// How often figures and tables are told.
+    pub every: Micros,
+    /// How long a table holds.
+    pub hold: Micros,
+    /// How long a function stays where it was moved to, and how long two sites don't trade it.
+    pub stay: Micros,
+    /// What all draws follow from.
+    pub seed: u64,
+}
+
+impl RouteSettings {
+    /// Settings by default values.
+    pub fn new(places: Places, functions: Vec<FunctionTold>, worker_mb: u32, seed: u64) -> Self {
+        Self {
+            places,
+            functions,
+            worker_mb,
+            workers_most: 1_000,
+            keep: 10_000_000,
+            loops: 1,
+            every: 250_000,
+            hold: 2_000_000,
+            stay: 5_000_000,
+            seed,
+        }
+    }
+
+    pub(crate) fn check(&self) -> Result<(), RouteError> {
+        let sites = self.places.sites();
+        if sites.len() > usize::from(MOST_SITES) {
+            return Err(RouteError::Sites(sites.len()));
+        }
+        if self.functions.len() > MOST_FUNCTIONS {
+            return Err(RouteError::Functions(self.functions.len()));
+        }
+        let bad = |f: &FunctionTold| f.memory_mb == 0 || f.lanes == 0 || f.deadline < f.aim;
+        if let Some(at) = self.functions.iter().position(bad) {
+            return Err(RouteError::Function(at));
+        }
+        let spans = self.every >= 10_000 && self.hold >= 2 * self.every && self.keep > 0;
+        if !spans || self.worker_mb == 0 || self.loops == 0 || self.workers_most == 0 {
+            return Err(RouteError::Spans);
+        }
+        Ok(())
+    }
+}
+
+/// Most sites that stand in for one another.
+pub(crate) const MOST_SITES: u8 = 64;
+/// Most functions: a position is a number in a frame.
+const MOST_FUNCTIONS: usize = 100_000;
+
+/// What is refused. Nothing is lost by it but the thing refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RouteError {
+    /// Too many sites.
+    #[error("{0} sites are configured, 64 at most stand in for one another: split the fleet")]
+    Sites(usize),
+    /// Too many functions.
+    #[error("{0} functions are configured, 100,000 at most: split them over fleets")]
+    Functions(usize),
+    /// A function without memory or lanes, or with a deadline before its aim.
+    #[error("function {0}: give it memory, lanes and a deadline not before its aim")]
+    Function(usize),
+    /// Spans that don't go together.
+    #[error(
+        "tables are told every 10 ms at the most often and hold for two tellings at least; worker memory, \
+             workers, loops and the keep time are above nothing: correct the settings"
+    )]
+    Spans,
+    /// A frame that is no frame of ours.
+    #[error("gateway {0} sent a frame that can't be read: see that all gateways run the same release")]
+    Unreadable(u16),
+    /// A frame past its bound.
+    #[error("gateway {from} sent {bytes} bytes where 65,536 are the most: see what runs under its address")]
+    TooLong {
+        /// Who sent it.
+        from: u16,
+        /// How many.
+        bytes: usize,
+    },
+    /// A frame about a site at which its sender doesn't stand.
+    #[error("gateway {0} spoke for a site that is not its own: give all gateways the same list of sites")]
+    NotItsSite(u16),
+    /// A frame from none of the list.
+    #[error("gateway {0} is not in the list: give all gateways the same list")]
+    Stranger(u16),
+}
--- a/crates/route/src/types.rs
+++ b/crates/route/src/types.rs
@@ -6,7 +6,7 @@
 pub struct Counted {
     /// Its position.
     pub function: u32,
-    /// Calls that came, handed over or not.
+    /// Calls that came, handed over or not; those that came from another site are not among them.
     pub calls: u32,
     /// Calls of it served here.
     pub served: u32,
@@ -14,6 +14,8 @@
     pub took: Micros,
     /// Of those served, how many found a copy that stood.
     pub warm: u32,
+    /// Calls of it in hand here at the end of the span, those of other sites among them.
+    pub in_hand: u32,
 }
 
 /// What a loop counted over a span.
@@ -21,7 +23,7 @@
 pub struct Counts {
     /// The span.
     pub span: Micros,
-    /// Functions that were called, each once.
+    /// Functions that were called, served or are in hand, each once.
     pub by: Vec<Counted>,
     /// Calls in hand at its end, those of other sites among them.
     pub in_hand: u32,
@@ -68,3 +70,47 @@
     /// How it ended.
     pub end: HandedEnd,
 }
+
+/// Another site that may answer calls of a function.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Way {
+    /// The site.
+    pub site: Site,
+    /// Its gateway that calls are handed to.
+    pub fellow: Number,
+    /// Time that an answer from there is thought to take, link and all.
+    pub there: Micros,
+    /// Share of our calls that goes there, in 65,535ths; 0 where there is no such way.
+    pub share: u16,
+    /// Calls that one loop may send there while the table is the newest.
+    pub room: u16,
+}
+
+/// How many other sites are held ready for a function.
+pub const WAYS: usize = 2;
+
+/// Where calls of a function go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Row {
+    /// Its home, as our site sees it.
+    pub home: Site,
+    /// Time that an answer from here is thought to take.
+    pub here: Micros,
+    /// Whether a copy is thought to stand at its home.
+    pub warm: bool,
+    /// Other sites, the least cost first.
+    pub ways: [Way; WAYS],
+}
+
+/// Where calls go: whole, numbered, and with an end.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Table {
+    /// Its number; a later one of the same gateway is higher.
+    pub number: u64,
+    /// Until when it holds.
+    pub until: Micros,
+    /// Site of the gateway.
+    pub here: Site,
+    /// By position; what is not here is answered here.
+    pub rows: Vec<Row>,
+}
