Fellows: view, agreement and socket move out of the node into a room of both programs

serve is to have the same view and the same agreement as node. Moved to crates/fellows with the questions of operators; the two files' circle is undone by times.rs. The room knows no records and no bulletin: it gives events, and node turns its targets into workers as told and back.

--- a/crates/bench/src/agreed.rs
+++ b/crates/bench/src/agreed.rs
@@ -5,9 +5,9 @@
 use basaltward_agreed::{
     AgreedSettings, Bounds, Denied, Fleet, Most, Seen, Sight, Subject, Told, Want, Wish, worker,
 };
+use basaltward_fellows::ask_agreed;
 use basaltward_fleet::{Link, Micros, Number};
 use basaltward_net::monotonic;
-use basaltward_node::ask_agreed;
 use basaltward_trial::{Bed, BedSpec, Loss};
 use std::error::Error;
 use std::time::Duration;
--- a/crates/cli/src/agreed.rs
+++ b/crates/cli/src/agreed.rs
@@ -3,7 +3,7 @@
 use crate::Failed;
 use crate::args::{FleetCommand, Through};
 use basaltward_agreed::{Answered, Denied, Permit, Status, Subject, Told, Want, Wish, mark, worker};
-use basaltward_node::ask_agreed;
+use basaltward_fellows::ask_agreed;
 use serde_json::json;
 use std::path::Path;
 use std::process::Command;
--- a/crates/node/src/agreement.rs
+++ b/crates/fellows/src/agreement.rs
@@ -1,23 +1,22 @@
 //! What the fleet agrees on, on the loop: which workers are drained, and what operators ask for.
 
-use crate::config::FleetConfig;
-use crate::fellows::gap;
-use crate::notes::Notes;
+use crate::config::FellowsConfig;
+use crate::error::FellowsError;
+use crate::event::Event;
+use crate::times::{TELL_US as TELL_RUNS_US, gap, since_2026_ms};
+use crate::workers::{Worker, Workers};
 use basaltward_agreed::{
-    AgreedSettings, Answered, Bounds, Denied, Epoch, Eyes, Fault, Halt, Look, Member, Output, Request,
-    Response, Seen, Sight, Status, Subject, Told, Want, done, mark,
+    Answered, Bounds, Denied, Epoch, Eyes, Fault, Halt, Ledger, Look, Member, Output, Request, Response,
+    Status, Stored, Subject, Told, Want, Wish, done, mark,
 };
-use basaltward_bulletin::{Roster, Standing, Target};
 use basaltward_fleet::{DRAINS, FleetSettings, MOST, Number, RUNS, State, View, value_of};
-use basaltward_net::{Clock, Io, Micros};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use basaltward_net::{Io, Micros};
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use tracing::info;
 
 /// Operators' requests remembered; the oldest go.
 const ERRANDS: usize = 64;
-/// A worker that is gone counts as out for so long: by then it has been replaced, or is not meant to be.
-const GONE_US: Micros = 300_000_000;
 /// That is told so often, and no more often than this for each member.
 const TELL_US: (Micros, Micros) = (1_000_000, 100_000);
 /// Whoever starts uses no worker until it has heard what is drained, but for no longer than this: with nobody there to
@@ -34,17 +33,10 @@
     answer: Option<Answered>,
 }
 
-struct Worker {
-    target: Target,
-    /// Since when it has been as it is told to be.
-    since: Micros,
-}
-
 /// See the module's page.
 pub struct Agreement {
     member: Member,
-    zones: Vec<String>,
-    workers: BTreeMap<u32, Worker>,
+    workers: Workers,
     drained: BTreeSet<u32>,
     errands: VecDeque<Errand>,
     tell: Micros,
@@ -64,39 +56,32 @@
 }
 
 impl Agreement {
-    /// A member's part in a fleet of this view.
+    /// A member's part in a fleet of this view, where the configuration asks for one.
     pub fn new(
         fleet: &FleetSettings,
-        (bounds, zones): (Bounds, Vec<String>),
-        told: &FleetConfig,
+        config: &FellowsConfig,
         now: Micros,
-    ) -> Option<Self> {
+    ) -> Result<Option<Self>, FellowsError> {
         let life =
             [fleet.start, fleet.seed, u64::from(std::process::id()), now].map(u64::to_le_bytes).concat();
-        let settings = AgreedSettings {
-            fleet: fleet.fleet,
-            bounds,
-            ..AgreedSettings::new(fleet.size, fleet.own, crc32fast::hash(&life), fleet.seed)
-        };
-        let member = Member::new(settings, now).ok()?;
-        let (workers, drained, errands) = (BTreeMap::new(), BTreeSet::new(), VecDeque::new());
+        let Some(settings) = config.agreed(fleet, crc32fast::hash(&life)) else { return Ok(None) };
+        let member = Member::new(settings, now)?;
         let learns = (fleet.size > 1).then_some((now + LEARN_US.0, now));
-        Some(Self {
+        Ok(Some(Self {
             member,
-            zones,
-            workers,
-            drained,
-            errands,
+            workers: Workers::default(),
+            drained: BTreeSet::new(),
+            errands: VecDeque::new(),
             tell: now,
             learns,
             started: now,
             noted: None,
-            runs: mark(&told.version),
-            peers_zones: told.zones.clone(),
+            runs: mark(&config.version),
+            peers_zones: config.zones.clone(),
             tell_runs: now,
             released: false,
             out: Vec::new(),
-        })
+        }))
     }
 
     /// See [`Member::plant`].
@@ -116,28 +101,11 @@
         self.member.next_due().min(tell).min(learns).min(self.tell_runs)
     }
 
-    fn sight(workers: &BTreeMap<u32, Worker>, zones: &[String], now: Micros) -> Sight {
-        let seen = |(tag, worker): (&u32, &Worker)| {
-            let Target { az, boot_ms, state, .. } = &worker.target;
-            let zone = zones.iter().position(|zone| zone == az).unwrap_or(zones.len()) as u8;
-            let used = (*state == Standing::Ready).then(|| now.saturating_sub(worker.since));
-            (
-                Subject::Worker(*tag),
-                Seen { zone, life: (boot_ms / 1_000) as u16, used, sole: false, runs: None },
-            )
-        };
-        workers.iter().map(seen).collect()
-    }
-
     fn act(&mut self, view: &View, act: impl FnOnce(&mut Member, &Look, &mut Vec<Output>)) {
-        let (known, zones) = (&self.workers, &self.zones);
-        let workers = move |now| Self::sight(known, zones, now);
-        let wall_ms = (Clock::read().wall() / 1_000).saturating_sub(crate::fellows::EPOCH_MS);
-        act(
-            &mut self.member,
-            &Look { view, zones: &self.peers_zones, workers: &workers, wall_ms },
-            &mut self.out,
-        );
+        let known = &self.workers;
+        let workers = move |now| known.sight(now);
+        let look = Look { view, zones: &self.peers_zones, workers: &workers, wall_ms: since_2026_ms() };
+        act(&mut self.member, &look, &mut self.out);
     }
 
     /// A datagram of another member.
@@ -164,15 +132,14 @@
             }
         }
         if now >= self.tell_runs {
-            let gap = gap(crate::fellows::TELL_US, view.entries().len());
+            let gap = gap(TELL_RUNS_US, view.entries().len());
             self.tell_runs = now + gap;
             view.tell_fact(now, RUNS, &value_of(&[self.runs.into()]), gap * 4);
         }
         if !self.drained.is_empty() && now >= self.tell {
             let gap = gap(TELL_US, view.entries().len());
             self.tell = now + gap;
-            let names =
-                self.drained.iter().filter_map(|tag| Some(self.workers.get(tag)?.target.uid.as_str()));
+            let names = self.drained.iter().filter_map(|tag| Some(self.workers.get(*tag)?.name.as_str()));
             let held = in_hand(&names.collect::<Vec<_>>());
             let at = self.member.known().map_or((0, 0), |known| (known.epoch.ms, known.version));
             view.tell_fact(now, DRAINS, &value_of(&[at.0, at.1.into(), held as u64]), gap * 4);
@@ -237,8 +204,8 @@
     }
 
     fn status(&self, view: &View, now: Micros) -> Status {
-        let (known, zones) = (&self.workers, &self.zones);
-        let workers = move |now| Self::sight(known, zones, now);
+        let known = &self.workers;
+        let workers = move |now| known.sight(now);
         let look = Look { view, zones: &self.peers_zones, workers: &workers, wall_ms: 0 };
         let all = self.member.out(now, &look);
         let of_workers = all.iter().filter(|of| matches!(of, Subject::Worker(_))).count();
@@ -258,48 +225,41 @@
         }
     }
 
-    /// What the bulletin tells, as the module is to hear it: whoever is drained leaves.
-    pub fn told(&mut self, now: Micros, roster: &Roster) -> Roster {
-        if roster.all {
-            let listed: BTreeSet<_> = roster.targets.iter().map(|target| mark(&target.uid)).collect();
-            let absent = self.workers.iter_mut().filter(|(tag, _)| !listed.contains(tag));
-            for worker in absent.map(|(_, worker)| worker).filter(|w| w.target.state != Standing::Gone) {
-                (worker.target.state, worker.since) = (Standing::Gone, now);
-            }
-        }
-        for target in &roster.targets {
-            let same = |known: &&Worker| {
-                known.target.state == target.state && known.target.boot_ms == target.boot_ms
-            };
-            let since = self.workers.get(&mark(&target.uid)).filter(same).map_or(now, |known| known.since);
-            self.workers.insert(mark(&target.uid), Worker { target: target.clone(), since });
-        }
-        let kept = |tag: &u32, worker: &Worker| {
-            worker.target.state != Standing::Gone
-                || self.drained.contains(tag)
-                || now < worker.since + GONE_US
-        };
-        self.workers.retain(|tag, worker| kept(tag, worker));
-        let heard = roster.targets.iter().map(|target| self.heard(target)).collect();
-        Roster { all: roster.all, targets: heard }
+    /// The latest that is agreed, as far as we know.
+    pub fn known(&self) -> Option<&Stored<Ledger>> {
+        self.member.known()
+    }
+
+    /// A wish of this program itself.
+    pub fn wish(&mut self, view: &View, now: Micros, wish: Wish) -> u32 {
+        let mut tag = 0;
+        self.act(view, |member, look, out| tag = member.ask(now, wish, look, out));
+        tag
+    }
+
+    /// Workers that are told.
+    pub fn told(&mut self, now: Micros, whole: bool, workers: &[Worker]) {
+        self.workers.told(now, whole, workers, &self.drained);
+    }
+
+    /// See [`Fellows::holds`](crate::Fellows::holds).
+    pub fn holds(&self, worker: &str) -> bool {
+        self.learns.is_some() || self.drained.contains(&mark(worker))
     }
 
-    fn heard(&self, target: &Target) -> Target {
-        let held = self.learns.is_some() || self.drained.contains(&mark(&target.uid));
-        let drained = target.state == Standing::Ready && held;
-        let state = if drained { Standing::Terminating } else { target.state };
-        Target { state, ..target.clone() }
+    /// See [`Fellows::knows`](crate::Fellows::knows).
+    pub fn knows(&self, worker: &str) -> bool {
+        self.workers.get(mark(worker)).is_some()
     }
 
-    /// Sends what is to be sent, answers operators, and gives news of workers whose drain began or ended.
+    /// Sends what is to be sent, answers operators, and tells what is new.
     pub fn carry_out(
         &mut self,
         io: &mut Io,
         now: Micros,
-        notes: &Notes,
-        socket: usize,
-        peers: &[SocketAddr],
-    ) -> Option<Roster> {
+        (socket, peers): (usize, &[SocketAddr]),
+        events: &mut Vec<Event>,
+    ) {
         let mut changed = false;
         for output in std::mem::take(&mut self.out) {
             match output {
@@ -311,29 +271,33 @@
                 }
                 Output::Changed => changed = true,
                 Output::Answered { tag, answer } => {
-                    let errand = self.errands.iter_mut().find(|errand| errand.ours == tag);
-                    if let Some(errand) = errand.filter(|errand| errand.answer.is_none()) {
-                        errand.answer = Some(answer);
-                        let told = Told::Answer(answer);
-                        io.send_to(socket, errand.from, &Response { tag: errand.theirs, told }.write());
+                    match self.errands.iter_mut().find(|errand| errand.ours == tag) {
+                        Some(errand) if errand.answer.is_none() => {
+                            errand.answer = Some(answer);
+                            let told = Told::Answer(answer);
+                            io.send_to(socket, errand.from, &Response { tag: errand.theirs, told }.write());
+                        }
+                        Some(_) => {}
+                        None => events.push(Event::Answered { tag, answer }),
                     }
                 }
             }
         }
-        if std::mem::take(&mut self.released) {
-            let _ = self.changed(now, notes);
-            let targets = self.workers.values().map(|worker| self.heard(&worker.target)).collect();
-            return Some(Roster { all: false, targets });
+        let released = std::mem::take(&mut self.released);
+        let held = if changed || released { self.changed(now, events) } else { Vec::new() };
+        let held = if released { self.workers.names() } else { held };
+        if !held.is_empty() {
+            events.push(Event::Held(held));
         }
-        changed.then(|| self.changed(now, notes)).flatten()
     }
 
-    fn changed(&mut self, now: Micros, notes: &Notes) -> Option<Roster> {
+    /// Takes over what is agreed; gives the workers whose drain began or ended by it.
+    fn changed(&mut self, now: Micros, events: &mut Vec<Event>) -> Vec<String> {
         let Halt { on, count } = self.member.halt();
-        let known = self.member.known()?;
+        let Some(known) = self.member.known() else { return Vec::new() };
         if self.noted < Some(known.at()) {
             self.noted = Some(known.at());
-            notes.agreed(now, known);
+            events.push(Event::Agreed(known.clone()));
         }
         info!(
             by = known.epoch.by,
@@ -343,14 +307,12 @@
             count,
             "agreed"
         );
-        let drained: BTreeSet<u32> =
-            self.workers.keys().filter(|tag| known.value.drains(**tag)).copied().collect();
+        let drained: BTreeSet<u32> = self.workers.tags().filter(|tag| known.value.drains(*tag)).collect();
         let before = std::mem::replace(&mut self.drained, drained);
         // Whoever asks hears soon how much is in hand.
         self.tell = now;
-        let other = before.symmetric_difference(&self.drained).filter_map(|tag| self.workers.get(tag));
-        let targets: Vec<_> = other.map(|worker| self.heard(&worker.target)).collect();
-        (!targets.is_empty()).then_some(Roster { all: false, targets })
+        let other = before.symmetric_difference(&self.drained);
+        other.filter_map(|tag| Some(self.workers.get(*tag)?.name.clone())).collect()
     }
 
     /// No foreman can be reached, as far as whoever asks need know.
--- /dev/null
+++ b/crates/fellows/src/fellows.rs
@@ -0,0 +1,248 @@
+//! The fleet's view on the loop: datagrams carried between it and the one socket for fellows.
+
+use crate::agreement::Agreement;
+use crate::config::FellowsConfig;
+use crate::error::FellowsError;
+use crate::event::Event;
+use crate::times::{TELL_US, gap, since_2026_ms};
+use crate::workers::Worker;
+use basaltward_agreed::{Fault, Ledger, Request, Stored, VERSION, Wish};
+use basaltward_fleet::{Answer, CALLS, MOST, Newer, Number, Output, Question, State, View, value_of};
+use basaltward_net::{Io, Micros};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use tracing::{error, info};
+
+/// Log lines on changes in a second at most; more are counted.
+const LINES: u32 = 50;
+
+/// The view with its socket.
+pub struct Fellows {
+    view: View,
+    socket: usize,
+    /// Where each is reached.
+    peers: Vec<SocketAddr>,
+    numbers: HashMap<SocketAddr, Number>,
+    operators: Vec<IpAddr>,
+    /// The second that lines are counted for, those written in it, and those left out.
+    lines: (Micros, u32, u32),
+    /// Calls served, refused and failed, and when they are told next.
+    calls: [u64; 3],
+    tell_calls: Micros,
+    out: Vec<Output>,
+    /// Our part in what is agreed, where the configuration asks for it.
+    agreement: Option<Agreement>,
+}
+
+fn numbers(peers: &[SocketAddr]) -> HashMap<SocketAddr, Number> {
+    peers.iter().enumerate().map(|(n, at)| (*at, n as Number)).collect()
+}
+
+impl Fellows {
+    /// The view that a configuration asks for.
+    ///
+    /// # Errors
+    /// Where the configuration can't be used or its address can't be had.
+    pub fn open(config: &FellowsConfig, io: &mut Io, now: Micros) -> Result<Self, FellowsError> {
+        let settings = config.view(since_2026_ms())?;
+        let view = View::new(settings, now)?;
+        let agreement = Agreement::new(&settings, config, now)?;
+        let refused = |why| FellowsError::Datagrams { at: config.listen, why };
+        let (socket, _) = io.datagrams(config.listen).map_err(refused)?;
+        Ok(Self {
+            view,
+            socket,
+            numbers: numbers(&config.peers),
+            peers: config.peers.clone(),
+            operators: config.operators.clone(),
+            lines: (0, 0, 0),
+            calls: [0; 3],
+            tell_calls: now,
+            out: Vec::new(),
+            agreement,
+        })
+    }
+
+    /// The view.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Tells a fact of ours, see [`View::tell_fact`].
+    pub fn tell_fact(&mut self, now: Micros, key: u8, value: &[u8], stands: Micros) -> bool {
+        self.view.tell_fact(now, key, value, stands)
+    }
+
+    /// The number of the socket that datagrams come to.
+    pub fn socket(&self) -> usize {
+        self.socket
+    }
+
+    /// See [`View::plant`].
+    pub fn plant(&mut self, newer: Newer) {
+        self.view.plant(newer);
+    }
+
+    /// See [`Agreement::plant`].
+    pub fn plant_agreed(&mut self, fault: Fault, now: Micros) {
+        self.agreement.iter_mut().for_each(|agreement| agreement.plant(fault, now));
+    }
+
+    /// When [`Fellows::wake`] is due next.
+    pub fn next_due(&self) -> Micros {
+        let agreed = self.agreement.as_ref().map_or(Micros::MAX, Agreement::next_due);
+        self.view.next_due().min(self.tell_calls).min(agreed)
+    }
+
+    /// A call has its answer: served, refused or failed.
+    pub fn answered(&mut self, outcome: usize) {
+        self.calls[outcome] += 1;
+    }
+
+    /// A new configuration: its list of members and its operators hold from now on.
+    pub fn reread(&mut self, fleet: &FellowsConfig) {
+        if self.view.resize(fleet.peers.len() as Number) {
+            (self.peers, self.numbers) = (fleet.peers.clone(), numbers(&fleet.peers));
+            self.operators.clone_from(&fleet.operators);
+            if let (Some(agreement), Some(bounds)) = (&mut self.agreement, fleet.bounds) {
+                agreement.reread(bounds, &fleet.zones);
+            }
+            info!(members = self.peers.len(), "fleet's list read");
+        }
+    }
+
+    /// Takes what waits at the socket.
+    pub fn data(&mut self, io: &mut Io, now: Micros, events: &mut Vec<Event>) {
+        let mut bytes = [0; MOST + 1];
+        // Bounded: whoever sends without end does not hold up the loop.
+        for _ in 0..64 {
+            let Some((length, from)) = io.receive(self.socket, &mut bytes) else { break };
+            let bytes = &bytes[..length];
+            let kind = bytes.first().copied();
+            if let Some(number) = self.numbers.get(&from).filter(|_| kind == Some(VERSION)) {
+                if let Some(agreement) = &mut self.agreement {
+                    agreement.handle(&self.view, now, *number, bytes);
+                }
+            } else if let Some(number) = self.numbers.get(&from) {
+                self.view.handle(now, *number, bytes, &mut self.out);
+            } else if self.operators.contains(&from.ip())
+                && let Ok(question) = Question::read(bytes)
+            {
+                let answer = Answer::new(&self.view, now, question).write();
+                io.send_to(self.socket, from, &answer);
+            } else if self.operators.contains(&from.ip())
+                && let Ok(request) = Request::read(bytes)
+            {
+                match &mut self.agreement {
+                    Some(agreement) => agreement.asked(&self.view, now, from, request, io, self.socket),
+                    None => Agreement::none(io, self.socket, from, request.tag),
+                }
+            }
+        }
+        self.carry_out(io, now, events);
+    }
+
+    /// Does what is due; `in_hand` says how much these workers have of ours.
+    pub fn wake(
+        &mut self,
+        io: &mut Io,
+        now: Micros,
+        in_hand: impl FnOnce(&[&str]) -> usize,
+        events: &mut Vec<Event>,
+    ) {
+        if now >= self.tell_calls {
+            let gap = gap(TELL_US, self.peers.len());
+            self.tell_calls = now + gap;
+            self.view.tell_fact(now, CALLS, &value_of(&self.calls), gap * 4);
+        }
+        if let Some(agreement) = &mut self.agreement {
+            agreement.wake(&mut self.view, now, in_hand);
+        }
+        if self.view.next_due() <= now {
+            self.view.wake(now, &mut self.out);
+        }
+        self.carry_out(io, now, events);
+    }
+
+    /// We leave, and finish what we have.
+    pub fn leave(&mut self, io: &mut Io, now: Micros, events: &mut Vec<Event>) {
+        self.view.leave(now, &mut self.out);
+        self.carry_out(io, now, events);
+    }
+
+    /// We are no more.
+    pub fn stop(&mut self, io: &mut Io, now: Micros, events: &mut Vec<Event>) {
+        self.view.stop(now, &mut self.out);
+        self.carry_out(io, now, events);
+    }
+
+    /// The latest that is agreed, as far as we know.
+    pub fn agreed(&self) -> Option<&Stored<Ledger>> {
+        self.agreement.as_ref().and_then(Agreement::known)
+    }
+
+    /// Whether we have a part in what is agreed.
+    pub fn agrees(&self) -> bool {
+        self.agreement.is_some()
+    }
+
+    /// Asks for something that the fleet agrees on; [`Event::Answered`] with this number follows. None where we have no
+    /// part in it.
+    pub fn wish(&mut self, now: Micros, wish: Wish) -> Option<u32> {
+        self.agreement.as_mut().map(|agreement| agreement.wish(&self.view, now, wish))
+    }
+
+    /// Workers that are told: all of them where `whole`, or else what has changed.
+    pub fn told(&mut self, now: Micros, whole: bool, workers: &[Worker]) {
+        self.agreement.iter_mut().for_each(|agreement| agreement.told(now, whole, workers));
+    }
+
+    /// Whether this worker is to be given nothing new, as the fleet drains it, or as we have not heard yet whether it
+    /// does.
+    pub fn holds(&self, worker: &str) -> bool {
+        self.agreement.as_ref().is_some_and(|agreement| agreement.holds(worker))
+    }
+
+    /// Whether this worker counts, though it may be gone.
+    pub fn knows(&self, worker: &str) -> bool {
+        self.agreement.as_ref().is_some_and(|agreement| agreement.knows(worker))
+    }
+
+    fn carry_out(&mut self, io: &mut Io, now: Micros, events: &mut Vec<Event>) {
+        if let Some(agreement) = &mut self.agreement {
+            agreement.carry_out(io, now, (self.socket, &self.peers), events);
+        }
+        for output in std::mem::take(&mut self.out) {
+            match output {
+                Output::Send { to, bytes } => {
+                    if let Some(to) = self.peers.get(usize::from(to)) {
+                        io.send_to(self.socket, *to, &bytes);
+                    }
+                }
+                Output::Changed { of, incarnation, is, .. } => {
+                    events.push(Event::Believed { of, incarnation, state: is });
+                    self.note(now, of, is);
+                }
+                Output::Superseded { start } => {
+                    error!(start, "a later life of our name goes on: the fleet hears nothing of us any more");
+                    events.push(Event::Superseded);
+                }
+            }
+        }
+    }
+
+    fn note(&mut self, now: Micros, of: Number, is: State) {
+        if now >= self.lines.0 + 1_000_000 {
+            if self.lines.2 > 0 {
+                info!(left_out = self.lines.2, "fleet");
+            }
+            self.lines = (now, 0, 0);
+        }
+        if self.lines.1 < LINES {
+            self.lines.1 += 1;
+            info!(member = of, ?is, live = self.view.live(), part = ?self.view.part(), "fleet");
+        } else {
+            self.lines.2 += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/fellows/src/lib.rs
@@ -0,0 +1,23 @@
+//! Fellows: the other processes of one fleet, as a program with a loop of its own meets them. The view and what is
+//! agreed travel in datagrams on one socket; what is more than a datagram holds travels in frames over kept
+//! connections, made when there is something to send.
+//!
+//! The crate carries and counts. What a frame means, and what follows from a change in the view, is its owner's.
+#![warn(missing_docs)]
+
+mod agreement;
+mod ask;
+mod config;
+mod error;
+mod event;
+mod fellows;
+mod times;
+mod workers;
+
+pub use ask::{ask_agreed, ask_view};
+pub use config::FellowsConfig;
+pub use error::FellowsError;
+pub use event::Event;
+pub use fellows::Fellows;
+pub use times::since_2026_ms;
+pub use workers::{Stands, Worker};
--- /dev/null
+++ b/crates/fellows/src/workers.rs
@@ -0,0 +1,85 @@
+//! Workers as a program is told of them, as far as what is agreed needs to know.
+
+use basaltward_agreed::{Seen, Sight, Subject, mark};
+use basaltward_net::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A worker that is gone counts as out for so long: by then it has been replaced, or is not meant to be.
+const GONE_US: Micros = 300_000_000;
+
+/// What a worker is told to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stands {
+    /// Takes work.
+    Ready,
+    /// Finishes its work and takes nothing new.
+    Leaving,
+    /// Removed.
+    Gone,
+}
+
+/// A worker as it is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Worker {
+    /// Its name. A new worker has a new one.
+    pub name: String,
+    /// Its zone, numbered by whoever tells.
+    pub zone: u8,
+    /// When it started late, in Unix milliseconds, or 0.
+    pub boot_ms: u64,
+    /// What it is.
+    pub stands: Stands,
+}
+
+/// All workers that count, by mark.
+#[derive(Default)]
+pub(crate) struct Workers {
+    /// Each with the time since when it has been as it is told to be.
+    all: BTreeMap<u32, (Worker, Micros)>,
+}
+
+impl Workers {
+    pub fn get(&self, tag: u32) -> Option<&Worker> {
+        self.all.get(&tag).map(|(worker, _)| worker)
+    }
+
+    pub fn tags(&self) -> impl Iterator<Item = u32> {
+        self.all.keys().copied()
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.all.values().map(|(worker, _)| worker.name.clone()).collect()
+    }
+
+    pub fn sight(&self, now: Micros) -> Sight {
+        let seen = |(tag, (worker, since)): (&u32, &(Worker, Micros))| {
+            let used = (worker.stands == Stands::Ready).then(|| now.saturating_sub(*since));
+            let life = (worker.boot_ms / 1_000) as u16;
+            (Subject::Worker(*tag), Seen { zone: worker.zone, life, used, sole: false, runs: None })
+        };
+        self.all.iter().map(seen).collect()
+    }
+
+    /// The list, or what has changed in it. Those that are drained are kept though they are gone.
+    pub fn told(&mut self, now: Micros, whole: bool, told: &[Worker], drained: &BTreeSet<u32>) {
+        if whole {
+            let listed: BTreeSet<_> = told.iter().map(|worker| mark(&worker.name)).collect();
+            for (tag, (worker, since)) in &mut self.all {
+                if !listed.contains(tag) && worker.stands != Stands::Gone {
+                    (worker.stands, *since) = (Stands::Gone, now);
+                }
+            }
+        }
+        for worker in told {
+            let tag = mark(&worker.name);
+            let same = |(known, _): &&(Worker, Micros)| {
+                known.stands == worker.stands && known.boot_ms == worker.boot_ms
+            };
+            let since = self.all.get(&tag).filter(same).map_or(now, |(_, since)| *since);
+            self.all.insert(tag, (worker.clone(), since));
+        }
+        self.all.retain(|tag, (worker, since)| {
+            worker.stands != Stands::Gone || drained.contains(tag) || now < *since + GONE_US
+        });
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,8 +3,6 @@
 //! the bytes; every decision on a call stays with the module.
 #![warn(missing_docs)]
 
-mod agreement;
-mod ask;
 mod budget;
 mod config;
 mod fellows;
@@ -15,7 +13,6 @@
 mod notes;
 mod work;
 
-pub use ask::{ask_agreed, ask_view};
 pub use budget::Budget;
 pub use config::{ConfigError, FleetConfig, NodeConfig, load};
 pub use node::{Control, Node, NodeError};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,7 +1,7 @@
 //! The loop: clients, engine, workers and bulletin joined. It carries bytes and messages between them.
 
 use crate::config::{ConfigError, NodeConfig, load, load_as};
-use crate::fellows::Fellows;
+use crate::fellows::Fleet;
 use crate::front::{Front, Step};
 use crate::links::{Done, Job, Links, WrittenJob};
 use crate::members::Names;
@@ -12,6 +12,7 @@
 use basaltward_engine::{
     Answer, Engine, EngineSettings, Input, MarginSettings, Output, Pace, RepeatLimits, Turn,
 };
+use basaltward_fellows::{Event, Fellows, FellowsError};
 use basaltward_net::{
     ConnId, Happened, Io, IoLimits, NetError, Signals, Waker, bind, monotonic, thread_time,
 };
@@ -41,6 +42,9 @@
     /// The system refused something.
     #[error(transparent)]
     Net(#[from] NetError),
+    /// It can't have its fellows.
+    #[error(transparent)]
+    Fellows(#[from] FellowsError),
     /// The module can't decide by the settings.
     #[error("configuration, at settings: {0}")]
     Settings(#[from] SettingsError),
@@ -59,7 +63,7 @@
     feeds: HashMap<ConnId, FeedId>,
     names: Names,
     /// The fleet's view, where the configuration asks for it.
-    fellows: Option<Fellows>,
+    fellows: Option<Fleet>,
     pace: Pace,
     /// When SIGTERM came.
     term: Option<Micros>,
@@ -138,7 +142,7 @@
         let limits =
             IoLimits { connections: config.budget.clients, input: config.budget.input, linger: 300_000 };
         let mut io = Io::new(limits)?;
-        let fellows = Fellows::open(&config, &mut io, monotonic())?;
+        let fellows = Fleet::open(&config, &mut io, monotonic())?;
         let mut node = Self {
             name: config.name.clone(),
             path,
@@ -175,13 +179,13 @@
     /// Plants a fault in its view, see [`basaltward_fleet::View::plant`].
     #[doc(hidden)]
     pub fn plant(&mut self, newer: basaltward_fleet::Newer) {
-        self.fellows.iter_mut().for_each(|fellows| fellows.plant(newer));
+        self.fellows.iter_mut().for_each(|fleet| fleet.fellows.plant(newer));
     }
 
     /// Plants a fault in its part in what is agreed, see [`basaltward_agreed::Member::plant`].
     #[doc(hidden)]
     pub fn plant_agreed(&mut self, fault: basaltward_agreed::Fault) {
-        self.fellows.iter_mut().for_each(|fellows| fellows.plant_agreed(fault, monotonic()));
+        self.fellows.iter_mut().for_each(|fleet| fleet.fellows.plant_agreed(fault, monotonic()));
     }
 
     /// Where it listens.
@@ -220,7 +224,7 @@
             self.io.forget_ended();
             if self.is_over(monotonic()) {
                 let now = monotonic();
-                self.fellows.iter_mut().for_each(|fellows| fellows.stop(&mut self.io, now, &self.notes));
+                self.fellows(now, |fellows, io, events| fellows.stop(io, now, events));
                 self.notes.down(monotonic());
                 info!(name = self.name, "stopped");
                 return Ok(());
@@ -232,7 +236,7 @@
         let term = self.term.map(|at| at + TERM_US).filter(|at| *at > now || !self.stopped);
         let last = self.stopped.then_some(now + 5_000);
         let reread = self.reread.map(|(at, _)| at);
-        let fellows = self.fellows.as_ref().map(Fellows::next_due);
+        let fellows = self.fellows.as_ref().map(|fleet| fleet.fellows.next_due());
         let due = [self.engine.next_due(now), self.front.next_due(), self.links.next_due()];
         let due = due.into_iter().chain([self.follower.next_due(), term, last, reread, fellows]);
         let due = due.flatten().min().unwrap_or(now + 1_000_000);
@@ -356,7 +360,7 @@
             Happened::Signal(SIGHUP) => self.want(now, REREAD_NOW),
             Happened::Signal(_) => self.want(now, STOP),
             Happened::Datagrams(_) => {
-                self.fellows.iter_mut().for_each(|fellows| fellows.data(&mut self.io, now, &self.notes));
+                self.fellows(now, |fellows, io, events| fellows.data(io, now, events));
                 self.drains(now);
             }
             Happened::Woken => {
@@ -375,7 +379,7 @@
             info!(name = self.name, in_hand = self.engine.in_hand(), "stopping");
             self.term = Some(now);
             self.front.leave();
-            self.fellows.iter_mut().for_each(|fellows| fellows.leave(&mut self.io, now, &self.notes));
+            self.fellows(now, |fellows, io, events| fellows.leave(io, now, events));
             self.notes.stopping(now);
         }
     }
@@ -383,9 +387,11 @@
     /// Does what is due: answers first, the rest as far as its time in a turn goes.
     fn wake(&mut self, mut now: Micros) {
         let since = now;
-        if let Some(fellows) = &mut self.fellows {
-            let links = &self.links;
-            fellows.wake(&mut self.io, now, &self.notes, |workers| links.in_hand(workers));
+        if let Some(fleet) = &mut self.fellows {
+            let (io, links) = (&mut self.io, &self.links);
+            fleet.act(now, &self.notes, |fellows, events| {
+                fellows.wake(io, now, |workers| links.in_hand(workers), events);
+            });
         }
         self.drains(now);
         loop {
@@ -485,7 +491,7 @@
                     Answer::Refused(..) => 1,
                     Answer::Failed(_) => 2,
                 };
-                fellows.iter_mut().for_each(|fellows| fellows.answered(outcome));
+                fellows.iter_mut().for_each(|fleet| fleet.fellows.answered(outcome));
                 notes.answered(now, &asked, &answer, (attempts, worker.as_ref()));
                 None
             }
@@ -563,9 +569,16 @@
         }
     }
 
+    fn fellows(&mut self, now: Micros, act: impl FnOnce(&mut Fellows, &mut Io, &mut Vec<Event>)) {
+        if let Some(fleet) = &mut self.fellows {
+            let io = &mut self.io;
+            fleet.act(now, &self.notes, |fellows, events| act(fellows, io, events));
+        }
+    }
+
     /// Workers whose drain began or ended, by what the fleet agrees on.
     fn drains(&mut self, now: Micros) {
-        let news = self.fellows.as_mut().map(Fellows::take_drains).unwrap_or_default();
+        let news = self.fellows.as_mut().map(Fleet::take_drains).unwrap_or_default();
         news.iter().for_each(|roster| self.heard(now, roster));
     }
 
@@ -599,9 +612,7 @@
         match load(&self.path) {
             Ok(config) => {
                 info!(name = self.name, bulletin = %config.bulletin, "configuration read");
-                if let (Some(fellows), Some(fleet)) = (&mut self.fellows, &config.fleet) {
-                    fellows.reread(fleet);
-                }
+                self.fellows.iter_mut().for_each(|fleet| fleet.reread(&config));
                 self.follower.moved(now, config.bulletin);
                 self.follow(now, |follower, out| follower.wake(now, out));
             }
