--- /dev/null
+++ b/crates/pending/src/journal.rs
@@ -0,0 +1,563 @@
+//! The writer's side: what this gateway's loops say is written, numbered and chained, sent to the holders, and counts
+//! as held once as many as the event's class wants have acknowledged it. What has ended is let go of; what is pending
+//! when a holder falls away is sent to another.
+
+use crate::choose::{Standing, choose};
+use crate::entry::{Line, ORIGIN};
+use crate::error::{Fault, Unkept};
+use crate::neighbour::Neighbour;
+use crate::seam::{Output, PendingSettings};
+use crate::types::{Again, Key, Outcome, Source, Step, WallMs};
+use crate::wire::{Ack, FRAME, Lines, Message, Not, Release, Sent, close};
+use basaltward_fleet::{Micros, Number};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// One that was in doubt is not chosen again for so long, if there are others.
+const DOUBT: Micros = 10_000_000;
+/// So often a gateway is called to which no connection stands.
+const CALL: Micros = 500_000;
+/// What a line costs on the wire beside its bytes.
+const ON_WIRE: usize = 20;
+
+/// An event that is pending here.
+#[derive(Debug)]
+struct Event {
+    need: u8,
+    again: Again,
+    deadline: WallMs,
+    /// Until when something depends on what became of it.
+    until: WallMs,
+    numbers: Vec<u64>,
+}
+
+/// Who waits for a line to be held.
+#[derive(Debug)]
+struct Wait {
+    number: u64,
+    key: Key,
+    since: Micros,
+    /// The attempt that waits; the event itself where there is none.
+    attempt: Option<u32>,
+}
+
+/// What a journal has counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Written {
+    /// Lines written.
+    pub lines: u64,
+    /// Frames with lines sent, and their bytes.
+    pub sent: (u64, u64),
+    /// Events and attempts that were held in time.
+    pub held: u64,
+    /// Those that were not.
+    pub unheld: u64,
+    /// Holders that fell away and were replaced.
+    pub replaced: u64,
+}
+
+/// The journal of this life of this gateway.
+#[derive(Debug)]
+pub struct Journal {
+    settings: PendingSettings,
+    source: Source,
+    /// The number of the first line that is kept, and the chain before it.
+    first: u64,
+    before: u64,
+    lines: VecDeque<Line>,
+    events: BTreeMap<Key, Event>,
+    /// Lines with their bytes, by when nothing depends on them.
+    due: BTreeSet<(WallMs, u64)>,
+    /// Ends with their bytes, oldest first, and those bytes.
+    ends: VecDeque<u64>,
+    ends_bytes: usize,
+    bytes: usize,
+    waits: BTreeMap<u8, VecDeque<Wait>>,
+    neighbours: Vec<Neighbour>,
+    /// Those let go of, with the number below which nothing of theirs is needed, and when.
+    retired: BTreeMap<Number, Release>,
+    lives: BTreeMap<Number, u64>,
+    live: Vec<bool>,
+    doubted: BTreeMap<Number, Micros>,
+    call: Micros,
+    unsent: bool,
+    counted: Written,
+}
+
+impl Journal {
+    /// An empty one.
+    pub fn new(settings: PendingSettings) -> Self {
+        let source = Source { gateway: settings.places.own(), life: settings.life };
+        Self {
+            source,
+            first: 1,
+            before: ORIGIN,
+            lines: VecDeque::new(),
+            events: BTreeMap::new(),
+            due: BTreeSet::new(),
+            ends: VecDeque::new(),
+            ends_bytes: 0,
+            bytes: 0,
+            waits: BTreeMap::new(),
+            neighbours: Vec::new(),
+            retired: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            live: vec![false; settings.places.len()],
+            doubted: BTreeMap::new(),
+            call: 0,
+            unsent: false,
+            counted: Written::default(),
+            settings,
+        }
+    }
+
+    /// Whose it is.
+    pub fn source(&self) -> Source {
+        self.source
+    }
+
+    /// What it has counted.
+    pub fn counted(&self) -> Written {
+        self.counted
+    }
+
+    /// Bytes of its lines, and how many there are.
+    pub fn size(&self) -> (usize, usize) {
+        (self.bytes, self.lines.len())
+    }
+
+    /// Its holders, each with the number up to which it has acknowledged.
+    pub fn holders(&self) -> impl Iterator<Item = (Number, u64)> {
+        self.neighbours.iter().map(|one| (one.of, one.acked))
+    }
+
+    fn last(&self) -> u64 {
+        self.first + self.lines.len() as u64 - 1
+    }
+
+    fn line(&mut self, number: u64) -> Option<&mut Line> {
+        self.lines.get_mut(number.checked_sub(self.first)? as usize)
+    }
+
+    fn chain_at(&self, number: u64) -> u64 {
+        let at = number.checked_sub(self.first);
+        at.and_then(|at| self.lines.get(at as usize)).map_or(self.before, |line| line.chain)
+    }
+
+    /// Writes what a loop says.
+    pub fn write(&mut self, now: Micros, wall: WallMs, step: Step, out: &mut Vec<Output>) {
+        match step {
+            Step::Accepted(accepted) => {
+                let (key, deadline) = (accepted.key, accepted.deadline);
+                let need = self.settings.holders.get(usize::from(accepted.class)).copied().unwrap_or(0);
+                let long = accepted.event.len() + accepted.function.len();
+                if let Some(why) = self.refusal(need, accepted.class, key, long) {
+                    self.counted.unheld += 1;
+                    return out.push(Output::Unheld { key, why });
+                }
+                let event =
+                    Event { need, again: accepted.again, deadline, until: deadline, numbers: Vec::new() };
+                self.events.insert(key, event);
+                self.append(now, key, deadline, Step::Accepted(accepted), Some(None));
+            }
+            Step::Sending { key, attempt, worker, at } => {
+                let Some(event) = self.events.get_mut(&key) else {
+                    return out.push(Output::MayNot { key, attempt, why: Unkept::Unknown(key) });
+                };
+                if let Again::Keyed { window } = event.again
+                    && event.until == event.deadline
+                {
+                    event.until = event.deadline.max(at + window / 1_000);
+                }
+                let (until, most) = (event.until, self.settings.bytes);
+                if self.bytes + worker.len() > most || worker.len() > self.settings.entry_bytes {
+                    let why = Unkept::Full { held: self.bytes, most };
+                    return out.push(Output::MayNot { key, attempt, why });
+                }
+                self.append(now, key, until, Step::Sending { key, attempt, worker, at }, Some(Some(attempt)));
+            }
+            Step::Ended { key, outcome, answer } => self.end(now, key, outcome, answer),
+        }
+        self.let_go(wall);
+    }
+
+    fn refusal(&self, need: u8, class: u16, key: Key, bytes: usize) -> Option<Unkept> {
+        let live = self.candidates().count();
+        // What is pending has to find room for its next steps and its end.
+        let most = self.settings.bytes - self.settings.bytes / 8;
+        if need == 0 {
+            Some(Unkept::Class(class))
+        } else if self.events.contains_key(&key) {
+            Some(Unkept::Doubled(key))
+        } else if bytes > self.settings.entry_bytes {
+            Some(Unkept::Long { bytes, most: self.settings.entry_bytes })
+        } else if self.bytes + bytes > most {
+            Some(Unkept::Full { held: self.bytes, most })
+        } else if live < usize::from(need) {
+            Some(Unkept::Few { told: need, live: live as u8 })
+        } else {
+            None
+        }
+    }
+
+    fn candidates(&self) -> impl Iterator<Item = Number> {
+        let (places, live) = (&self.settings.places, &self.live);
+        let numbers = (0..places.len() as Number).filter(|of| places.site(*of) != Some(places.here()));
+        numbers.filter(|of| live.get(usize::from(*of)) == Some(&true))
+    }
+
+    fn append(&mut self, now: Micros, key: Key, until: WallMs, step: Step, waits: Option<Option<u32>>) {
+        let (number, before) = (self.last() + 1, self.chain_at(self.last()));
+        let until = until.saturating_add(self.settings.remember_ms);
+        let Some(line) = Line::new(before, self.source, number, until, step) else { return };
+        self.bytes += line.cost();
+        self.lines.push_back(line);
+        self.due.insert((until, number));
+        self.counted.lines += 1;
+        self.unsent = true;
+        let Some(event) = self.events.get_mut(&key) else { return };
+        event.numbers.push(number);
+        if let Some(attempt) = waits {
+            let wait = Wait { number, key, since: now, attempt };
+            self.waits.entry(event.need).or_default().push_back(wait);
+        }
+        self.neighbours.iter_mut().for_each(|one| one.owes(now));
+    }
+
+    fn end(&mut self, now: Micros, key: Key, outcome: Outcome, mut answer: Vec<u8>) {
+        let Some(event) = self.events.get(&key) else { return };
+        let (until, quarter) = (event.until, self.settings.bytes / 4);
+        if answer.len() > self.settings.entry_bytes || self.bytes + answer.len() > self.settings.bytes {
+            answer = Vec::new();
+        }
+        self.append(now, key, until, Step::Ended { key, outcome, answer }, None);
+        let Some(event) = self.events.remove(&key) else { return };
+        let Some((end, others)) = event.numbers.split_last() else { return };
+        others.iter().for_each(|number| self.hollow(*number));
+        self.ends.push_back(*end);
+        self.ends_bytes += self.line(*end).map_or(0, |line| line.cost());
+        while self.ends_bytes > quarter
+            && let Some(oldest) = self.ends.pop_front()
+        {
+            self.ends_bytes -= self.line(oldest).map_or(0, |line| line.cost());
+            self.hollow(oldest);
+        }
+    }
+
+    fn hollow(&mut self, number: u64) {
+        let Some(line) = self.line(number) else { return };
+        let until = line.read().map(|(until, _)| until);
+        let freed = line.hollow();
+        self.bytes -= freed;
+        until.into_iter().for_each(|until| _ = self.due.remove(&(until, number)));
+    }
+
+    /// Lets go of what nothing depends on any more.
+    fn let_go(&mut self, wall: WallMs) {
+        while let Some((until, number)) = self.due.first().copied()
+            && until < wall
+        {
+            let said = self.line(number).and_then(|line| line.read());
+            match said.map(|(_, step)| step) {
+                // Its loop has said nothing of its end until long after its deadline.
+                Some(Step::Accepted(accepted)) => _ = self.events.remove(&accepted.key),
+                Some(Step::Ended { .. }) => {
+                    self.ends_bytes -= self.line(number).map_or(0, |line| line.cost());
+                    self.ends.retain(|end| *end != number);
+                }
+                Some(Step::Sending { .. }) | None => {}
+            }
+            self.hollow(number);
+            self.due.remove(&(until, number));
+        }
+        while let Some(line) = self.lines.front()
+            && line.bytes.is_none()
+        {
+            (self.before, self.first) = (line.chain, self.first + 1);
+            self.bytes -= line.cost();
+            self.lines.pop_front();
+        }
+    }
+
+    /// Who is live by the view.
+    pub fn see(&mut self, now: Micros, live: Vec<bool>) {
+        self.live = live;
+        self.choose(now);
+    }
+
+    fn choose(&mut self, now: Micros) {
+        self.doubted.retain(|_, until| *until > now);
+        let most = self.settings.holders.iter().copied().max().unwrap_or(0);
+        let is_live = |of: Number| self.live.get(usize::from(of)) == Some(&true);
+        let standing = |of| {
+            let holds = self.neighbours.iter().any(|one| one.of == of);
+            match self.doubted.contains_key(&of) {
+                _ if !is_live(of) => None,
+                true => Some(Standing::Doubted),
+                false if holds => Some(Standing::Holds),
+                false => Some(Standing::Live),
+            }
+        };
+        let chosen = choose(&self.settings.places, self.settings.seed, most.into(), standing);
+        self.neighbours.iter_mut().for_each(|one| one.wanted = chosen.contains(&one.of));
+        for of in chosen {
+            if !self.neighbours.iter().any(|one| one.of == of) {
+                let mut one = Neighbour::new(of, self.first - 1);
+                self.retired.remove(&of);
+                self.lives.get(&of).into_iter().for_each(|life| one.up(*life, self.first - 1));
+                self.neighbours.push(one);
+                self.unsent = true;
+                self.call = now;
+            }
+        }
+        self.retire(now);
+    }
+
+    /// Lets go of holders that are not wanted: those not live at once, others when all wanted hold as much.
+    fn retire(&mut self, now: Micros) {
+        let least = self.neighbours.iter().filter(|one| one.wanted).map(|one| one.acked).min();
+        let (live, below) = (&self.live, self.first + self.lines.len() as u64);
+        let stays = |one: &Neighbour| {
+            one.wanted
+                || live.get(usize::from(one.of)) == Some(&true) && least.is_none_or(|least| least < one.acked)
+        };
+        let gone: Vec<Number> = self.neighbours.iter().filter(|one| !stays(one)).map(|one| one.of).collect();
+        for of in gone {
+            self.neighbours.retain(|one| one.of != of);
+            self.retired.insert(of, Release { source: self.source, below, sent: now });
+            self.counted.replaced += 1;
+            self.unsent = true;
+        }
+    }
+
+    /// A connection to a gateway stands.
+    pub fn up(&mut self, of: Number, life: u64) {
+        self.lives.insert(of, life);
+        let after = self.first - 1;
+        self.neighbours.iter_mut().filter(|one| one.of == of).for_each(|one| one.up(life, after));
+        self.unsent = true;
+    }
+
+    /// None stands.
+    pub fn down(&mut self, of: Number) {
+        self.lives.remove(&of);
+        self.neighbours.iter_mut().filter(|one| one.of == of).for_each(|one| one.connected = false);
+    }
+
+    /// A holder's answer.
+    pub fn answered(&mut self, now: Micros, from: Number, ack: Ack, out: &mut Vec<Output>) {
+        let (last, after) = (self.last(), self.first - 1);
+        let Some(one) = self.neighbours.iter_mut().find(|one| one.of == from) else { return };
+        if ack.source != self.source || !one.acknowledged(now, &ack, last) {
+            return;
+        }
+        let again = match ack.not {
+            None => false,
+            Some(Not::Life | Not::Nothing) if ack.turn == one.turn => {
+                one.forgets(after);
+                true
+            }
+            Some(Not::Life | Not::Nothing) => false,
+            Some(Not::Gap) => one.refused(ack.turn, false, after),
+            Some(Not::Broken(number)) => {
+                out.push(Output::Noted(Fault::Broken { of: self.source, number }));
+                one.refused(ack.turn, true, after)
+            }
+            Some(Not::Full) => {
+                out.push(Output::Noted(Fault::Full { of: self.source, number: ack.through + 1 }));
+                one.refused(ack.turn, false, after);
+                self.doubted.insert(from, now + DOUBT);
+                self.choose(now);
+                false
+            }
+        };
+        self.unsent |= again;
+        if self.neighbours.iter().any(|one| one.of == from && one.breaks()) {
+            self.doubted.insert(from, now + DOUBT);
+            self.choose(now);
+        }
+        self.retire(now);
+        self.tell_held(now, out);
+    }
+
+    /// One that was a holder has let go.
+    pub fn released(&mut self, from: Number, release: Release) {
+        if self.retired.get(&from) == Some(&release) {
+            self.retired.remove(&from);
+        }
+    }
+
+    fn held_by(&self, need: u8) -> u64 {
+        let mut acked: Vec<u64> = self.neighbours.iter().map(|one| one.acked).collect();
+        acked.sort_unstable_by(|a, b| b.cmp(a));
+        acked.get(usize::from(need.max(1)) - 1).copied().unwrap_or(0)
+    }
+
+    /// Until when an unsafe event may be sent: holders take nothing over for a lease after they last heard of us, and
+    /// their clocks may run a tenth faster than ours.
+    fn lease(&self, need: u8) -> Micros {
+        let mut echoes: Vec<Micros> = self.neighbours.iter().filter_map(|one| one.echo).collect();
+        echoes.sort_unstable_by(|a, b| b.cmp(a));
+        let echo = echoes.get(usize::from(need.max(1)) - 1);
+        echo.map_or(0, |echo| echo + self.settings.lease * 8 / 10)
+    }
+
+    fn tell_held(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let needs: Vec<u8> = self.waits.keys().copied().collect();
+        for need in needs {
+            let (held, lease) = (self.held_by(need), self.lease(need));
+            let Some(waits) = self.waits.get_mut(&need) else { continue };
+            while let Some(wait) = waits.front()
+                && wait.number <= held
+            {
+                let Some(Wait { key, attempt, .. }) = waits.pop_front() else { break };
+                let Some(event) = self.events.get(&key) else { continue };
+                self.counted.held += 1;
+                out.push(match attempt {
+                    None => Output::Held { key },
+                    Some(attempt) if event.again != Again::Unsafe => {
+                        Output::May { key, attempt, until: Micros::MAX }
+                    }
+                    Some(attempt) if lease > now => Output::May { key, attempt, until: lease },
+                    Some(attempt) => Output::MayNot { key, attempt, why: Unkept::Lease },
+                });
+            }
+        }
+    }
+
+    /// Does what is due: sends what was written in this turn, calls, doubts and gives up.
+    pub fn wake(&mut self, now: Micros, wall: WallMs, out: &mut Vec<Output>) {
+        self.give_up(now, wall, out);
+        self.let_go(wall);
+        let (last, after) = (self.last(), self.first - 1);
+        let late: Vec<Number> = {
+            let patience = self.settings.patience;
+            let owes = |one: &&mut Neighbour| one.acked < last;
+            self.neighbours.iter_mut().filter(owes).for_each(|one| one.owes(now));
+            let late =
+                self.neighbours.iter().filter(|one| one.acked < last && one.waited(now) >= patience / 2);
+            late.map(|one| one.of).filter(|of| !self.doubted.contains_key(of)).collect()
+        };
+        if !late.is_empty() {
+            late.into_iter().for_each(|of| _ = self.doubted.insert(of, now + DOUBT));
+            self.choose(now);
+        }
+        self.neighbours.iter_mut().for_each(|one| one.wake(now, after));
+        self.unsent = false;
+        self.send(now, out);
+    }
+
+    fn give_up(&mut self, now: Micros, wall: WallMs, out: &mut Vec<Output>) {
+        let patience = self.settings.patience;
+        let mut late = Vec::new();
+        for waits in self.waits.values_mut() {
+            while let Some(wait) = waits.front()
+                && now.saturating_sub(wait.since) >= patience
+            {
+                late.extend(waits.pop_front());
+            }
+        }
+        for Wait { key, since, attempt, .. } in late {
+            if !self.events.contains_key(&key) {
+                continue;
+            }
+            let why = Unkept::Late { waited: now - since };
+            self.counted.unheld += 1;
+            match attempt {
+                Some(attempt) => out.push(Output::MayNot { key, attempt, why }),
+                None => {
+                    out.push(Output::Unheld { key, why });
+                    self.write(
+                        now,
+                        wall,
+                        Step::Ended { key, outcome: Outcome::Refused, answer: Vec::new() },
+                        out,
+                    );
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let called = now >= self.call;
+        let alive = (!self.events.is_empty()).then_some(self.settings.lease / 4);
+        for at in 0..self.neighbours.len() {
+            let one = &self.neighbours[at];
+            let of = one.of;
+            if !one.connected {
+                if called {
+                    out.push(Output::Send { to: of, bytes: close(&Message::Call) });
+                }
+                continue;
+            }
+            let mut quiet = alive.is_some_and(|span| now.saturating_sub(one.last) >= span);
+            while let Some((bytes, through)) = self.frame(at, now, quiet) {
+                let one = &mut self.neighbours[at];
+                one.sends(now, through, bytes.len());
+                self.counted.sent = (self.counted.sent.0 + 1, self.counted.sent.1 + bytes.len() as u64);
+                out.push(Output::Send { to: of, bytes });
+                quiet = false;
+            }
+        }
+        if called {
+            self.call = now + CALL;
+        }
+        for (of, release) in &self.retired {
+            if self.lives.contains_key(of) && (called || release.sent == now) {
+                out.push(Output::Send { to: *of, bytes: close(&Message::Release(*release)) });
+            }
+        }
+    }
+
+    /// The next frame for a holder, and the number of its last line.
+    fn frame(&self, at: usize, now: Micros, quiet: bool) -> Option<(Vec<u8>, u64)> {
+        let one = &self.neighbours[at];
+        // What nothing depends on any more is not sent: the journal begins later there.
+        let sent = one.sent.max(self.first - 1);
+        if (sent >= self.last() && !quiet) || !one.has_window() {
+            return None;
+        }
+        let (mut lines, mut bytes) = (Vec::new(), 0);
+        for line in self.lines.iter().skip((sent + 1 - self.first) as usize) {
+            let cost = ON_WIRE + line.bytes.as_ref().map_or(0, |bytes| bytes.len());
+            if bytes + cost > FRAME && !lines.is_empty() {
+                break;
+            }
+            bytes += cost;
+            let chain = line.chain.to_le_bytes();
+            lines.push(match &line.bytes {
+                Some(bytes) => Sent::Whole(bytes, chain),
+                None => Sent::Hollow(line.digest.to_le_bytes(), chain),
+            });
+        }
+        let through = sent + lines.len() as u64;
+        let frame = Lines {
+            source: self.source,
+            to: one.life.unwrap_or(0),
+            sent: now,
+            turn: one.turn,
+            low: self.first,
+            first: sent + 1,
+            anew: !one.started || sent > one.sent,
+            before: self.chain_at(sent).to_le_bytes(),
+            lines,
+        };
+        Some((close(&Message::Lines(frame)), through))
+    }
+
+    /// When [`Journal::wake`] is due.
+    pub fn next_due(&self) -> Micros {
+        if self.unsent {
+            return 0;
+        }
+        let patience = self.settings.patience;
+        let waits = self.waits.values().filter_map(|waits| waits.front()).map(|wait| wait.since + patience);
+        let resend = self.neighbours.iter().map(Neighbour::next_due);
+        let calls = self.neighbours.iter().any(|one| !one.connected) || !self.retired.is_empty();
+        let alive = self.neighbours.iter().filter(|one| one.connected && one.has_window());
+        let alive = alive.map(|one| one.last + self.settings.lease / 4).filter(|_| !self.events.is_empty());
+        let doubted = self.neighbours.iter().filter(|one| !self.doubted.contains_key(&one.of));
+        let doubts = doubted.filter_map(|one| one.due_since()).map(|since| since + patience / 2);
+        let call = calls.then_some(self.call);
+        waits.chain(resend).chain(call).chain(alive).chain(doubts).min().unwrap_or(Micros::MAX)
+    }
+}
--- a/crates/pending/src/lib.rs
+++ b/crates/pending/src/lib.rs
@@ -2,6 +2,22 @@
 //! them where a site is lost. Free of I/O: inputs and times in, outputs and a next time out.
 #![warn(missing_docs)]
 
+mod choose;
+mod entry;
+mod error;
+mod holder;
+mod journal;
+mod kept;
+mod neighbour;
+mod seam;
 mod types;
+mod wire;
 
+pub use error::{Fault, Unkept, WireError};
+pub use holder::Held;
+#[doc(hidden)]
+pub use holder::Planted;
+pub use journal::Written;
+pub use kept::Pending;
+pub use seam::{Input, Output, PendingSettings};
 pub use types::{Accepted, Again, Entry, Key, Outcome, Source, Step, WallMs};
--- /dev/null
+++ b/crates/pending/src/neighbour.rs
@@ -0,0 +1,171 @@
+//! What a writer knows of one of its journal's holders: how far it was sent, how far it has acknowledged, by which
+//! life. Only the life that the connection told of is believed.
+
+use crate::wire::Ack;
+use basaltward_fleet::{Micros, Number};
+use std::collections::VecDeque;
+
+/// Bytes on their way to one holder; more wait.
+const WINDOW: usize = 1 << 20;
+/// Without word for so long, what was sent is sent again.
+const RESEND: Micros = 500_000;
+const RESEND_MOST: Micros = 4_000_000;
+/// So often it may say that a line is broken before it is doubted.
+const BREAKS: u32 = 3;
+
+/// A holder as its writer sees it.
+#[derive(Debug)]
+pub struct Neighbour {
+    /// Its number.
+    pub of: Number,
+    /// Chosen now; one that is not is let go of once others hold as much.
+    pub wanted: bool,
+    /// Its life, as the connection told that stands or stood last.
+    pub life: Option<u64>,
+    /// Whether one stands.
+    pub connected: bool,
+    /// Sent up to here.
+    pub sent: u64,
+    /// Acknowledged up to here.
+    pub acked: u64,
+    /// Of which of its beginnings.
+    begun: u32,
+    /// Whether it has acknowledged that its journal was begun.
+    pub started: bool,
+    /// When the latest frame was sent that it has answered.
+    pub echo: Option<Micros>,
+    /// When anything was sent last.
+    pub last: Micros,
+    flying: VecDeque<(u64, usize)>,
+    /// Since when something waits for its word.
+    waiting: Option<Micros>,
+    resend: Micros,
+    backoff: Micros,
+    /// Counts how often it was begun again from what is acknowledged.
+    pub turn: u32,
+    breaks: u32,
+}
+
+impl Neighbour {
+    /// One that holds nothing yet and is sent what follows a number.
+    pub fn new(of: Number, after: u64) -> Self {
+        Self {
+            of,
+            wanted: true,
+            life: None,
+            connected: false,
+            sent: after,
+            acked: 0,
+            begun: 0,
+            started: false,
+            echo: None,
+            last: 0,
+            flying: VecDeque::new(),
+            waiting: None,
+            resend: Micros::MAX,
+            backoff: RESEND,
+            turn: 0,
+            breaks: 0,
+        }
+    }
+
+    /// A connection stands. Another life holds nothing; the same one may have missed what was on its way.
+    pub fn up(&mut self, life: u64, after: u64) {
+        if self.life != Some(life) {
+            (self.acked, self.begun, self.started, self.echo) = (0, 0, false, None);
+        }
+        (self.life, self.connected) = (Some(life), true);
+        self.rewind(after);
+    }
+
+    /// What was not acknowledged is sent again, from after this number if nothing was.
+    pub fn rewind(&mut self, after: u64) {
+        self.sent = self.acked.max(after);
+        self.started = self.started && self.acked >= after;
+        self.turn += 1;
+        self.flying.clear();
+        self.resend = Micros::MAX;
+    }
+
+    /// Whether more may be on its way.
+    pub fn has_window(&self) -> bool {
+        self.flying.iter().map(|(_, bytes)| bytes).sum::<usize>() < WINDOW
+    }
+
+    /// Lines up to this one were sent.
+    pub fn sends(&mut self, now: Micros, through: u64, bytes: usize) {
+        (self.sent, self.last) = (through, now);
+        self.flying.push_back((through, bytes));
+        self.resend = self.resend.min(now + self.backoff);
+    }
+
+    /// There are lines that it should hold.
+    pub fn owes(&mut self, now: Micros) {
+        self.waiting.get_or_insert(now);
+    }
+
+    /// Since when something waits for its word.
+    pub fn due_since(&self) -> Option<Micros> {
+        self.waiting
+    }
+
+    /// For how long nothing has come of what waits for it.
+    pub fn waited(&self, now: Micros) -> Micros {
+        self.waiting.map_or(0, |since| now.saturating_sub(since))
+    }
+
+    /// Whether what it says speaks against it.
+    pub fn breaks(&self) -> bool {
+        self.breaks >= BREAKS
+    }
+
+    /// Takes its word, if it is of the life that the connection told of and of no earlier beginning; whether it was.
+    pub fn acknowledged(&mut self, now: Micros, ack: &Ack, last: u64) -> bool {
+        if self.life != Some(ack.life) || ack.begun < self.begun || ack.through > last {
+            return false;
+        }
+        self.echo = self.echo.max(Some(ack.echo).filter(|echo| *echo <= now));
+        if ack.begun > self.begun {
+            // It began anew: what an earlier beginning acknowledged is gone with it.
+            (self.begun, self.acked, self.started) = (ack.begun, 0, true);
+        }
+        if ack.through > self.acked && ack.begun > 0 {
+            self.acked = ack.through;
+            (self.backoff, self.breaks) = (RESEND, 0);
+            self.flying.retain(|(through, _)| *through > ack.through);
+            let more = self.acked < last;
+            self.waiting = more.then_some(now);
+            self.resend = if self.flying.is_empty() { Micros::MAX } else { now + self.backoff };
+        }
+        true
+    }
+
+    /// It could not take what was sent. Only its first word on a turn counts: the frames behind say the same.
+    pub fn refused(&mut self, turn: u32, broken: bool, after: u64) -> bool {
+        let first = turn == self.turn;
+        if first {
+            self.breaks += u32::from(broken);
+            self.rewind(after);
+        }
+        first
+    }
+
+    /// Nothing of the journal is with it.
+    pub fn forgets(&mut self, after: u64) {
+        (self.acked, self.started) = (0, false);
+        self.rewind(after);
+    }
+
+    /// Sends again what has had no word for too long.
+    pub fn wake(&mut self, now: Micros, after: u64) {
+        if now >= self.resend {
+            self.backoff = (self.backoff * 2).min(RESEND_MOST);
+            self.rewind(after);
+        }
+    }
+
+    /// When [`Neighbour::wake`] is due.
+    pub fn next_due(&self) -> Micros {
+        self.resend
+    }
+}
