--- a/crates/shed/src/types.rs
+++ b/crates/shed/src/types.rs
@@ -29,8 +29,8 @@
     Served(Micros),
     /// Answered later than its aim, begun after this wait.
     Late(Micros),
-    /// Refused or failed after this wait.
-    Failed(Micros),
+    /// Refused or failed after the door.
+    Failed,
 }
 
 /// Calls of one class and tenant at one loop since it counted last.
