--- a/crates/pending/src/holder.rs
+++ b/crates/pending/src/holder.rs
@@ -117,6 +117,14 @@
         Some(Held { source, from, through, chain, entries })
     }
 
+    /// Whether an event is held that is pending in a journal.
+    pub fn holds(&self, source: Source, key: Key) -> bool {
+        let Some(shelf) = self.shelves.get(&source) else { return false };
+        let first = shelf.pending.get(&key).and_then(|numbers| numbers.first());
+        let line = first.and_then(|number| shelf.lines.get(number.checked_sub(shelf.first)? as usize));
+        line.is_some_and(|line| line.bytes.is_some())
+    }
+
     /// Takes lines that their writer sent: the answer, and what is wrong with them.
     pub fn take(&mut self, now: Micros, lines: &Lines) -> (Ack, Option<Fault>) {
         let source = lines.source;
@@ -251,11 +259,10 @@
         }
     }
 
-    /// Its writer needs nothing of a journal below a number, unless it has sent lines since it said so.
-    pub fn release(&mut self, release: Release) {
-        let Release { source, below, sent } = release;
+    /// Its writer needs nothing of a journal, unless it has sent lines since it said so.
+    pub fn release(&mut self, Release { source, sent }: Release) {
         if self.shelves.get(&source).is_some_and(|shelf| shelf.sent <= sent) {
-            self.drop_below(source, below);
+            self.forget(source);
         }
     }
 
--- a/crates/pending/src/journal.rs
+++ b/crates/pending/src/journal.rs
@@ -73,8 +73,10 @@
     bytes: usize,
     waits: BTreeMap<u8, VecDeque<Wait>>,
     neighbours: Vec<Neighbour>,
-    /// Those let go of, with the number below which nothing of theirs is needed, and when.
+    /// Those let go of, who have not said yet that they did.
     retired: BTreeMap<Number, Release>,
+    /// The turns that they had come to.
+    turns: BTreeMap<Number, u32>,
     lives: BTreeMap<Number, u64>,
     live: Vec<bool>,
     doubted: BTreeMap<Number, Micros>,
@@ -100,6 +102,7 @@
             waits: BTreeMap::new(),
             neighbours: Vec::new(),
             retired: BTreeMap::new(),
+            turns: BTreeMap::new(),
             lives: BTreeMap::new(),
             live: vec![false; settings.places.len()],
             doubted: BTreeMap::new(),
@@ -301,7 +304,8 @@
         self.neighbours.iter_mut().for_each(|one| one.wanted = chosen.contains(&one.of));
         for of in chosen {
             if !self.neighbours.iter().any(|one| one.of == of) {
-                let mut one = Neighbour::new(of, self.first - 1);
+                let turn = self.turns.get(&of).map_or(0, |turn| turn + 1);
+                let mut one = Neighbour::new(of, self.first - 1, turn);
                 self.retired.remove(&of);
                 self.lives.get(&of).into_iter().for_each(|life| one.up(*life, self.first - 1));
                 self.neighbours.push(one);
@@ -315,15 +319,15 @@
     /// Lets go of holders that are not wanted: those not live at once, others when all wanted hold as much.
     fn retire(&mut self, now: Micros) {
         let least = self.neighbours.iter().filter(|one| one.wanted).map(|one| one.acked).min();
-        let (live, below) = (&self.live, self.first + self.lines.len() as u64);
+        let live = &self.live;
         let stays = |one: &Neighbour| {
             one.wanted
                 || live.get(usize::from(one.of)) == Some(&true) && least.is_none_or(|least| least < one.acked)
         };
-        let gone: Vec<Number> = self.neighbours.iter().filter(|one| !stays(one)).map(|one| one.of).collect();
-        for of in gone {
-            self.neighbours.retain(|one| one.of != of);
-            self.retired.insert(of, Release { source: self.source, below, sent: now });
+        for one in self.neighbours.extract_if(.., |one| !stays(one)) {
+            let of = one.of;
+            self.turns.insert(of, one.turn);
+            self.retired.insert(of, Release { source: self.source, sent: now });
             self.counted.replaced += 1;
             self.unsent = true;
         }
@@ -490,9 +494,9 @@
                 continue;
             }
             let mut quiet = alive.is_some_and(|span| now.saturating_sub(one.last) >= span);
-            while let Some((bytes, through)) = self.frame(at, now, quiet) {
+            while let Some((bytes, after, through)) = self.frame(at, now, quiet) {
                 let one = &mut self.neighbours[at];
-                one.sends(now, through, bytes.len());
+                one.sends(now, after, through, bytes.len());
                 self.counted.sent = (self.counted.sent.0 + 1, self.counted.sent.1 + bytes.len() as u64);
                 out.push(Output::Send { to: of, bytes });
                 quiet = false;
@@ -508,8 +512,8 @@
         }
     }
 
-    /// The next frame for a holder, and the number of its last line.
-    fn frame(&self, at: usize, now: Micros, quiet: bool) -> Option<(Vec<u8>, u64)> {
+    /// The next frame for a holder, with the number after which it begins and that of its last line.
+    fn frame(&self, at: usize, now: Micros, quiet: bool) -> Option<(Vec<u8>, u64, u64)> {
         let one = &self.neighbours[at];
         // What nothing depends on any more is not sent: the journal begins later there.
         let sent = one.sent.max(self.first - 1);
@@ -537,11 +541,11 @@
             turn: one.turn,
             low: self.first,
             first: sent + 1,
-            anew: !one.started || sent > one.sent,
+            anew: one.begins(sent),
             before: self.chain_at(sent).to_le_bytes(),
             lines,
         };
-        Some((close(&Message::Lines(frame)), through))
+        Some((close(&Message::Lines(frame)), sent, through))
     }
 
     /// When [`Journal::wake`] is due.
--- a/crates/pending/src/kept.rs
+++ b/crates/pending/src/kept.rs
@@ -5,7 +5,7 @@
 use crate::holder::{Held, Holder, Planted};
 use crate::journal::{Journal, Written};
 use crate::seam::{Input, Output, PendingSettings};
-use crate::types::{Source, WallMs};
+use crate::types::{Key, Source, WallMs};
 use crate::wire::{Message, close, open};
 use basaltward_fleet::{Micros, Number};
 
@@ -67,6 +67,11 @@
         self.holder.held(source)
     }
 
+    /// Whether an event is held that is pending in one of them.
+    pub fn holds(&self, source: Source, key: Key) -> bool {
+        self.holder.holds(source, key)
+    }
+
     #[doc(hidden)]
     pub fn plant(&mut self, planted: Planted) {
         self.holder.plant(planted);
--- a/crates/pending/src/lib.rs
+++ b/crates/pending/src/lib.rs
@@ -12,6 +12,7 @@
 mod seam;
 mod types;
 mod wire;
+mod world;
 
 pub use error::{Fault, Unkept, WireError};
 pub use holder::Held;
@@ -21,3 +22,4 @@
 pub use kept::Pending;
 pub use seam::{Input, Output, PendingSettings};
 pub use types::{Accepted, Again, Entry, Key, Outcome, Source, Step, WallMs};
+pub use world::{Damage, Gateway, Said, Sites};
--- a/crates/pending/src/neighbour.rs
+++ b/crates/pending/src/neighbour.rs
@@ -31,7 +31,9 @@
     /// Of which of its beginnings.
     begun: u32,
     /// Whether it has acknowledged that its journal was begun.
-    pub started: bool,
+    started: bool,
+    /// The number after which its journal begins.
+    base: u64,
     /// When the latest frame was sent that it has answered.
     pub echo: Option<Micros>,
     /// When anything was sent last.
@@ -43,12 +45,14 @@
     backoff: Micros,
     /// Counts how often it was begun again from what is acknowledged.
     pub turn: u32,
+    /// The turn in which it was chosen: what it said before, it may have let go of since.
+    since: u32,
     breaks: u32,
 }
 
 impl Neighbour {
     /// One that holds nothing yet and is sent what follows a number.
-    pub fn new(of: Number, after: u64) -> Self {
+    pub fn new(of: Number, after: u64, turn: u32) -> Self {
         Self {
             of,
             wanted: true,
@@ -58,13 +62,15 @@
             acked: 0,
             begun: 0,
             started: false,
+            base: after,
             echo: None,
             last: 0,
             flying: VecDeque::new(),
             waiting: None,
             resend: Micros::MAX,
             backoff: RESEND,
-            turn: 0,
+            turn,
+            since: turn,
             breaks: 0,
         }
     }
@@ -82,18 +88,28 @@
     pub fn rewind(&mut self, after: u64) {
         self.sent = self.acked.max(after);
         self.started = self.started && self.acked >= after;
+        self.base = self.sent;
         self.turn += 1;
         self.flying.clear();
         self.resend = Micros::MAX;
     }
 
+    /// Whether its journal begins after this number. Only one frame says so until it has answered: one that came before
+    /// it would begin the journal too late.
+    pub fn begins(&self, after: u64) -> bool {
+        after > self.sent || !self.started && after == self.base
+    }
+
     /// Whether more may be on its way.
     pub fn has_window(&self) -> bool {
         self.flying.iter().map(|(_, bytes)| bytes).sum::<usize>() < WINDOW
     }
 
-    /// Lines up to this one were sent.
-    pub fn sends(&mut self, now: Micros, through: u64, bytes: usize) {
+    /// Lines after one number and up to another were sent.
+    pub fn sends(&mut self, now: Micros, after: u64, through: u64, bytes: usize) {
+        if after > self.sent {
+            self.base = after;
+        }
         (self.sent, self.last) = (through, now);
         self.flying.push_back((through, bytes));
         self.resend = self.resend.min(now + self.backoff);
@@ -119,9 +135,11 @@
         self.breaks >= BREAKS
     }
 
-    /// Takes its word, if it is of the life that the connection told of and of no earlier beginning; whether it was.
+    /// Takes its word, if it is of the life that the connection told of, of no earlier beginning and said since it was
+    /// chosen; whether it was.
     pub fn acknowledged(&mut self, now: Micros, ack: &Ack, last: u64) -> bool {
-        if self.life != Some(ack.life) || ack.begun < self.begun || ack.through > last {
+        let now_held = ack.turn >= self.since && ack.begun >= self.begun;
+        if self.life != Some(ack.life) || !now_held || ack.through > last {
             return false;
         }
         self.echo = self.echo.max(Some(ack.echo).filter(|echo| *echo <= now));
--- a/crates/pending/src/wire.rs
+++ b/crates/pending/src/wire.rs
@@ -81,13 +81,11 @@
     pub not: Option<Not>,
 }
 
-/// Nothing of a journal below a number is needed.
+/// Nothing of a journal is needed by its writer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Release {
     /// Whose journal.
     pub source: Source,
-    /// The number.
-    pub below: u64,
     /// On the writer's clock: lines that were sent later are needed.
     pub sent: Micros,
 }
--- /dev/null
+++ b/crates/pending/src/world.rs
@@ -0,0 +1,301 @@
+//! Gateways of several sites in virtual time: connections that break and lose what was on its way, frames that are
+//! late, doubled, out of order, cut or changed, gateways that crash, stand still and come back knowing nothing.
+
+use crate::holder::Planted;
+use crate::kept::Pending;
+use crate::seam::{Input, Output, PendingSettings};
+use crate::types::{Key, Source, Step, WallMs};
+use crate::wire::{Message, Sent, close, open};
+use basaltward_fleet::{Link, Micros, Net, Number, Party, Places, Site};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+
+/// What may be wrong with frames beside what is wrong with all links, as shares of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Damage {
+    /// Cut somewhere inside.
+    pub cut: f64,
+    /// A byte is changed on the way.
+    pub changed: f64,
+    /// A byte of a line is changed before its frame is made, so that the frame's own checksum holds.
+    pub within: f64,
+}
+
+/// A gateway: its machine behind connections, as fellows have them.
+#[derive(Debug)]
+pub struct Gateway {
+    /// The machine.
+    pub pending: Pending,
+    life: u64,
+    /// Lives of those to whom a connection stands.
+    linked: BTreeMap<Number, u64>,
+    /// The latest life of each that was heard of.
+    known: BTreeMap<Number, u64>,
+    wall_ms: WallMs,
+    damage: Damage,
+    rng: StdRng,
+    entry_bytes: usize,
+}
+
+/// What a gateway puts out.
+#[derive(Debug)]
+pub enum Said {
+    /// Bytes to another.
+    Send(Number, Vec<u8>),
+    /// What its machine tells its loops.
+    Told(Output),
+}
+
+const HELLO: u8 = 0;
+const WELCOME: u8 = 1;
+const FRAME: u8 = 2;
+
+impl Gateway {
+    /// Our wall clock.
+    pub fn wall(&self, now: Micros) -> WallMs {
+        self.wall_ms + now / 1_000
+    }
+
+    /// Tells the machine something.
+    pub fn tell(&mut self, now: Micros, input: Input, out: &mut Vec<Said>) {
+        let (wall, mut told) = (self.wall(now), Vec::new());
+        self.pending.handle(now, wall, input, &mut told);
+        self.pass_on(told, out);
+    }
+
+    fn pass_on(&mut self, told: Vec<Output>, out: &mut Vec<Said>) {
+        for output in told {
+            match output {
+                Output::Send { to, bytes } => match self.linked.get(&to).copied() {
+                    Some(life) => {
+                        let bytes = self.damaged(bytes);
+                        out.push(Said::Send(to, self.datagram(FRAME, life, &bytes)));
+                    }
+                    // What is sent while a connection is made is lost, as at worst it is with fellows.
+                    None => out.push(Said::Send(to, self.datagram(HELLO, 0, &[]))),
+                },
+                other => out.push(Said::Told(other)),
+            }
+        }
+    }
+
+    fn datagram(&self, kind: u8, to: u64, frame: &[u8]) -> Vec<u8> {
+        let mut bytes = vec![kind];
+        bytes.extend(self.life.to_le_bytes());
+        bytes.extend(to.to_le_bytes());
+        bytes.extend(frame);
+        bytes
+    }
+
+    fn damaged(&mut self, mut bytes: Vec<u8>) -> Vec<u8> {
+        let mut draws = || self.rng.random::<f64>();
+        let Damage { cut, changed, within } = self.damage;
+        let (cut, changed, within) = (draws() < cut, draws() < changed, draws() < within);
+        if within
+            && let Ok(Message::Lines(mut lines)) = open(&bytes, self.entry_bytes)
+            && let Some(Sent::Whole(line, chain)) = lines.lines.last().cloned()
+        {
+            let mut line = line.to_vec();
+            let at = self.rng.random_range(0..line.len());
+            line[at] ^= 1 << self.rng.random_range(0..8);
+            lines.lines.pop();
+            lines.lines.push(Sent::Whole(&line, chain));
+            bytes = close(&Message::Lines(lines));
+        }
+        if changed && !bytes.is_empty() {
+            let at = self.rng.random_range(0..bytes.len());
+            bytes[at] ^= 1 << self.rng.random_range(0..8);
+        }
+        if cut {
+            bytes.truncate(self.rng.random_range(0..=bytes.len()));
+        }
+        bytes
+    }
+
+    fn linked(&mut self, now: Micros, of: Number, life: u64, out: &mut Vec<Said>) {
+        if self.known.get(&of).is_some_and(|known| *known > life) {
+            return;
+        }
+        self.known.insert(of, life);
+        self.linked.insert(of, life);
+        self.tell(now, Input::LinkUp { of, life }, out);
+    }
+
+    fn unlinked(&mut self, now: Micros, of: Number, out: &mut Vec<Said>) {
+        if self.linked.remove(&of).is_some() {
+            self.tell(now, Input::LinkDown { of }, out);
+        }
+    }
+}
+
+impl Party for Gateway {
+    type Out = Said;
+
+    fn handle(&mut self, now: Micros, from: Number, bytes: &[u8], out: &mut Vec<Said>) {
+        let (Some(kind), Some(life), Some(to)) = (bytes.first(), word(bytes, 1), word(bytes, 9)) else {
+            return;
+        };
+        match *kind {
+            HELLO => {
+                self.linked(now, from, life, out);
+                out.push(Said::Send(from, self.datagram(WELCOME, life, &[])));
+            }
+            WELCOME if to == self.life => self.linked(now, from, life, out),
+            FRAME if to != self.life => out.push(Said::Send(from, self.datagram(HELLO, 0, &[]))),
+            FRAME if self.linked.get(&from) == Some(&life) => {
+                let bytes = bytes[17..].to_vec();
+                self.tell(now, Input::Frame { from, bytes }, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn wake(&mut self, now: Micros, out: &mut Vec<Said>) {
+        let (wall, mut told) = (self.wall(now), Vec::new());
+        self.pending.wake(now, wall, &mut told);
+        self.pass_on(told, out);
+    }
+
+    fn next_due(&self) -> Micros {
+        self.pending.next_due()
+    }
+
+    fn datagram(out: Said) -> Result<(Number, Vec<u8>), Said> {
+        match out {
+            Said::Send(to, bytes) => Ok((to, bytes)),
+            told => Err(told),
+        }
+    }
+}
+
+fn word(bytes: &[u8], at: usize) -> Option<u64> {
+    bytes.get(at..at + 8)?.try_into().ok().map(u64::from_le_bytes)
+}
+
+/// Gateways of several sites and what is between them.
+pub struct Sites {
+    /// The network with all gateways.
+    pub net: Net<Gateway>,
+    sites: Vec<Site>,
+    settings: PendingSettings,
+    /// Damage that whoever starts from now on does to its frames.
+    pub damage: Damage,
+    /// So late a crash or a start is seen by the others.
+    pub detection: Micros,
+    /// Whoever starts from now on has this fault.
+    #[doc(hidden)]
+    pub planted: Option<Planted>,
+    changed: BTreeMap<Number, Micros>,
+    seen: Vec<bool>,
+    seed: u64,
+}
+
+/// The platform's wall clock at the world's beginning.
+const EPOCH_MS: WallMs = 1_800_000_000_000;
+
+impl Sites {
+    /// A gateway for each entry of `sites`, none of them started. Each is set as told, but for its place and life.
+    pub fn new(sites: Vec<Site>, settings: PendingSettings, link: Link) -> Self {
+        let (size, seed) = (sites.len() as Number, settings.seed);
+        Self {
+            net: Net::new(size, seed, link),
+            seen: vec![false; sites.len()],
+            sites,
+            settings,
+            damage: Damage::default(),
+            detection: 2_000_000,
+            planted: None,
+            changed: BTreeMap::new(),
+            seed,
+        }
+    }
+
+    /// Starts a gateway, which knows nothing of an earlier life.
+    pub fn start(&mut self, of: Number) {
+        let Some(places) = Places::new(self.sites.clone(), of) else { return };
+        let life = self.net.now + u64::from(of);
+        let settings = PendingSettings { places, life, ..self.settings.clone() };
+        let now = self.net.clock(of);
+        let mut gateway = Gateway {
+            entry_bytes: settings.entry_bytes,
+            pending: Pending::new(settings, now),
+            life,
+            linked: BTreeMap::new(),
+            known: BTreeMap::new(),
+            wall_ms: EPOCH_MS + self.net.now / 1_000 - now / 1_000,
+            damage: self.damage,
+            rng: StdRng::seed_from_u64(self.seed ^ life),
+        };
+        self.planted.into_iter().for_each(|planted| gateway.pending.plant(planted));
+        self.net.put(of, gateway);
+        self.changed.insert(of, self.net.now);
+    }
+
+    /// Starts all, who see one another at once.
+    pub fn start_all(&mut self) {
+        self.net.numbers().for_each(|of| self.start(of));
+        self.changed.clear();
+        self.seen.fill(true);
+        self.tell_live(None);
+    }
+
+    /// A gateway ends without a word.
+    pub fn kill(&mut self, of: Number) {
+        self.net.kill(of);
+        self.changed.insert(of, self.net.now);
+    }
+
+    /// All of a site end without a word.
+    pub fn kill_site(&mut self, site: Site) {
+        let of = self.net.numbers().filter(|of| self.sites[usize::from(*of)] == site);
+        of.collect::<Vec<_>>().into_iter().for_each(|of| self.kill(of));
+    }
+
+    /// The connection between two breaks; what is on its way may come late, or not.
+    pub fn reconnect(&mut self, one: Number, other: Number) {
+        self.net.act(one, |gateway, now, out| gateway.unlinked(now, other, out));
+        self.net.act(other, |gateway, now, out| gateway.unlinked(now, one, out));
+    }
+
+    /// A loop of a gateway says something.
+    pub fn step(&mut self, of: Number, step: Step) {
+        self.net.act(of, |gateway, now, out| gateway.tell(now, Input::Step(step), out));
+    }
+
+    /// The time on a gateway's wall clock.
+    pub fn wall(&self, of: Number) -> WallMs {
+        let now = self.net.clock(of);
+        self.net.party(of).map_or(0, |gateway| gateway.wall(now))
+    }
+
+    /// Gateways that run and truly hold that this event was accepted, whatever anybody believes.
+    pub fn holders(&self, source: Source, key: Key) -> usize {
+        let holds = |of: &Number| self.net.party(*of).is_some_and(|one| one.pending.holds(source, key));
+        self.net.numbers().filter(holds).count()
+    }
+
+    fn tell_live(&mut self, to: Option<Number>) {
+        let live = self.seen.clone();
+        for of in self.net.numbers().filter(|of| to.is_none_or(|to| to == *of)) {
+            let live = live.clone();
+            self.net.act(of, |gateway, now, out| gateway.tell(now, Input::Live(live), out));
+        }
+    }
+
+    /// Runs until this time; who crashed or started is seen after [`Sites::detection`].
+    pub fn run(&mut self, until: Micros) {
+        loop {
+            let next = self.changed.iter().map(|(of, at)| (at + self.detection, *of)).min();
+            match next.filter(|(at, _)| *at <= until) {
+                Some((at, of)) => {
+                    self.net.run(at.max(self.net.now));
+                    self.changed.remove(&of);
+                    self.seen[usize::from(of)] = self.net.party(of).is_some();
+                    self.tell_live(None);
+                }
+                None => return self.net.run(until),
+            }
+        }
+    }
+}
