--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -190,11 +190,9 @@
     let name =
         gateway.0.and_then(|g| g.text("name")).map_or_else(|| format!("gateway-{index}"), str::to_owned);
     let sites = root.child("sites").and_then(|node| sites(&node, &name, faults));
-    if let Some(node) = list("classes", "class").iter().zip(&kept).find_map(|(node, kept)| kept.map(|_| node))
-    {
-        if root.child("sites").is_none() {
-            faults.push(node.fault("pending=\"kept\" needs a sites element: neighbours hold what is kept"));
-        }
+    let keeps = list("classes", "class").into_iter().zip(&kept).find(|(_, kept)| kept.is_some());
+    if let (Some((node, _)), None) = (keeps, root.child("sites")) {
+        faults.push(node.fault("pending=\"kept\" needs a sites element: neighbours hold what is kept"));
     }
     Config {
         name,
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,365 @@
+//! The control thread: the view of all sites, the links between them and the rooms that decide by them, apart from the
+//! loops that serve. It hears what loops count and gives them whole tables; no loop ever waits for it.
+
+use crate::run::GatewayError;
+use crate::scheduler::{RUN, STOP};
+use crate::tables::{COUNT_US, ControlEnd, Fact, Tables, Word};
+use basaltward::Micros;
+use basaltward_config::{Config, SitesConfig};
+use basaltward_fellows::{
+    Channel, Event, FellowsConfig, Ground, GroundConfig, GroundEvent, LinkEvent, LinksConfig,
+};
+use basaltward_fleet::{Number, Places, SHED, State};
+use basaltward_net::{Clock, Io, NetError, monotonic};
+use basaltward_pending::{Input, Output, Pending, PendingSettings};
+use basaltward_route::{FunctionTold, Route, RouteSettings};
+use basaltward_rules::{Recorder, What};
+use basaltward_shed::{ClassOf, Shed, ShedSettings};
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use tracing::{info, warn};
+
+/// All is done: nobody needs the control thread any more.
+pub const END: u8 = 3;
+/// Words that wait for a loop: past this the oldest go, which its timers make up for.
+const MOST_WORDS: usize = 16_384;
+/// Datagrams between sites take so long there and back at most, by which silence is told from distance.
+const ROUND_TRIP_US: Micros = 300_000;
+
+/// See the module's page.
+pub struct Control {
+    name: String,
+    io: Io,
+    ground: Ground,
+    route: Route,
+    shed: Shed,
+    shed_stands: Micros,
+    pending: Pending,
+    hand_over: bool,
+    loops: Vec<ControlEnd>,
+    words: Vec<VecDeque<Word>>,
+    tables: Arc<Tables>,
+    live: Vec<bool>,
+    fellows: Number,
+    wanted: Arc<AtomicU8>,
+    stall: Arc<AtomicU64>,
+    recorder: Recorder,
+    leaving: bool,
+    /// When facts are read next, though nobody wakes us.
+    look: Micros,
+}
+
+/// Which gateway stands where, by the settings.
+fn places(sites: &SitesConfig) -> Option<Places> {
+    Places::new(sites.fellows.iter().map(|fellow| fellow.site).collect(), sites.own)
+}
+
+/// Figures of the door, the same at all gateways.
+pub fn shed_settings(config: &Config, sites: &SitesConfig) -> Option<ShedSettings> {
+    let class =
+        |class: &basaltward::Class| ClassOf { worth: class.worth, aim: class.aim, deadline: class.deadline };
+    let classes = config.module.classes.iter().map(class).collect();
+    let usual = ShedSettings::new(classes, config.module.tenant_quotas.clone(), places(sites)?);
+    Some(ShedSettings {
+        over_share_worth: config.module.over_share_worth,
+        loops: config.threads as usize,
+        ..usual
+    })
+}
+
+fn route_settings(config: &Config, sites: &SitesConfig) -> Option<RouteSettings> {
+    let classes = &config.module.classes;
+    let function = |f: &basaltward_config::FunctionConfig| FunctionTold {
+        memory_mb: f.memory_mb.ceil().max(1.0) as u32,
+        lanes: f.lanes,
+        load: f.load,
+        aim: classes[f.class].aim,
+        deadline: classes[f.class].deadline,
+    };
+    let kinds = &config.module.family.kind_memory_mb;
+    let worker_mb = kinds.iter().sum::<f64>() / kinds.len().max(1) as f64;
+    let functions = config.functions.iter().map(function).collect();
+    let usual = RouteSettings::new(places(sites)?, functions, worker_mb as u32, u64::from(sites.own));
+    Some(RouteSettings { keep: config.module.family.keep, loops: config.threads as u16, ..usual })
+}
+
+fn ground_config(config: &Config, sites: &SitesConfig) -> GroundConfig {
+    let fellows = &sites.fellows;
+    let seed = Clock::read().wall() ^ u64::from(std::process::id()) << 40;
+    GroundConfig {
+        fellows: FellowsConfig {
+            name: sites.fleet.clone(),
+            listen: sites.listen,
+            peers: fellows.iter().map(|fellow| fellow.tell).collect(),
+            own: sites.own,
+            seed,
+            operators: sites.operators.clone(),
+            zones: fellows.iter().map(|fellow| fellow.site).collect(),
+            bounds: config.kept.iter().any(Option::is_some).then(Default::default),
+            version: String::new(),
+            round_trip: ROUND_TRIP_US,
+        },
+        listen: sites.journal_listen,
+        links: LinksConfig::new(fellows.iter().map(|fellow| fellow.journal).collect()),
+    }
+}
+
+impl Control {
+    /// Opens its sockets. `loops` are its ends of their rings.
+    ///
+    /// # Errors
+    /// Where an address can't be had or the settings can't be used.
+    pub fn open(
+        config: &Config,
+        sites: &SitesConfig,
+        mut io: Io,
+        (loops, tables): (Vec<ControlEnd>, Arc<Tables>),
+        (wanted, stall): (Arc<AtomicU8>, Arc<AtomicU64>),
+        recorder: Recorder,
+    ) -> Result<Self, GatewayError> {
+        let now = monotonic();
+        let ground = Ground::open(ground_config(config, sites), &mut io, now)?;
+        let route = route_settings(config, sites).ok_or(GatewayError::Sites)?;
+        let route = Route::new(route, now)?;
+        let shed = shed_settings(config, sites).ok_or(GatewayError::Sites)?;
+        let shed_stands = shed.stands;
+        let shed = Shed::new(now, shed)?;
+        let holders = config.kept.iter().map(|kept| kept.map_or(0, |kept| kept.holders.min(255) as u8));
+        let places = places(sites).ok_or(GatewayError::Sites)?;
+        let pending = PendingSettings {
+            bytes: sites.journal.bytes,
+            entry_bytes: sites.journal.entry_bytes,
+            lease: sites.journal.lease,
+            ..PendingSettings::new(places, ground.life(), holders.collect(), u64::from(sites.own))
+        };
+        Ok(Self {
+            name: format!("{}/control", config.name),
+            io,
+            ground,
+            route,
+            shed,
+            shed_stands,
+            pending: Pending::new(pending, now),
+            hand_over: sites.hand_over,
+            words: loops.iter().map(|_| VecDeque::new()).collect(),
+            loops,
+            tables,
+            live: Vec::new(),
+            fellows: sites.fellows.len() as Number,
+            wanted,
+            stall,
+            recorder,
+            leaving: false,
+            look: now,
+        })
+    }
+
+    /// Runs until the loops have ended.
+    ///
+    /// # Errors
+    /// Where the system fails it.
+    pub fn run(mut self) -> Result<(), NetError> {
+        let mut happened = Vec::new();
+        loop {
+            let now = monotonic();
+            self.facts(now);
+            let events = self.ground.wake(&mut self.io, now);
+            self.heard(now, events);
+            self.rooms(now);
+            self.tell();
+            let due = self.ground.next_due().min(self.pending.next_due()).min(self.look);
+            self.io.turn(Some(due.saturating_sub(monotonic())), &mut happened)?;
+            let now = monotonic();
+            for happened in happened.drain(..) {
+                let events = self.ground.data(&mut self.io, now, &happened);
+                self.heard(now, events);
+            }
+            self.io.forget_ended();
+            let stall = self.stall.swap(0, Ordering::Relaxed);
+            if stall > 0 {
+                std::thread::sleep(std::time::Duration::from_micros(stall));
+            }
+            match self.wanted.load(Ordering::Relaxed) {
+                RUN => {}
+                STOP if !std::mem::replace(&mut self.leaving, true) => {
+                    let events = self.ground.leave(&mut self.io, monotonic());
+                    self.heard(now, events);
+                }
+                STOP => {}
+                END => {
+                    self.ground.stop(&mut self.io, monotonic());
+                    self.io.turn(Some(0), &mut happened)?;
+                    return Ok(());
+                }
+                _ => return Ok(()),
+            }
+        }
+    }
+
+    /// What the loops have counted, and the steps of their kept events.
+    fn facts(&mut self, now: Micros) {
+        let mut out = Vec::new();
+        for (number, end) in self.loops.iter_mut().enumerate() {
+            while let Ok(fact) = end.facts.pop() {
+                match fact {
+                    Fact::Routed(counts) => self.route.counted(now, number as u16, &counts),
+                    Fact::Handed(handed) => self.route.handed(now, &handed),
+                    Fact::Asked(counts) => self.shed.counted(now, number, &counts),
+                }
+            }
+            while let Ok(step) = end.steps.pop() {
+                self.pending.handle(now, wall_ms(), Input::Step(step), &mut out);
+            }
+        }
+        self.carry_out(now, out);
+    }
+
+    fn heard(&mut self, now: Micros, events: Vec<GroundEvent>) {
+        let mut out = Vec::new();
+        for event in events {
+            let input = match event {
+                GroundEvent::Fellow(Event::Believed { of, incarnation, state }) => {
+                    self.believed(now, of, incarnation, state);
+                    continue;
+                }
+                GroundEvent::Link(LinkEvent::Frame(from, Channel::Pending, bytes)) => {
+                    Input::Frame { from, bytes: bytes.to_vec() }
+                }
+                GroundEvent::Link(LinkEvent::Frame(from, Channel::Route, bytes)) => {
+                    if let Err(error) = self.route.frame(now, from, &bytes) {
+                        warn!(scheduler = self.name, from, %error, "frame of another site not taken");
+                    }
+                    continue;
+                }
+                GroundEvent::Link(LinkEvent::Up(of, life)) => {
+                    info!(scheduler = self.name, of, "link up");
+                    Input::LinkUp { of, life }
+                }
+                GroundEvent::Link(LinkEvent::Down(of)) => {
+                    info!(scheduler = self.name, of, "link down");
+                    Input::LinkDown { of }
+                }
+                GroundEvent::Fellow(_) | GroundEvent::Link(_) => continue,
+            };
+            self.pending.handle(now, wall_ms(), input, &mut out);
+        }
+        self.carry_out(now, out);
+    }
+
+    fn believed(&self, now: Micros, of: Number, life: basaltward_fleet::Incarnation, state: State) {
+        let told = format!("{state:?}").to_lowercase();
+        info!(scheduler = self.name, member = of, state = told, "fellow");
+        let what = What::Believed { of, start: life.start, bump: life.bump, state: told };
+        self.recorder.put(now, &self.name, what);
+    }
+
+    /// Does what is due in the rooms, and swaps the tables.
+    fn rooms(&mut self, now: Micros) {
+        self.look = self.look.max(now.saturating_sub(COUNT_US));
+        if now >= self.look {
+            self.look = now + COUNT_US;
+            let entries = self.ground.view().entries();
+            let own = usize::from(self.ground.view().own());
+            let live: Vec<_> =
+                entries.iter().enumerate().map(|(of, e)| of == own || e.state.is_live()).collect();
+            if live != self.live {
+                self.live = live;
+                self.route.live(&self.live);
+                let mut out = Vec::new();
+                self.pending.handle(now, wall_ms(), Input::Live(self.live.clone()), &mut out);
+                self.carry_out(now, out);
+            }
+        }
+        if self.hand_over && self.route.next_due() <= now {
+            for of in 0..self.fellows {
+                if let Some((rtt, _)) = self.ground.links().rtt(of, now) {
+                    self.route.link(now, of, rtt);
+                }
+            }
+            for (to, frame) in self.route.tell(now) {
+                // Told anew with the next: what finds no room now is old by then.
+                let _ = self.ground.send(&mut self.io, now, to, (Channel::Route, &frame));
+            }
+            self.tables.route.store(Some(Arc::new(self.route.table(now))));
+        }
+        if self.shed.next_due() <= now {
+            for of in 0..self.fellows {
+                for key in SHED {
+                    if let Some(value) = self.ground.fact(now, of, key).map(<[u8]>::to_vec) {
+                        self.shed.heard(now, of, key, &value);
+                    }
+                }
+            }
+            for (key, value) in self.shed.tell(now) {
+                self.ground.tell_fact(now, key, &value, self.shed_stands);
+            }
+            self.tables.shed.store(Some(Arc::new(self.shed.table(now, &self.live))));
+        }
+        if self.pending.next_due() <= now {
+            let mut out = Vec::new();
+            self.pending.wake(now, wall_ms(), &mut out);
+            self.carry_out(now, out);
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Send { to, bytes } => {
+                    // What is not acknowledged is sent again.
+                    let _ = self.ground.send(&mut self.io, now, to, (Channel::Pending, &bytes));
+                }
+                Output::Held { key } => self.say(|| Word::Held(key, true)),
+                Output::Unheld { key, why } => {
+                    info!(scheduler = self.name, %why, "not kept");
+                    self.say(|| Word::Held(key, false));
+                }
+                Output::May { key, attempt, until } => self.say(|| Word::May(key, attempt, Some(until))),
+                Output::MayNot { key, attempt, why } => {
+                    info!(scheduler = self.name, %why, "not sent");
+                    self.say(|| Word::May(key, attempt, None));
+                }
+                Output::Noted(fault) => warn!(scheduler = self.name, %fault, "journal"),
+                Output::AskTakeOver(site) => info!(scheduler = self.name, site, "counts as lost"),
+                Output::Run { pending, attempt } => {
+                    let at = (pending.key.0 % self.loops.len().max(1) as u128) as usize;
+                    if let Some(words) = self.words.get_mut(at) {
+                        words.push_back(Word::Run(Box::new(pending), attempt));
+                    }
+                }
+                Output::Told { key, outcome, answer } => {
+                    self.say(|| Word::Told(key, outcome, answer.clone()))
+                }
+            }
+        }
+    }
+
+    /// Tells all loops: the one that has the event heeds it.
+    fn say(&mut self, word: impl Fn() -> Word) {
+        self.words.iter_mut().for_each(|words| words.push_back(word()));
+    }
+
+    /// Gives the loops what waits for them.
+    fn tell(&mut self) {
+        for (end, words) in self.loops.iter_mut().zip(&mut self.words) {
+            let before = words.len();
+            while let Some(word) = words.pop_front() {
+                if let Err(rtrb::PushError::Full(word)) = end.words.push(word) {
+                    words.push_front(word);
+                    break;
+                }
+            }
+            if words.len() < before {
+                end.waker.wake();
+            }
+            while words.len() > MOST_WORDS {
+                words.pop_front();
+            }
+        }
+    }
+}
+
+fn wall_ms() -> u64 {
+    Clock::read().wall() / 1_000
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -4,12 +4,14 @@
 use crate::worker_wire::Reply;
 use basaltward::{Micros, Repeat};
 use basaltward_cloudevents::{
-    Attribute, BATCH, Event, Incoming, Mode, STRUCTURED, accepted_mode, read, to_json, write_binary_fields,
+    Attribute, BATCH, Event, Incoming, Mode, STRUCTURED, accepted_mode, from_json, read, to_json,
+    write_binary_fields,
 };
 use basaltward_config::Config;
 use basaltward_engine::{Answer, Function, Identity, NewCall, WaiterId};
 use basaltward_http::{Body, Decoded, HeadWriter, Limits, Method, Request, RequestDecoder};
 use basaltward_net::{ConnId, Io};
+use basaltward_pending::Accepted;
 use basaltward_timers::Timers;
 use bytes::BytesMut;
 use slab::Slab;
@@ -22,6 +24,10 @@
     pub const TIMEOUT: &str = "timeoutms";
     /// The tenant's name.
     pub const TENANT: &str = "tenant";
+    /// How often a call was handed from one site to another: 1 at most.
+    pub const HOPS: &str = "hops";
+    /// The gateway that handed it over.
+    pub const HANDED_BY: &str = "handedby";
     /// In a batch of answers: `served`, `refused` or `failed`.
     pub const OUTCOME: &str = "outcome";
     /// In a batch of answers: the HTTP status that the event alone would have got.
@@ -372,6 +378,24 @@
         Ok(NewCall { waiter: WaiterId(0), identity, function: function.clone(), deadline, payload })
     }
 
+    /// A kept event of a lost site as a call that no client waits for; nothing where its function is not known here or
+    /// its event can't be read.
+    pub fn owed(&mut self, pending: &Accepted, (now, wall): (Micros, u64)) -> Option<NewCall<Event>> {
+        let event = from_json(&pending.event).ok()?;
+        let (function, _) = self.functions.get(pending.function.as_str())?;
+        let identity = Identity {
+            tenant: usize::from(pending.tenant),
+            function: function.name.clone(),
+            source: event.source.as_str().into(),
+            id: event.id.as_str().into(),
+        };
+        self.given += 1;
+        // No client has the last slot.
+        let waiter = waiter_id(self.thread, self.given, SLOT as usize);
+        let deadline = now + pending.deadline.saturating_sub(wall) * 1_000;
+        Some(NewCall { waiter, identity, function: function.clone(), deadline, payload: Arc::new(event) })
+    }
+
     fn take(&mut self, waiter: WaiterId) -> Option<Waiting> {
         let slot = (waiter.0 & SLOT) as usize;
         self.waiting.get(slot).filter(|w| w.id == waiter)?;
--- /dev/null
+++ b/crates/gateway/src/hand_wire.rs
@@ -0,0 +1,66 @@
+//! A call handed to another site's gateway: a CloudEvent to its front as any client sends one.
+
+use crate::front::extensions;
+use crate::worker_wire::{Reply, reply};
+use basaltward::{Code, Micros};
+use basaltward_cloudevents::{Attribute, Event, write_binary_fields};
+use basaltward_engine::{AttemptEnd, Function};
+use basaltward_http::{Body, HeadWriter, Response};
+use bytes::BytesMut;
+
+/// What the neighbour keeps back for its answer's way and ours: it is told a patience less by this.
+const WAY_US: Micros = 5_000;
+
+/// Writes the call. The patience is what is left of the client's; the neighbour is told that this is a hop, so that it
+/// goes no further, and by whom.
+pub fn call(out: &mut BytesMut, host: &str, event: &Event, function: &Function, left: Micros, by: &str) {
+    let told = |name: &str| [extensions::TIMEOUT, extensions::HOPS, extensions::HANDED_BY].contains(&name);
+    let mut event = event.clone();
+    event.extensions.retain(|(name, _)| !told(name));
+    let patience = (left.saturating_sub(WAY_US) / 1_000).max(1);
+    let event = event
+        .with(extensions::TIMEOUT, Attribute::Text(patience.to_string()))
+        .with(extensions::HOPS, Attribute::Integer(1))
+        .with(extensions::HANDED_BY, Attribute::Text(by.to_owned()));
+    let target = ["/functions/", function.name.as_str()].concat();
+    let head = HeadWriter::request(out, "POST", &target, host).field("Accept", "*/*");
+    write_binary_fields(&event, head).body(Body::Whole(&event.data));
+}
+
+/// What a whole response says. By a front's own page 503 is a refusal: nothing of the call has run.
+pub fn end(response: &Response, event: &Event) -> AttemptEnd<Reply> {
+    match response.status {
+        200 => AttemptEnd { reply: Some(reply(response, event)), ..AttemptEnd::bare(Code::Ok) },
+        503 => AttemptEnd::bare(Code::Full),
+        // Not known there: its list of functions is another one. Nothing has run.
+        400..=499 => AttemptEnd::bare(Code::Miss),
+        _ => AttemptEnd::bare(Code::Error),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_neighbour_is_told_what_is_left_and_that_it_is_a_hop_whatever_the_client_said() {
+        let event = Event::new("1", "/s", "t")
+            .with(extensions::HOPS, Attribute::Integer(0))
+            .with(extensions::TIMEOUT, Attribute::Text("9000".into()))
+            .with("tenant", Attribute::Text("cusco".into()));
+        let function = Function { name: "parcels".into(), class: 0, memory_mb: 1.0, lanes: 1, load: None };
+        let mut out = BytesMut::new();
+        call(&mut out, "127.0.0.1:1", &event, &function, 205_000, "c0");
+        let text = String::from_utf8_lossy(&out).to_ascii_lowercase();
+        for line in [
+            "post /functions/parcels",
+            "ce-timeoutms: 200",
+            "ce-hops: 1",
+            "ce-handedby: c0",
+            "ce-tenant: cusco",
+        ] {
+            assert_eq!(text.matches(line).count(), 1, "{line} in {text}");
+        }
+        assert_eq!(text.matches("ce-hops").count() + text.matches("ce-timeoutms").count(), 2, "{text}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/kept.rs
@@ -0,0 +1,361 @@
+//! One loop's part in kept events: a call of a kept class goes to the engine once its entry is held by gateways of other
+//! sites, an attempt leaves once that is held too and, where it must not run twice, under a lease. Free of I/O: calls,
+//! attempts and words of the control thread in, what may go on out.
+
+use crate::sites::digest;
+use crate::worker_wire::Reply;
+use basaltward::{Micros, Repeat};
+use basaltward_cloudevents::{Event, from_json, to_json};
+use basaltward_config::{KeptConfig, Unheld};
+use basaltward_engine::{Answer, AttemptEnd, AttemptId, Failure, Identity, NewCall, Refusal, WaiterId};
+use basaltward_pending::{Accepted, Again, Key, Outcome, Step};
+use basaltward_timers::Timers;
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+/// An entry that is not held by then, as a share of what is left of the client's time, counts as not held.
+const HELD_SHARE: Micros = 4;
+/// Steps that wait for the control thread; with more, as it stands still, no new event is written.
+const MOST_STEPS: usize = 4_096;
+/// An event that its deadline has passed by so much is closed, if nothing else did.
+const CLOSE_US: Micros = 1_000_000;
+
+/// What becomes of a call of a kept class.
+pub enum Accept {
+    /// It goes on.
+    Go(NewCall<Event>),
+    /// It waits for its entry.
+    Waits,
+    /// It is answered at once.
+    Answer(WaiterId, Answer<Reply>),
+}
+
+/// What follows for the loop.
+pub enum Then {
+    /// A call goes on.
+    Go(NewCall<Event>),
+    /// A client is answered.
+    Answer(WaiterId, Answer<Reply>),
+    /// An attempt may leave before this time.
+    Leave(AttemptId, Micros),
+    /// An attempt does not leave: it never ran.
+    Stay(AttemptId),
+}
+
+enum State {
+    /// For its entry: calls that wait.
+    Waits(Vec<NewCall<Event>>),
+    /// It is held, and in the engine.
+    Held,
+    /// It goes on though nobody holds it, as its class says.
+    Bare,
+    /// It has ended, and repeats are answered by the engine, or by this where another gateway ended it.
+    Ended(Option<(Outcome, Option<Reply>)>),
+}
+
+struct Kept {
+    state: State,
+    class: usize,
+    deadline: Micros,
+    /// Attempts so far.
+    sent: u32,
+    /// One of them may have run.
+    ran: bool,
+}
+
+struct Parked {
+    key: Key,
+    number: u32,
+}
+
+/// See the module's page.
+pub struct KeptEvents {
+    classes: Vec<(Option<KeptConfig>, Repeat)>,
+    entry_bytes: usize,
+    events: HashMap<Key, Kept>,
+    /// Attempts that wait to leave.
+    parked: HashMap<AttemptId, Parked>,
+    /// Attempts that are out.
+    out: HashMap<AttemptId, Key>,
+    waiters: HashMap<WaiterId, Key>,
+    due: Timers<Key>,
+    /// When a parked attempt is of no more use.
+    stale: Timers<AttemptId>,
+    /// Ended, oldest first, up to a bound.
+    ended: VecDeque<Key>,
+    most_ended: usize,
+    /// For the control thread, in order.
+    pub steps: VecDeque<Step>,
+}
+
+fn again(repeat: Repeat) -> Again {
+    match repeat {
+        Repeat::Safe => Again::Safe,
+        Repeat::Keyed { window, .. } => Again::Keyed { window },
+        Repeat::Unsafe => Again::Unsafe,
+    }
+}
+
+impl KeptEvents {
+    /// None yet; nothing where no class keeps its events.
+    pub fn new(
+        classes: Vec<(Option<KeptConfig>, Repeat)>,
+        entry_bytes: usize,
+        most_ended: usize,
+    ) -> Option<Self> {
+        classes.iter().any(|(kept, _)| kept.is_some()).then(|| Self {
+            classes,
+            entry_bytes,
+            events: HashMap::new(),
+            parked: HashMap::new(),
+            out: HashMap::new(),
+            waiters: HashMap::new(),
+            due: Timers::default(),
+            stale: Timers::default(),
+            ended: VecDeque::new(),
+            most_ended,
+            steps: VecDeque::new(),
+        })
+    }
+
+    /// When [`KeptEvents::wake`] is due next.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.due.next().into_iter().chain(self.stale.next()).min()
+    }
+
+    fn refusal(class: &KeptConfig) -> Option<Answer<Reply>> {
+        (class.unheld == Unheld::Refuse).then_some(Answer::Refused(Refusal::NotBegun, None))
+    }
+
+    /// A call that this loop owns. `wall` is the wall clock in milliseconds.
+    pub fn accept(&mut self, (now, wall): (Micros, u64), call: NewCall<Event>) -> Accept {
+        let class = call.function.class;
+        let Some((Some(kept), repeat)) = self.classes.get(class).copied() else { return Accept::Go(call) };
+        let key = Key(digest(&call.identity));
+        if let Some(event) = self.events.get_mut(&key) {
+            match &mut event.state {
+                State::Waits(calls) => {
+                    calls.push(call);
+                    return Accept::Waits;
+                }
+                State::Ended(Some((outcome, reply))) => {
+                    let answer = match (outcome, reply) {
+                        (Outcome::Served, Some(reply)) => Answer::Served(reply.clone()),
+                        (Outcome::Refused, _) => Answer::Refused(Refusal::NotBegun, None),
+                        _ => Answer::Failed(Failure::MayHaveRun),
+                    };
+                    return Accept::Answer(call.waiter, answer);
+                }
+                State::Held | State::Bare | State::Ended(None) => {
+                    self.waiters.insert(call.waiter, key);
+                    return Accept::Go(call);
+                }
+            }
+        }
+        let mut event = Vec::new();
+        to_json(&call.payload, &mut event);
+        let long = event.len() + call.function.name.as_str().len() > self.entry_bytes;
+        let waits = !long && self.steps.len() < MOST_STEPS;
+        if let Some(answer) = Self::refusal(&kept).filter(|_| !waits) {
+            return Accept::Answer(call.waiter, answer);
+        }
+        let deadline = call.deadline;
+        let until = now + deadline.saturating_sub(now) / HELD_SHARE;
+        let state = if waits { State::Waits(Vec::new()) } else { State::Bare };
+        self.due.set(if waits { until } else { deadline + CLOSE_US }, key);
+        self.events.insert(key, Kept { state, class, deadline, sent: 0, ran: false });
+        if !waits {
+            self.waiters.insert(call.waiter, key);
+            return Accept::Go(call);
+        }
+        self.steps.push_back(Step::Accepted(Accepted {
+            key,
+            class: class as u16,
+            tenant: call.identity.tenant as u16,
+            function: call.function.name.to_string(),
+            again: again(repeat),
+            owed: kept.owed,
+            deadline: wall + deadline.saturating_sub(now) / 1_000,
+            event,
+        }));
+        if let Some(Kept { state: State::Waits(calls), .. }) = self.events.get_mut(&key) {
+            calls.push(call);
+        }
+        Accept::Waits
+    }
+
+    /// Gateways of other sites hold an event's entry, or do not.
+    pub fn held(&mut self, key: Key, held: bool) -> Vec<Then> {
+        let Some(event) = self.events.get_mut(&key) else { return Vec::new() };
+        let State::Waits(calls) = &mut event.state else { return Vec::new() };
+        let calls = std::mem::take(calls);
+        let answer = self.classes[event.class].0.and_then(|kept| Self::refusal(&kept)).filter(|_| !held);
+        if let Some(answer) = answer {
+            self.end(key, Outcome::Refused, Vec::new());
+            self.events.remove(&key);
+            return calls.into_iter().map(|call| Then::Answer(call.waiter, answer.clone())).collect();
+        }
+        event.state = if held { State::Held } else { State::Bare };
+        self.due.set(event.deadline + CLOSE_US, key);
+        self.waiters.extend(calls.iter().map(|call| (call.waiter, key)));
+        calls.into_iter().map(Then::Go).collect()
+    }
+
+    /// An attempt is to go to a worker, and is of no more use after `until`: false where it waits until it is known to be
+    /// held.
+    pub fn start(
+        &mut self,
+        (wall, until): (u64, Micros),
+        attempt: AttemptId,
+        identity: &Identity,
+        worker: &str,
+    ) -> bool {
+        let key = Key(digest(identity));
+        let Some(event) = self.events.get_mut(&key) else { return true };
+        match event.state {
+            State::Held => {
+                let number = event.sent;
+                event.sent += 1;
+                self.parked.insert(attempt, Parked { key, number });
+                self.stale.set(until, attempt);
+                self.steps.push_back(Step::Sending { key, attempt: number, worker: worker.into(), at: wall });
+                false
+            }
+            _ => {
+                event.sent += 1;
+                self.out.insert(attempt, key);
+                true
+            }
+        }
+    }
+
+    /// An attempt may leave before `until`, or may not.
+    pub fn may(&mut self, key: Key, number: u32, until: Option<Micros>) -> Option<Then> {
+        let named = |(_, parked): &(&AttemptId, &Parked)| (parked.key, parked.number) == (key, number);
+        let attempt = *self.parked.iter().find(named)?.0;
+        self.parked.remove(&attempt);
+        Some(match until {
+            Some(until) => {
+                self.out.insert(attempt, key);
+                Then::Leave(attempt, until)
+            }
+            None => Then::Stay(attempt),
+        })
+    }
+
+    /// An attempt is called off: true where it had not left.
+    pub fn abort(&mut self, attempt: AttemptId) -> bool {
+        self.parked.remove(&attempt).is_some()
+    }
+
+    /// An attempt has ended.
+    pub fn attempt_ended(&mut self, attempt: AttemptId, end: &AttemptEnd<Reply>) {
+        let Some(key) = self.out.remove(&attempt) else { return };
+        let Some(event) = self.events.get_mut(&key) else { return };
+        event.ran |= !end.code.never_ran();
+        if let Some(reply) = &end.reply {
+            let mut answer = Vec::new();
+            to_json(&reply.0, &mut answer);
+            answer.truncate(if answer.len() > self.entry_bytes { 0 } else { answer.len() });
+            self.end(key, Outcome::Served, answer);
+        }
+    }
+
+    /// A client has its answer by the engine.
+    pub fn answered(&mut self, waiter: WaiterId, answer: &Answer<Reply>) {
+        let Some(key) = self.waiters.remove(&waiter) else { return };
+        let Some(event) = self.events.get(&key) else { return };
+        let unsafe_ran = event.ran && self.classes[event.class].1 == Repeat::Unsafe;
+        match answer {
+            // Its end was written when the attempt ended.
+            Answer::Served(_) => {}
+            Answer::Refused(..) if !unsafe_ran => self.end(key, Outcome::Refused, Vec::new()),
+            Answer::Refused(..) | Answer::Failed(_) => self.end(key, Outcome::Failed, Vec::new()),
+        }
+    }
+
+    /// A client has left. One whose call waits for its entry takes it along where no other waits with it.
+    pub fn left(&mut self, waiter: WaiterId) {
+        if self.waiters.remove(&waiter).is_some() {
+            return;
+        }
+        let mut empty = None;
+        for (key, event) in &mut self.events {
+            if let State::Waits(calls) = &mut event.state {
+                let before = calls.len();
+                calls.retain(|call| call.waiter != waiter);
+                if calls.len() < before {
+                    empty = calls.is_empty().then_some(*key);
+                    break;
+                }
+            }
+        }
+        if let Some(key) = empty {
+            self.end(key, Outcome::Refused, Vec::new());
+            self.events.remove(&key);
+        }
+    }
+
+    /// An event of a lost site was ended by its heirs: repeats are told so.
+    pub fn told(&mut self, key: Key, outcome: Outcome, answer: &[u8], now: Micros) {
+        let reply = from_json(answer).ok().map(|event| Reply(Arc::new(event)));
+        let state = State::Ended(Some((outcome, reply)));
+        let known = Kept { state, class: 0, deadline: now, sent: 0, ran: true };
+        if self.events.get(&key).is_none_or(|event| matches!(event.state, State::Ended(_))) {
+            self.events.insert(key, known);
+            self.forget_oldest(key);
+        }
+    }
+
+    /// An event of a lost site is done here: it is held already.
+    pub fn runs(&mut self, call: &NewCall<Event>, sent: u32) {
+        let key = Key(digest(&call.identity));
+        let (class, deadline) = (call.function.class, call.deadline);
+        self.events.insert(key, Kept { state: State::Held, class, deadline, sent, ran: sent > 0 });
+        self.due.set(deadline + CLOSE_US, key);
+        self.waiters.insert(call.waiter, key);
+    }
+
+    fn end(&mut self, key: Key, outcome: Outcome, answer: Vec<u8>) {
+        let Some(event) = self.events.get_mut(&key) else { return };
+        match event.state {
+            State::Ended(_) => return,
+            State::Bare => {}
+            State::Held | State::Waits(_) => {
+                self.steps.push_back(Step::Ended { key, outcome, answer });
+            }
+        }
+        event.state = State::Ended(None);
+        self.forget_oldest(key);
+    }
+
+    fn forget_oldest(&mut self, key: Key) {
+        self.ended.push_back(key);
+        while self.ended.len() > self.most_ended {
+            let Some(oldest) = self.ended.pop_front() else { return };
+            if self.events.get(&oldest).is_some_and(|event| matches!(event.state, State::Ended(_))) {
+                self.events.remove(&oldest);
+            }
+        }
+    }
+
+    /// Entries that were not held in time, and events that nothing else closed.
+    pub fn wake(&mut self, now: Micros) -> Vec<Then> {
+        let mut then = Vec::new();
+        while let Some((_, attempt)) = self.stale.due(now) {
+            then.extend(self.abort(attempt).then_some(Then::Stay(attempt)));
+        }
+        while let Some((_, key)) = self.due.due(now) {
+            let Some(event) = self.events.get(&key) else { continue };
+            match event.state {
+                State::Waits(_) => then.extend(self.held(key, false)),
+                State::Held | State::Bare if now >= event.deadline + CLOSE_US => {
+                    let outcome = if event.ran { Outcome::Failed } else { Outcome::Refused };
+                    self.end(key, outcome, Vec::new());
+                }
+                _ => {}
+            }
+        }
+        then
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,12 +2,17 @@
 //! by one loop for each thread. Nothing here decides about a call.
 #![warn(missing_docs)]
 
+mod control;
 mod front;
+mod hand_wire;
+mod kept;
 mod links;
 mod mail;
 mod problem;
 mod run;
 mod scheduler;
+mod sites;
+mod tables;
 mod worker_wire;
 
 pub use front::extensions;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -1,12 +1,13 @@
 //! Connections to the workers: a pool for each, one job on a connection at a time.
 
+use crate::hand_wire;
 use crate::worker_wire::{self, Reply};
 use basaltward::{Code, Micros, Repeat, WorkerId};
 use basaltward_cloudevents::Event;
 use basaltward_config::LinkConfig;
-use basaltward_engine::{AttemptEnd, AttemptId, Function, Identity, OrderId};
+use basaltward_engine::{AttemptEnd, AttemptId, Function, Identity, OrderId, WaiterId};
 use basaltward_http::{Decoded, Limits, Method, Response, ResponseDecoder};
-use basaltward_net::{ConnId, End, Io};
+use basaltward_net::{ConnId, End, Io, monotonic};
 use basaltward_timers::Timers;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -26,6 +27,8 @@
         repeat: Repeat,
         until: Micros,
         identity: Arc<Identity>,
+        /// Its first byte leaves before this time, or none does.
+        lease: Micros,
     },
     /// An order, or a question where `count` is 0.
     Order { id: OrderId, function: Arc<Function>, count: u32 },
@@ -33,6 +36,8 @@
     Probe(OrderId),
     /// Idle copies are to go; nobody waits for the answer.
     Drop(String),
+    /// A call that another site's gateway is to answer by then.
+    Hand { waiter: WaiterId, event: Arc<Event>, function: Arc<Function>, until: Micros },
 }
 
 /// How a job ended.
@@ -43,6 +48,8 @@
     Order(OrderId, Code, u32),
     /// A probe.
     Probe(OrderId, Code, Vec<f64>),
+    /// A call that was handed over.
+    Handed(WaiterId, AttemptEnd<Reply>),
     /// Something nobody waits for.
     Nothing,
 }
@@ -51,6 +58,7 @@
 enum Name {
     Attempt(AttemptId),
     Order(OrderId),
+    Handed(WaiterId),
 }
 
 enum Stage {
@@ -108,6 +116,7 @@
     match job {
         Job::Attempt { id, .. } => Some(Name::Attempt(*id)),
         Job::Order { id, .. } | Job::Probe(id) => Some(Name::Order(*id)),
+        Job::Hand { waiter, .. } => Some(Name::Handed(*waiter)),
         Job::Drop(_) => None,
     }
 }
@@ -118,6 +127,7 @@
         Job::Attempt { id, .. } => Done::Attempt(id, AttemptEnd::bare(code)),
         Job::Order { id, .. } => Done::Order(id, code, 0),
         Job::Probe(id) => Done::Probe(id, code, Vec::new()),
+        Job::Hand { waiter, .. } => Done::Handed(waiter, AttemptEnd::bare(code)),
         Job::Drop(_) => Done::Nothing,
     }
 }
@@ -146,8 +156,7 @@
         while let Some(conn) = self.links.get_mut(worker).and_then(|l| l.idle.pop()) {
             let age = self.conns.get(&conn).map_or(Micros::MAX, |c| now.saturating_sub(c.since));
             if age <= self.config.idle.min(if fresh { Micros::MAX } else { FRESH_US }) && !io.is_stale(conn) {
-                self.write(io, now, conn, job);
-                return None;
+                return self.write(io, now, conn, job);
             }
             self.discard(io, conn);
         }
@@ -180,13 +189,22 @@
         }
     }
 
-    fn write(&mut self, io: &mut Io, now: Micros, conn: ConnId, job: Job) {
-        let (Some(known), Some(out)) = (self.conns.get_mut(&conn), io.output(conn)) else { return };
+    /// Writes a job's bytes; gives its end where they may not leave any more.
+    fn write(&mut self, io: &mut Io, now: Micros, conn: ConnId, job: Job) -> Option<Done> {
+        // The clock is read here and not taken from the turn: whoever was stopped in between finds its lease over.
+        if let Job::Attempt { lease, .. } = &job
+            && *lease < Micros::MAX
+            && monotonic() >= *lease
+        {
+            self.discard(io, conn);
+            return Some(cut(job, Code::Moot));
+        }
+        let (known, out) = self.conns.get_mut(&conn).zip(io.output(conn))?;
         let host = known.worker.as_str();
         let mut ends = Micros::MAX;
         let mut sent = Sent { worker: known.worker.clone(), attempt: None, order: None };
         match &job {
-            Job::Attempt { id, event, function, repeat, until, identity } => {
+            Job::Attempt { id, event, function, repeat, until, identity, .. } => {
                 let patience_ms = until.saturating_sub(now) / 1_000;
                 let told = worker_wire::Attempt { host, name: attempt_name(&self.prefix, *id), patience_ms };
                 worker_wire::call(out, event, function, *repeat, &told);
@@ -199,6 +217,10 @@
             }
             Job::Probe(_) => worker_wire::probe(out, host),
             Job::Drop(function) => worker_wire::drop_idle(out, host, function),
+            Job::Hand { event, function, until, .. } => {
+                hand_wire::call(out, host, event, function, until.saturating_sub(now), &self.prefix);
+                ends = (*until).max(now + 1);
+            }
         }
         if let Some(name) = name(&job) {
             self.jobs.insert(name, conn);
@@ -206,6 +228,7 @@
         (known.stage, known.job, known.since) = (Stage::Waiting, Some(job), now);
         self.sent.push(sent);
         self.arm(conn, ends);
+        None
     }
 
     /// Calls an attempt or an order off: its connection is closed, which tells the worker.
@@ -213,6 +236,11 @@
         self.abort(io, Name::Attempt(id), Code::Cancelled)
     }
 
+    /// See [`Links::abort_attempt`].
+    pub fn abort_handed(&mut self, io: &mut Io, waiter: WaiterId) {
+        self.abort(io, Name::Handed(waiter), Code::Cancelled);
+    }
+
     /// See [`Links::abort_attempt`].
     pub fn abort_order(&mut self, io: &mut Io, id: OrderId) {
         self.abort(io, Name::Order(id), Code::Cancelled);
@@ -248,10 +276,9 @@
     }
 
     /// A connection stands.
-    pub fn connected(&mut self, io: &mut Io, now: Micros, conn: ConnId) {
-        if let Some(job) = self.conns.get_mut(&conn).and_then(|c| c.job.take()) {
-            self.write(io, now, conn, job);
-        }
+    pub fn connected(&mut self, io: &mut Io, now: Micros, conn: ConnId) -> Option<Done> {
+        let job = self.conns.get_mut(&conn).and_then(|c| c.job.take())?;
+        self.write(io, now, conn, job)
     }
 
     /// Bytes have come.
@@ -263,7 +290,7 @@
                 self.discard(io, conn);
                 return None;
             }
-            Some(Job::Attempt { .. }) => Method::Post,
+            Some(Job::Attempt { .. } | Job::Hand { .. }) => Method::Post,
             Some(Job::Order { count, .. }) if *count > 0 => Method::Put,
             Some(Job::Drop(_)) => Method::Delete,
             Some(_) => Method::Get,
@@ -321,6 +348,7 @@
             Job::Probe(id) => {
                 Done::Probe(id, worker_wire::code(&told), worker_wire::report(&told, &self.report))
             }
+            Job::Hand { waiter, event, .. } => Done::Handed(waiter, hand_wire::end(&told, &event)),
             Job::Drop(_) => Done::Nothing,
         })
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,9 +1,15 @@
+use crate::control::{Control, END, shed_settings};
 use crate::mail::Mail;
 use crate::scheduler::{KILL, Orders, RUN, STOP, Scheduler};
+use crate::sites::Sites;
+use crate::tables::{Tables, rings};
 use basaltward::{Repeat, SettingsError};
 use basaltward_config::Config;
-use basaltward_net::{Io, IoLimits, NetError, Waker, bind};
+use basaltward_fellows::FellowsError;
+use basaltward_net::{Io, IoLimits, NetError, Waker, bind, monotonic};
+use basaltward_route::RouteError;
 use basaltward_rules::Recorder;
+use basaltward_shed::ShedError;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
@@ -23,6 +29,18 @@
     /// A thread can't be started.
     #[error("thread: {0}")]
     Thread(#[from] std::io::Error),
+    /// The sites' sockets.
+    #[error("sites: {0}")]
+    Fellows(#[from] FellowsError),
+    /// The choice of sites.
+    #[error("sites: {0}")]
+    Route(#[from] RouteError),
+    /// The door.
+    #[error("sites: {0}")]
+    Shed(#[from] ShedError),
+    /// We are not among the fellows.
+    #[error("sites: our number is not among the fellows; name this gateway as one of them")]
+    Sites,
     /// A loop has panicked.
     #[error("a loop has panicked")]
     Panicked,
@@ -47,6 +65,15 @@
     threads: Vec<(Waker, JoinHandle<Result<(), NetError>>)>,
     wanted: Arc<AtomicU8>,
     stalls: Vec<Arc<AtomicU64>>,
+    control: Option<ControlThread>,
+}
+
+/// The thread beside the loops, where there are sites.
+struct ControlThread {
+    waker: Waker,
+    thread: JoinHandle<Result<(), NetError>>,
+    wanted: Arc<AtomicU8>,
+    stall: Arc<AtomicU64>,
 }
 
 impl Gateway {
@@ -85,16 +112,49 @@
                 wakers.iter().flat_map(|waker| Mail::join(std::slice::from_ref(waker), span)).collect()
             }
         };
+        let (control, mut sites) = Self::control(config, &wakers, recorder)?;
         let (mut threads, mut stalls) = (Vec::new(), Vec::new());
         let ends = listeners.into_iter().zip(ios.into_iter().zip(mail)).zip(wakers);
         for (thread, ((listener, end), waker)) in ends.enumerate() {
             let orders = Orders { wanted: wanted.clone(), stall: Arc::default() };
             stalls.push(orders.stall.clone());
-            let scheduler = Scheduler::new(config, thread as u32, end, listener, recorder.clone(), orders)?;
+            let scheduler = Scheduler::new(
+                config,
+                thread as u32,
+                end,
+                (listener, sites.next()),
+                recorder.clone(),
+                orders,
+            )?;
             let name = format!("{}-{thread}", config.name);
             threads.push((waker, std::thread::Builder::new().name(name).spawn(move || scheduler.run())?));
         }
-        Ok(Self { address, threads, wanted, stalls })
+        Ok(Self { address, threads, wanted, stalls, control })
+    }
+
+    /// The control thread and each loop's part in the sites, where the settings name some.
+    fn control(
+        config: &Config,
+        wakers: &[Waker],
+        recorder: &Recorder,
+    ) -> Result<(Option<ControlThread>, std::vec::IntoIter<Sites>), GatewayError> {
+        let Some(sites) = &config.sites else { return Ok((None, Vec::new().into_iter())) };
+        let io = Io::new(IoLimits::default())?;
+        let (waker, tables) = (io.waker(), Arc::new(Tables::default()));
+        let shed = shed_settings(config, sites).ok_or(GatewayError::Sites)?;
+        let (mut ours, mut theirs) = (Vec::new(), Vec::new());
+        for (thread, loop_waker) in wakers.iter().enumerate() {
+            let (end, control) = rings(waker.clone(), loop_waker.clone());
+            ours.push(control);
+            let part = Sites::new(config, &shed, thread as u32, (tables.clone(), end), monotonic());
+            theirs.extend(part);
+        }
+        let (wanted, stall) = (Arc::new(AtomicU8::new(RUN)), Arc::<AtomicU64>::default());
+        let flags = (wanted.clone(), stall.clone());
+        let control = Control::open(config, sites, io, (ours, tables), flags, recorder.clone())?;
+        let name = format!("{}-control", config.name);
+        let thread = std::thread::Builder::new().name(name).spawn(move || control.run())?;
+        Ok((Some(ControlThread { waker, thread, wanted, stall }), theirs.into_iter()))
     }
 
     /// Where it listens.
@@ -105,6 +165,7 @@
     fn want(&self, what: u8) {
         self.wanted.store(what, Ordering::Relaxed);
         self.threads.iter().for_each(|(waker, _)| waker.wake());
+        self.control.iter().for_each(|control| control.want(what));
     }
 
     /// Has it accept no more, finish what is in hand within its deadlines, and end.
@@ -129,6 +190,14 @@
         }
     }
 
+    /// Has the control thread do nothing for so long: a fault for tests. Calls are served meanwhile.
+    pub fn stall_control(&self, span: Duration) {
+        if let Some(control) = &self.control {
+            control.stall.store(span.as_micros() as u64, Ordering::Relaxed);
+            control.waker.wake();
+        }
+    }
+
     /// Whether all its loops have ended.
     pub fn is_finished(&self) -> bool {
         self.threads.iter().all(|(_, thread)| thread.is_finished())
@@ -142,6 +211,17 @@
         for (_, thread) in self.threads {
             thread.join().map_err(|_| GatewayError::Panicked)??;
         }
+        if let Some(control) = self.control {
+            control.want(END);
+            control.thread.join().map_err(|_| GatewayError::Panicked)??;
+        }
         Ok(())
     }
 }
+
+impl ControlThread {
+    fn want(&self, what: u8) {
+        self.wanted.store(what, Ordering::Relaxed);
+        self.waker.wake();
+    }
+}
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -1,18 +1,22 @@
 //! One loop: clients, engine and workers joined. It carries bytes and messages between them.
 
+mod calls;
+mod notes;
+
 use crate::front::{Asked, Front, thread_of};
 use crate::links::{Done, Job, Links, attempt_name};
 use crate::mail::{Mail, Message};
+use crate::sites::Sites;
 use crate::worker_wire::Reply;
-use basaltward::{MembersKind, Micros, Repeat, WorkerId};
+use basaltward::{Code, Micros, WorkerId};
 use basaltward_cloudevents::Event;
 use basaltward_config::Config;
 use basaltward_engine::{
-    Answer, Engine, EngineSettings, HandedOver, Input, Lag, MarginSettings, NewCall, Output, Pace, Path,
-    RepeatLimits, Turn, Unheard, WaiterId,
+    Answer, AttemptEnd, Engine, EngineSettings, HandedOver, Input, Lag, MarginSettings, Output, Pace, Path,
+    RepeatLimits, Turn, WaiterId,
 };
 use basaltward_net::{Clock, ConnId, Happened, Io, NetError, monotonic, thread_time};
-use basaltward_roster::{Names, News, RosterFile, Source, place};
+use basaltward_roster::{Names, RosterFile, Source};
 use basaltward_rules::{Recorder, What};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::TcpListener;
@@ -47,6 +51,8 @@
     /// What the loops say to each other, and the calls of this one's clients that others own.
     mail: Mail,
     handed: HandedOver,
+    /// This loop's part in the sites, where there are some.
+    sites: Option<Sites>,
     letters: Vec<Message>,
     pace: Pace,
     roster: RosterFile,
@@ -84,7 +90,7 @@
         config: &Config,
         thread: u32,
         (mut io, mail): (Io, Mail),
-        listener: TcpListener,
+        (listener, sites): (TcpListener, Option<Sites>),
         recorder: Recorder,
         orders: Orders,
     ) -> Result<Self, crate::GatewayError> {
@@ -105,6 +111,7 @@
             links,
             mail,
             handed: HandedOver::new(config.front.calls),
+            sites,
             letters: Vec::new(),
             pace: Pace::default(),
             roster: RosterFile::new(config.roster.clone(), names, config.roster_check),
@@ -151,6 +158,7 @@
                 && self.engine.in_hand() == 0
                 && self.front.clients() == 0
                 && self.handed.is_empty()
+                && self.sites.as_ref().is_none_or(Sites::is_empty)
                 && !self.mail.is_behind()
                 && self.io.is_settled()
                 && self.mail.rest()
@@ -165,7 +173,8 @@
     /// How long there is nothing to do unless something happens.
     fn wait(&self, now: Micros) -> Micros {
         let handed = self.handed.next_due(self.engine.lateness(now));
-        let due = [self.engine.next_due(now), self.front.next_due(), self.links.next_due(), handed];
+        let sites = self.sites.as_ref().map(Sites::next_due);
+        let due = [self.engine.next_due(now), self.front.next_due(), self.links.next_due(), handed, sites];
         let due = due.into_iter().flatten().chain([self.roster.next_due()]).min().unwrap_or(now);
         let at_once = self.front.oldest().is_some() || self.mail.is_behind();
         if at_once { 0 } else { due.saturating_sub(now) }
@@ -181,6 +190,7 @@
         for happened in happened.drain(..) {
             if let Happened::Data(conn) | Happened::Drained(conn) = happened
                 && !self.links.owns(conn)
+                && !self.owns_fellow(conn)
             {
                 self.front.came(began, conn);
                 continue;
@@ -195,6 +205,7 @@
             self.flush(&mut later);
         }
         self.read_mail(now);
+        self.read_words(now);
         self.wake(now);
         self.flush(&mut later);
         while let Some(came) = self.front.oldest() {
@@ -244,9 +255,22 @@
     fn take(&mut self, now: Micros, happened: Happened) {
         match happened {
             Happened::Accepted { conn, .. } => self.front.accepted(now, conn),
+            Happened::Connected(conn) if self.owns_fellow(conn) => {
+                let done = self.sites.as_mut().and_then(|sites| sites.connected(&mut self.io, now, conn));
+                self.came_back(now, done);
+            }
+            Happened::Data(conn) if self.owns_fellow(conn) => {
+                let done = self.sites.as_mut().and_then(|sites| sites.data(&mut self.io, now, conn));
+                self.came_back(now, done);
+            }
+            Happened::Ended(conn, how) if self.owns_fellow(conn) => {
+                let done = self.sites.as_mut().and_then(|sites| sites.ended(&mut self.io, now, conn, how));
+                self.came_back(now, done);
+            }
             Happened::Connected(conn) => {
-                self.links.connected(&mut self.io, now, conn);
+                let done = self.links.connected(&mut self.io, now, conn);
                 self.note_sent(now);
+                self.done(now, done);
             }
             Happened::Data(conn) if self.links.owns(conn) => {
                 let done = self.links.data(&mut self.io, now, conn);
@@ -259,9 +283,12 @@
             }
             Happened::Ended(conn, _) => {
                 for waiter in self.front.ended(conn) {
+                    if self.sites.as_mut().is_some_and(|sites| sites.left(&mut self.io, now, waiter)) {
+                        continue;
+                    }
                     match self.handed.left(waiter) {
                         Some(owner) => drop(self.mail.send(owner, Message::Left(waiter))),
-                        None => self.tell(now, Input::Left(waiter)),
+                        None => self.left(now, waiter),
                     }
                 }
             }
@@ -277,6 +304,10 @@
             for done in done {
                 self.done(now, Some(done));
             }
+            let then = self.sites.as_mut().map(|sites| sites.kept_due(now)).unwrap_or_default();
+            self.then(now, then);
+            let back = self.sites.as_mut().map(|sites| sites.wake(&mut self.io, now));
+            back.into_iter().flatten().for_each(|done| self.came_back(now, Some(done)));
             self.front.wake(&mut self.io, now);
             while let Some((waiter, answer, owner)) = self.handed.wake(now, self.engine.lateness(now)) {
                 self.mail.send(owner, Message::Left(waiter));
@@ -302,57 +333,6 @@
         }
     }
 
-    /// A call of this loop's clients goes to the loop that owns its event.
-    fn call(&mut self, now: Micros, call: NewCall<Event>) {
-        let Some((owner, hash)) = self.mail.owner(&call.identity) else { return self.own_call(now, call) };
-        let repeat = self.front.repeat_of(&call.function);
-        let known = repeat != Repeat::Safe && self.mail.mark(now, hash);
-        if owner == self.mail.me() {
-            return self.own_call(now, call);
-        }
-        let NewCall { waiter, identity, function, deadline, payload } = call;
-        let unheard = Unheard::of(repeat, known);
-        let lateness = self.engine.lateness(now);
-        let handed = self.handed.hand((now, lateness), waiter, owner, deadline, unheard);
-        let sent = handed.is_some_and(|(claim, by)| {
-            self.mail.send(owner, Message::Call { waiter, identity, function, by, payload, claim })
-        });
-        if !sent {
-            self.handed.answered(waiter);
-            self.give(now, (waiter, unheard.answer()), (0, None, Path::Direct));
-        }
-    }
-
-    fn own_call(&mut self, now: Micros, call: NewCall<Event>) {
-        if self.recorder.is_on() {
-            let event = event_name(&call.payload);
-            self.recorder.put(now, &self.name, What::Taken { event });
-        }
-        self.tell(now, Input::Call(call));
-    }
-
-    /// What other loops have said.
-    fn read_mail(&mut self, now: Micros) {
-        let mut letters = std::mem::take(&mut self.letters);
-        self.mail.receive(&mut letters);
-        for letter in letters.drain(..) {
-            match letter {
-                Message::Call { waiter, identity, function, by, payload, claim } => {
-                    if claim.take() {
-                        self.own_call(now, NewCall { waiter, identity, function, deadline: by, payload });
-                    }
-                }
-                Message::Left(waiter) => self.tell(now, Input::Left(waiter)),
-                Message::Answer { waiter, answer, attempts, worker, path } => {
-                    if self.handed.answered(waiter) {
-                        self.give(now, (waiter, answer), (attempts, worker, path));
-                    }
-                }
-            }
-        }
-        self.letters = letters;
-    }
-
     fn tell(&mut self, now: Micros, input: Input<Event, Reply>) {
         let mut outputs = std::mem::take(&mut self.outputs);
         self.engine.handle(now, input, &mut outputs);
@@ -366,10 +346,14 @@
     }
 
     /// How a job ended, as the engine is told it.
-    fn ended(&self, now: Micros, done: Done) -> Option<Input<Event, Reply>> {
+    fn ended(&mut self, now: Micros, done: Done) -> Option<Input<Event, Reply>> {
         Some(match done {
             Done::Nothing => return None,
             Done::Attempt(id, end) => {
+                if let Some(sites) = &mut self.sites {
+                    sites.attempt_ended(now, id, &end);
+                    sites.kept.iter_mut().for_each(|kept| kept.attempt_ended(id, &end));
+                }
                 if self.recorder.is_on() {
                     let (attempt, code) = (attempt_name(&self.prefix, id), format!("{:?}", end.code));
                     self.recorder.put(now, &self.name, What::Ended { attempt, code });
@@ -378,6 +362,8 @@
             }
             Done::Order(id, code, count) => Input::Ordered(id, code, count),
             Done::Probe(id, code, report) => Input::Probed(id, code, report),
+            // Links to workers carry none.
+            Done::Handed(..) => return None,
         })
     }
 
@@ -402,23 +388,39 @@
         let Self { io, links, front, .. } = self;
         match output {
             Output::Answer { waiter, answer, attempts, worker, path } => {
-                match thread_of(waiter) {
-                    here if here == self.mail.me() => {
-                        self.give(now, (waiter, answer), (attempts, worker, path))
-                    }
-                    there => {
-                        let message = Message::Answer { waiter, answer, attempts, worker, path };
-                        self.mail.send(there, message);
-                    }
+                if let Some(kept) = self.sites.as_mut().and_then(|sites| sites.kept.as_mut()) {
+                    kept.answered(waiter, &answer);
                 }
+                self.deliver(now, waiter, answer, (attempts, worker, path));
                 None
             }
             Output::Start { attempt, worker, identity, function, payload, until } => {
                 let repeat = front.repeat_of(&function);
-                let job = Job::Attempt { id: attempt, event: payload, function, repeat, until, identity };
-                links.start(io, now, &worker, job)
+                self.sites.iter_mut().for_each(|sites| sites.started(now, attempt, &function.name));
+                let kept = self.sites.as_mut().and_then(|sites| sites.kept.as_mut());
+                let leaves =
+                    kept.is_none_or(|k| k.start((wall_ms(), until), attempt, &identity, worker.as_str()));
+                let lease = Micros::MAX;
+                let job =
+                    Job::Attempt { id: attempt, event: payload, function, repeat, until, identity, lease };
+                if leaves {
+                    return links.start(io, now, &worker, job);
+                }
+                if let Some(sites) = &mut self.sites {
+                    sites.park(attempt, worker, job);
+                }
+                None
+            }
+            Output::Abort(attempt) => {
+                let sites = self.sites.as_mut();
+                let parked = sites.is_some_and(|sites| {
+                    sites.unpark(attempt).is_some() && sites.kept.as_mut().is_some_and(|k| k.abort(attempt))
+                });
+                match parked {
+                    true => Some(Done::Attempt(attempt, AttemptEnd::bare(Code::Moot))),
+                    false => links.abort_attempt(io, attempt),
+                }
             }
-            Output::Abort(attempt) => links.abort_attempt(io, attempt),
             Output::Order { order, worker, function, count } => {
                 let function = front.function(function.as_str())?.clone();
                 links.start(io, now, &worker, Job::Order { id: order, function, count })
@@ -437,6 +439,22 @@
         }
     }
 
+    /// Gives a client of this loop, or of another one, its final answer.
+    fn deliver(
+        &mut self,
+        now: Micros,
+        waiter: WaiterId,
+        answer: Answer<Reply>,
+        (attempts, worker, path): (u32, Option<WorkerId>, Path),
+    ) {
+        match thread_of(waiter) {
+            here if here == self.mail.me() => self.give(now, (waiter, answer), (attempts, worker, path)),
+            there => {
+                self.mail.send(there, Message::Answer { waiter, answer, attempts, worker, path });
+            }
+        }
+    }
+
     /// Gives a client of this loop its final answer.
     fn give(
         &mut self,
@@ -449,6 +467,7 @@
             Answer::Refused(..) => "refused",
             Answer::Failed(_) => "failed",
         };
+        self.sites.iter_mut().for_each(|sites| sites.gave(now, waiter, outcome == "served"));
         let Some((waiting, status, free)) = self.front.answer(&mut self.io, now, waiter, answer) else {
             return;
         };
@@ -480,68 +499,11 @@
             "call"
         );
     }
+}
 
-    /// What has been given to connections since: the engine learns it at once, the records where they are on.
-    fn note_sent(&mut self, now: Micros) {
-        for sent in self.links.sent.drain(..) {
-            if let Some((id, _)) = &sent.attempt {
-                self.engine.written(*id);
-            }
-            if !self.recorder.is_on() {
-                continue;
-            }
-            let worker = sent.worker.to_string();
-            if let Some((id, identity)) = sent.attempt {
-                let (event, attempt) =
-                    (format!("{}#{}", identity.source, identity.id), attempt_name(&self.prefix, id));
-                self.recorder.put(now, &self.name, What::Sent { event, attempt, worker });
-            } else if let Some((function, count)) = sent.order {
-                let function = function.name.to_string();
-                self.recorder.put(now, &self.name, What::Ordered { worker, function, count });
-            }
-        }
-    }
-
-    fn poll_roster(&mut self, now: Micros) {
-        let (kind, entries) = match self.roster.poll(now) {
-            None => return,
-            Some(News::Whole(entries)) => (MembersKind::Whole, entries),
-            Some(News::Changes(entries)) => (MembersKind::Changes, entries),
-            Some(News::Failed(why)) => {
-                warn!(scheduler = self.name, why, "roster can't be used; the previous list stands");
-                (MembersKind::Failed, Vec::new())
-            }
-        };
-        let members: Vec<_> = entries.iter().map(|e| place(e, |wall| self.clock.place(wall))).collect();
-        self.note_states(now, kind, &members);
-        self.tell(now, Input::Members(kind, members));
-    }
-
-    /// Logs and records the changes that a list brings; decides nothing.
-    fn note_states(&mut self, now: Micros, kind: MembersKind, members: &[basaltward::Member]) {
-        use basaltward::State;
-        let mut changes: Vec<(WorkerId, State)> = Vec::new();
-        if kind == MembersKind::Whole {
-            let listed = |w: &WorkerId| members.iter().any(|m| m.worker == *w);
-            changes.extend(self.states.keys().filter(|w| !listed(w)).map(|w| (w.clone(), State::Gone)));
-        }
-        changes.extend(members.iter().map(|m| (m.worker.clone(), m.state)));
-        for (worker, state) in changes {
-            if self.states.get(&worker) == Some(&state) {
-                continue;
-            }
-            info!(scheduler = self.name, %worker, ?state, "worker");
-            if self.recorder.is_on() {
-                let state = format!("{state:?}").to_lowercase();
-                self.recorder.put(now, &self.name, What::Told { worker: worker.to_string(), state });
-            }
-            if state == State::Gone {
-                self.states.remove(&worker);
-            } else {
-                self.states.insert(worker, state);
-            }
-        }
-    }
+/// The wall clock, in milliseconds since 1970.
+fn wall_ms() -> u64 {
+    Clock::read().wall() / 1_000
 }
 
 /// An event's name in records.
--- /dev/null
+++ b/crates/gateway/src/scheduler/calls.rs
@@ -0,0 +1,172 @@
+//! The way of a call through a loop: turned away at the door, handed to another site, to the loop that owns its event,
+//! held by neighbours, begun.
+
+use super::{Scheduler, event_name, wall_ms};
+use crate::kept::{Accept, Then};
+use crate::links::{Done, Job};
+use crate::mail::Message;
+use crate::sites::{Arrival, Sites};
+use crate::tables::Word;
+use basaltward::{Code, Micros, Repeat};
+use basaltward_cloudevents::Event;
+use basaltward_engine::{Answer, AttemptEnd, Input, NewCall, Path, Refusal, Unheard, WaiterId};
+use basaltward_net::ConnId;
+use basaltward_rules::What;
+use tracing::warn;
+
+impl Scheduler {
+    /// A call of this loop's clients: turned away, handed to another site, or answered here.
+    pub(super) fn call(&mut self, now: Micros, call: NewCall<Event>) {
+        let Some(sites) = &mut self.sites else { return self.home_call(now, call) };
+        let (waiter, event) = (call.waiter, call.payload.clone());
+        match sites.arrived(&mut self.io, now, call) {
+            Arrival::Home(call) => self.home_call(now, call),
+            Arrival::Away(to) => {
+                let (event, to) = (event_name(&event), sites.name(to).to_owned());
+                self.recorder.put(now, &self.name, What::HandedOver { event, to });
+            }
+            Arrival::Shed(wait) => {
+                let answer = Answer::Refused(Refusal::Overload, Some(wait));
+                self.give(now, (waiter, answer), (0, None, Path::Direct));
+            }
+        }
+    }
+
+    /// What has ended at another site: its reply, or a call that is tried here in what is left of its time.
+    pub(super) fn came_back(&mut self, now: Micros, done: Option<Done>) {
+        let back = done.and_then(|done| self.sites.as_mut()?.done(now, done));
+        match back {
+            Some((call, Some(reply))) => {
+                self.give(now, (call.waiter, Answer::Served(reply)), (1, None, Path::First));
+            }
+            Some((call, None)) => self.home_call(now, call),
+            None => {}
+        }
+    }
+
+    pub(super) fn owns_fellow(&self, conn: ConnId) -> bool {
+        self.sites.as_ref().is_some_and(|sites| sites.owns(conn))
+    }
+
+    /// A call that is answered at this site goes to the loop that owns its event.
+    pub(super) fn home_call(&mut self, now: Micros, call: NewCall<Event>) {
+        let Some((owner, hash)) = self.mail.owner(&call.identity) else { return self.own_call(now, call) };
+        let repeat = self.front.repeat_of(&call.function);
+        let known = repeat != Repeat::Safe && self.mail.mark(now, hash);
+        if owner == self.mail.me() {
+            return self.own_call(now, call);
+        }
+        let NewCall { waiter, identity, function, deadline, payload } = call;
+        let unheard = Unheard::of(repeat, known);
+        let lateness = self.engine.lateness(now);
+        let handed = self.handed.hand((now, lateness), waiter, owner, deadline, unheard);
+        let sent = handed.is_some_and(|(claim, by)| {
+            self.mail.send(owner, Message::Call { waiter, identity, function, by, payload, claim })
+        });
+        if !sent {
+            self.handed.answered(waiter);
+            self.give(now, (waiter, unheard.answer()), (0, None, Path::Direct));
+        }
+    }
+
+    /// A call that this loop owns: one of a kept class waits until other sites hold it.
+    pub(super) fn own_call(&mut self, now: Micros, call: NewCall<Event>) {
+        let Some(kept) = self.sites.as_mut().and_then(|sites| sites.kept.as_mut()) else {
+            return self.begin(now, call);
+        };
+        match kept.accept((now, wall_ms()), call) {
+            Accept::Go(call) => self.begin(now, call),
+            Accept::Waits => {}
+            Accept::Answer(waiter, answer) => self.deliver(now, waiter, answer, (0, None, Path::Direct)),
+        }
+    }
+
+    pub(super) fn begin(&mut self, now: Micros, call: NewCall<Event>) {
+        if self.recorder.is_on() {
+            let event = event_name(&call.payload);
+            self.recorder.put(now, &self.name, What::Taken { event });
+        }
+        self.tell(now, Input::Call(call));
+    }
+
+    /// What other loops have said.
+    pub(super) fn read_mail(&mut self, now: Micros) {
+        let mut letters = std::mem::take(&mut self.letters);
+        self.mail.receive(&mut letters);
+        for letter in letters.drain(..) {
+            match letter {
+                Message::Call { waiter, identity, function, by, payload, claim } => {
+                    if claim.take() {
+                        self.own_call(now, NewCall { waiter, identity, function, deadline: by, payload });
+                    }
+                }
+                Message::Left(waiter) => self.left(now, waiter),
+                Message::Answer { waiter, answer, attempts, worker, path } => {
+                    if self.handed.answered(waiter) {
+                        self.give(now, (waiter, answer), (attempts, worker, path));
+                    }
+                }
+            }
+        }
+        self.letters = letters;
+    }
+
+    /// A client of a call that this loop owns has left.
+    pub(super) fn left(&mut self, now: Micros, waiter: WaiterId) {
+        if let Some(kept) = self.sites.as_mut().and_then(|sites| sites.kept.as_mut()) {
+            kept.left(waiter);
+        }
+        self.tell(now, Input::Left(waiter));
+    }
+
+    /// What the control thread says of kept events, once it has our steps.
+    pub(super) fn read_words(&mut self, now: Micros) {
+        for word in self.sites.as_mut().map(Sites::words).unwrap_or_default() {
+            let Some(kept) = self.sites.as_mut().and_then(|sites| sites.kept.as_mut()) else { return };
+            let then = match word {
+                Word::Held(key, held) => kept.held(key, held),
+                Word::May(key, number, until) => kept.may(key, number, until).into_iter().collect(),
+                Word::Told(key, outcome, answer) => {
+                    kept.told(key, outcome, &answer, now);
+                    continue;
+                }
+                Word::Run(pending, attempt) => {
+                    let call = self.front.owed(&pending, (now, wall_ms()));
+                    match call {
+                        Some(call) => {
+                            kept.runs(&call, attempt);
+                            self.begin(now, call);
+                        }
+                        None => warn!(scheduler = self.name, function = pending.function, "unknown here"),
+                    }
+                    continue;
+                }
+            };
+            self.then(now, then);
+        }
+    }
+
+    pub(super) fn then(&mut self, now: Micros, then: Vec<Then>) {
+        for then in then {
+            match then {
+                Then::Go(call) => self.begin(now, call),
+                Then::Answer(waiter, answer) => self.deliver(now, waiter, answer, (0, None, Path::Direct)),
+                Then::Stay(attempt) => {
+                    self.sites.iter_mut().for_each(|sites| drop(sites.unpark(attempt)));
+                    self.done(now, Some(Done::Attempt(attempt, AttemptEnd::bare(Code::Moot))));
+                }
+                Then::Leave(attempt, until) => {
+                    let parked = self.sites.as_mut().and_then(|sites| sites.unpark(attempt));
+                    if let Some((worker, mut job)) = parked {
+                        if let Job::Attempt { lease, .. } = &mut job {
+                            *lease = until;
+                        }
+                        let done = self.links.start(&mut self.io, now, &worker, job);
+                        self.note_sent(now);
+                        self.done(now, done);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/scheduler/notes.rs
@@ -0,0 +1,75 @@
+//! What a loop records and logs of its links and its list of workers.
+
+use super::Scheduler;
+use crate::links::attempt_name;
+use basaltward::{MembersKind, Micros, WorkerId};
+use basaltward_engine::Input;
+use basaltward_roster::{News, Source, place};
+use basaltward_rules::What;
+use tracing::{info, warn};
+
+impl Scheduler {
+    /// What has been given to connections since: the engine learns it at once, the records where they are on.
+    pub(super) fn note_sent(&mut self, now: Micros) {
+        for sent in self.links.sent.drain(..) {
+            if let Some((id, _)) = &sent.attempt {
+                self.engine.written(*id);
+            }
+            if !self.recorder.is_on() {
+                continue;
+            }
+            let worker = sent.worker.to_string();
+            if let Some((id, identity)) = sent.attempt {
+                let (event, attempt) =
+                    (format!("{}#{}", identity.source, identity.id), attempt_name(&self.prefix, id));
+                self.recorder.put(now, &self.name, What::Sent { event, attempt, worker });
+            } else if let Some((function, count)) = sent.order {
+                let function = function.name.to_string();
+                self.recorder.put(now, &self.name, What::Ordered { worker, function, count });
+            }
+        }
+    }
+
+    pub(super) fn poll_roster(&mut self, now: Micros) {
+        let (kind, entries) = match self.roster.poll(now) {
+            None => return,
+            Some(News::Whole(entries)) => (MembersKind::Whole, entries),
+            Some(News::Changes(entries)) => (MembersKind::Changes, entries),
+            Some(News::Failed(why)) => {
+                warn!(scheduler = self.name, why, "roster can't be used; the previous list stands");
+                (MembersKind::Failed, Vec::new())
+            }
+        };
+        let members: Vec<_> = entries.iter().map(|e| place(e, |wall| self.clock.place(wall))).collect();
+        self.note_states(now, kind, &members);
+        self.tell(now, Input::Members(kind, members));
+    }
+
+    /// Logs and records the changes that a list brings; decides nothing.
+    pub(super) fn note_states(&mut self, now: Micros, kind: MembersKind, members: &[basaltward::Member]) {
+        use basaltward::State;
+        let mut changes: Vec<(WorkerId, State)> = Vec::new();
+        if kind == MembersKind::Whole {
+            let listed = |w: &WorkerId| members.iter().any(|m| m.worker == *w);
+            changes.extend(self.states.keys().filter(|w| !listed(w)).map(|w| (w.clone(), State::Gone)));
+        }
+        changes.extend(members.iter().map(|m| (m.worker.clone(), m.state)));
+        for (worker, state) in changes {
+            if self.states.get(&worker) == Some(&state) {
+                continue;
+            }
+            info!(scheduler = self.name, %worker, ?state, "worker");
+            if self.recorder.is_on() {
+                let state = format!("{state:?}").to_lowercase();
+                self.recorder.put(now, &self.name, What::Told { worker: worker.to_string(), state });
+            }
+            if state == State::Gone {
+                self.states.remove(&worker);
+            } else {
+                self.states.insert(worker, state);
+            }
+        }
+        let used = self.states.values().filter(|state| **state == State::Active).count();
+        self.sites.iter_mut().for_each(|sites| sites.workers(used));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sites.rs
@@ -0,0 +1,388 @@
+//! One loop's part in the sites: what is turned away at the door, which calls are handed to another site and how those
+//! end. What is decided follows from the tables of the control thread; a table past its end is not heeded.
+
+use crate::kept::{KeptEvents, Then};
+use crate::links::{Done, Job, Links};
+use crate::tables::{COUNT_US, Fact, LoopEnd, Tables, Word};
+use crate::worker_wire::Reply;
+use basaltward::{Code, FunctionId, Micros, Repeat, WorkerId};
+use basaltward_cloudevents::Event;
+use basaltward_config::{Config, LinkConfig, SitesConfig};
+use basaltward_engine::{AttemptEnd, AttemptId, Identity, NewCall, WaiterId};
+use basaltward_fleet::Number;
+use basaltward_net::{ConnId, End, Io};
+use basaltward_route::{Counted, Counts, Handed, HandedEnd, Router, Where, home_by};
+use basaltward_shed::{Asked, Door, Ended, ShedSettings, Verdict};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use tracing::warn;
+use xxhash_rust::xxh3::Xxh3Default;
+
+/// What becomes of a call that has come.
+pub enum Arrival {
+    /// It is answered here.
+    Home(NewCall<Event>),
+    /// It went to this gateway of another site.
+    Away(Number),
+    /// It is turned away, and may come again after this time.
+    Shed(Micros),
+}
+
+/// A call that another site has, until it ends there or comes home.
+struct Away {
+    call: NewCall<Event>,
+    function: u32,
+    to: Number,
+    began: Micros,
+}
+
+/// A call that is answered here.
+struct Home {
+    function: u32,
+    class: usize,
+    tenant: usize,
+    came: Micros,
+}
+
+/// See the module's page.
+pub struct Sites {
+    config: Arc<SitesConfig>,
+    tables: Arc<Tables>,
+    rings: LoopEnd,
+    /// Events of kept classes, where there are any.
+    pub kept: Option<KeptEvents>,
+    /// Attempts that wait until they are held.
+    jobs: HashMap<AttemptId, (WorkerId, Job)>,
+    links: Links,
+    /// Their fronts, by number.
+    fronts: Vec<WorkerId>,
+    router: Router,
+    door: Door,
+    aims: Vec<Micros>,
+    repeats: Vec<Repeat>,
+    positions: HashMap<FunctionId, u32>,
+    away: HashMap<WaiterId, Away>,
+    home: HashMap<WaiterId, Home>,
+    /// Attempts that are out, with their function and when they began.
+    out: HashMap<AttemptId, (u32, Micros)>,
+    /// What a run of a function takes where nothing waits, by position: the shortest of late.
+    runs: HashMap<u32, Micros>,
+    counts: BTreeMap<u32, Counted>,
+    since: Micros,
+    workers: u32,
+    /// Facts that were let go, as last told.
+    lost: u64,
+}
+
+/// A digest of an event's name that is the same at all gateways.
+pub fn digest(identity: &Identity) -> u128 {
+    let mut hash = Xxh3Default::new();
+    // Lengths keep two names apart whose parts join to the same bytes.
+    for part in [identity.function.as_str(), &identity.source, &identity.id] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part.as_bytes());
+    }
+    hash.update(&(identity.tenant as u64).to_le_bytes());
+    hash.digest128()
+}
+
+fn hops(event: &Event) -> bool {
+    event.extension(crate::front::extensions::HOPS).is_some_and(|told| told.to_string() != "0")
+}
+
+impl Sites {
+    /// A loop's part, where the settings name sites.
+    pub fn new(
+        config: &Config,
+        shed: &ShedSettings,
+        thread: u32,
+        (tables, rings): (Arc<Tables>, LoopEnd),
+        now: Micros,
+    ) -> Option<Self> {
+        let sites = Arc::new(config.sites.clone()?);
+        let link =
+            LinkConfig { response_bytes: config.front.body_bytes.max(1 << 20), ..config.links.clone() };
+        let front = |fellow: &basaltward_config::FellowConfig| fellow.front.to_string().as_str().into();
+        let seed = u64::from(sites.own) << 32 | u64::from(thread);
+        let classes = config.kept.iter().copied().zip(config.module.classes.iter().map(|class| class.repeat));
+        let kept = KeptEvents::new(classes.collect(), sites.journal.entry_bytes, config.repeats.guards);
+        let positions = config.functions.iter().zip(0..).map(|(f, at)| (f.name.clone(), at));
+        Some(Self {
+            links: Links::new(config.name.clone(), link, Vec::new()),
+            fronts: sites.fellows.iter().map(front).collect(),
+            router: Router::new(shed.places.clone(), seed),
+            door: Door::new(now, shed.clone(), thread as usize),
+            aims: config.module.classes.iter().map(|class| class.aim).collect(),
+            repeats: config.module.classes.iter().map(|class| class.repeat).collect(),
+            positions: positions.collect(),
+            config: sites,
+            tables,
+            rings,
+            kept,
+            jobs: HashMap::new(),
+            away: HashMap::new(),
+            home: HashMap::new(),
+            out: HashMap::new(),
+            runs: HashMap::new(),
+            counts: BTreeMap::new(),
+            since: now,
+            workers: 0,
+            lost: 0,
+        })
+    }
+
+    /// When [`Sites::wake`] is due next.
+    pub fn next_due(&self) -> Micros {
+        let kept = self.kept.as_ref().and_then(KeptEvents::next_due);
+        let due = self.links.next_due().into_iter().chain(kept).min();
+        due.unwrap_or(Micros::MAX).min(self.since + COUNT_US)
+    }
+
+    /// Whether no call of ours is at another site.
+    pub fn is_empty(&self) -> bool {
+        self.away.is_empty()
+    }
+
+    /// Whether this connection is one to another site.
+    pub fn owns(&self, conn: ConnId) -> bool {
+        self.links.owns(conn)
+    }
+
+    /// The name of a fellow, for records.
+    pub fn name(&self, of: Number) -> &str {
+        self.config.fellows.get(usize::from(of)).map_or("", |fellow| &fellow.name)
+    }
+
+    fn counted(&mut self, function: u32) -> &mut Counted {
+        self.counts.entry(function).or_insert(Counted { function, ..Counted::default() })
+    }
+
+    /// A call has come from a client, or from another site.
+    pub fn arrived(&mut self, io: &mut Io, now: Micros, call: NewCall<Event>) -> Arrival {
+        let Some(&function) = self.positions.get(&call.function.name) else { return Arrival::Home(call) };
+        let (class, tenant) = (call.function.class, call.identity.tenant);
+        let handed = hops(&call.payload);
+        if self.config.shed {
+            let table = self.tables.shed.load();
+            let asked = if handed { Asked::HandedOver } else { Asked::First };
+            let hash = digest(&call.identity) as u64;
+            if let Verdict::Shed(wait) = self.door.ask(now, table.as_deref(), class, tenant, asked, hash) {
+                return Arrival::Shed(wait);
+            }
+        }
+        if !handed {
+            self.counted(function).calls += 1;
+        }
+        // What may not simply run again stays with the gateway that knows its repeats.
+        let may_leave = self.config.hand_over && self.repeats[class] == Repeat::Safe;
+        let left = call.deadline.saturating_sub(now);
+        let table = self.tables.route.load();
+        if may_leave
+            && let Where::There { fellow, .. } =
+                self.router.choose(now, table.as_deref(), function, left, handed)
+        {
+            let here = table.as_ref().and_then(|t| t.rows.get(function as usize)).map_or(0, |row| row.here);
+            return self.hand(io, now, call, (function, fellow), here);
+        }
+        self.keep(now, function, &call);
+        Arrival::Home(call)
+    }
+
+    fn keep(&mut self, now: Micros, function: u32, call: &NewCall<Event>) {
+        let (class, tenant) = (call.function.class, call.identity.tenant);
+        self.counted(function).in_hand += 1;
+        self.home.insert(call.waiter, Home { function, class, tenant, came: now });
+    }
+
+    fn hand(
+        &mut self,
+        io: &mut Io,
+        now: Micros,
+        call: NewCall<Event>,
+        (function, to): (u32, Number),
+        here: Micros,
+    ) -> Arrival {
+        let until = home_by(now, call.deadline, here);
+        let job = Job::Hand {
+            waiter: call.waiter,
+            event: call.payload.clone(),
+            function: call.function.clone(),
+            until,
+        };
+        let Some(front) = self.fronts.get(usize::from(to)).cloned() else { return Arrival::Home(call) };
+        let waiter = call.waiter;
+        self.away.insert(waiter, Away { call, function, to, began: now });
+        match self.links.start(io, now, &front, job) {
+            Some(Done::Handed(waiter, end)) => match self.handed(now, waiter, end) {
+                Some((call, None)) => Arrival::Home(call),
+                Some((_, Some(_))) | None => Arrival::Away(to),
+            },
+            _ => Arrival::Away(to),
+        }
+    }
+
+    /// A call has ended at another site: the reply, or the call, which comes home.
+    fn handed(
+        &mut self,
+        now: Micros,
+        waiter: WaiterId,
+        end: AttemptEnd<Reply>,
+    ) -> Option<(NewCall<Event>, Option<Reply>)> {
+        let Away { call, function, to, began } = self.away.remove(&waiter)?;
+        let took = now.saturating_sub(began);
+        let how = match end.code {
+            Code::Ok => HandedEnd::Served,
+            Code::Full | Code::Miss => HandedEnd::Refused,
+            Code::ConnectFailed => HandedEnd::Unreached,
+            _ => HandedEnd::Lost,
+        };
+        let told = Handed { function, to, took, end: how };
+        self.router.ended(now, &told);
+        self.rings.facts.tell(Fact::Handed(told));
+        if end.reply.is_none() {
+            self.keep(now, function, &call);
+        }
+        Some((call, end.reply))
+    }
+
+    /// Takes a link's end of a job.
+    pub fn done(&mut self, now: Micros, done: Done) -> Option<(NewCall<Event>, Option<Reply>)> {
+        match done {
+            Done::Handed(waiter, end) => self.handed(now, waiter, end),
+            _ => None,
+        }
+    }
+
+    /// See [`Links::connected`].
+    pub fn connected(&mut self, io: &mut Io, now: Micros, conn: ConnId) -> Option<Done> {
+        let done = self.links.connected(io, now, conn);
+        self.links.sent.clear();
+        done
+    }
+
+    /// Holds a job back until its attempt may leave.
+    pub fn park(&mut self, attempt: AttemptId, worker: WorkerId, job: Job) {
+        self.jobs.insert(attempt, (worker, job));
+    }
+
+    /// A job that was held back.
+    pub fn unpark(&mut self, attempt: AttemptId) -> Option<(WorkerId, Job)> {
+        self.jobs.remove(&attempt)
+    }
+
+    /// Gives the control thread the steps that it has room for, and takes its words.
+    pub fn words(&mut self) -> Vec<Word> {
+        if let Some(kept) = &mut self.kept {
+            let before = kept.steps.len();
+            while let Some(step) = kept.steps.pop_front() {
+                if let Err(rtrb::PushError::Full(step)) = self.rings.steps.push(step) {
+                    kept.steps.push_front(step);
+                    break;
+                }
+            }
+            if kept.steps.len() < before {
+                self.rings.control.wake();
+            }
+        }
+        std::iter::from_fn(|| self.rings.words.pop().ok()).collect()
+    }
+
+    /// What is due of kept events.
+    pub fn kept_due(&mut self, now: Micros) -> Vec<Then> {
+        self.kept.as_mut().map(|kept| kept.wake(now)).unwrap_or_default()
+    }
+
+    /// See [`Links::data`].
+    pub fn data(&mut self, io: &mut Io, now: Micros, conn: ConnId) -> Option<Done> {
+        self.links.data(io, now, conn)
+    }
+
+    /// See [`Links::ended`].
+    pub fn ended(&mut self, io: &mut Io, now: Micros, conn: ConnId, how: End) -> Option<Done> {
+        self.links.ended(io, now, conn, how)
+    }
+
+    /// A client has left: true where its call was at another site, which is told by the connection's end.
+    pub fn left(&mut self, io: &mut Io, now: Micros, waiter: WaiterId) -> bool {
+        self.answered(now, waiter, Ended::Failed);
+        let Some(Away { function, to, began, .. }) = self.away.remove(&waiter) else { return false };
+        self.links.abort_handed(io, waiter);
+        // Nothing is known of it: counted as lost it would speak against a site that did nothing wrong.
+        let took = now.saturating_sub(began);
+        self.router.ended(now, &Handed { function, to, took, end: HandedEnd::Refused });
+        true
+    }
+
+    /// A call that was answered here has its answer.
+    pub fn gave(&mut self, now: Micros, waiter: WaiterId, served: bool) {
+        let Some(home) = self.home.get(&waiter) else { return };
+        let took = now.saturating_sub(home.came);
+        let (function, aim) = (home.function, self.aims[home.class]);
+        if served {
+            let counted = self.counted(function);
+            (counted.served, counted.took) = (counted.served + 1, counted.took + took);
+        }
+        // All queues on the way are a wait, those at workers too.
+        let waited = took.saturating_sub(self.runs.get(&function).copied().unwrap_or(took));
+        let ended = match served {
+            true if took <= aim => Ended::Served(waited),
+            true => Ended::Late(waited),
+            false => Ended::Failed,
+        };
+        self.answered(now, waiter, ended);
+    }
+
+    fn answered(&mut self, _now: Micros, waiter: WaiterId, ended: Ended) {
+        let Some(home) = self.home.remove(&waiter) else { return };
+        let counted = self.counted(home.function);
+        counted.in_hand = counted.in_hand.saturating_sub(1);
+        self.door.counted(home.class, home.tenant, ended);
+    }
+
+    /// An attempt goes to a worker.
+    pub fn started(&mut self, now: Micros, attempt: AttemptId, function: &FunctionId) {
+        if let Some(at) = self.positions.get(function) {
+            self.out.insert(attempt, (*at, now));
+        }
+    }
+
+    /// An attempt has ended.
+    pub fn attempt_ended(&mut self, now: Micros, attempt: AttemptId, end: &AttemptEnd<Reply>) {
+        let Some((function, began)) = self.out.remove(&attempt) else { return };
+        if end.code == Code::Ok && end.copy == basaltward::CopyNote::Stood {
+            self.counted(function).warm += 1;
+            let (took, run) = (now.saturating_sub(began), self.runs.entry(function).or_insert(Micros::MAX));
+            // A hundredth up with each: what takes longer from now on is believed in time.
+            *run = run.saturating_add(*run / 100).min(took);
+        }
+    }
+
+    /// So many workers are in use.
+    pub fn workers(&mut self, count: usize) {
+        self.workers = count as u32;
+    }
+
+    /// Does what is due; gives the ends of jobs.
+    pub fn wake(&mut self, io: &mut Io, now: Micros) -> Vec<Done> {
+        let mut done = Vec::new();
+        self.links.wake(io, now, &mut done);
+        if now >= self.since + COUNT_US {
+            let span = now - std::mem::replace(&mut self.since, now);
+            let in_hand = self.home.len() as u32;
+            let by: Vec<_> = self.counts.values().copied().collect();
+            // What is in hand stays counted; the rest is of this span.
+            self.counts.retain(|_, counted| {
+                *counted =
+                    Counted { function: counted.function, in_hand: counted.in_hand, ..Counted::default() };
+                counted.in_hand > 0
+            });
+            self.rings.facts.tell(Fact::Routed(Counts { span, by, in_hand, workers: self.workers }));
+            self.rings.facts.tell(Fact::Asked(self.door.take(now, in_hand)));
+            let lost = self.rings.facts.lost();
+            if std::mem::replace(&mut self.lost, lost) < lost {
+                warn!(lost, "the control thread stands still: counts are let go");
+            }
+        }
+        done
+    }
+}
--- a/crates/gateway/src/worker_wire.rs
+++ b/crates/gateway/src/worker_wire.rs
@@ -138,7 +138,7 @@
 }
 
 /// The reply event: what the worker names itself, else named after the event it answers.
-fn reply(response: &Response, event: &Event) -> Reply {
+pub fn reply(response: &Response, event: &Event) -> Reply {
     let headers = &response.headers;
     let own = |name: &str, absent: &dyn Fn() -> String| headers.get(name).map_or_else(absent, str::to_owned);
     let known = ["ce-id", "ce-source", "ce-type", "ce-specversion", "ce-subject", "ce-time", "ce-dataschema"];
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,11 +4,13 @@
 //! out.
 #![warn(missing_docs)]
 
+mod home;
 mod route;
 mod router;
 mod settings;
 mod types;
 
+pub use home::home_by;
 pub use route::Route;
 pub use router::Router;
 pub use settings::{FunctionTold, RouteError, RouteSettings};
