--- /dev/null
+++ b/crates/play/tests/sites.rs
@@ -0,0 +1,107 @@
+//! Gateways of two sites in one process: kept events wait for the other site, and the control thread holds nobody up.
+mod common;
+
+use basaltward_config::{Config, FellowConfig, JournalConfig, KeptConfig, SitesConfig, Unheld};
+use basaltward_play::Bed;
+use basaltward_rules::{Recorder, What};
+use common::*;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+/// A free port at an address that no other test uses.
+fn reserve(host: u8) -> SocketAddr {
+    let own = 1 + (std::process::id() % 250) as u8;
+    let bound = TcpListener::bind((Ipv4Addr::new(127, 90, own, host), 0));
+    bound.and_then(|listener| listener.local_addr()).expect("an address")
+}
+
+/// Settings of each of so many sites of one gateway; all classes are kept by one neighbour.
+fn sites(count: u8, unheld: Unheld, host: u8) -> Vec<Config> {
+    let address = |_: u8| reserve(host);
+    let fellow = |site: u8| FellowConfig {
+        name: format!("g{site}"),
+        site,
+        tell: address(site),
+        front: address(site),
+        journal: address(site),
+    };
+    let fellows: Vec<_> = (0..count).map(fellow).collect();
+    let one = |own: u8| {
+        let us = &fellows[usize::from(own)];
+        let sites = SitesConfig {
+            fleet: "test".into(),
+            listen: us.tell,
+            journal_listen: us.journal,
+            operators: Vec::new(),
+            own: own.into(),
+            names: (0..count).map(|site| format!("s{site}")).collect(),
+            fellows: fellows.clone(),
+            hand_over: true,
+            shed: true,
+            journal: JournalConfig { bytes: 1 << 20, entry_bytes: 8 << 10, lease: 2_000_000 },
+        };
+        let kept = Some(KeptConfig { holders: 1, unheld, owed: false });
+        Config {
+            name: us.name.clone(),
+            listen: us.front,
+            kept: vec![kept; 3],
+            sites: Some(sites),
+            ..config()
+        }
+    };
+    (0..count).map(one).collect()
+}
+
+fn start(config: &Config) -> Bed {
+    Bed::start(config, 1, vec![worker(); 2], Recorder::memory()).expect("a bed")
+}
+
+/// Waits until an event of this function is served: the sites have found each other.
+fn served(to: SocketAddr, function: &str) -> bool {
+    let until = Instant::now() + LONG;
+    let mut tries = 0;
+    while Instant::now() < until {
+        tries += 1;
+        if status(to, function, &format!("{function}-{tries}")) == 200 {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    false
+}
+
+#[test]
+fn kept_events_are_served_once_another_site_holds_them_and_refused_without_one() {
+    let configs = sites(2, Unheld::Refuse, 1);
+    let near = start(&configs[0]);
+    let to = near.addresses[0];
+    for function in FUNCTIONS {
+        assert_eq!(status(to, function, "alone"), 503, "nobody holds it");
+    }
+    let far = start(&configs[1]);
+    assert!(FUNCTIONS.iter().all(|function| served(to, function)));
+    // A repeat of one that was served is answered from the record.
+    let mut client = Client::new(to);
+    client.send(&event("stamp", "once", "", "x"));
+    assert_eq!(client.answer().map(|a| a.status), Some(200));
+    assert_eq!(status(to, "stamp", "once"), 200);
+    far.stop().expect("an orderly end");
+    let (records, breaches) = judge(near);
+    assert_eq!((runs(&records, "once"), runs(&records, "alone"), breaches), (1, 0, Vec::new()));
+}
+
+#[test]
+fn a_control_thread_that_stands_still_harms_no_call_of_other_classes() {
+    let configs = sites(1, Unheld::GoOn, 2);
+    let bed = start(&Config { kept: vec![None; 3], ..configs[0].clone() });
+    let to = bed.addresses[0];
+    assert_eq!(status(to, "view", "before"), 200);
+    bed.gateways[0].iter().for_each(|gateway| gateway.stall_control(Duration::from_secs(3)));
+    let began = Instant::now();
+    for number in 0..50 {
+        assert_eq!(status(to, FUNCTIONS[number % 3], &format!("e{number}")), 200);
+    }
+    assert!(began.elapsed() < Duration::from_secs(2), "calls waited for it: {:?}", began.elapsed());
+    let (records, breaches) = judge(bed);
+    assert!(breaches.is_empty() && records.iter().any(|r| matches!(r.what, What::Gave { .. })));
+}
