Gateway: an event that nobody can hold is refused as such, or answered with kept=false

A client could not tell an event that no neighbour could hold from one that no worker began. Refusal::Unkept has its own text; where the class says go-on the reply carries kept=false.

--- a/crates/engine/src/types.rs
+++ b/crates/engine/src/types.rs
@@ -102,6 +102,8 @@
     NotBegun,
     /// The tenant has no room left to guard against a second run.
     Guards,
+    /// Its class keeps events, and no other gateway can hold this one.
+    Unkept,
     /// This gateway stops.
     Stopping,
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -28,6 +28,8 @@
     pub const HOPS: &str = "hops";
     /// The gateway that handed it over.
     pub const HANDED_BY: &str = "handedby";
+    /// On a reply: `false` where its class keeps events and nobody could hold this one.
+    pub const KEPT: &str = "kept";
     /// In a batch of answers: `served`, `refused` or `failed`.
     pub const OUTCOME: &str = "outcome";
     /// In a batch of answers: the HTTP status that the event alone would have got.
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -2,10 +2,11 @@
 //! sites, an attempt leaves once that is held too and, where it must not run twice, under a lease. Free of I/O: calls,
 //! attempts and words of the control thread in, what may go on out.
 
+use crate::front::extensions::KEPT;
 use crate::sites::digest;
 use crate::worker_wire::Reply;
 use basaltward::{Micros, Repeat};
-use basaltward_cloudevents::{Event, from_json, to_json};
+use basaltward_cloudevents::{Attribute, Event, from_json, to_json};
 use basaltward_config::{KeptConfig, Unheld};
 use basaltward_engine::{Answer, AttemptEnd, AttemptId, Failure, Identity, NewCall, Refusal, WaiterId};
 use basaltward_pending::{Accepted, Again, Key, Outcome, Step};
@@ -61,6 +62,8 @@
     sent: u32,
     /// One of them may have run.
     ran: bool,
+    /// Nobody holds it.
+    bare: bool,
 }
 
 struct Parked {
@@ -124,7 +127,7 @@
     }
 
     fn refusal(class: &KeptConfig) -> Option<Answer<Reply>> {
-        (class.unheld == Unheld::Refuse).then_some(Answer::Refused(Refusal::NotBegun, None))
+        (class.unheld == Unheld::Refuse).then_some(Answer::Refused(Refusal::Unkept, None))
     }
 
     /// A call that this loop owns. `wall` is the wall clock in milliseconds.
@@ -163,7 +166,7 @@
         let until = now + deadline.saturating_sub(now) / HELD_SHARE;
         let state = if waits { State::Waits(Vec::new()) } else { State::Bare };
         self.due.set(if waits { until } else { deadline + CLOSE_US }, key);
-        self.events.insert(key, Kept { state, class, deadline, sent: 0, ran: false });
+        self.events.insert(key, Kept { state, class, deadline, sent: 0, ran: false, bare: !waits });
         if !waits {
             self.waiters.insert(call.waiter, key);
             return Accept::Go(call);
@@ -196,6 +199,7 @@
             return calls.into_iter().map(|call| Then::Answer(call.waiter, answer.clone())).collect();
         }
         event.state = if held { State::Held } else { State::Bare };
+        event.bare = !held;
         self.due.set(event.deadline + CLOSE_US, key);
         self.waiters.extend(calls.iter().map(|call| (call.waiter, key)));
         calls.into_iter().map(Then::Go).collect()
@@ -261,17 +265,22 @@
         }
     }
 
-    /// A client has its answer by the engine.
-    pub fn answered(&mut self, waiter: WaiterId, answer: &Answer<Reply>) {
-        let Some(key) = self.waiters.remove(&waiter) else { return };
-        let Some(event) = self.events.get(&key) else { return };
-        let unsafe_ran = event.ran && self.classes[event.class].1 == Repeat::Unsafe;
+    /// The engine's answer to a client, as it is given: one that nobody held says so.
+    pub fn answered(&mut self, waiter: WaiterId, answer: Answer<Reply>) -> Answer<Reply> {
+        let Some(key) = self.waiters.remove(&waiter) else { return answer };
+        let Some(event) = self.events.get(&key) else { return answer };
+        let (bare, unsafe_ran) = (event.bare, event.ran && self.classes[event.class].1 == Repeat::Unsafe);
         match answer {
             // Its end was written when the attempt ended.
+            Answer::Served(reply) if bare => {
+                let told = Attribute::Boolean(false);
+                return Answer::Served(Reply(Arc::new(Event::clone(&reply.0).with(KEPT, told))));
+            }
             Answer::Served(_) => {}
             Answer::Refused(..) if !unsafe_ran => self.end(key, Outcome::Refused, Vec::new()),
             Answer::Refused(..) | Answer::Failed(_) => self.end(key, Outcome::Failed, Vec::new()),
         }
+        answer
     }
 
     /// A client has left. One whose call waits for its entry takes it along where no other waits with it.
@@ -300,7 +309,7 @@
     pub fn told(&mut self, key: Key, outcome: Outcome, answer: &[u8], now: Micros) {
         let reply = from_json(answer).ok().map(|event| Reply(Arc::new(event)));
         let state = State::Ended(Some((outcome, reply)));
-        let known = Kept { state, class: 0, deadline: now, sent: 0, ran: true };
+        let known = Kept { state, class: 0, deadline: now, sent: 0, ran: true, bare: false };
         if self.events.get(&key).is_none_or(|event| matches!(event.state, State::Ended(_))) {
             self.events.insert(key, known);
             self.forget_oldest(key);
@@ -311,7 +320,8 @@
     pub fn runs(&mut self, call: &NewCall<Event>, sent: u32) {
         let key = Key(digest(&call.identity));
         let (class, deadline) = (call.function.class, call.deadline);
-        self.events.insert(key, Kept { state: State::Held, class, deadline, sent, ran: sent > 0 });
+        let state = State::Held;
+        self.events.insert(key, Kept { state, class, deadline, sent, ran: sent > 0, bare: false });
         self.due.set(deadline + CLOSE_US, key);
         self.waiters.insert(call.waiter, key);
     }
@@ -359,3 +369,129 @@
         then
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use basaltward::{Code, RequestId};
+    use basaltward_engine::Function;
+
+    const S: Micros = 1_000_000;
+
+    fn events(unheld: Unheld, repeat: Repeat) -> KeptEvents {
+        let kept = KeptConfig { holders: 1, unheld, owed: false };
+        KeptEvents::new(vec![(Some(kept), repeat), (None, Repeat::Safe)], 1_000, 2).expect("a class keeps")
+    }
+
+    fn call(waiter: u64, id: &str, class: usize) -> NewCall<Event> {
+        let function = Function { name: "stamp".into(), class, memory_mb: 1.0, lanes: 1, load: None };
+        let identity = Identity { tenant: 0, function: "stamp".into(), source: "/s".into(), id: id.into() };
+        let payload = Arc::new(Event::new(id, "/s", "t"));
+        NewCall { waiter: WaiterId(waiter), identity, function: Arc::new(function), deadline: 8 * S, payload }
+    }
+
+    fn key(id: &str) -> Key {
+        Key(digest(&call(0, id, 0).identity))
+    }
+
+    fn attempt(number: usize) -> AttemptId {
+        AttemptId { request: RequestId(7), number }
+    }
+
+    fn went(then: Vec<Then>) -> Vec<u64> {
+        then.iter().filter_map(|t| if let Then::Go(call) = t { Some(call.waiter.0) } else { None }).collect()
+    }
+
+    fn served() -> AttemptEnd<Reply> {
+        AttemptEnd { reply: Some(Reply(Arc::new(Event::new("r", "/w", "t")))), ..AttemptEnd::bare(Code::Ok) }
+    }
+
+    #[test]
+    fn a_call_and_its_repeats_go_on_once_it_is_held_and_each_step_is_told_once() {
+        let mut kept = events(Unheld::Refuse, Repeat::Unsafe);
+        assert!(matches!(kept.accept((0, 0), call(1, "a", 0)), Accept::Waits));
+        assert!(matches!(kept.accept((0, 0), call(2, "a", 0)), Accept::Waits));
+        assert!(matches!(kept.accept((0, 0), call(3, "b", 1)), Accept::Go(_)), "its class keeps nothing");
+        assert_eq!(kept.steps.len(), 1);
+        assert_eq!(went(kept.held(key("a"), true)), [1, 2]);
+        assert!(went(kept.held(key("a"), true)).is_empty(), "told twice");
+        let identity = call(1, "a", 0).identity;
+        assert!(!kept.start((5, 8 * S), attempt(0), &identity, "w"), "left before it was known to be held");
+        assert!(kept.may(key("a"), 1, Some(S)).is_none(), "the word for another attempt");
+        assert!(matches!(kept.may(key("a"), 0, Some(S)), Some(Then::Leave(id, S)) if id == attempt(0)));
+        kept.attempt_ended(attempt(0), &served());
+        kept.attempt_ended(attempt(0), &served());
+        let ended = kept.steps.iter().filter(|step| matches!(step, Step::Ended { .. })).count();
+        assert_eq!((kept.steps.len(), ended), (3, 1));
+    }
+
+    #[test]
+    fn what_is_not_held_in_time_is_refused_or_goes_on_and_says_so() {
+        let mut kept = events(Unheld::Refuse, Repeat::Safe);
+        kept.accept((0, 0), call(1, "a", 0));
+        assert!(kept.wake(2 * S - 1).is_empty());
+        let then = kept.wake(2 * S);
+        let unkept = Answer::Refused(Refusal::Unkept, None);
+        assert!(matches!(&then[..], [Then::Answer(WaiterId(1), answer)] if *answer == unkept));
+        assert!(matches!(kept.steps.back(), Some(Step::Ended { outcome: Outcome::Refused, .. })));
+
+        let mut kept = events(Unheld::GoOn, Repeat::Safe);
+        kept.accept((0, 0), call(1, "a", 0));
+        assert_eq!(went(kept.held(key("a"), false)), [1]);
+        assert!(kept.start((0, S), attempt(0), &call(1, "a", 0).identity, "w"), "it waits for nobody");
+        let Some(reply) = served().reply else { return };
+        let Answer::Served(told) = kept.answered(WaiterId(1), Answer::Served(reply)) else {
+            panic!("served")
+        };
+        assert_eq!(told.0.extension(KEPT), Some(&Attribute::Boolean(false)));
+    }
+
+    #[test]
+    fn an_attempt_that_never_left_is_known_not_to_have_run() {
+        let mut kept = events(Unheld::Refuse, Repeat::Unsafe);
+        kept.accept((0, 0), call(1, "a", 0));
+        kept.held(key("a"), true);
+        let identity = call(1, "a", 0).identity;
+        kept.start((0, 3 * S), attempt(0), &identity, "w");
+        assert!(matches!(kept.may(key("a"), 0, None), Some(Then::Stay(_))), "no lease");
+        kept.start((0, 3 * S), attempt(1), &identity, "w");
+        assert!(
+            matches!(kept.wake(3 * S)[..], [Then::Stay(id)] if id == attempt(1)),
+            "the control thread is silent"
+        );
+        kept.start((0, 3 * S), attempt(2), &identity, "w");
+        assert!(kept.abort(attempt(2)) && kept.may(key("a"), 2, Some(S)).is_none(), "called off");
+        kept.answered(WaiterId(1), Answer::Refused(Refusal::NotBegun, None));
+        assert!(matches!(kept.steps.back(), Some(Step::Ended { outcome: Outcome::Refused, .. })));
+        // Where one may have run, a refusal by the engine is not told to heirs as one.
+        kept.accept((0, 0), call(2, "b", 0));
+        kept.held(key("b"), true);
+        kept.start((0, 3 * S), attempt(3), &call(2, "b", 0).identity, "w");
+        kept.may(key("b"), 0, Some(S));
+        kept.attempt_ended(attempt(3), &AttemptEnd::bare(Code::Reset));
+        kept.answered(WaiterId(2), Answer::Failed(Failure::MayHaveRun));
+        assert!(matches!(kept.steps.back(), Some(Step::Ended { outcome: Outcome::Failed, .. })));
+    }
+
+    #[test]
+    fn a_repeat_of_an_event_that_heirs_ended_is_told_how_and_old_ends_are_forgotten() {
+        let mut kept = events(Unheld::Refuse, Repeat::Unsafe);
+        for (id, outcome) in [("x", Outcome::Refused), ("a", Outcome::Failed), ("b", Outcome::Failed)] {
+            kept.told(key(id), outcome, &[], 0);
+        }
+        let answer = |kept: &mut KeptEvents, id| match kept.accept((0, 0), call(9, id, 0)) {
+            Accept::Answer(_, answer) => Some(answer),
+            _ => None,
+        };
+        assert_eq!(answer(&mut kept, "a"), Some(Answer::Failed(Failure::MayHaveRun)));
+        assert_eq!(answer(&mut kept, "x"), None, "past the bound");
+    }
+
+    #[test]
+    fn a_control_thread_that_stands_still_bounds_what_waits() {
+        let mut kept = events(Unheld::Refuse, Repeat::Safe);
+        let mut waits =
+            |n: usize| matches!(kept.accept((0, 0), call(n as u64, &n.to_string(), 0)), Accept::Waits);
+        assert_eq!((0..MOST_STEPS + 100).filter(|n| waits(*n)).count(), MOST_STEPS);
+    }
+}
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -36,6 +36,9 @@
             Refusal::TooLate => "too little of the call's time is left to begin it",
             Refusal::NotBegun => "no worker could begin the call in its time; it did not take effect",
             Refusal::Guards => "this tenant has too many recent calls that must not run twice; not begun",
+            Refusal::Unkept => {
+                "no gateway of another site can hold the event, as its class asks; it was not begun"
+            }
             Refusal::Stopping => "this gateway is stopping; send the event to another one",
         };
         let retry_after = wait.map(|w| w.div_ceil(1_000_000));
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -388,9 +388,11 @@
         let Self { io, links, front, .. } = self;
         match output {
             Output::Answer { waiter, answer, attempts, worker, path } => {
-                if let Some(kept) = self.sites.as_mut().and_then(|sites| sites.kept.as_mut()) {
-                    kept.answered(waiter, &answer);
-                }
+                let kept = self.sites.as_mut().and_then(|sites| sites.kept.as_mut());
+                let answer = match kept {
+                    Some(kept) => kept.answered(waiter, answer),
+                    None => answer,
+                };
                 self.deliver(now, waiter, answer, (attempts, worker, path));
                 None
             }
--- a/crates/gateway/src/worker_wire.rs
+++ b/crates/gateway/src/worker_wire.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 /// A worker's reply event, shared by all who wait for it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Reply(pub Arc<Event>);
 
 impl basaltward_engine::Reply for Reply {
