Fellows: links held against cuts, stalls, changed bytes, strangers and earlier lives

An end that gives a connection up says why, as a one-way stall looked like a cut to the end that was told by the close alone. Strangers give way by their age, not by their connection's slot: with 100 silent ones in one turn a fellow's new connection was the one ended.

--- a/crates/fellows/src/counts.rs
+++ b/crates/fellows/src/counts.rs
@@ -23,7 +23,7 @@
     pub cut: u64,
     /// Connections that stood and on which nothing came, or nothing was read: the link or the process stood still.
     pub stalled: u64,
-    /// Connections that could not be made.
+    /// Connections that could not be made, or were refused.
     pub unreached: u64,
     /// Connections ended over a frame or a hello that can't be used.
     pub spoilt: u64,
@@ -35,8 +35,8 @@
     pub(crate) fn end(&mut self, why: LinkError) {
         let count = match why {
             LinkError::Closed | LinkError::Reset | LinkError::Cut(_) => &mut self.cut,
-            LinkError::Silent | LinkError::Unread => &mut self.stalled,
-            LinkError::Unreached => &mut self.unreached,
+            LinkError::Silent | LinkError::Unread | LinkError::Deaf => &mut self.stalled,
+            LinkError::Unreached | LinkError::Refused => &mut self.unreached,
             LinkError::Idle | LinkError::Replaced | LinkError::Stopped => &mut self.put_by,
             _ => &mut self.spoilt,
         };
--- a/crates/fellows/src/error.rs
+++ b/crates/fellows/src/error.rs
@@ -86,9 +86,15 @@
         "replaced by a later connection of the same fellow: look for two processes of one name, if this goes on"
     )]
     Replaced,
-    /// We stop.
-    #[error("ended, as we stop")]
+    /// One of the two stops.
+    #[error("ended, as one of the two stops")]
     Stopped,
+    /// The other end hears nothing of us.
+    #[error("the other end hears nothing of us, though we hear it: the link is stalled one way, look at it")]
+    Deaf,
+    /// The other end has no use for the connection or for what we sent on it.
+    #[error("refused by the other end: its log says why; see that both have the same lists and version")]
+    Refused,
     /// Something else came before the hello, or none in time.
     #[error("no hello came: look who connects here, it is no gateway of this version")]
     NoHello,
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -19,6 +19,7 @@
     view: View,
     life: u64,
     socket: usize,
+    address: SocketAddr,
     /// Where each is reached.
     peers: Vec<SocketAddr>,
     numbers: HashMap<SocketAddr, Number>,
@@ -47,11 +48,12 @@
         let view = View::new(settings, now)?;
         let agreement = Agreement::new(&settings, config, now)?;
         let refused = |why| FellowsError::Datagrams { at: config.listen, why };
-        let (socket, _) = io.datagrams(config.listen).map_err(refused)?;
+        let (socket, address) = io.datagrams(config.listen).map_err(refused)?;
         Ok(Self {
             view,
             life,
             socket,
+            address,
             numbers: numbers(&config.peers),
             peers: config.peers.clone(),
             operators: config.operators.clone(),
@@ -78,6 +80,11 @@
         self.view.tell_fact(now, key, value, stands)
     }
 
+    /// Where datagrams of fellows come.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// The number of the socket that datagrams come to.
     pub fn socket(&self) -> usize {
         self.socket
--- a/crates/fellows/src/ground.rs
+++ b/crates/fellows/src/ground.rs
@@ -31,6 +31,14 @@
     Link(LinkEvent),
 }
 
+/// Each fellow has both addresses.
+fn lists(fellows: &FellowsConfig, links: &[SocketAddr]) -> Result<(), FellowsError> {
+    match (fellows.peers.len(), links.len()) {
+        (told, linked) if told != linked => Err(FellowsError::Addresses(told, linked)),
+        _ => Ok(()),
+    }
+}
+
 /// See the module's page.
 pub struct Ground {
     fellows: Fellows,
@@ -47,10 +55,8 @@
     /// # Errors
     /// Where the configuration can't be used or an address can't be had.
     pub fn open(config: GroundConfig, io: &mut Io, now: Micros) -> Result<Self, FellowsError> {
+        lists(&config.fellows, &config.links.peers)?;
         let (own, size) = (config.fellows.own, config.links.peers.len());
-        if size != config.fellows.peers.len() {
-            return Err(FellowsError::Addresses(config.fellows.peers.len(), size));
-        }
         let fellows = Fellows::open(&config.fellows, io, now)?;
         let refused = |why| FellowsError::Listen { at: config.listen, why };
         let listener = bind(config.listen, false).map_err(refused)?;
@@ -148,6 +154,29 @@
         self.fellows.next_due().min(self.links.next_due())
     }
 
+    /// Another list of fellows: their addresses for datagrams and for connections hold from now on.
+    ///
+    /// # Errors
+    /// Where it can't be used; the one before stands.
+    pub fn reread(
+        &mut self,
+        io: &mut Io,
+        now: Micros,
+        (fellows, peers): (&FellowsConfig, Vec<SocketAddr>),
+    ) -> Result<Vec<GroundEvent>, FellowsError> {
+        lists(fellows, &peers)?;
+        fellows.view(self.life)?;
+        self.fellows.reread(fellows);
+        self.links.reread(io, now, peers, &mut self.came);
+        Ok(self.events())
+    }
+
+    /// Plants a fault: checksums of frames are not looked at.
+    #[doc(hidden)]
+    pub fn plant_unchecked(&mut self) {
+        self.links.plant_unchecked();
+    }
+
     /// We leave, and finish what we have: fellows hear it, links stand.
     pub fn leave(&mut self, io: &mut Io, now: Micros) -> Vec<GroundEvent> {
         self.fellows.leave(io, now, &mut self.told);
--- a/crates/fellows/src/hello.rs
+++ b/crates/fellows/src/hello.rs
@@ -30,6 +30,53 @@
     Ping(u32),
     /// I am.
     Pong(u32),
+    /// I end this, for this cause: the other end can't tell it by the end alone.
+    Bye(Bye),
+}
+
+/// Why an end ends a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Bye {
+    /// Nothing of any room went on it.
+    Idle,
+    /// It hears nothing, or no answers.
+    Silent,
+    /// A later one takes its place.
+    Replaced,
+    /// It stops.
+    Stopped,
+    /// It can't use what came.
+    Spoilt,
+}
+
+impl Bye {
+    /// What to say where we end a connection for this cause; nothing where it has ended by itself.
+    pub fn of(why: LinkError) -> Option<Self> {
+        match why {
+            LinkError::Closed
+            | LinkError::Reset
+            | LinkError::Cut(_)
+            | LinkError::Unreached
+            | LinkError::Refused
+            | LinkError::Deaf => None,
+            LinkError::Idle => Some(Self::Idle),
+            LinkError::Silent | LinkError::Unread => Some(Self::Silent),
+            LinkError::Replaced | LinkError::Earlier => Some(Self::Replaced),
+            LinkError::Stopped => Some(Self::Stopped),
+            _ => Some(Self::Spoilt),
+        }
+    }
+
+    /// The cause where the other end says this.
+    pub fn cause(self) -> LinkError {
+        match self {
+            Self::Idle => LinkError::Idle,
+            Self::Silent => LinkError::Deaf,
+            Self::Replaced => LinkError::Replaced,
+            Self::Stopped => LinkError::Stopped,
+            Self::Spoilt => LinkError::Refused,
+        }
+    }
 }
 
 impl Hello {
--- a/crates/fellows/src/link.rs
+++ b/crates/fellows/src/link.rs
@@ -143,6 +143,7 @@
                         return Ok(Some(Came::Trip(now.saturating_sub(at))));
                     }
                 }
+                (Control::Bye(bye), Some(_)) => return Err(bye.cause()),
                 (Control::Hello(_), Some(_)) => return Err(LinkError::Control),
                 (_, None) => return Err(LinkError::NoHello),
             }
@@ -164,9 +165,10 @@
 
     /// How it ends where the connection does, by this cause.
     pub fn ends(&self, why: LinkError) -> LinkError {
-        match self.decoder.held() {
-            0 => why,
-            held => LinkError::Cut(held),
+        match (self.decoder.held(), self.of, self.toward) {
+            (0, None, Some(_)) if why != LinkError::Unreached => LinkError::Refused,
+            (0, ..) => why,
+            (held, ..) => LinkError::Cut(held),
         }
     }
 
--- a/crates/fellows/src/links.rs
+++ b/crates/fellows/src/links.rs
@@ -6,7 +6,7 @@
 use crate::counts::LinkCounts;
 use crate::error::LinkError;
 use crate::frame::{Decoder, OVERHEAD, write};
-use crate::hello::Control;
+use crate::hello::{Bye, Control};
 use crate::lines::Lines;
 use crate::link::{Came, Link, LinkTimes, Ours};
 use basaltward_fleet::Number;
@@ -14,10 +14,13 @@
 use bytes::{Bytes, BytesMut};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use tracing::{info, warn};
 
+/// A connection with no more than this unsent is ended in order; of more, the memory is wanted back at once.
+const BACKLOG: usize = 64 << 10;
+
 /// Whose frames.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[repr(u8)]
@@ -106,8 +109,8 @@
     links: BTreeMap<ConnId, Link>,
     /// Fellows that frames wait for.
     wanted: BTreeSet<Number>,
-    /// Connections whose end is not known yet, by age.
-    strangers: BTreeSet<(Micros, ConnId)>,
+    /// Connections that came and have said no hello yet, the oldest first.
+    strangers: VecDeque<ConnId>,
     /// Ends of connections that had said no hello.
     refused: u64,
     /// When we last looked.
@@ -128,7 +131,7 @@
             peers,
             links: BTreeMap::new(),
             wanted: BTreeSet::new(),
-            strangers: BTreeSet::new(),
+            strangers: VecDeque::new(),
             refused: 0,
             looked: 0,
             rng: StdRng::seed_from_u64(seed),
@@ -138,8 +141,7 @@
     }
 
     /// Plants a fault: checksums of frames are not looked at.
-    #[doc(hidden)]
-    pub fn plant_unchecked(&mut self) {
+    pub(crate) fn plant_unchecked(&mut self) {
         self.unchecked = true;
     }
 
@@ -239,10 +241,10 @@
         }
         self.look(now);
         self.links.insert(conn, Link::new(None, self.decoder(), now));
-        self.strangers.insert((now, conn));
+        self.strangers.push_back(conn);
         // All fellows may come at once; whoever says nothing gives way to them.
         if self.strangers.len() > self.peers.len() + 16
-            && let Some((_, oldest)) = self.strangers.first().copied()
+            && let Some(oldest) = self.strangers.front().copied()
         {
             self.end(io, now, oldest, LinkError::NoHello, &mut Vec::new());
         }
@@ -355,8 +357,8 @@
 
     /// Ends all of them, once what was given to be sent is written.
     pub fn stop(&mut self, io: &mut Io) {
-        for conn in std::mem::take(&mut self.links).into_keys() {
-            io.close(conn);
+        for (conn, link) in std::mem::take(&mut self.links) {
+            self.leave(io, conn, &link, LinkError::Stopped);
         }
         self.strangers.clear();
         self.wanted.clear();
@@ -366,6 +368,28 @@
         });
     }
 
+    /// Another list: fellows keep their numbers, and those past its end are no more. It has our number in it.
+    pub(crate) fn reread(
+        &mut self,
+        io: &mut Io,
+        now: Micros,
+        peers: Vec<SocketAddr>,
+        out: &mut Vec<LinkEvent>,
+    ) {
+        let past = |link: &Link| {
+            let of = link.of().map(|(of, _)| of).or(link.toward());
+            of.filter(|of| usize::from(*of) >= peers.len())
+        };
+        let past: Vec<_> = self.links.iter().filter_map(|(conn, link)| Some((*conn, past(link)?))).collect();
+        for (conn, of) in past {
+            self.end(io, now, conn, LinkError::Number(of), out);
+        }
+        self.wanted.retain(|of| usize::from(*of) < peers.len());
+        let pause = self.config.pause.0;
+        self.peers.resize_with(peers.len(), || Peer { pause, ..Peer::default() });
+        (self.ours.size, self.config.peers) = (peers.len(), peers);
+    }
+
     /// A loop that has stood still knows nothing of what came meanwhile.
     fn look(&mut self, now: Micros) {
         if now > self.looked + self.config.times.ping * 2 && self.looked > 0 {
@@ -420,6 +444,12 @@
         peer.pause = (pause * 2).min(self.config.pause.1);
     }
 
+    /// Whether a connection that came was nobody's yet; it is no longer.
+    fn forget(&mut self, conn: ConnId) -> bool {
+        let at = self.strangers.iter().position(|stranger| *stranger == conn);
+        at.and_then(|at| self.strangers.remove(at)).is_some()
+    }
+
     /// The other end has said who it is.
     fn met(
         &mut self,
@@ -429,7 +459,7 @@
         (of, life): (Number, u64),
         out: &mut Vec<LinkEvent>,
     ) {
-        let taken = self.strangers.extract_if(.., |(_, stranger)| *stranger == conn).next().is_some();
+        let taken = self.forget(conn);
         let peer = &self.peers[usize::from(of)];
         let others = [peer.made, peer.taken].into_iter().flatten().filter(|other| *other != conn);
         let others: Vec<_> =
@@ -473,19 +503,27 @@
         }
     }
 
+    /// Gives a connection up, and says why where the other end is a fellow and can soon hear it.
+    fn leave(&self, io: &mut Io, conn: ConnId, link: &Link, why: LinkError) {
+        let bye = Bye::of(why).filter(|_| link.of().is_some());
+        match bye.filter(|_| why == LinkError::Stopped || io.unsent(conn) <= BACKLOG) {
+            Some(bye) => {
+                self.say(io, conn, &Control::Bye(bye));
+                io.close(conn);
+            }
+            None => io.abort(conn),
+        }
+    }
+
     /// Ends a connection, by us or by what happened to it.
     fn end(&mut self, io: &mut Io, now: Micros, conn: ConnId, why: LinkError, out: &mut Vec<LinkEvent>) {
         let Some(link) = self.links.remove(&conn) else { return };
-        if why == LinkError::Idle {
-            io.close(conn);
-        } else {
-            io.abort(conn);
-        }
-        self.strangers.retain(|(_, stranger)| *stranger != conn);
-        let of = link.of().map(|(of, _)| of).or(link.toward());
         let from = io.peer_address(conn);
+        self.leave(io, conn, &link, why);
+        self.forget(conn);
+        let of = link.of().map(|(of, _)| of).or(link.toward());
         if self.lines.may(now, "links") {
-            let quiet = matches!(why, LinkError::Idle | LinkError::Closed | LinkError::Stopped);
+            let quiet = matches!(why, LinkError::Idle | LinkError::Stopped);
             if quiet {
                 info!(fellow = of, %why, "link ended")
             } else {
--- /dev/null
+++ b/crates/fellows/tests/links/bed.rs
@@ -0,0 +1,168 @@
+//! Some fellows with a loop each, turned by one thread, so that time passes for them as a test says.
+
+use crate::relay::Relay;
+use basaltward_fellows::{
+    Channel, FellowsConfig, Ground, GroundConfig, GroundEvent, LinkError, LinkEvent, LinksConfig,
+};
+use basaltward_net::{Happened, Io, IoLimits, Micros};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const S: Micros = 1_000_000;
+
+pub struct Fellow {
+    pub io: Io,
+    pub ground: Ground,
+    pub events: Vec<GroundEvent>,
+    /// It does not turn: stopped by a signal, or held up.
+    pub still: bool,
+    pub config: GroundConfig,
+}
+
+pub struct Bed {
+    pub now: Micros,
+    pub fellows: Vec<Fellow>,
+    /// A relay before each, where there is one.
+    pub relays: Vec<Relay>,
+}
+
+impl Fellow {
+    fn new(config: GroundConfig, now: Micros) -> Self {
+        let mut io = Io::new(IoLimits::default()).expect("a loop");
+        let ground = Ground::open(config.clone(), &mut io, now).expect("it opens");
+        Self { io, ground, events: Vec::new(), still: false, config }
+    }
+
+    fn turn(&mut self, now: Micros) {
+        let mut happened = Vec::new();
+        self.io.turn(Some(0), &mut happened).expect("a turn");
+        for happened in happened {
+            assert!(!matches!(happened, Happened::Signal(_)));
+            self.events.extend(self.ground.data(&mut self.io, now, &happened));
+        }
+        if self.ground.next_due() <= now {
+            self.events.extend(self.ground.wake(&mut self.io, now));
+        }
+        self.io.forget_ended();
+    }
+
+    /// Payloads that came from a fellow, in their order.
+    pub fn came(&self, from: u16) -> Vec<Vec<u8>> {
+        let payload = |event: &GroundEvent| match event {
+            GroundEvent::Link(LinkEvent::Frame(of, _, bytes)) if *of == from => Some(bytes.to_vec()),
+            _ => None,
+        };
+        self.events.iter().filter_map(payload).collect()
+    }
+
+    pub fn saw(&self, event: &LinkEvent) -> usize {
+        self.events.iter().filter(|seen| matches!(seen, GroundEvent::Link(link) if link == event)).count()
+    }
+
+    pub fn send(&mut self, now: Micros, to: u16, payload: &[u8]) -> Result<(), LinkError> {
+        self.ground.send(&mut self.io, now, to, (Channel::Pending, payload))
+    }
+}
+
+pub fn config(own: u16, size: usize) -> GroundConfig {
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    // No address yet: datagrams that come there before the list is known are nobody's.
+    let nowhere = vec![SocketAddr::from(([127, 0, 0, 1], 9)); size];
+    let fellows = FellowsConfig {
+        name: "bed".into(),
+        listen: any,
+        peers: nowhere.clone(),
+        own,
+        seed: u64::from(own) + 1,
+        operators: Vec::new(),
+        zones: vec![0; size],
+        bounds: Some(basaltward_agreed::Bounds::default()),
+        version: "1".into(),
+        round_trip: FellowsConfig::ROUND_TRIP,
+    };
+    let links = LinksConfig { frame_bytes: 4 << 10, unsent_bytes: 256 << 10, ..LinksConfig::new(nowhere) };
+    GroundConfig { fellows, listen: any, links }
+}
+
+impl Bed {
+    pub fn new(size: usize) -> Self {
+        Self::with(size, |_| {})
+    }
+
+    pub fn with(size: usize, set: impl Fn(&mut GroundConfig)) -> Self {
+        let now = S;
+        let fellow = |own| {
+            let mut config = config(own, size);
+            set(&mut config);
+            Fellow::new(config, now)
+        };
+        let fellows: Vec<_> = (0..size as u16).map(fellow).collect();
+        let relays = fellows.iter().map(|fellow| Relay::new(fellow.ground.listens())).collect();
+        let mut bed = Self { now, fellows, relays };
+        bed.introduce();
+        bed
+    }
+
+    /// Tells all where all are: connections go through the relays.
+    fn introduce(&mut self) {
+        let peers: Vec<_> = self.fellows.iter_mut().map(|fellow| fellow.ground.fellows().address()).collect();
+        let links: Vec<_> = self.relays.iter().map(Relay::address).collect();
+        for fellow in &mut self.fellows {
+            fellow.config.fellows.peers = peers.clone();
+            let told = (&fellow.config.fellows, links.clone());
+            fellow.ground.reread(&mut fellow.io, self.now, told).expect("the list is good");
+        }
+    }
+
+    /// A fellow dies, and another life of it begins.
+    pub fn restart(&mut self, of: usize) {
+        // Lives are told apart by milliseconds.
+        std::thread::sleep(Duration::from_millis(2));
+        let config = config(of as u16, self.fellows.len());
+        self.fellows[of] = Fellow::new(config, self.now);
+        let mut relay = Relay::new(self.fellows[of].ground.listens());
+        std::mem::swap(&mut self.relays[of], &mut relay);
+        self.introduce();
+    }
+
+    pub fn send(&mut self, from: usize, to: u16, payload: &[u8]) -> Result<(), LinkError> {
+        self.fellows[from].send(self.now, to, payload)
+    }
+
+    fn pump(&mut self) {
+        for fellow in self.fellows.iter_mut().filter(|fellow| !fellow.still) {
+            fellow.turn(self.now);
+        }
+        self.relays.iter_mut().for_each(|relay| relay.pump(self.now));
+    }
+
+    /// Turns until something is so, in no time of theirs.
+    pub fn until(&mut self, what: &str, so: impl Fn(&mut Self) -> bool) {
+        let end = Instant::now() + Duration::from_secs(20);
+        while !so(self) {
+            assert!(Instant::now() < end, "never: {what}");
+            self.pump();
+        }
+    }
+
+    /// Time passes, in steps that no loop takes for standing still.
+    pub fn pass(&mut self, span: Micros) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += 50_000;
+            for _ in 0..3 {
+                self.pump();
+            }
+        }
+    }
+
+    /// Time passes until something is so; gives how much.
+    pub fn pass_until(&mut self, most: Micros, what: &str, so: impl Fn(&Self) -> bool) -> Micros {
+        let began = self.now;
+        while !so(self) {
+            assert!(self.now < began + most, "not in {most}: {what}");
+            self.pass(50_000);
+        }
+        self.now - began
+    }
+}
--- /dev/null
+++ b/crates/fellows/tests/links/main.rs
@@ -0,0 +1,5 @@
+//! Fellows over sockets of the loopback, on clocks of the test's own: what takes seconds there takes none here.
+mod bed;
+mod hostile;
+mod relay;
+mod usual;
--- /dev/null
+++ b/crates/fellows/tests/links/relay.rs
@@ -0,0 +1,95 @@
+//! Stands between two fellows on the way of their connections, and does to the bytes what a link may do.
+
+use basaltward_net::Micros;
+use std::collections::VecDeque;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+/// What is done to bytes on the way; 0 is from whoever made the connection, 1 back to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Bytes come so much later.
+    pub late: Micros,
+    /// Bytes of one way go nowhere, and neither end is told.
+    pub stalled: [bool; 2],
+    /// Connections are closed once so many bytes have gone from whoever made them.
+    pub cut: Option<usize>,
+    /// The byte at this place of each connection is changed.
+    pub changed: Option<usize>,
+}
+
+struct Pair {
+    ends: [TcpStream; 2],
+    on_the_way: [VecDeque<(Micros, Vec<u8>)>; 2],
+    gone: usize,
+}
+
+/// A relay to one fellow.
+pub struct Relay {
+    listener: TcpListener,
+    to: SocketAddr,
+    pairs: Vec<Pair>,
+    pub faults: Faults,
+    /// Connections that came so far.
+    pub came: usize,
+}
+
+impl Relay {
+    pub fn new(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+        listener.set_nonblocking(true).expect("it can be");
+        Self { listener, to, pairs: Vec::new(), faults: Faults::default(), came: 0 }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("it is bound")
+    }
+
+    /// Ends all connections.
+    pub fn cut(&mut self) {
+        self.pairs.clear();
+    }
+
+    pub fn pump(&mut self, now: Micros) {
+        while let Ok((from, _)) = self.listener.accept() {
+            self.came += 1;
+            let to = TcpStream::connect(self.to).expect("a fellow listens");
+            for end in [&from, &to] {
+                end.set_nonblocking(true).expect("it can be");
+                end.set_nodelay(true).expect("it can be");
+            }
+            self.pairs.push(Pair { ends: [from, to], on_the_way: Default::default(), gone: 0 });
+        }
+        let faults = self.faults;
+        self.pairs.retain_mut(|pair| (0..2).all(|way| pair.carry(way, now, &faults)));
+    }
+}
+
+impl Pair {
+    /// False once the connection is over.
+    fn carry(&mut self, way: usize, now: Micros, faults: &Faults) -> bool {
+        let mut bytes = vec![0; 64 << 10];
+        match (&self.ends[way]).read(&mut bytes) {
+            Ok(0) => return false,
+            Ok(length) => self.on_the_way[way].push_back((now + faults.late, bytes[..length].to_vec())),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return false,
+        }
+        while !faults.stalled[way]
+            && let Some((_, mut bytes)) = self.on_the_way[way].pop_front_if(|(at, _)| *at <= now)
+        {
+            if way == 0 {
+                if let Some(byte) = faults.changed.and_then(|at| bytes.get_mut(at.checked_sub(self.gone)?)) {
+                    *byte ^= 0x10;
+                }
+                let left = faults.cut.map_or(usize::MAX, |cut| cut - self.gone);
+                bytes.truncate(left);
+                self.gone += bytes.len();
+            }
+            if (&self.ends[1 - way]).write_all(&bytes).is_err() || faults.cut == Some(self.gone) {
+                return false;
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/fellows/tests/links/usual.rs
@@ -0,0 +1,199 @@
+use crate::bed::Bed;
+use crate::relay::Faults;
+use basaltward_agreed::{Subject, Wish};
+use basaltward_fellows::{Event, GroundEvent, LinkEvent};
+use basaltward_fleet::State;
+
+const S: u64 = 1_000_000;
+
+fn numbered(range: std::ops::Range<u32>) -> Vec<Vec<u8>> {
+    range.map(|number| number.to_le_bytes().to_vec()).collect()
+}
+
+#[test]
+fn frames_go_both_ways_on_the_one_connection_of_whoever_sent_first() {
+    let mut bed = Bed::new(3);
+    numbered(0..500).iter().for_each(|frame| bed.send(0, 1, frame).expect("taken"));
+    bed.until("all there", |bed| bed.fellows[1].came(0).len() == 500);
+    numbered(0..500).iter().for_each(|frame| bed.send(1, 0, frame).expect("taken"));
+    bed.until("all back", |bed| bed.fellows[0].came(1).len() == 500);
+    assert_eq!((bed.fellows[1].came(0), bed.fellows[0].came(1)), (numbered(0..500), numbered(0..500)));
+    assert_eq!(bed.relays.iter().map(|relay| relay.came).collect::<Vec<_>>(), [0, 1, 0]);
+    let life = bed.fellows[0].ground.life();
+    assert_eq!(bed.fellows[1].saw(&LinkEvent::Up(0, life)), 1);
+    // Unused, it is ended by whoever made it, and made anew when there is something to send.
+    bed.pass(31 * S);
+    assert!((0..2).all(|of| bed.fellows[of].ground.links().counts(1 - of as u16).put_by == 1));
+    assert!(bed.fellows.iter().all(|fellow| fellow.ground.links().is_empty()));
+    bed.send(1, 0, b"again").expect("taken");
+    bed.until("on another", |bed| bed.fellows[0].came(1).len() == 501);
+}
+
+#[test]
+fn two_that_send_at_once_lose_and_double_nothing() {
+    let mut bed = Bed::new(2);
+    for number in 0..100u32 {
+        bed.send(0, 1, &number.to_le_bytes()).expect("taken");
+        bed.send(1, 0, &number.to_le_bytes()).expect("taken");
+        bed.pass(50_000);
+    }
+    bed.until("all there", |bed| bed.fellows.iter().all(|f| f.ground.links().len() == 2));
+    assert_eq!((bed.fellows[1].came(0), bed.fellows[0].came(1)), (numbered(0..100), numbered(0..100)));
+    assert!((0..2).all(|of| bed.fellows[of].ground.links().counts(1 - of as u16).ups == 1));
+}
+
+#[test]
+fn a_link_300_ms_late_stands_and_its_round_trip_is_measured() {
+    let mut bed = Bed::new(2);
+    bed.relays[1].faults = Faults { late: 300_000, ..Faults::default() };
+    bed.send(0, 1, b"late").expect("taken");
+    let up = bed.pass_until(3 * S, "it comes", |bed| !bed.fellows[1].came(0).is_empty());
+    assert!((900_000..1_200_000).contains(&up), "hello there and back, then the frame: {up}");
+    bed.pass(10 * S);
+    for (of, other) in [(0, 1), (1, 0)] {
+        let (trip, age) = bed.fellows[of].ground.links().rtt(other, bed.now).expect("measured");
+        assert!((600_000..800_000).contains(&trip) && age <= 2 * S, "{trip} {age}");
+        assert_eq!(bed.fellows[of].ground.links().counts(other).stalled, 0);
+    }
+}
+
+#[test]
+fn a_cut_a_stall_and_a_fellow_that_cannot_be_reached_are_told_apart() {
+    for way in [0, 1] {
+        let mut bed = Bed::new(2);
+        bed.send(0, 1, b"up").expect("taken");
+        bed.until("up", |bed| !bed.fellows[1].came(0).is_empty());
+        bed.relays[1].cut();
+        bed.until("told", |bed| bed.fellows.iter().all(|f| f.ground.links().is_empty()));
+        assert_eq!(bed.fellows[0].saw(&LinkEvent::Down(1)), 1);
+        bed.pass(S);
+        bed.send(0, 1, b"up").expect("taken");
+        bed.until("up", |bed| bed.fellows[1].came(0).len() == 2);
+        bed.pass(3 * S);
+        bed.relays[1].faults.stalled[way] = true;
+        let told = bed.pass_until(6 * S, "told", |bed| bed.fellows[0].saw(&LinkEvent::Down(1)) == 2);
+        assert!((3 * S..=5 * S).contains(&told), "{told}");
+        bed.pass(2 * S);
+        for of in 0..2 {
+            let counts = bed.fellows[of].ground.links().counts(1 - of as u16);
+            assert_eq!((counts.cut, counts.stalled, counts.unreached), (1, 1, 0), "way {way} of {of}");
+        }
+        // What waits for it is told to be lost, and attempts grow rare.
+        bed.relays[1].faults.stalled = [true; 2];
+        for _ in 0..6 {
+            bed.send(0, 1, b"waits").expect("taken");
+            bed.pass(10 * S);
+        }
+        let counts = bed.fellows[0].ground.links().counts(1);
+        assert!(counts.given_up == 6 && (1..=12).contains(&counts.unreached), "{counts:?}");
+        assert_eq!(bed.fellows[0].saw(&LinkEvent::Down(1)), 8);
+        bed.relays[1].cut();
+        bed.relays[1].faults = Faults::default();
+        bed.send(0, 1, b"healed").expect("taken");
+        bed.pass_until(6 * S, "healed", |bed| bed.fellows[1].came(0).last().is_some_and(|f| f == b"healed"));
+    }
+}
+
+#[test]
+fn a_round_trip_is_never_told_shorter_than_what_is_waited_for_now() {
+    let mut bed = Bed::new(2);
+    bed.send(0, 1, b"up").expect("taken");
+    bed.pass(2 * S);
+    bed.relays[1].faults.late = 2 * S;
+    bed.pass(2 * S + 500_000);
+    let (trip, _) = bed.fellows[0].ground.links().rtt(1, bed.now).expect("measured");
+    assert!(trip >= S, "{trip}");
+}
+
+#[test]
+fn one_that_stood_still_doubts_itself_before_its_links() {
+    // The others wait for it.
+    let mut bed = Bed::with(3, |config| config.links.times.silence = 60 * S);
+    bed.send(0, 1, b"up").expect("taken");
+    bed.send(2, 0, b"up").expect("taken");
+    bed.pass(2 * S);
+    bed.fellows[0].still = true;
+    bed.pass(20 * S);
+    bed.fellows[0].still = false;
+    bed.pass(S);
+    for of in [1, 2] {
+        let links = bed.fellows[0].ground.links();
+        let (trip, _) = links.rtt(of, bed.now).expect("measured");
+        assert!(trip < S, "{of}: {trip} with its own 20 s in it");
+        assert_eq!((links.counts(of).ups, links.counts(of).stalled), (1, 0));
+    }
+}
+
+#[test]
+fn one_that_stood_still_is_ended_and_is_well_again() {
+    let mut bed = Bed::new(3);
+    bed.send(0, 1, b"up").expect("taken");
+    bed.send(2, 0, b"up").expect("taken");
+    bed.pass(2 * S);
+    bed.fellows[0].still = true;
+    bed.pass(3 * S);
+    bed.send(2, 0, b"while it stands still").expect("taken");
+    bed.pass(17 * S);
+    assert_eq!(bed.fellows[1].ground.links().counts(0).stalled, 1);
+    assert_eq!(bed.fellows[1].saw(&LinkEvent::Down(0)), 1);
+    bed.fellows[0].still = false;
+    bed.pass(S);
+    assert_eq!(bed.fellows[0].came(2).len(), 2, "what came before is read, however late");
+    for (from, to) in [(0, 1), (1, 0), (2, 0), (0, 2)] {
+        bed.send(from, to, b"well again").expect("taken");
+    }
+    bed.pass_until(6 * S, "all hear one another", |bed| {
+        [(0, 1), (1, 0), (2, 0), (0, 2)].iter().all(|(from, to): &(u16, usize)| {
+            bed.fellows[*to].came(*from).last().is_some_and(|frame| frame == b"well again")
+        })
+    });
+}
+
+#[test]
+fn a_later_life_takes_the_place_of_an_earlier_one() {
+    let mut bed = Bed::new(2);
+    bed.send(0, 1, b"first").expect("taken");
+    bed.until("up", |bed| bed.fellows[1].came(0).len() == 1);
+    // Its end is on its way for as long as the link is cut off.
+    bed.relays[1].faults.stalled = [true; 2];
+    let earlier = bed.fellows[0].ground.life();
+    bed.restart(0);
+    let later = bed.fellows[0].ground.life();
+    assert!(later > earlier);
+    bed.relays[1].faults.stalled = [false; 2];
+    bed.send(0, 1, b"second").expect("taken");
+    bed.until("the later one", |bed| bed.fellows[1].came(0).len() == 2);
+    let seen = bed.fellows[1]
+        .events
+        .iter()
+        .filter(|event| matches!(event, GroundEvent::Link(LinkEvent::Up(..) | LinkEvent::Down(_))));
+    let told = [LinkEvent::Up(0, earlier), LinkEvent::Down(0), LinkEvent::Up(0, later)];
+    assert!(seen.eq(told.map(GroundEvent::Link).iter()));
+}
+
+#[test]
+fn view_facts_and_agreement_come_with_it() {
+    let mut bed = Bed::new(3);
+    let up = |bed: &Bed| bed.fellows.iter().all(|f| f.ground.view().live() == 3);
+    bed.pass_until(20 * S, "all see all", up);
+    let now = bed.now;
+    assert!(bed.fellows[1].ground.tell_fact(now, basaltward_fleet::SHED.start, b"load", 20 * S));
+    bed.pass_until(10 * S, "told", |bed| {
+        bed.fellows[2].ground.fact(bed.now, 1, basaltward_fleet::SHED.start) == Some(b"load")
+    });
+    let known = |bed: &Bed| bed.fellows.iter().all(|f| f.ground.agreed().is_some());
+    bed.pass_until(60 * S, "a foreman", known);
+    let tag = bed.fellows[1].ground.wish(bed.now, Wish::Try(Subject::Scheduler(2))).expect("a part in it");
+    let answered = |bed: &Bed| {
+        bed.fellows[1]
+            .events
+            .iter()
+            .any(|event| matches!(event, GroundEvent::Fellow(Event::Answered { tag: of, .. }) if *of == tag))
+    };
+    bed.pass_until(10 * S, "answered", answered);
+    let (now, last) = (bed.now, &mut bed.fellows[2]);
+    last.ground.stop(&mut last.io, now);
+    bed.pass_until(10 * S, "its end is known", |bed| {
+        bed.fellows[..2].iter().all(|f| f.ground.view().entries()[2].state == State::Stopped)
+    });
+}
