Trial: relays carry late, slow and one way, in order; a process is started as told

Beds of gateways need links with a latency, and processes other than nodes. Each direction of a way has a course: late by so much with jitter, lost pieces a retransmission later, bytes a second, or silent; a byte can be changed once, and calls on a tapped way are read as they cross.

--- a/crates/trial/src/bed.rs
+++ b/crates/trial/src/bed.rs
@@ -164,7 +164,7 @@
             let told = configuration(&spec, i, (listens[i], peers[i], bulletin), &mesh[i], &targets);
             std::fs::write(&config, told.to_string())?;
             let records = folder.join(format!("n{i}.records"));
-            schedulers.push(Process::new(&name(i), &spec.program, &config, &records));
+            schedulers.push(Process::scheduler(&name(i), &spec.program, &config, &records));
         }
         let relay = laying.start(spec.seed)?;
         let (began, faults, clients) = (monotonic(), Vec::new(), None);
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -7,19 +7,24 @@
 
 mod bed;
 mod clients;
+mod course;
 mod judge;
 mod process;
 mod relay;
+mod relaying;
 mod script;
+mod tap;
 mod timeline;
 mod way;
 
 /// What becomes of the datagrams of a way, in one direction: the same as in virtual time.
 pub use basaltward_fleet::Link as Loss;
 pub use bed::{Bed, BedSpec, TrialError};
+pub use course::Course;
 pub use judge::{Fleet, Verdict, judge};
-pub use process::{Change, Process, ProcessError};
+pub use process::{Change, Launch, Process, ProcessError};
 pub use relay::{Counts, Laying, Relay};
 pub use script::{Act, Script, Step, load, run};
+pub use tap::Handed;
 pub use timeline::{lanes, picture};
 pub use way::{Party, Stream, Way};
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -1,11 +1,12 @@
-//! One scheduler as a process: started, stalled, stopped, killed by pid, and started again.
+//! One process of the program: started, stalled, stopped, killed by pid, and started again.
 
 use basaltward_net::{Micros, monotonic};
 use rustix::process::{Pid, Signal, kill_process};
-use std::io::{BufRead, BufReader};
+use std::ffi::OsString;
+use std::io::{BufRead, BufReader, Read};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, sync_channel};
+use std::sync::mpsc::{SyncSender, sync_channel};
 use std::time::Duration;
 use thiserror::Error;
 
@@ -45,12 +46,23 @@
     Crashed,
 }
 
-/// A scheduler's process, or its place while there is none.
+/// How a process is started.
+#[derive(Clone, Debug, Default)]
+pub struct Launch {
+    /// Its arguments.
+    pub args: Vec<OsString>,
+    /// Variables set for it; one without a value is taken away.
+    pub vars: Vec<(String, Option<OsString>)>,
+    /// It serves once it has said a line that holds this.
+    pub says: &'static str,
+}
+
+/// A process of the program, or its place while there is none.
 pub struct Process {
     name: String,
     program: PathBuf,
-    config: PathBuf,
-    records: PathBuf,
+    /// How its next start is made.
+    pub launch: Launch,
     child: Option<Child>,
     stalled: bool,
     /// What became of it, with the time.
@@ -58,10 +70,18 @@
 }
 
 impl Process {
+    /// A place for a process of this program.
+    pub fn new(name: &str, program: &Path, launch: Launch) -> Self {
+        let (name, program) = (name.into(), program.into());
+        Self { name, program, launch, child: None, stalled: false, changes: Vec::new() }
+    }
+
     /// A place for a scheduler of this program and configuration, whose records go to a file.
-    pub fn new(name: &str, program: &Path, config: &Path, records: &Path) -> Self {
-        let (program, config, records) = (program.into(), config.into(), records.into());
-        Self { name: name.into(), program, config, records, child: None, stalled: false, changes: Vec::new() }
+    pub fn scheduler(name: &str, program: &Path, config: &Path, records: &Path) -> Self {
+        let mut args: Vec<OsString> = ["--log", "info", "node", "--records"].map(Into::into).to_vec();
+        args.push(records.into());
+        let vars = vec![("NODE_CONFIG".into(), Some(config.into())), ("NODE_LISTEN".into(), None)];
+        Self::new(name, program, Launch { args, vars, says: "serving" })
     }
 
     /// Another program from its next start on.
@@ -71,7 +91,11 @@
 
     /// A place for a second one under the same name and configuration.
     pub fn twin(&self) -> Self {
-        Self::new(&self.name, &self.program, &self.config, &self.records.with_extension("twin"))
+        let mut launch = self.launch.clone();
+        if let Some(records) = launch.args.last_mut() {
+            *records = PathBuf::from(&*records).with_extension("twin").into();
+        }
+        Self::new(&self.name, &self.program, launch)
     }
 
     /// Its process id, while there is one.
@@ -95,22 +119,28 @@
     pub fn start(&mut self) -> Result<(), ProcessError> {
         self.kill();
         let mut command = Command::new(&self.program);
-        command.args(["--log", "info", "node", "--records"]).arg(&self.records);
-        command.env("NODE_CONFIG", &self.config).env_remove("NODE_LISTEN");
-        let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
-        let lines = child.stderr.take().map(BufReader::new);
+        command.args(&self.launch.args);
+        for (name, value) in &self.launch.vars {
+            match value {
+                Some(value) => command.env(name, value),
+                None => command.env_remove(name),
+            };
+        }
+        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
+        let (tell, serving) = sync_channel(1);
+        let streams =
+            [child.stdout.take().map(|s| Box::new(s) as _), child.stderr.take().map(|s| Box::new(s) as _)];
         self.child = Some(child);
-        let serving = said(lines.into_iter().flat_map(BufRead::lines), "serving");
-        match serving.recv_timeout(PATIENCE) {
-            Ok(()) => {
-                self.note(Change::Up);
-                Ok(())
-            }
-            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
-                self.kill();
-                Err(ProcessError::NotUp(self.name.clone()))
-            }
+        for stream in streams.into_iter().flatten() {
+            listen(stream, self.launch.says, tell.clone());
         }
+        drop(tell);
+        if serving.recv_timeout(PATIENCE).is_ok() {
+            self.note(Change::Up);
+            return Ok(());
+        }
+        self.kill();
+        Err(ProcessError::NotUp(self.name.clone()))
     }
 
     fn signal(&self, signal: Signal) {
@@ -195,18 +225,14 @@
     }
 }
 
-/// Reads lines away on a thread of its own; tells once when one holds a word.
-fn said(
-    lines: impl Iterator<Item = std::io::Result<String>> + Send + 'static,
-    word: &'static str,
-) -> Receiver<()> {
-    let (tell, told) = sync_channel(1);
+/// Reads lines away on a thread of its own; tells once one holds a word.
+fn listen(stream: Box<dyn Read + Send>, word: &'static str, tell: SyncSender<()>) {
     std::thread::spawn(move || {
-        for line in lines.map_while(Result::ok) {
-            if line.contains(word) {
+        let mut tell = Some(tell);
+        for line in BufReader::new(stream).lines().map_while(Result::ok) {
+            if let Some(tell) = tell.take_if(|_| line.contains(word)) {
                 let _ = tell.try_send(());
             }
         }
     });
-    told
 }
--- a/crates/trial/src/relay.rs
+++ b/crates/trial/src/relay.rs
@@ -5,23 +5,18 @@
 //! its sender.
 
 use crate::Loss;
+use crate::course::Course;
+use crate::relaying::Running;
+use crate::tap::Handed;
 use crate::way::{Party, Stream, Way};
-use basaltward_net::{ConnId, End, Happened, Io, IoLimits, Micros, NetError, Waker, bind, monotonic};
-use basaltward_timers::Timers;
+use basaltward_net::{Io, IoLimits, Micros, NetError, Waker, bind};
 use crossbeam_queue::SegQueue;
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 
-/// Longer datagrams than the platform allows are counted, and carried: the judge says what is wrong with them.
-const DATAGRAM: usize = 2_048;
-/// What the platform allows.
-const ALLOWED: usize = 256;
-
 /// What crossed one way, from who began to who was reached.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -37,42 +32,58 @@
     pub too_long: u64,
     /// From an address that is not the sender's.
     pub strange: u64,
+    /// Bytes that the relay has changed.
+    pub changed: u64,
     /// When anything was last carried.
     pub last: Micros,
 }
 
-struct Route {
-    way: Way,
-    address: SocketAddr,
-    target: SocketAddr,
+pub(crate) struct Route {
+    pub way: Way,
+    pub address: SocketAddr,
+    pub target: SocketAddr,
     /// Where connections go out from.
-    from: Option<IpAddr>,
-    listener: Option<usize>,
-    stream: Stream,
+    pub from: Option<IpAddr>,
+    pub listener: Option<usize>,
+    pub stream: Stream,
+    /// From who began, and back.
+    pub courses: [Course; 2],
+    /// When all that was sent so far has left, in each direction, where its rate has a bound.
+    pub free: [Micros; 2],
+    /// The next bytes from who began are changed.
+    pub change: bool,
+    /// Calls on it are read.
+    pub tapped: bool,
+    /// Pieces so far: how late each is follows from the seed and this.
+    pub count: u64,
 }
 
 /// A socket that one scheduler takes for another.
-struct Pair {
-    way: Way,
+pub(crate) struct Pair {
+    pub way: Way,
     /// Who sends to it.
-    sender: SocketAddr,
+    pub sender: SocketAddr,
     /// Its number among the sockets of the loop, and that of the one its datagrams leave from.
-    out: usize,
-    target: SocketAddr,
-    loss: Loss,
+    pub out: usize,
+    pub target: SocketAddr,
+    pub loss: Loss,
     /// Datagrams of this way so far: what becomes of each follows from the seed and this.
-    count: u64,
+    pub count: u64,
 }
 
-enum Command {
+pub(crate) enum Command {
     Stream(Way, Stream),
+    Courses(Way, [Course; 2]),
+    Change(Way),
     Loss(Way, Loss),
     Stop,
 }
 
-struct Shared {
-    commands: SegQueue<(Command, SyncSender<()>)>,
-    counts: Mutex<BTreeMap<Way, Counts>>,
+#[derive(Default)]
+pub(crate) struct Shared {
+    pub commands: SegQueue<(Command, SyncSender<()>)>,
+    pub counts: Mutex<BTreeMap<Way, Counts>>,
+    pub handed: Mutex<Vec<Handed>>,
 }
 
 /// Tells the relays from outside.
@@ -110,11 +121,27 @@
         from: Option<IpAddr>,
     ) -> Result<SocketAddr, NetError> {
         let (number, address) = self.io.listen(bind(([127, 0, 0, 1], 0).into(), false)?)?;
-        let (listener, stream) = (Some(number), Stream::Pass);
-        self.routes.push(Route { way, address, target, from, listener, stream });
+        self.routes.push(Route {
+            way,
+            address,
+            target,
+            from,
+            listener: Some(number),
+            stream: Stream::Pass,
+            courses: Default::default(),
+            free: [0; 2],
+            change: false,
+            tapped: false,
+            count: 0,
+        });
         Ok(address)
     }
 
+    /// Has the calls on the way laid last read as they cross it.
+    pub fn tap(&mut self) {
+        self.routes.iter_mut().last().into_iter().for_each(|route| route.tapped = true);
+    }
+
     /// Ways for datagrams between all of these; gives for each where it reaches the others, by number, its own
     /// address in its own place.
     ///
@@ -147,22 +174,9 @@
     /// # Errors
     /// Where the system refuses the thread.
     pub fn start(self, seed: u64) -> Result<Relay, NetError> {
-        let shared = Arc::new(Shared { commands: SegQueue::new(), counts: Mutex::default() });
+        let shared = Arc::new(Shared::default());
         let waker = self.io.waker();
-        let of = |(number, route): (usize, &Route)| Some((route.listener?, number));
-        let listeners = self.routes.iter().enumerate().filter_map(of).collect();
-        let running = Running {
-            io: self.io,
-            routes: self.routes,
-            pairs: self.pairs,
-            listeners,
-            halves: HashMap::new(),
-            due: Timers::default(),
-            waiting: HashMap::new(),
-            sequence: 0,
-            seed,
-            shared: shared.clone(),
-        };
+        let running = Running::new(self.io, (self.routes, self.pairs), seed, shared.clone());
         let thread = std::thread::Builder::new().name("relays".into()).spawn(|| running.run())?;
         Ok(Relay { shared, waker, thread: Some(thread) })
     }
@@ -182,6 +196,16 @@
         self.tell(Command::Stream(way, stream));
     }
 
+    /// How bytes of a way travel from now on, from who began and back.
+    pub fn courses(&self, way: Way, courses: [Course; 2]) {
+        self.tell(Command::Courses(way, courses));
+    }
+
+    /// The next bytes of a way from who began are changed: one of them, once.
+    pub fn change(&self, way: Way) {
+        self.tell(Command::Change(way));
+    }
+
     /// What becomes of the datagrams of a way, from now on.
     pub fn loss(&self, way: Way, loss: Loss) {
         self.tell(Command::Loss(way, loss));
@@ -191,6 +215,11 @@
     pub fn counts(&self) -> BTreeMap<Way, Counts> {
         self.shared.counts.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
+
+    /// The calls that have crossed tapped ways so far.
+    pub fn handed(&self) -> Vec<Handed> {
+        self.shared.handed.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
 }
 
 impl Drop for Relay {
@@ -201,196 +230,3 @@
         }
     }
 }
-
-/// One half of a relayed connection.
-struct Half {
-    route: usize,
-    other: ConnId,
-    /// The half that was accepted.
-    near: bool,
-    /// It ended while its way was stalled: the other half does not hear of it before the way is taken up.
-    ended: Option<End>,
-}
-
-struct Running {
-    io: Io,
-    routes: Vec<Route>,
-    pairs: Vec<Pair>,
-    /// Routes by the number of their listener.
-    listeners: HashMap<usize, usize>,
-    halves: HashMap<ConnId, Half>,
-    /// Datagrams on their way.
-    due: Timers<u64>,
-    waiting: HashMap<u64, (usize, Vec<u8>)>,
-    sequence: u64,
-    seed: u64,
-    shared: Arc<Shared>,
-}
-
-impl Running {
-    fn run(mut self) -> Result<(), NetError> {
-        let mut happened = Vec::new();
-        loop {
-            let now = monotonic();
-            let wait = self.due.next().map_or(1_000_000, |at| at.saturating_sub(now));
-            self.io.turn(Some(wait), &mut happened)?;
-            for happened in happened.drain(..) {
-                self.take(happened);
-            }
-            self.io.forget_ended();
-            let now = monotonic();
-            while let Some((_, id)) = self.due.due(now) {
-                if let Some((pair, bytes)) = self.waiting.remove(&id) {
-                    let Pair { out, target, way, .. } = self.pairs[pair];
-                    let sent = self.io.send_to(out, target, &bytes);
-                    self.count(way, |c| c.delivered += u64::from(sent));
-                }
-            }
-            while let Some((command, done)) = self.shared.commands.pop() {
-                match command {
-                    Command::Stream(way, stream) => self.set(way, stream)?,
-                    Command::Loss(way, loss) => {
-                        self.pairs.iter_mut().filter(|p| p.way == way).for_each(|p| p.loss = loss);
-                    }
-                    Command::Stop => return Ok(()),
-                }
-                let _ = done.send(());
-            }
-        }
-    }
-
-    fn count(&self, way: Way, change: impl FnOnce(&mut Counts)) {
-        let mut counts = self.shared.counts.lock().unwrap_or_else(PoisonError::into_inner);
-        let counts = counts.entry(way).or_default();
-        change(counts);
-        counts.last = monotonic();
-    }
-
-    fn set(&mut self, way: Way, stream: Stream) -> Result<(), NetError> {
-        for number in 0..self.routes.len() {
-            let route = &mut self.routes[number];
-            if route.way != way || route.stream == stream {
-                continue;
-            }
-            route.stream = stream;
-            if stream == Stream::Refuse {
-                if let Some(listener) = route.listener.take() {
-                    self.io.stop_listening(listener);
-                }
-                let here = |(id, half): (&ConnId, &Half)| (half.route == number).then_some(*id);
-                let all: Vec<_> = self.halves.iter().filter_map(here).collect();
-                for id in all {
-                    self.halves.remove(&id);
-                    self.io.reset(id);
-                }
-            } else if route.listener.is_none() {
-                let (listener, _) = self.io.listen(bind(route.address, false)?)?;
-                self.routes[number].listener = Some(listener);
-                self.listeners.insert(listener, number);
-            }
-            if stream == Stream::Pass {
-                let here = |(id, half): (&ConnId, &Half)| (half.route == number).then_some(*id);
-                let all: Vec<_> = self.halves.iter().filter_map(here).collect();
-                for id in all {
-                    self.carry(id);
-                    if let Some(how) = self.halves.get(&id).and_then(|half| half.ended) {
-                        self.ended(id, how);
-                    }
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn take(&mut self, happened: Happened) {
-        match happened {
-            Happened::Accepted { conn, listener } => self.accepted(conn, listener),
-            Happened::Connected(conn) | Happened::Data(conn) => self.carry(conn),
-            Happened::Drained(conn) => {
-                if let Some(other) = self.halves.get(&conn).map(|half| half.other) {
-                    self.carry(other);
-                }
-            }
-            Happened::Ended(conn, how) => self.ended(conn, how),
-            Happened::Datagrams(number) => self.datagrams(number),
-            Happened::Signal(_) | Happened::Woken => {}
-        }
-    }
-
-    fn accepted(&mut self, conn: ConnId, listener: usize) {
-        let Some(number) = self.listeners.get(&listener).copied() else { return self.io.reset(conn) };
-        let Route { way, target, from, .. } = self.routes[number];
-        let port = self.io.peer_address(conn).map_or(0, |peer| peer.port());
-        let kept = from.and_then(|ip| self.io.connect_from(Some((ip, port).into()), target).ok());
-        // The port may be in use there: the connection then has a name of its own, and only that.
-        let plain = || from.and_then(|ip| self.io.connect_from(Some((ip, 0).into()), target).ok());
-        let other = kept.or_else(plain).or_else(|| self.io.connect(target).ok());
-        let Some(other) = other else { return self.io.reset(conn) };
-        self.halves.insert(conn, Half { route: number, other, near: true, ended: None });
-        self.halves.insert(other, Half { route: number, other: conn, near: false, ended: None });
-        self.count(way, |c| c.connections += 1);
-    }
-
-    /// Moves what has come on one half to the other.
-    fn carry(&mut self, conn: ConnId) {
-        let Some(Half { route, other, near, .. }) = self.halves.get(&conn) else { return };
-        let (way, stream, other, near) = (self.routes[*route].way, self.routes[*route].stream, *other, *near);
-        if stream != Stream::Pass {
-            return;
-        }
-        let Some(input) = self.io.input(conn) else { return };
-        let bytes = std::mem::take(input);
-        if bytes.is_empty() {
-            return;
-        }
-        let Some(output) = self.io.output(other) else { return };
-        output.extend_from_slice(&bytes);
-        self.io.pause(conn, false);
-        let length = bytes.len() as u64;
-        self.count(way, |c| if near { c.bytes.0 += length } else { c.bytes.1 += length });
-    }
-
-    fn ended(&mut self, conn: ConnId, how: End) {
-        let Some(half) = self.halves.get_mut(&conn) else { return };
-        if self.routes[half.route].stream == Stream::Stall {
-            half.ended = Some(how);
-            return;
-        }
-        self.carry(conn);
-        let Some(half) = self.halves.remove(&conn) else { return };
-        self.halves.remove(&half.other);
-        if how == End::Closed { self.io.close(half.other) } else { self.io.reset(half.other) }
-    }
-
-    fn datagrams(&mut self, number: usize) {
-        let mut bytes = [0; DATAGRAM];
-        while let Some((length, from)) = self.io.receive(number, &mut bytes) {
-            let Some(pair) = self.pairs.get_mut(number) else { return };
-            let Pair { way, sender, loss, .. } = *pair;
-            if from != sender {
-                self.count(way, |c| c.strange += 1);
-                continue;
-            }
-            pair.count += 1;
-            // Of this datagram alone: what others do changes nothing for it.
-            let mut rng = StdRng::seed_from_u64(self.seed ^ (number as u64) << 40 ^ pair.count);
-            let copies = match (rng.random::<f64>(), rng.random::<f64>()) {
-                (lost, _) if lost < loss.lost => 0,
-                (_, doubled) if doubled < loss.doubled => 2,
-                _ => 1,
-            };
-            let now = monotonic();
-            for _ in 0..copies {
-                let late = rng.random_range(loss.late.0..=loss.late.1.max(loss.late.0));
-                self.sequence += 1;
-                self.due.set(now + late, self.sequence);
-                self.waiting.insert(self.sequence, (number, bytes[..length].to_vec()));
-            }
-            self.count(way, |c| {
-                c.datagrams.0 += 1;
-                c.datagrams.1 += length as u64;
-                c.too_long += u64::from(length > ALLOWED);
-            });
-        }
-    }
-}
