Trial: a bed of sites, gateways and workers each a process of its own

basaltward trial runs sites by a script: serve and worker processes with settings as an operator writes them, a relay on every way (datagrams, fronts and journals between gateways, workers, clients), links between sites with delay, jitter, loss, throttle, one way, cut and stalled, sites, gateways and workers killed, stopped and stalled, and load by site. The judge looks at all processes as one: the five rules, one effect, one hop, one end of each kept event.

--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -51,7 +51,7 @@
         patience: 2_500_000,
         work: Some(load.work),
         payload: 100,
-        retries: Retries { most: load.retries, wait: 100_000, leave_after: None, after_failure: false },
+        retries: Retries { most: load.retries, wait: 100_000, ..Retries::default() },
     }
 }
 
--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -1,14 +1,25 @@
 use crate::args::Trial as Options;
 use crate::{Failed, records};
 use basaltward_net::monotonic;
-use basaltward_trial::{judge, lanes, load, picture, run as play};
+use basaltward_rules::Record;
+use basaltward_trial::{
+    Party, Script, SitesScript, SitesVerdict, Told, Verdict, judge, judge_sites, lanes, load, picture,
+    run as play, run_sites,
+};
 use std::fs::{create_dir_all, write};
 
-/// Runs a fleet of processes of this program by a script and judges it.
+/// Runs processes of this program by a script and judges them.
 pub fn run(options: &Options) -> Result<(), Failed> {
     let program = std::env::current_exe()?;
-    let script =
+    let told =
         load(&options.script, &program, options.seed).map_err(|error| Failed::Input(error.to_string()))?;
+    match told {
+        Told::Fleet(script) => fleet(options, &script),
+        Told::Sites(script) => sites(options, &script),
+    }
+}
+
+fn fleet(options: &Options, script: &Script) -> Result<(), Failed> {
     let fleet = &script.fleet;
     println!(
         "{}: {} schedulers, {} workers, {} steps, seed {}",
@@ -18,13 +29,65 @@
         script.steps.len(),
         fleet.seed
     );
-    let mut bed = play(&script)?;
+    let mut bed = play(script)?;
     let end = monotonic();
     let all = bed.finish()?;
     let verdict = judge(&bed, &all);
-    let lanes = lanes(&bed, end);
+    let parties = bed.schedulers.iter().enumerate().map(|(i, process)| (Party::Scheduler(i), process));
+    keep(options, &all, &lanes(parties, &bed.ways.faults, (bed.began, end)))?;
+    tell(&verdict)
+}
+
+fn sites(options: &Options, script: &SitesScript) -> Result<(), Failed> {
+    let spec = &script.spec;
+    println!(
+        "{}: {} sites, {} gateways, {} workers, {} steps, seed {}",
+        options.script.display(),
+        spec.sites.len(),
+        spec.gateways().len(),
+        spec.workers().len(),
+        script.steps.len(),
+        spec.seed
+    );
+    let mut bed = run_sites(script)?;
+    let end = monotonic();
+    let (all, _) = bed.finish()?;
+    let told = judge_sites(&bed, &all);
+    let gateways = bed.gateways.iter().enumerate().map(|(i, process)| (Party::Scheduler(i), process));
+    let workers = bed.workers.iter().enumerate().map(|(w, process)| (Party::Worker(w), process));
+    keep(options, &all, &lanes(gateways.chain(workers), &bed.ways.faults, (bed.began, end)))?;
+    shares(script, &told);
+    tell(&told.verdict)
+}
+
+/// What was asked at each site, and where it ran.
+fn shares(script: &SitesScript, told: &SitesVerdict) {
+    let names: Vec<&str> = script.spec.sites.iter().map(|site| site.name.as_str()).collect();
+    for (name, site) in names.iter().zip(&told.sites) {
+        let ran: Vec<_> =
+            names.iter().zip(&site.ran_at).map(|(at, count)| format!("{count} at {at}")).collect();
+        println!(
+            "asked at {name}: {}, served {}, refused {}, failed {}; ran {}; handed over {}; \
+             p50 {:.1} ms, p99 {:.1} ms",
+            site.asked,
+            site.served,
+            site.refused,
+            site.failed,
+            ran.join(", "),
+            site.handed,
+            site.latency(0.5) as f64 / 1e3,
+            site.latency(0.99) as f64 / 1e3
+        );
+    }
+    let (kept, ends) = &told.kept;
+    let ends: Vec<_> = ends.iter().map(|(how, count)| format!(", {how} {count}")).collect();
+    println!("kept events acknowledged {kept}{}", ends.concat());
+}
+
+/// The timeline, and files of it and of all records where they are wanted.
+fn keep(options: &Options, all: &[Record], lanes: &[basaltward_trial::Lane]) -> Result<(), Failed> {
     let mut text = String::new();
-    for (name, spells) in &lanes {
+    for (name, spells) in lanes {
         text += name;
         for spell in spells {
             text += &format!("  {} {}-{}", spell.what, spell.from / 1_000, spell.until / 1_000);
@@ -33,11 +96,15 @@
     }
     if let Some(folder) = &options.records {
         create_dir_all(folder)?;
-        records::write(&folder.join("records"), &all)?;
+        records::write(&folder.join("records"), all)?;
         write(folder.join("timeline.txt"), &text)?;
-        write(folder.join("timeline.svg"), picture(&lanes))?;
+        write(folder.join("timeline.svg"), picture(lanes))?;
     }
     print!("{text}");
+    Ok(())
+}
+
+fn tell(verdict: &Verdict) -> Result<(), Failed> {
     let (asked, served, refused, failed) = verdict.calls;
     println!(
         "calls {asked}: served {served}, refused {refused}, failed {failed}, excused {}",
--- a/crates/cli/tests/trial.rs
+++ b/crates/cli/tests/trial.rs
@@ -1,7 +1,7 @@
 //! Many processes of the program with faults between them, and faults planted that the judge must find.
 use basaltward_fleet::{Part, State};
 use basaltward_trial::{
-    Bed, BedSpec, Change, Fleet, Loss, Party, Script, Stream, Verdict, Way, judge, load, run,
+    Bed, BedSpec, Change, Fleet, Loss, Party, Script, Stream, Told, Verdict, Way, judge, load, run,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::path::Path;
@@ -29,8 +29,10 @@
 
 #[test]
 fn eight_processes_keep_the_rules_while_parts_fail() {
-    let Script { fleet, span, steps } =
-        load(Path::new(EIGHT), Path::new(env!("CARGO_BIN_EXE_basaltward")), Some(3)).expect("a good script");
+    let told = load(Path::new(EIGHT), Path::new(env!("CARGO_BIN_EXE_basaltward")), Some(3));
+    let Told::Fleet(Script { fleet, span, steps }) = told.expect("a good script") else {
+        panic!("a script of a fleet");
+    };
     let bed = run(&Script { fleet, span, steps }).expect("it runs");
     let (bed, verdict) = finished(bed);
     assert!(verdict.is_good(), "{:?} {:?}", verdict.rules, verdict.fleet);
@@ -118,7 +120,7 @@
     ran(&bed, 500);
     let (bed, verdict) = finished(bed);
     assert!(verdict.is_good(), "{:?} {:?}", verdict.rules, verdict.fleet);
-    assert!(bed.leaks.is_empty());
+    assert!(bed.ways.leaks.is_empty());
     assert_eq!(verdict.excused, 0);
 }
 
@@ -167,7 +169,7 @@
     assert_eq!(left, State::Stopped);
     let (bed, verdict) = finished(bed);
     assert!(verdict.is_good(), "{:?} {:?}", verdict.rules, verdict.fleet);
-    let crossed: u64 = bed.relay.counts().values().map(|c| c.datagrams.0).sum();
+    let crossed: u64 = bed.ways.relay.counts().values().map(|c| c.datagrams.0).sum();
     assert!(crossed > 500, "{crossed} datagrams crossed the relays");
 }
 
@@ -180,7 +182,7 @@
     let reached = bed.reach(0, 1);
     let stranger = std::net::UdpSocket::bind("127.0.0.1:0").expect("bound");
     stranger.send_to(b"\x01 not of us", reached).expect("sent");
-    let strange = |bed: &Bed| bed.relay.counts().values().map(|c| c.strange).sum::<u64>();
+    let strange = |bed: &Bed| bed.ways.relay.counts().values().map(|c| c.strange).sum::<u64>();
     let until = std::time::Instant::now() + AGREE;
     while strange(&bed) == 0 && std::time::Instant::now() < until {
         std::thread::sleep(Duration::from_millis(5));
--- a/crates/play/src/calls.rs
+++ b/crates/play/src/calls.rs
@@ -63,7 +63,7 @@
     });
     match spell.filter(|(share, ..)| rng.random_bool(*share)) {
         Some((_, leave, repeats)) => {
-            Retries { most: repeats, wait: 0, leave_after: Some(leave), after_failure: false }
+            Retries { most: repeats, wait: 0, leave_after: Some(leave), ..Retries::default() }
         }
         None => Retries { after_failure: safe, ..script.retries },
     }
--- a/crates/play/src/script.rs
+++ b/crates/play/src/script.rs
@@ -144,8 +144,7 @@
         retries: Retries {
             most: number(&clients, "retries", 0.0, faults) as u32,
             wait: micros(number(&clients, "retry-wait-ms", 100.0, faults)),
-            leave_after: None,
-            after_failure: false,
+            ..Retries::default()
         },
         least_patience: number(&clients, "least-patience", 1.0, faults),
         steps,
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -24,6 +24,8 @@
     pub leave_after: Option<Micros>,
     /// A failure may be repeated too, not just a refusal or a broken connection.
     pub after_failure: bool,
+    /// Where a refusal says when to come again, it waits for so long in place of `wait`.
+    pub honour: bool,
 }
 
 /// One event to be sent.
@@ -104,6 +106,8 @@
 pub struct Clients {
     io: Io,
     gateways: Vec<SocketAddr>,
+    /// How records name them.
+    named: Vec<SocketAddr>,
     recorder: Recorder,
     plans: Vec<Plan>,
     progress: Vec<Progress>,
@@ -122,10 +126,23 @@
     /// # Errors
     /// Where the system refuses a loop.
     pub fn new(gateways: Vec<SocketAddr>, recorder: Recorder) -> Result<Self, NetError> {
+        Self::through(gateways.clone(), gateways, recorder)
+    }
+
+    /// Clients that reach gateways at other addresses than these have themselves, by which records name them.
+    ///
+    /// # Errors
+    /// Where the system refuses a loop.
+    pub fn through(
+        gateways: Vec<SocketAddr>,
+        named: Vec<SocketAddr>,
+        recorder: Recorder,
+    ) -> Result<Self, NetError> {
         Ok(Self {
             io: Io::new(IoLimits { connections: 50_000, ..IoLimits::default() })?,
             idle: gateways.iter().map(|_| Vec::new()).collect(),
             gateways,
+            named,
             recorder,
             plans: Vec::new(),
             progress: Vec::new(),
@@ -247,7 +264,7 @@
                 event: format!("/clients#{}", plan.id),
                 class: plan.class.clone(),
                 tenant: plan.tenant.clone(),
-                to: host,
+                to: self.named[gateway].to_string(),
                 deadline,
             };
             self.recorder.put(now, "clients", what);
@@ -302,7 +319,10 @@
             self.tally.latencies.push(now - progress.first.unwrap_or(now));
         }
         let repeat = answer == Final::Refused || answer == Final::Failed && plan.retries.after_failure;
-        self.next_or_done(now, trial.plan, repeat, plan.retries.wait);
+        let again = response.headers.get("retry-after").and_then(|told| told.parse::<Micros>().ok());
+        let again = again.filter(|_| plan.retries.honour).map(|seconds| seconds * 1_000_000);
+        let wait = again.unwrap_or(plan.retries.wait);
+        self.next_or_done(now, trial.plan, repeat, wait);
     }
 
     /// Repeats the event where its client does, else it has come to its end.
--- a/crates/trial/src/bed.rs
+++ b/crates/trial/src/bed.rs
@@ -2,22 +2,23 @@
 
 use crate::Loss;
 use crate::clients::{ClientSpec, Clients};
+use crate::ground::{Ground, party, whole};
 use crate::process::{Process, ProcessError};
-use crate::relay::{Laying, Relay};
+use crate::relay::Laying;
 use crate::way::{Party, Stream, Way};
+use crate::ways::Ways;
 use basaltward_agreed::Bounds;
+use basaltward_config::ConfigError;
 use basaltward_fellows::ask_view;
 use basaltward_fleet::Answer;
 use basaltward_net::{Micros, NetError, monotonic};
-use basaltward_rules::{Record, Recorder, What, read};
+use basaltward_rules::{Record, Recorder, What};
 use basaltward_standins::{Act, Board, Exec, LineWorker};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
-use std::collections::BTreeMap;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -33,6 +34,15 @@
     /// A scheduler's process.
     #[error("{0}")]
     Process(#[from] ProcessError),
+    /// The settings that a bed writes.
+    #[error("settings of a gateway: {0}")]
+    Settings(#[from] ConfigError),
+    /// There are no gateways.
+    #[error("a bed of sites needs a gateway: give a site at least one")]
+    Empty,
+    /// The clients' thread is gone.
+    #[error("the clients have panicked")]
+    Clients,
 }
 
 /// A fleet.
@@ -59,8 +69,6 @@
 /// Functions that clients ask for.
 const FUNCTIONS: u64 = 20;
 
-static BEDS: AtomicU64 = AtomicU64::new(0);
-
 /// A running fleet. What it started ends with it.
 pub struct Bed {
     /// What it was made by.
@@ -72,7 +80,7 @@
     /// Where each takes datagrams.
     pub peers: Vec<SocketAddr>,
     /// The relays on all ways.
-    pub relay: Relay,
+    pub ways: Ways,
     /// The bulletin.
     pub board: Board,
     /// The workers, by number.
@@ -85,20 +93,9 @@
     mesh: Vec<Vec<SocketAddr>>,
     /// When it began.
     pub began: Micros,
-    /// Faults put on ways, with their time.
-    pub faults: Vec<(Micros, Way, String)>,
-    /// Bytes that crossed a way while it was cut.
-    pub leaks: Vec<(Way, u64)>,
-    /// Bytes on each cut way as it was cut.
-    before: BTreeMap<Way, u64>,
     clients: Option<Clients>,
     reached: Vec<SocketAddr>,
-    folder: PathBuf,
-}
-
-/// A free port at an address that nobody else uses.
-fn reserve(ip: IpAddr) -> std::io::Result<SocketAddr> {
-    TcpListener::bind((ip, 0))?.local_addr()
+    ground: Ground,
 }
 
 fn name(number: usize) -> String {
@@ -127,16 +124,8 @@
         spec: BedSpec,
         script: impl Fn(&Exec) -> Vec<Act> + Clone + Send + Sync + 'static,
     ) -> Result<Self, TrialError> {
-        let number = BEDS.fetch_add(1, Ordering::SeqCst);
-        let unique = format!("basaltward-trial-{}-{number}", std::process::id());
-        let folder = std::env::temp_dir().join(unique);
-        std::fs::create_dir(&folder)?;
-        let (a, b) = (64 + (std::process::id() % 160) as u8, (number % 250) as u8);
-        let ip = move |i: usize| IpAddr::V4(Ipv4Addr::new(127, a, b, 10 + i as u8));
-        let who = move |from: SocketAddr| match from.ip() {
-            IpAddr::V4(v4) => name(usize::from(v4.octets()[3]).wrapping_sub(10)),
-            IpAddr::V6(_) => String::new(),
-        };
+        let ground = Ground::new()?;
+        let who = |from: SocketAddr| party(from).map(name).unwrap_or_default();
         let recorder = Recorder::memory();
         let worker = |i: usize| {
             let script = script.clone();
@@ -145,8 +134,8 @@
         let workers = (0..spec.workers).map(worker).collect::<Result<Vec<_>, _>>()?;
         let board = Board::start(2)?;
         let all = 0..spec.schedulers;
-        let listens = all.clone().map(|i| reserve(ip(i))).collect::<Result<Vec<_>, _>>()?;
-        let peers = all.clone().map(|i| reserve(ip(i))).collect::<Result<Vec<_>, _>>()?;
+        let listens = all.clone().map(|i| ground.reserve(i)).collect::<Result<Vec<_>, _>>()?;
+        let peers = all.clone().map(|i| ground.reserve(i)).collect::<Result<Vec<_>, _>>()?;
         let mut laying = Laying::new()?;
         let mesh = laying.mesh(&peers)?;
         let (mut schedulers, mut reached) = (Vec::new(), Vec::new());
@@ -156,37 +145,33 @@
             let bulletin = laying.route(to(Party::Bulletin), board.address(), None)?;
             let mut targets = Vec::new();
             for (w, worker) in workers.iter().enumerate() {
-                let at = laying.route(to(Party::Worker(w)), worker.address(), Some(ip(i)))?;
+                let at = laying.route(to(Party::Worker(w)), worker.address(), Some(ground.ip(i)))?;
                 targets.push(target(&Party::Worker(w).to_string(), at, "Ready"));
             }
             reached.push(laying.route(Way { from: Party::Clients, to: from }, listens[i], None)?);
-            let config = folder.join(format!("n{i}.json"));
+            let config = ground.file(&format!("n{i}.json"));
             let told = configuration(&spec, i, (listens[i], peers[i], bulletin), &mesh[i], &targets);
             std::fs::write(&config, told.to_string())?;
-            let records = folder.join(format!("n{i}.records"));
+            let records = ground.file(&format!("n{i}.records"));
             schedulers.push(Process::scheduler(&name(i), &spec.program, &config, &records));
         }
-        let relay = laying.start(spec.seed)?;
-        let (began, faults, clients) = (monotonic(), Vec::new(), None);
-        let (leaks, before) = (Vec::new(), BTreeMap::new());
+        let ways = Ways::new(laying.start(spec.seed)?);
+        let (began, clients) = (monotonic(), None);
         let mut bed = Self {
             spec,
             schedulers,
             listens,
             peers,
-            relay,
+            ways,
             board,
             workers,
             recorder,
             usual: Loss::default(),
             mesh,
             began,
-            faults,
-            leaks,
-            before,
             clients,
             reached,
-            folder,
+            ground,
         };
         for i in 0..bed.schedulers.len() {
             bed.up(i)?;
@@ -244,7 +229,7 @@
     }
 
     fn rewrite(&self, i: usize, change: impl FnOnce(&mut serde_json::Value)) -> Result<(), TrialError> {
-        let path = self.folder.join(format!("n{i}.json"));
+        let path = self.ground.file(&format!("n{i}.json"));
         let text = std::fs::read_to_string(&path)?;
         let mut told: serde_json::Value = serde_json::from_str(&text).map_err(std::io::Error::from)?;
         change(&mut told);
@@ -264,24 +249,12 @@
 
     /// What becomes of the connections of a way from now on.
     pub fn stream(&mut self, way: Way, stream: Stream) {
-        let carried = |bed: &Self| bed.relay.counts().get(&way).map_or(0, |c| c.bytes.0 + c.bytes.1);
-        // Before the way is taken up again: what waits at the relay crosses it then.
-        if let Some(before) = self.before.remove(&way) {
-            let leaked = carried(self) - before;
-            self.leaks.extend((leaked > 0).then_some((way, leaked)));
-        }
-        self.relay.stream(way, stream);
-        if stream != Stream::Pass {
-            self.before.insert(way, carried(self));
-        }
-        self.faults.push((monotonic(), way, format!("{stream:?}").to_lowercase()));
+        self.ways.stream(way, stream);
     }
 
     /// What becomes of the datagrams of a way from now on.
     pub fn loss(&mut self, way: Way, loss: Loss) {
-        self.relay.loss(way, loss);
-        let text = format!("lost {:.2}, doubled {:.2}", loss.lost, loss.doubled);
-        self.faults.push((monotonic(), way, text));
+        self.ways.loss(way, loss);
     }
 
     /// What becomes of all datagrams from now on, and of those of a way that is taken up again.
@@ -383,33 +356,18 @@
         }
         let mut records = self.recorder.take();
         for i in 0..self.schedulers.len() {
-            let path = self.folder.join(format!("n{i}.records"));
-            if path.exists() {
-                records.extend(whole(&path)?);
-            }
+            records.extend(whole(&self.ground.file(&format!("n{i}.records")))?);
         }
         records.sort_by_key(|record| record.t);
         Ok(records)
     }
 }
 
-/// The records of a file whose last line may be torn: its writer was killed.
-fn whole(path: &Path) -> std::io::Result<Vec<Record>> {
-    let text = std::fs::read_to_string(path)?;
-    let torn = |line: &&str| serde_json::from_str::<Record>(line).is_err();
-    if text.lines().any(|line| torn(&line)) {
-        // A start after the tear goes on in the same line.
-        let good: Vec<_> = text.lines().filter(|line| !torn(line)).collect();
-        std::fs::write(path, good.join("\n"))?;
-    }
-    read(path)
-}
-
 impl Drop for Bed {
     fn drop(&mut self) {
+        // Before the folder goes with the ground.
         self.clients = None;
         self.schedulers.clear();
-        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
--- a/crates/trial/src/course.rs
+++ b/crates/trial/src/course.rs
@@ -2,22 +2,38 @@
 
 use basaltward_net::{End, Micros};
 use bytes::BytesMut;
+use rand::RngExt;
 use std::collections::VecDeque;
 
 /// Bytes of one connection and direction under way, past which nothing more is read from who sends them.
 pub(crate) const MOST_BYTES: usize = 1 << 20;
 
+/// What a lost piece is later by, and how often one is lost at most.
+const AGAIN_US: Micros = 200_000;
+const MOST_AGAIN: u32 = 6;
+
 /// One direction of a way.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Course {
     /// How late bytes arrive, at least and at most.
     pub late: (Micros, Micros),
+    /// Share of the pieces that are lost and sent again, which makes them and all behind them late.
+    pub lost: f64,
     /// Bytes a second over all connections; none without a bound.
     pub rate: Option<u64>,
     /// Nothing is carried, and connections stay open.
     pub silent: bool,
 }
 
+impl Course {
+    /// How late a piece arrives.
+    pub(crate) fn draw(&self, rng: &mut impl RngExt) -> Micros {
+        let (least, most) = self.late;
+        let again = (0..MOST_AGAIN).take_while(|_| rng.random::<f64>() < self.lost).count();
+        rng.random_range(least..=most.max(least)) + again as Micros * AGAIN_US
+    }
+}
+
 /// What travels.
 pub(crate) enum Item {
     Bytes(BytesMut),
--- a/crates/trial/src/judge.rs
+++ b/crates/trial/src/judge.rs
@@ -1,12 +1,14 @@
 //! The verdict on a run: the five rules over all that was recorded, and what holds for a fleet of processes.
 
 use crate::bed::{Bed, CLASSES};
-use crate::process::Change;
+use crate::process::{Change, Process};
 use crate::way::{Party, Way};
+use crate::ways::Ways;
 use basaltward_net::Micros;
 use basaltward_rules::{Breach, ClassRule, Final, Record, RepeatRule, RuleSettings, What, check};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::net::SocketAddr;
 
 /// After a fault ends clients and schedulers need this long to be at each other again.
 const AFTER_US: Micros = 1_500_000;
@@ -30,6 +32,14 @@
     Forked((u64, u16), u32),
     /// Bytes crossed a way that was cut: the bed itself is broken.
     Leaked(Way, u64),
+    /// A keyed or unsafe event had more than one effect, at these workers.
+    Twice(String, Vec<String>),
+    /// An event was handed over so often.
+    Hops(String, u32),
+    /// A kept event that was acknowledged did not end in one way, but in these.
+    Ended(String, Vec<String>),
+    /// An event was said to have run nowhere, though it ran.
+    Untrue(String),
 }
 
 impl fmt::Display for Fleet {
@@ -45,6 +55,13 @@
                 write!(f, "two are agreed under epoch {ms} of n{by}, version {version}")
             }
             Self::Leaked(way, bytes) => write!(f, "{way}: {bytes} bytes crossed it while it was cut"),
+            Self::Twice(event, at) => write!(f, "{event}: effects at {}", at.join(", ")),
+            Self::Hops(event, hops) => write!(f, "{event}: handed over {hops} times"),
+            Self::Ended(event, ways) if ways.is_empty() => {
+                write!(f, "{event}: acknowledged as kept, and has no end")
+            }
+            Self::Ended(event, ways) => write!(f, "{event}: ended as {}", ways.join(" and as ")),
+            Self::Untrue(event) => write!(f, "{event}: said to have run nowhere, but ran"),
         }
     }
 }
@@ -71,8 +88,27 @@
 
 /// Judges a run that has finished.
 pub fn judge(bed: &Bed, records: &[Record]) -> Verdict {
+    let schedulers: Vec<_> = bed.schedulers.iter().enumerate().collect();
+    let fronts: Vec<_> =
+        schedulers.iter().map(|(i, p)| (bed.listens[*i], Party::Scheduler(*i), *p)).collect();
+    let (mut verdict, records) = common(records, &rules(), (&fronts, &bed.ways));
+    verdict.fleet.extend(ran_back(&records));
+    verdict.fleet.extend(permitted(bed, &records));
+    verdict
+}
+
+/// A process that clients call: its own address, who it is, and what became of it.
+pub(crate) type Front<'a> = (SocketAddr, Party, &'a Process);
+
+/// What holds for all beds: the rules, with what the bed's own faults excuse taken out, and processes and ways as
+/// they should be. Gives the records that were judged.
+pub(crate) fn common(
+    records: &[Record],
+    rules: &RuleSettings,
+    (fronts, ways): (&[Front], &Ways),
+) -> (Verdict, Vec<Record>) {
     let mut verdict = Verdict::default();
-    let (records, excused) = excuse(records, &spells(bed));
+    let (records, excused) = excuse(records, &spells(fronts, ways));
     verdict.excused = excused;
     for record in &records {
         match &record.what {
@@ -83,25 +119,24 @@
             _ => {}
         }
     }
-    verdict.rules = check(&records, &rules());
-    for (number, process) in bed.schedulers.iter().enumerate() {
-        let name = || Party::Scheduler(number).to_string();
-        for (_, change) in &process.changes {
-            match change {
-                Change::Crashed => verdict.fleet.push(Fleet::Crashed(name())),
-                Change::Ended(false) => verdict.fleet.push(Fleet::EndedBadly(name())),
-                _ => {}
-            }
-        }
-    }
-    for (way, counts) in bed.relay.counts() {
+    verdict.rules = check(&records, rules);
+    verdict.fleet.extend(fronts.iter().flat_map(|(_, party, process)| ends(*party, process)));
+    for (way, counts) in ways.relay.counts() {
         let found = [(counts.too_long, Fleet::TooLong as fn(_, _) -> _), (counts.strange, Fleet::Strange)];
         verdict.fleet.extend(found.into_iter().filter(|(n, _)| *n > 0).map(|(n, what)| what(way, n)));
     }
-    verdict.fleet.extend(ran_back(&records));
-    verdict.fleet.extend(permitted(bed, &records));
-    verdict.fleet.extend(bed.leaks.iter().map(|(way, bytes)| Fleet::Leaked(*way, *bytes)));
-    verdict
+    verdict.fleet.extend(ways.leaks.iter().map(|(way, bytes)| Fleet::Leaked(*way, *bytes)));
+    (verdict, records)
+}
+
+/// Ends of a process that nobody asked for, or that were not good.
+pub(crate) fn ends(party: Party, process: &Process) -> Vec<Fleet> {
+    let end = |(_, change): &(Micros, Change)| match change {
+        Change::Crashed => Some(Fleet::Crashed(party.to_string())),
+        Change::Ended(false) => Some(Fleet::EndedBadly(party.to_string())),
+        _ => None,
+    };
+    process.changes.iter().filter_map(end).collect()
 }
 
 /// What each believed of the others' lives never runs back while it lives itself.
@@ -149,10 +184,10 @@
 }
 
 /// When clients of each scheduler's address could not reach it, by the bed's own faults: from, until.
-fn spells(bed: &Bed) -> BTreeMap<String, Vec<(Micros, Micros)>> {
+fn spells(fronts: &[Front], ways: &Ways) -> BTreeMap<String, Vec<(Micros, Micros)>> {
     let mut all: BTreeMap<String, Vec<(Micros, Micros)>> = BTreeMap::new();
-    for (number, process) in bed.schedulers.iter().enumerate() {
-        let spells = all.entry(bed.listens[number].to_string()).or_default();
+    for (listens, party, process) in fronts {
+        let spells = all.entry(listens.to_string()).or_default();
         let mut since = None;
         for (t, change) in &process.changes {
             match change {
@@ -165,9 +200,9 @@
             }
         }
         spells.extend(since.map(|from| (from, Micros::MAX)));
-        let way = Way { from: Party::Clients, to: Party::Scheduler(number) };
+        let way = Way { from: Party::Clients, to: *party };
         let mut since = None;
-        for (t, _, what) in bed.faults.iter().filter(|(_, on, _)| *on == way) {
+        for (t, _, what) in ways.faults.iter().filter(|(_, on, _)| *on == way) {
             match (what.as_str(), since) {
                 ("pass", Some(from)) => {
                     spells.push((from, *t + AFTER_US));
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -8,14 +8,22 @@
 mod bed;
 mod clients;
 mod course;
+mod ground;
 mod judge;
 mod process;
 mod relay;
 mod relaying;
 mod script;
+mod site_bed;
+mod site_files;
+mod site_judge;
+mod site_load;
+mod site_script;
+mod site_spec;
 mod tap;
 mod timeline;
 mod way;
+mod ways;
 
 /// What becomes of the datagrams of a way, in one direction: the same as in virtual time.
 pub use basaltward_fleet::Link as Loss;
@@ -24,7 +32,12 @@
 pub use judge::{Fleet, Verdict, judge};
 pub use process::{Change, Launch, Process, ProcessError};
 pub use relay::{Counts, Laying, Relay};
-pub use script::{Act, Script, Step, load, run};
+pub use script::{Act, Script, Step, Told, load, run};
+pub use site_bed::{SiteBed, Who};
+pub use site_judge::{SiteCalls, SitesVerdict, judge_sites};
+pub use site_script::{SiteAct, SiteStep, SitesScript, run_sites};
+pub use site_spec::{LoadSpec, SiteLink, SiteSpec, SitesSpec};
 pub use tap::Handed;
-pub use timeline::{lanes, picture};
+pub use timeline::{Lane, lanes, picture};
 pub use way::{Party, Stream, Way};
+pub use ways::Ways;
--- a/crates/trial/src/relaying.rs
+++ b/crates/trial/src/relaying.rs
@@ -212,13 +212,9 @@
     fn late(&mut self, conn: ConnId) -> Micros {
         let Some(half) = self.halves.get(&conn) else { return 0 };
         let route = &mut self.routes[half.route];
-        let (least, most) = route.courses[usize::from(!half.near)].late;
         route.count += 1;
-        if least >= most {
-            return least;
-        }
         let mut rng = StdRng::seed_from_u64(self.seed ^ (half.route as u64) << 40 ^ route.count);
-        rng.random_range(least..=most)
+        route.courses[usize::from(!half.near)].draw(&mut rng)
     }
 
     /// Puts what has come on a half under way.
--- a/crates/trial/src/script.rs
+++ b/crates/trial/src/script.rs
@@ -2,6 +2,7 @@
 
 use crate::Loss;
 use crate::bed::{Bed, BedSpec, TrialError};
+use crate::site_script::{SitesScript, sites};
 use crate::way::{Party, Stream, Way};
 use basaltward_config::xml::{Node, checked};
 use basaltward_config::{ConfigError, Fault};
@@ -54,18 +55,33 @@
     pub steps: Vec<Step>,
 }
 
-/// Reads a script; the program is the one that its schedulers run. `seed` goes before the script's.
+/// What a script is of.
+#[derive(Clone, Debug)]
+pub enum Told {
+    /// A fleet of schedulers.
+    Fleet(Script),
+    /// Sites of gateways.
+    Sites(SitesScript),
+}
+
+/// Reads a script; the program is the one that its processes run. `seed` goes before the script's.
 ///
 /// # Errors
 /// All faults of the file.
-pub fn load(path: &Path, program: &Path, seed: Option<u64>) -> Result<Script, ConfigError> {
+pub fn load(path: &Path, program: &Path, seed: Option<u64>) -> Result<Told, ConfigError> {
     let told = path.display().to_string();
     let text =
         std::fs::read_to_string(path).map_err(|source| ConfigError::File { path: told.clone(), source })?;
-    checked(&text, &told, SCHEMA, |root, faults| script(root, program, seed, faults))
+    checked(&text, &told, SCHEMA, |root, faults| {
+        let seed = seed.or_else(|| root.value("seed", faults)).unwrap_or(1);
+        match root.child("sites") {
+            Some(_) => Told::Sites(sites(root, program, seed, faults)),
+            None => Told::Fleet(script(root, program, seed, faults)),
+        }
+    })
 }
 
-fn script(root: Node, program: &Path, seed: Option<u64>, faults: &mut Vec<Fault>) -> Script {
+fn script(root: Node, program: &Path, seed: u64, faults: &mut Vec<Fault>) -> Script {
     let part = root.child("fleet").unwrap_or(root);
     let mut number = |name: &str, absent: u64| part.value::<u64>(name, faults).unwrap_or(absent);
     let fleet = BedSpec {
@@ -75,11 +91,9 @@
         work_ms: number("work-ms", 20),
         pause_ms: number("pause-ms", 20),
         bounds: None,
-        seed: 0,
+        seed,
     };
     let span = number("ms", 1_000) * 1_000;
-    let seed = seed.or_else(|| root.value("seed", faults)).unwrap_or(1);
-    let fleet = BedSpec { seed, ..fleet };
     let mut steps = Vec::new();
     for (index, node) in root.children("at").into_iter().enumerate() {
         let read = Reader { node, index: index as u64, fleet: &fleet };
--- /dev/null
+++ b/crates/trial/src/site_judge.rs
@@ -0,0 +1,222 @@
+//! The verdict on a run of sites, over all processes as one: from what crossed the relays and what clients,
+//! gateways and workers recorded.
+
+use crate::judge::{Fleet, Front, Verdict, common, ends};
+use crate::site_bed::SiteBed;
+use crate::site_files::DEADLINE_MS;
+use crate::tap::Handed;
+use crate::way::Party;
+use basaltward_net::Micros;
+use basaltward_play::rule_settings;
+use basaltward_rules::{Final, Record, RepeatRule, RuleSettings, What};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What became of the calls asked at one site.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SiteCalls {
+    /// Tries sent to its gateways.
+    pub asked: u64,
+    /// Of them served, refused and failed.
+    pub served: u64,
+    /// See `served`.
+    pub refused: u64,
+    /// See `served`.
+    pub failed: u64,
+    /// Calls asked first at this site that workers of each site have run, by site.
+    pub ran_at: Vec<u64>,
+    /// Calls that its gateways handed to others, as they crossed the relays.
+    pub handed: u64,
+    /// Times from a try to its reply, of those served, sorted.
+    pub latencies: Vec<Micros>,
+}
+
+impl SiteCalls {
+    /// A latency, by its place among all.
+    pub fn latency(&self, share: f64) -> Micros {
+        let last = self.latencies.len().saturating_sub(1);
+        self.latencies.get((last as f64 * share) as usize).copied().unwrap_or(0)
+    }
+}
+
+/// What a run of sites came to.
+#[derive(Clone, Debug, Default)]
+pub struct SitesVerdict {
+    /// Broken rules, and what else is wrong.
+    pub verdict: Verdict,
+    /// Calls by the site at which they were asked.
+    pub sites: Vec<SiteCalls>,
+    /// Kept events that were acknowledged, and of them those that ended, by how.
+    pub kept: (u64, BTreeMap<String, u64>),
+}
+
+/// Judges a run that has finished.
+pub fn judge_sites(bed: &SiteBed, records: &[Record]) -> SitesVerdict {
+    let gateways = bed.gateways.iter().zip(&bed.listens).enumerate();
+    let fronts: Vec<Front> = gateways.map(|(i, (p, at))| (*at, Party::Scheduler(i), p)).collect();
+    let mut rules = rule_settings(&bed.config, &[]);
+    let workers = (0..bed.workers.len()).map(|w| (Party::Worker(w).to_string(), w as u64));
+    rules.groups = workers.collect();
+    let (mut verdict, records) = common(records, &rules, (&fronts, &bed.ways));
+    for (w, process) in bed.workers.iter().enumerate() {
+        verdict.fleet.extend(ends(Party::Worker(w), process));
+    }
+    let handed = bed.ways.relay.handed();
+    let asked = Asked::of(bed, &records);
+    verdict.fleet.extend(twice(&records, &rules, &asked));
+    verdict.fleet.extend(hops(&handed, &asked));
+    let (kept, wrong) = ended(&records, &asked);
+    verdict.fleet.extend(wrong);
+    SitesVerdict { sites: by_site(bed, &records, &handed, &asked), kept, verdict }
+}
+
+/// What clients asked.
+struct Asked<'a> {
+    /// The first try of each event: its class, and the gateway's number.
+    first: BTreeMap<&'a str, (&'a str, usize)>,
+    /// All events with the gateways at which they were asked.
+    at: BTreeSet<(&'a str, usize)>,
+    /// Gateways by address.
+    gateways: BTreeMap<String, usize>,
+}
+
+impl<'a> Asked<'a> {
+    fn of(bed: &SiteBed, records: &'a [Record]) -> Self {
+        let gateways: BTreeMap<_, _> =
+            bed.listens.iter().enumerate().map(|(i, at)| (at.to_string(), i)).collect();
+        let (mut first, mut at) = (BTreeMap::new(), BTreeSet::new());
+        for record in records {
+            let What::Asked { event, class, to, .. } = &record.what else { continue };
+            if let Some(gateway) = gateways.get(to) {
+                first.entry(event.as_str()).or_insert((class.as_str(), *gateway));
+                at.insert((event.as_str(), *gateway));
+            }
+        }
+        Self { first, at, gateways }
+    }
+}
+
+/// No keyed or unsafe event has two effects, whichever sites ran it. One that a worker has run again after it
+/// had lost its memory of keys is the bed's own doing.
+fn twice(records: &[Record], rules: &RuleSettings, asked: &Asked) -> Vec<Fleet> {
+    let (mut ran, mut born) = (BTreeMap::<&str, Vec<(Micros, &str)>>::new(), BTreeMap::<&str, Micros>::new());
+    let mut found = BTreeSet::new();
+    for record in records {
+        match &record.what {
+            What::Born { .. } => drop(born.insert(&record.by, record.t)),
+            What::Ran { event, .. } => {
+                let repeat = asked.first.get(event.as_str()).and_then(|(class, _)| rules.classes.get(*class));
+                let here: &str = &record.by;
+                let all = ran.entry(event).or_default();
+                let lost = |(t, by): &&(Micros, &str)| *by == here && born.get(here).is_some_and(|b| t < b);
+                let counts = match repeat.map(|class| class.repeat) {
+                    Some(RepeatRule::Unsafe) => all.len(),
+                    Some(RepeatRule::Keyed { .. }) => all.iter().filter(|ran| !lost(ran)).count(),
+                    Some(RepeatRule::Safe) | None => 0,
+                };
+                all.push((record.t, here));
+                if counts > 0 {
+                    found.insert(event.as_str());
+                }
+            }
+            _ => {}
+        }
+    }
+    let at = |event: &str| ran[event].iter().map(|(_, by)| (*by).to_owned()).collect();
+    found.into_iter().map(|event| Fleet::Twice(event.to_owned(), at(event))).collect()
+}
+
+/// A call is handed over once at most: by what it says itself, and by the ways on which it was seen.
+fn hops(handed: &[Handed], asked: &Asked) -> BTreeSet<Fleet> {
+    let mut found = BTreeSet::new();
+    let mut reached: BTreeSet<(&str, usize)> = BTreeSet::new();
+    for Handed { way, event, hops, .. } in handed {
+        let (Party::Scheduler(from), Party::Scheduler(to)) = (way.from, way.to) else { continue };
+        let told = hops.unwrap_or(1);
+        // Who got it from a gateway and from no client hands it on.
+        let passed = reached.contains(&(event, from)) && !asked.at.contains(&(event, from));
+        if told > 1 || passed {
+            found.insert(Fleet::Hops(event.clone(), told.max(2)));
+        }
+        reached.insert((event, to));
+    }
+    found
+}
+
+/// Kept events acknowledged, and how many ended how.
+type Kept = (u64, BTreeMap<String, u64>);
+
+/// Each kept event that was acknowledged ends in exactly one way, and in a true one.
+fn ended(records: &[Record], asked: &Asked) -> (Kept, Vec<Fleet>) {
+    let last = records.last().map_or(0, |record| record.t);
+    let (mut kept, mut ends) = (BTreeMap::<&str, Micros>::new(), BTreeMap::<&str, BTreeSet<&str>>::new());
+    let mut ran = BTreeSet::new();
+    for Record { t, what, .. } in records {
+        match what {
+            What::Kept { event } => drop(kept.entry(event).or_insert(*t)),
+            What::Concluded { event, how } => drop(ends.entry(event).or_default().insert(how)),
+            What::Ran { event, .. } => drop(ran.insert(event.as_str())),
+            _ => {}
+        }
+    }
+    let (mut counts, mut wrong) = (BTreeMap::<String, u64>::new(), Vec::new());
+    for (event, t) in &kept {
+        let all = ends.get(event).cloned().unwrap_or_default();
+        all.iter().for_each(|how| *counts.entry((*how).to_owned()).or_default() += 1);
+        let ways = || all.iter().map(|how| (*how).to_owned()).collect();
+        let over = t + DEADLINE_MS * 1_000 < last;
+        // Whoever took over from one that was killed between its end and telling of it can't know more.
+        let one = all.len() == 1 || all.len() == 2 && all.contains("unknown") && !all.contains("unrun");
+        if all.is_empty() && over || !all.is_empty() && !one {
+            wrong.push(Fleet::Ended((*event).to_owned(), ways()));
+        }
+    }
+    for (event, _) in ends.iter().filter(|(event, all)| all.contains("unrun") && ran.contains(*event)) {
+        if asked.first.contains_key(event) {
+            wrong.push(Fleet::Untrue((*event).to_owned()));
+        }
+    }
+    ((kept.len() as u64, counts), wrong)
+}
+
+fn by_site(bed: &SiteBed, records: &[Record], handed: &[Handed], asked: &Asked) -> Vec<SiteCalls> {
+    let blank = SiteCalls { ran_at: vec![0; bed.spec.sites.len()], ..SiteCalls::default() };
+    let mut sites = vec![blank; bed.spec.sites.len()];
+    let (of, at) = &bed.of;
+    let workers: BTreeMap<_, _> =
+        at.iter().enumerate().map(|(w, s)| (Party::Worker(w).to_string(), *s)).collect();
+    let mut tries = BTreeMap::new();
+    for Record { t, by, what } in records {
+        match what {
+            What::Asked { tried, to, .. } => {
+                let Some(gateway) = asked.gateways.get(to) else { continue };
+                tries.insert(*tried, (*t, of[*gateway]));
+                sites[of[*gateway]].asked += 1;
+            }
+            What::Answered { tried, answer, .. } => {
+                let Some((began, site)) = tries.get(tried) else { continue };
+                let site = &mut sites[*site];
+                match answer {
+                    Final::Served => {
+                        site.served += 1;
+                        site.latencies.push(t - began);
+                    }
+                    Final::Refused => site.refused += 1,
+                    Final::Failed | Final::Rejected => site.failed += 1,
+                }
+            }
+            What::Ran { event, .. } => {
+                if let Some(((_, gateway), at)) = asked.first.get(event.as_str()).zip(workers.get(by)) {
+                    sites[of[*gateway]].ran_at[*at] += 1;
+                }
+            }
+            _ => {}
+        }
+    }
+    for Handed { way, .. } in handed {
+        if let Party::Scheduler(from) = way.from {
+            sites[of[from]].handed += 1;
+        }
+    }
+    sites.iter_mut().for_each(|site| site.latencies.sort_unstable());
+    sites
+}
--- /dev/null
+++ b/crates/trial/src/site_load.rs
@@ -0,0 +1,63 @@
+//! What clients of each site ask, and when: drawn by the seed before the run.
+
+use crate::site_spec::{CLASSES, LoadSpec, SitesSpec};
+use basaltward_net::Micros;
+use basaltward_standins::{Plan, Retries};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// How long a client that heeds no refusal waits before its next try.
+const AGAIN_US: Micros = 50_000;
+
+/// All events of a run; `of` gives the site of each gateway.
+pub(crate) fn plans(spec: &SitesSpec, of: &[usize]) -> Vec<Plan> {
+    let mut all = Vec::new();
+    for (number, load) in spec.loads.iter().enumerate() {
+        let mut rng = StdRng::seed_from_u64(spec.seed ^ (number as u64) << 48);
+        let here: Vec<usize> = (0..of.len()).filter(|i| of[*i] == load.site).collect();
+        let mut at = load.span.start as f64;
+        for event in 0_u64.. {
+            // Arrivals by chance, at a told rate.
+            at += -(1.0 - rng.random::<f64>()).ln() * 1e6 / load.rate.max(1e-3);
+            if at >= load.span.end as f64 || here.is_empty() {
+                break;
+            }
+            let class = load.class.unwrap_or(rng.random_range(0..CLASSES.len()));
+            let gateway = here[rng.random_range(0..here.len())];
+            let function = rng.random_range(load.functions.clone());
+            let id = format!("{number}-{event}");
+            let first = plan(load, at as Micros, (gateway, class, function), id);
+            if CLASSES[class].1 != "safe" && rng.random::<f64>() < load.repeats {
+                // The same event at another gateway, of any site, while the first is in hand.
+                let other = (gateway + rng.random_range(1..of.len().max(2))) % of.len();
+                let at = first.at + rng.random_range(0..20_000);
+                all.push(Plan { at, gateway: other, ..first.clone() });
+            }
+            all.push(first);
+        }
+    }
+    all
+}
+
+fn plan(load: &LoadSpec, at: Micros, (gateway, class, function): (usize, usize, usize), id: String) -> Plan {
+    let (name, repeat) = CLASSES[class];
+    let retries = Retries {
+        most: load.retries,
+        wait: AGAIN_US,
+        leave_after: None,
+        after_failure: load.insists || repeat == "safe",
+        honour: load.honour,
+    };
+    Plan {
+        at,
+        gateway,
+        function: format!("{name}-{function}"),
+        class: name.into(),
+        tenant: load.tenant.clone(),
+        id,
+        patience: load.patience,
+        work: None,
+        payload: 200,
+        retries,
+    }
+}
--- a/crates/trial/src/timeline.rs
+++ b/crates/trial/src/timeline.rs
@@ -1,8 +1,8 @@
 //! The course of a run, a lane for each scheduler: who was up, stalled, stopped, cut off when.
 
-use crate::bed::Bed;
 use crate::process::Change;
-use crate::way::Party;
+use crate::process::Process;
+use crate::way::{Party, Way};
 use basaltward_net::Micros;
 use svg::Document;
 use svg::node::Text as Letters;
@@ -22,14 +22,17 @@
 /// A scheduler's name with its spells by time.
 pub type Lane = (String, Vec<Spell>);
 
-/// The lanes of a bed, until `end`.
-pub fn lanes(bed: &Bed, end: Micros) -> Vec<Lane> {
-    let lane = |(number, process): (usize, &crate::Process)| {
-        let party = Party::Scheduler(number);
+/// The lanes of processes from `began` until `end`, cut where their clients' ways were.
+pub fn lanes<'a>(
+    processes: impl Iterator<Item = (Party, &'a Process)>,
+    faults: &[(Micros, Way, String)],
+    (began, end): (Micros, Micros),
+) -> Vec<Lane> {
+    let lane = |(party, process): (Party, &Process)| {
         let mut spells = Vec::new();
         let mut open: Option<(Micros, &'static str)> = None;
         let mut turn = |t: Micros, next: Option<&'static str>, spells: &mut Vec<Spell>| {
-            let at = t.saturating_sub(bed.began);
+            let at = t.saturating_sub(began);
             let ended = open.take().map(|(from, what)| Spell { from, until: at, what });
             spells.extend(ended);
             open = next.map(|what| (at, what));
@@ -45,22 +48,22 @@
         }
         turn(end, None, &mut spells);
         let mut since = None;
-        for (t, way, what) in &bed.faults {
+        for (t, way, what) in faults {
             if way.from != Party::Clients || way.to != party {
                 continue;
             }
-            let at = t.saturating_sub(bed.began);
+            let at = t.saturating_sub(began);
             if what != "pass" {
                 since.get_or_insert(at);
             } else if let Some(from) = since.take() {
                 spells.push(Spell { from, until: at, what: "cut" });
             }
         }
-        let until = end.saturating_sub(bed.began);
+        let until = end.saturating_sub(began);
         spells.extend(since.map(|from| Spell { from, until, what: "cut" }));
         (party.to_string(), spells)
     };
-    bed.schedulers.iter().enumerate().map(lane).collect()
+    processes.map(lane).collect()
 }
 
 const LEFT: f64 = 60.0;
--- a/crates/trial/src/way.rs
+++ b/crates/trial/src/way.rs
@@ -5,8 +5,10 @@
 /// One end of a way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Party {
-    /// A scheduler, by its number.
+    /// A scheduler or gateway, by its number.
     Scheduler(usize),
+    /// Where a gateway takes connections of its fellows.
+    Journal(usize),
     /// A worker, by its number.
     Worker(usize),
     /// The bulletin.
@@ -19,6 +21,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Scheduler(number) => write!(f, "n{number}"),
+            Self::Journal(number) => write!(f, "j{number}"),
             Self::Worker(number) => write!(f, "s-{number}"),
             Self::Bulletin => write!(f, "bulletin"),
             Self::Clients => write!(f, "clients"),
--- /dev/null
+++ b/crates/trial/src/ways.rs
@@ -0,0 +1,80 @@
+//! The relays of a bed, with what was done to each way when, and what crossed one that was cut.
+
+use crate::Loss;
+use crate::course::Course;
+use crate::relay::Relay;
+use crate::way::{Stream, Way};
+use basaltward_net::{Micros, monotonic};
+use std::collections::BTreeMap;
+
+/// See the module.
+pub struct Ways {
+    /// The relays.
+    pub relay: Relay,
+    /// Faults put on ways, with their time.
+    pub faults: Vec<(Micros, Way, String)>,
+    /// Bytes that crossed a way while it was cut.
+    pub leaks: Vec<(Way, u64)>,
+    /// Bytes in each direction of a way as it was closed there.
+    closed: BTreeMap<Way, [Option<u64>; 2]>,
+    streams: BTreeMap<Way, Stream>,
+    courses: BTreeMap<Way, [Course; 2]>,
+}
+
+impl Ways {
+    /// No faults yet.
+    pub fn new(relay: Relay) -> Self {
+        let (closed, streams, courses) = Default::default();
+        Self { relay, faults: Vec::new(), leaks: Vec::new(), closed, streams, courses }
+    }
+
+    /// What becomes of the connections of a way from now on.
+    pub fn stream(&mut self, way: Way, stream: Stream) {
+        if self.streams.insert(way, stream).unwrap_or_default() == stream {
+            return;
+        }
+        self.settle(way, |ways| ways.relay.stream(way, stream));
+        self.note(way, format!("{stream:?}").to_lowercase());
+    }
+
+    /// How bytes of a way travel from now on, from who began and back.
+    pub fn courses(&mut self, way: Way, courses: [Course; 2]) {
+        if self.courses.insert(way, courses).unwrap_or_default() == courses {
+            return;
+        }
+        self.settle(way, |ways| ways.relay.courses(way, courses));
+        self.note(way, format!("courses {courses:?}"));
+    }
+
+    /// What becomes of the datagrams of a way from now on.
+    pub fn loss(&mut self, way: Way, loss: Loss) {
+        self.relay.loss(way, loss);
+        self.note(way, format!("lost {:.2}, doubled {:.2}", loss.lost, loss.doubled));
+    }
+
+    fn note(&mut self, way: Way, what: String) {
+        self.faults.push((monotonic(), way, what));
+    }
+
+    fn carried(&self, way: Way) -> [u64; 2] {
+        self.relay.counts().get(&way).map_or([0; 2], |c| [c.bytes.0, c.bytes.1])
+    }
+
+    /// Changes a way. What was closed is looked at before: what waits at the relay crosses it then.
+    fn settle(&mut self, way: Way, change: impl FnOnce(&Self)) {
+        let carried = self.carried(way);
+        for (before, now) in self.closed.remove(&way).unwrap_or_default().iter().zip(carried) {
+            let leaked = before.map_or(0, |before| now - before);
+            self.leaks.extend((leaked > 0).then_some((way, leaked)));
+        }
+        change(self);
+        let stopped = self.streams.get(&way).is_some_and(|stream| *stream != Stream::Pass);
+        let courses = self.courses.get(&way).copied().unwrap_or_default();
+        let carried = self.carried(way);
+        let close = |direction: usize| (stopped || courses[direction].silent).then_some(carried[direction]);
+        let closed = [close(0), close(1)];
+        if closed != [None; 2] {
+            self.closed.insert(way, closed);
+        }
+    }
+}
