Node: what comes late at a planned restart is answered before SIGKILL

With it: a test of its window.

Need: after SIGTERM clients go on sending on every open connection until 0.6 s, and what came later than 0.7 s and is open at SIGKILL (longest deadline, counted as 3 s at most, and 0.7 s) is lost.

Seen by the new test against workers that hang: a call that came 0.75 s after SIGTERM with 4 s of time was answered at 4.70 s, 1.0 s after SIGKILL may come. At fault: node.rs, the turn's Step::Call, which gave calls that come between 0.6 s and the end of taking (0.9 s) the whole of their own time. They have 3.6 s from SIGTERM now; those that came before keep their own time, and the loop stays for them.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -27,6 +27,12 @@
 
 /// After SIGTERM clients still come for up to 0.6 s; what comes later than this is turned away.
 const TERM_US: Micros = 900_000;
+/// What comes later than this after SIGTERM is lost if SIGKILL finds it open.
+const EXCUSED_US: Micros = 700_000;
+/// SIGKILL may come the longest deadline, but no more than this, and [`EXCUSED_US`] after SIGTERM.
+const LONGEST_US: Micros = 3_000_000;
+/// What our clock and the platform's may lie apart at SIGTERM, and an answer may take to its client.
+const APART_US: Micros = 100_000;
 /// How long the last answers may take to be read, and those who still wait to be accepted.
 const LAST_US: Micros = 1_500_000;
 /// A configuration that can't be used at a signal is read again after this, so many times.
@@ -63,6 +69,8 @@
     pace: Pace,
     /// When SIGTERM came.
     term: Option<Micros>,
+    /// How long after SIGTERM the last answer to what came late has to be given.
+    closing: Micros,
     stopped: bool,
     /// Someone was accepted in this turn.
     accepted: bool,
@@ -139,6 +147,7 @@
             IoLimits { connections: config.budget.clients, input: config.budget.input, linger: 300_000 };
         let mut io = Io::new(limits)?;
         let fellows = Fellows::open(&config, &mut io, monotonic())?;
+        let longest = config.told.module.classes.iter().map(|class| class.deadline).max();
         let mut node = Self {
             name: config.name.clone(),
             path,
@@ -152,6 +161,7 @@
             fellows,
             pace: Pace::default(),
             term: None,
+            closing: longest.unwrap_or(0).min(LONGEST_US) + EXCUSED_US - APART_US,
             stopped: false,
             accepted: false,
             reread: None,
@@ -279,7 +289,10 @@
             self.front.look(&mut self.io, now, &mut steps);
             for step in steps.drain(..) {
                 match step {
-                    Step::Call(call) => {
+                    Step::Call(mut call) => {
+                        if let Some(term) = self.term.filter(|term| came + APART_US > term + EXCUSED_US) {
+                            call.deadline = call.deadline.min(term + self.closing);
+                        }
                         self.notes.taken(now, &call.payload.id);
                         self.tell(now, Input::Arrived(call));
                     }
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -2,7 +2,7 @@
 
 use basaltward_net::{Micros, monotonic};
 use basaltward_node::{Control, Node};
-use basaltward_rules::{Breach, ClassRule, Final, Recorder, RepeatRule, RuleSettings, What, check};
+use basaltward_rules::{Breach, ClassRule, Final, Record, Recorder, RepeatRule, RuleSettings, What, check};
 use basaltward_standins::{Act, Board, Exec, FrontClient, FrontReply, LineWorker};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -139,12 +139,16 @@
         assert!(found, "never recorded");
     }
 
-    /// Stops the scheduler and gives the breaches of the rules.
-    pub fn judge(&mut self) -> Vec<Breach> {
+    /// Stops the scheduler and gives what was recorded.
+    pub fn finish(&mut self) -> Vec<Record> {
         self.control.stop();
         self.node.take().expect("it runs").join().expect("it ended well");
-        let records = self.recorder.take();
-        check(&records, &rules())
+        self.recorder.take()
+    }
+
+    /// Stops the scheduler and gives the breaches of the rules.
+    pub fn judge(&mut self) -> Vec<Breach> {
+        check(&self.finish(), &rules())
     }
 }
 
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -3,3 +3,4 @@
 mod clients;
 mod common;
 mod fleet;
+mod restart;
--- a/crates/standins/src/front_client.rs
+++ b/crates/standins/src/front_client.rs
@@ -54,6 +54,19 @@
         self.send(|out, seqid| write::submit(out, seqid, fields, body))
     }
 
+    /// Sends the first half of a call; gives its number and the bytes of the other half, for [`Self::raw`].
+    ///
+    /// # Errors
+    /// Where the connection is over.
+    pub fn half(&mut self, fields: &[(&str, &str)], body: &[u8]) -> io::Result<(i32, Vec<u8>)> {
+        self.seqid += 1;
+        let mut out = BytesMut::new();
+        write::submit(&mut out, self.seqid, fields, body);
+        let rest = out.split_off(out.len() / 2);
+        self.stream.write_all(&out)?;
+        Ok((self.seqid, rest.to_vec()))
+    }
+
     /// Waits no longer for a call.
     ///
     /// # Errors
