Node: tests of changes that count as told while the bulletin is down, silent or repeats

Need: an event counts as told whether the scheduler is connected or not; nothing new, call or order to load, may go to a worker past its grace then. Each test has calls of both classes going on for 50 functions, so that there are orders at any time, and drains the worker that has most of them:

- down (connections refused) for 1.2 s, the change made meanwhile: heard within 0.5 s of its return, nothing after;
- an open watch that falls silent while new ones are answered: left within 4 s, nothing after;
- events told again, the whole list of the start among them: the worker does not come back.
Told under a new number it does, which the look finds, as it finds what went to the worker while nothing could be known.

With the follower's bound on silence planted as 6 s the second fails. No defect found. The stand-in bulletin can refuse connections and leave open ones silent now.

--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -106,7 +106,7 @@
             ("kind", call.class),
             ("req", call.id.as_str()),
             ("timeout", timeout.as_str()),
-            ("subject", call.function),
+            ("subject", call.function.as_str()),
             ("props", "memory_mb:64;lanes:8;load_ms:20"),
         ];
         let seqid = client.submit(&fields, &call.body).expect("sent");
@@ -168,14 +168,14 @@
 pub struct Call {
     pub id: String,
     pub class: &'static str,
-    pub function: &'static str,
+    pub function: String,
     pub timeout_ms: u64,
     pub body: Vec<u8>,
 }
 
 /// A call with its number as its id.
 pub fn call(number: u64, class: &'static str) -> Call {
-    let (id, function) = (format!("{number:016x}"), "7f3a9c21e0b4d655");
+    let (id, function) = (format!("{number:016x}"), "7f3a9c21e0b4d655".into());
     Call { id, class, function, timeout_ms: 4_000, body: format!("body {number}").into_bytes() }
 }
 
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -4,3 +4,4 @@
 mod common;
 mod fleet;
 mod restart;
+mod untold;
--- a/crates/node/tests/sockets/restart.rs
+++ b/crates/node/tests/sockets/restart.rs
@@ -40,7 +40,7 @@
         ("kind", call.class),
         ("req", call.id.as_str()),
         ("timeout", timeout.as_str()),
-        ("subject", call.function),
+        ("subject", call.function.as_str()),
         ("props", "memory_mb:64;lanes:8;load_ms:20"),
     ];
     match half {
--- a/crates/standins/src/board.rs
+++ b/crates/standins/src/board.rs
@@ -3,6 +3,7 @@
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 #[derive(Default)]
@@ -11,9 +12,13 @@
     first: u64,
     events: Vec<String>,
     open: Vec<TcpStream>,
+    /// Connections that stand and are told nothing any more.
+    hushed: Vec<TcpStream>,
     /// What each connection asked.
     asked: Vec<String>,
     silent: bool,
+    /// Nobody is accepted.
+    down: bool,
     over: bool,
 }
 
@@ -33,6 +38,7 @@
 pub struct Board {
     address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
+    accepts: Mutex<Option<JoinHandle<()>>>,
 }
 
 fn lock(state: &(Mutex<State>, Condvar)) -> MutexGuard<'_, State> {
@@ -48,17 +54,7 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let state = Arc::new((Mutex::new(State { first, ..State::default() }), Condvar::new()));
-        let (accepting, ticking) = (state.clone(), state.clone());
-        std::thread::spawn(move || {
-            for stream in listener.incoming() {
-                if lock(&accepting).over {
-                    return;
-                }
-                if let Ok(stream) = stream {
-                    let _ = take(&accepting, stream);
-                }
-            }
-        });
+        let (accepts, ticking) = (accept(state.clone(), listener), state.clone());
         std::thread::spawn(move || {
             let mut state = lock(&ticking);
             while !state.over {
@@ -68,7 +64,7 @@
                 state = waited.unwrap_or_else(PoisonError::into_inner).0;
             }
         });
-        Ok(Self { address, state })
+        Ok(Self { address, state, accepts: Mutex::new(Some(accepts)) })
     }
 
     /// Where it listens.
@@ -98,6 +94,35 @@
         }
     }
 
+    /// Ends every connection and refuses new ones. Once this returns nobody is accepted.
+    pub fn down(&self) {
+        lock(&self.state).down = true;
+        // Wakes the thread that accepts, whose end closes the listener.
+        let _ = TcpStream::connect(self.address);
+        let accepts = self.accepts.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let _ = accepts.map(JoinHandle::join);
+        self.cut();
+    }
+
+    /// Listens again at the same address, after [`Board::down`].
+    ///
+    /// # Errors
+    /// Where the system refuses the socket.
+    pub fn up(&self) -> io::Result<()> {
+        let listener = TcpListener::bind(self.address)?;
+        lock(&self.state).down = false;
+        let mut accepts = self.accepts.lock().unwrap_or_else(PoisonError::into_inner);
+        *accepts = Some(accept(self.state.clone(), listener));
+        Ok(())
+    }
+
+    /// Leaves the connections that stand open and says nothing more on them.
+    pub fn hush(&self) {
+        let mut state = lock(&self.state);
+        let mut open = std::mem::take(&mut state.open);
+        state.hushed.append(&mut open);
+    }
+
     /// Says nothing more on the connections that stand, or on any.
     pub fn silence(&self, silent: bool) {
         lock(&self.state).silent = silent;
@@ -109,6 +134,21 @@
     }
 }
 
+fn accept(state: Arc<(Mutex<State>, Condvar)>, listener: TcpListener) -> JoinHandle<()> {
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let now = lock(&state);
+            if now.over || now.down {
+                return;
+            }
+            drop(now);
+            if let Ok(stream) = stream {
+                let _ = take(&state, stream);
+            }
+        }
+    })
+}
+
 fn take(state: &(Mutex<State>, Condvar), mut stream: TcpStream) -> io::Result<()> {
     let mut line = String::new();
     BufReader::new(stream.try_clone()?).read_line(&mut line)?;
