--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -56,6 +56,11 @@
     let gateways = bed.gateways.iter().enumerate().map(|(i, process)| (Party::Scheduler(i), process));
     let workers = bed.workers.iter().enumerate().map(|(w, process)| (Party::Worker(w), process));
     keep(options, &all, &lanes(gateways.chain(workers), &bed.ways.faults, (bed.began, end)))?;
+    for (number, process) in bed.gateways.iter().enumerate() {
+        if let Some(folder) = &options.records {
+            write(folder.join(format!("n{number}.log")), process.said().join("\n"))?;
+        }
+    }
     shares(script, &told);
     tell(&told.verdict)
 }
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -2,11 +2,13 @@
 
 use basaltward_net::{Micros, monotonic};
 use rustix::process::{Pid, Signal, kill_process};
+use std::collections::VecDeque;
 use std::ffi::OsString;
 use std::io::{BufRead, BufReader, Read};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use thiserror::Error;
 
@@ -67,13 +69,21 @@
     stalled: bool,
     /// What became of it, with the time.
     pub changes: Vec<(Micros, Change)>,
+    said: Said,
 }
 
+/// The last lines that a process has said.
+type Said = Arc<Mutex<VecDeque<String>>>;
+
+/// Lines kept of each process.
+const MOST_LINES: usize = 1_000;
+
 impl Process {
     /// A place for a process of this program.
     pub fn new(name: &str, program: &Path, launch: Launch) -> Self {
         let (name, program) = (name.into(), program.into());
-        Self { name, program, launch, child: None, stalled: false, changes: Vec::new() }
+        let (changes, said) = Default::default();
+        Self { name, program, launch, child: None, stalled: false, changes, said }
     }
 
     /// A place for a scheduler of this program and configuration, whose records go to a file.
@@ -108,6 +118,11 @@
         self.child.is_some() && !self.stalled
     }
 
+    /// The last lines that it has said, in all its lives.
+    pub fn said(&self) -> Vec<String> {
+        self.said.lock().unwrap_or_else(PoisonError::into_inner).iter().cloned().collect()
+    }
+
     fn note(&mut self, change: Change) {
         self.changes.push((monotonic(), change));
     }
@@ -132,7 +147,7 @@
             [child.stdout.take().map(|s| Box::new(s) as _), child.stderr.take().map(|s| Box::new(s) as _)];
         self.child = Some(child);
         for stream in streams.into_iter().flatten() {
-            listen(stream, self.launch.says, tell.clone());
+            listen(stream, self.launch.says, (tell.clone(), self.said.clone()));
         }
         drop(tell);
         if serving.recv_timeout(PATIENCE).is_ok() {
@@ -226,13 +241,18 @@
 }
 
 /// Reads lines away on a thread of its own; tells once one holds a word.
-fn listen(stream: Box<dyn Read + Send>, word: &'static str, tell: SyncSender<()>) {
+fn listen(stream: Box<dyn Read + Send>, word: &'static str, (tell, said): (SyncSender<()>, Said)) {
     std::thread::spawn(move || {
         let mut tell = Some(tell);
         for line in BufReader::new(stream).lines().map_while(Result::ok) {
             if let Some(tell) = tell.take_if(|_| line.contains(word)) {
                 let _ = tell.try_send(());
             }
+            let mut said = said.lock().unwrap_or_else(PoisonError::into_inner);
+            if said.len() == MOST_LINES {
+                said.pop_front();
+            }
+            said.push_back(line);
         }
     });
 }
--- a/crates/trial/src/site_bed.rs
+++ b/crates/trial/src/site_bed.rs
@@ -105,7 +105,11 @@
             reached.push(laying.route(Way { from: Party::Clients, to: from }, listens[i], None)?);
             let path = write_files(&spec, &ground, i, &reaches, &workers)?;
             config.get_or_insert(basaltward_config::load(&path)?);
-            let args = ["serve", "--config"].map(OsString::from).into_iter().chain([path.into()]).collect();
+            let args = ["--log", "info", "serve", "--config"]
+                .map(OsString::from)
+                .into_iter()
+                .chain([path.into()])
+                .collect();
             let vars = spec.vars.iter().filter(|(who, ..)| *who == i);
             let vars = vars.map(|(_, name, value)| (name.clone(), Some(value.into()))).collect();
             let launch = Launch { args, vars, says: "listening on" };
--- a/crates/trial/src/site_judge.rs
+++ b/crates/trial/src/site_judge.rs
@@ -22,7 +22,8 @@
     pub refused: u64,
     /// See `served`.
     pub failed: u64,
-    /// Calls asked first at this site that workers of each site have run, by site.
+    /// Calls asked first at this site that workers of each site have run, by site. What a client has asked at
+    /// another site too counts for that one where it ran there.
     pub ran_at: Vec<u64>,
     /// Calls that its gateways handed to others, as they crossed the relays.
     pub handed: u64,
@@ -206,7 +207,9 @@
             }
             What::Ran { event, .. } => {
                 if let Some(((_, gateway), at)) = asked.first.get(event.as_str()).zip(workers.get(by)) {
-                    sites[of[*gateway]].ran_at[*at] += 1;
+                    let there = (0..of.len()).any(|i| of[i] == *at && asked.at.contains(&(event, i)));
+                    let asked_at = if there { *at } else { of[*gateway] };
+                    sites[asked_at].ran_at[*at] += 1;
                 }
             }
             _ => {}
