--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -1,10 +1,11 @@
 use crate::args::Demo;
 use crate::{Failed, report};
-use basaltward_net::{Io, IoLimits, Signals};
+use basaltward_net::{Io, IoLimits, Signals, monotonic};
 use basaltward_play::Bed;
 use basaltward_rules::Recorder;
 use basaltward_standins::{Clients, Plan, Retries, WorkerSpec};
 use std::path::Path;
+use std::time::Duration;
 
 const CONFIG: &str = include_str!("../../../examples/config/demo.xml");
 
@@ -51,11 +52,22 @@
 
 /// Waits for an interrupt or a termination signal.
 pub fn wait() -> Result<(), Failed> {
+    wait_and(None)
+}
+
+/// As [`wait`]; does something once, so long after it began to wait.
+pub fn wait_and(mut planned: Option<(Duration, &dyn Fn())>) -> Result<(), Failed> {
     let mut io = Io::new(IoLimits::default())?;
     io.watch_signals(Signals::take(&SIGNALS)?)?;
-    let mut happened = Vec::new();
+    let (mut happened, began) = (Vec::new(), monotonic());
     while happened.is_empty() {
-        io.turn(None, &mut happened)?;
+        let left = planned.map(|(after, _)| (began + after.as_micros() as u64).saturating_sub(monotonic()));
+        if let (Some(0), Some((_, act))) = (left, planned) {
+            act();
+            planned = None;
+            continue;
+        }
+        io.turn(left, &mut happened)?;
     }
     Ok(())
 }
