Pending: how long a holder's word takes is measured before it is doubted

Over links that take 300 ms each way a holder was in doubt after 500 ms, and replaced, though its word was on its way.

--- a/crates/pending/src/journal.rs
+++ b/crates/pending/src/journal.rs
@@ -438,7 +438,7 @@
             let owes = |one: &&mut Neighbour| one.acked < last;
             self.neighbours.iter_mut().filter(owes).for_each(|one| one.owes(now));
             let late =
-                self.neighbours.iter().filter(|one| one.acked < last && one.waited(now) >= patience / 2);
+                self.neighbours.iter().filter(|one| one.acked < last && one.doubt(patience / 2) <= now);
             late.map(|one| one.of).filter(|of| !self.doubted.contains_key(of)).collect()
         };
         if !late.is_empty() {
@@ -560,7 +560,7 @@
         let alive = self.neighbours.iter().filter(|one| one.connected && one.has_window());
         let alive = alive.map(|one| one.last + self.settings.lease / 4).filter(|_| !self.events.is_empty());
         let doubted = self.neighbours.iter().filter(|one| !self.doubted.contains_key(&one.of));
-        let doubts = doubted.filter_map(|one| one.due_since()).map(|since| since + patience / 2);
+        let doubts = doubted.map(|one| one.doubt(patience / 2));
         let call = calls.then_some(self.call);
         waits.chain(resend).chain(call).chain(alive).chain(doubts).min().unwrap_or(Micros::MAX)
     }
--- a/crates/pending/src/neighbour.rs
+++ b/crates/pending/src/neighbour.rs
@@ -39,6 +39,8 @@
     /// When anything was sent last.
     pub last: Micros,
     flying: VecDeque<(u64, usize)>,
+    /// How long its word takes, about.
+    round: Micros,
     /// Since when something waits for its word.
     waiting: Option<Micros>,
     resend: Micros,
@@ -66,6 +68,7 @@
             echo: None,
             last: 0,
             flying: VecDeque::new(),
+            round: 0,
             waiting: None,
             resend: Micros::MAX,
             backoff: RESEND,
@@ -112,7 +115,7 @@
         }
         (self.sent, self.last) = (through, now);
         self.flying.push_back((through, bytes));
-        self.resend = self.resend.min(now + self.backoff);
+        self.resend = self.resend.min(now + self.backoff.max(3 * self.round));
     }
 
     /// There are lines that it should hold.
@@ -120,14 +123,9 @@
         self.waiting.get_or_insert(now);
     }
 
-    /// Since when something waits for its word.
-    pub fn due_since(&self) -> Option<Micros> {
-        self.waiting
-    }
-
-    /// For how long nothing has come of what waits for it.
-    pub fn waited(&self, now: Micros) -> Micros {
-        self.waiting.map_or(0, |since| now.saturating_sub(since))
+    /// When it is in doubt if no word has come: after this time, or three rounds where those are longer.
+    pub fn doubt(&self, after: Micros) -> Micros {
+        self.waiting.map_or(Micros::MAX, |since| since + after.max(3 * self.round))
     }
 
     /// Whether what it says speaks against it.
@@ -143,6 +141,7 @@
             return false;
         }
         self.echo = self.echo.max(Some(ack.echo).filter(|echo| *echo <= now));
+        self.round = (self.round * 7 + now.saturating_sub(ack.echo)) / 8;
         if ack.begun > self.begun {
             // It began anew: what an earlier beginning acknowledged is gone with it.
             (self.begun, self.acked, self.started) = (ack.begun, 0, true);
@@ -153,7 +152,8 @@
             self.flying.retain(|(through, _)| *through > ack.through);
             let more = self.acked < last;
             self.waiting = more.then_some(now);
-            self.resend = if self.flying.is_empty() { Micros::MAX } else { now + self.backoff };
+            self.resend =
+                if self.flying.is_empty() { Micros::MAX } else { now + self.backoff.max(3 * self.round) };
         }
         true
     }
