--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -11,6 +11,7 @@
 mod overload;
 mod parse;
 mod path;
+mod pending;
 mod processes;
 mod proxy;
 
@@ -147,6 +148,18 @@
         #[arg(long, default_value_t = 5_000)]
         connections: usize,
     },
+    /// Kept events: bytes on the wire and held, time added, events a second, memory of one
+    Pending {
+        /// Events of each count
+        #[arg(long, default_value_t = 51_200)]
+        events: u64,
+        /// Rounds of what is measured on this host
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+        /// Seeds of what is in virtual time
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
     /// Decode a typical event so many times; for a tool that counts instructions
     Parse {
         /// How many times
@@ -176,6 +189,7 @@
         }
         Command::Processes { counts, lost, rounds } => processes::run(&counts, lost, rounds),
         Command::Memory { connections } => memory::run(connections),
+        Command::Pending { events, rounds, seeds } => pending::run(events, rounds, seeds),
         Command::Parse { times } => parse::run(times),
     }
 }
--- /dev/null
+++ b/crates/bench/src/pending.rs
@@ -0,0 +1,261 @@
+//! Kept events: bytes on the wire and in memory, the time that it takes until one is held, in virtual time, and how
+//! many a writer and a holder do in a second of a core.
+
+use basaltward_fleet::{Link, Micros, Number, Places};
+use basaltward_pending::{
+    Accepted, Again, Input, Key, Outcome, Output, Pending, PendingSettings, Said, Sites, Step,
+};
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::time::Instant;
+
+fn settings(own: Number) -> Result<PendingSettings, Box<dyn Error>> {
+    let places = Places::new(vec![0, 1], own).ok_or("not in the list")?;
+    let settings = PendingSettings::new(places, u64::from(own) + 1, vec![1], 1);
+    Ok(PendingSettings { bytes: 1 << 30, ..settings })
+}
+
+fn accepted(key: u128, body: usize) -> Step {
+    let (function, event) = ("function-0123".into(), vec![b'x'; body]);
+    let deadline = 1_800_000_060_000;
+    let again = Again::Unsafe;
+    Step::Accepted(Accepted {
+        key: Key(key),
+        class: 0,
+        tenant: 0,
+        function,
+        again,
+        owed: true,
+        deadline,
+        event,
+    })
+}
+
+fn sending(key: u128) -> Step {
+    Step::Sending { key: Key(key), attempt: 0, worker: "127.0.0.1:10003".into(), at: 1_800_000_000_000 }
+}
+
+fn ended(key: u128, answer: usize) -> Step {
+    Step::Ended { key: Key(key), outcome: Outcome::Served, answer: vec![b'y'; answer] }
+}
+
+/// A writer, its holder, and what went between them.
+struct Pair {
+    both: [Pending; 2],
+    now: Micros,
+    wire: [usize; 2],
+    frames: [usize; 2],
+}
+
+const WALL: u64 = 1_800_000_000_000;
+
+impl Pair {
+    fn new() -> Result<Self, Box<dyn Error>> {
+        let mut both = [Pending::new(settings(0)?, 0), Pending::new(settings(1)?, 0)];
+        let mut out = Vec::new();
+        both[0].handle(0, WALL, Input::Live(vec![true; 2]), &mut out);
+        both[0].handle(0, WALL, Input::LinkUp { of: 1, life: 2 }, &mut out);
+        Ok(Self { both, now: 1, wire: [0; 2], frames: [0; 2] })
+    }
+
+    /// A turn of the writer's control thread: all that loops say, then what follows until nothing is on its way.
+    fn turn(&mut self, steps: impl Iterator<Item = Step>) -> usize {
+        let (mut told, mut out) = (0, Vec::new());
+        self.now += 1;
+        steps.for_each(|step| self.both[0].handle(self.now, WALL, Input::Step(step), &mut out));
+        self.both[0].wake(self.now, WALL, &mut out);
+        let mut from = 0;
+        while !out.is_empty() {
+            let mut back = Vec::new();
+            for output in out {
+                match output {
+                    Output::Send { to, bytes } => {
+                        self.wire[from] += bytes.len();
+                        self.frames[from] += 1;
+                        let frame = Input::Frame { from: from as Number, bytes };
+                        self.both[usize::from(to)].handle(self.now, WALL, frame, &mut back);
+                    }
+                    Output::Held { .. } | Output::May { .. } => told += 1,
+                    _ => {}
+                }
+            }
+            from = 1 - from;
+            out = back;
+        }
+        told
+    }
+}
+
+fn bytes(events: u128) -> Result<(), Box<dyn Error>> {
+    println!("bytes a kept event, one holder: event and answer | turn | to the holder | back | frames there");
+    for body in [0, 500, 4_000] {
+        for batch in [1, 16, 256] {
+            let mut pair = Pair::new()?;
+            for first in (0..events).step_by(batch) {
+                let keys = first..first + batch as u128;
+                let steps: [&dyn Fn(u128) -> Step; 3] =
+                    [&|key| accepted(key, body), &sending, &|key| ended(key, body)];
+                for step in steps {
+                    pair.turn(keys.clone().map(step));
+                }
+            }
+            let per = |count: usize| count as f64 / events as f64;
+            let [there, back] = pair.wire;
+            println!(
+                "{body:>5} | {batch:>3} | {:>7.0} | {:>4.0} | {:.2}",
+                per(there),
+                per(back),
+                per(pair.frames[0])
+            );
+        }
+    }
+    Ok(())
+}
+
+fn resident() -> Result<f64, Box<dyn Error>> {
+    let text = std::fs::read_to_string("/proc/self/statm")?;
+    let pages: f64 = text.split_whitespace().nth(1).ok_or("no resident size")?.parse()?;
+    Ok(pages * 4096.0)
+}
+
+fn memory(events: u128) -> Result<(), Box<dyn Error>> {
+    println!(
+        "memory of {events} events, bytes each at writer and holder: event | stage | counted | resident, both"
+    );
+    for body in [0, 500] {
+        let mut pair = Pair::new()?;
+        let before = resident()?;
+        let mut told = |pair: &Pair, stage: &str| -> Result<(), Box<dyn Error>> {
+            let per = |bytes: f64| bytes / events as f64;
+            let (own, held) = (pair.both[0].own_size().0, pair.both[1].held_size().0);
+            let resident = per(resident()? - before);
+            println!(
+                "{body:>5} | {stage} | {:.0} + {:.0} | {resident:.0}",
+                per(own as f64),
+                per(held as f64)
+            );
+            Ok(())
+        };
+        let batches = || (0..events).step_by(64).map(|first| first..first + 64);
+        batches().for_each(|keys| _ = pair.turn(keys.map(|key| accepted(key, body))));
+        batches().for_each(|keys| _ = pair.turn(keys.map(sending)));
+        told(&pair, "pending")?;
+        batches().for_each(|keys| _ = pair.turn(keys.map(|key| ended(key, 100))));
+        told(&pair, "ended, answers of 100 kept")?;
+    }
+    Ok(())
+}
+
+/// Seconds for so many events, in turns of so many.
+fn spin(events: u128, batch: usize, body: usize) -> Result<f64, Box<dyn Error>> {
+    let mut pair = Pair::new()?;
+    let began = Instant::now();
+    let mut told = 0;
+    for first in (0..events).step_by(batch) {
+        let keys = first..first + batch as u128;
+        told += pair.turn(keys.clone().map(|key| accepted(key, body)));
+        told += pair.turn(keys.clone().map(sending));
+        told += pair.turn(keys.map(|key| ended(key, 100)));
+    }
+    let took = began.elapsed().as_secs_f64();
+    if told as u128 != 2 * events { Err("not all were held".into()) } else { Ok(took) }
+}
+
+/// Seconds for what is done of events that aren't kept: the same steps are made and dropped.
+fn unkept(events: u128, body: usize) -> f64 {
+    let began = Instant::now();
+    let made = (0..events).flat_map(|key| [accepted(key, body), sending(key), ended(key, 100)]);
+    made.for_each(|step| _ = std::hint::black_box(step));
+    began.elapsed().as_secs_f64()
+}
+
+fn rate(events: u128, rounds: usize) -> Result<(), Box<dyn Error>> {
+    println!(
+        "writer and holder on one core, 500 bytes an event, {rounds} rounds: turn | events/s | entries/s | us an event"
+    );
+    for batch in [1, 16, 256] {
+        let took: Result<Vec<f64>, _> = (0..rounds).map(|_| spin(events, batch, 500)).collect();
+        let took = took?;
+        let each = |of: f64| crate::spread(took.iter().map(|took| of * events as f64 / took).collect());
+        let us = took.iter().map(|took| took * 1e6 / events as f64).collect();
+        println!("{batch:>3} | {} | {} | {}", each(1.0), each(3.0), crate::spread(us));
+    }
+    let took = (0..rounds).map(|_| unkept(events, 500) * 1e6 / events as f64).collect();
+    println!("  - | the same steps made and dropped, us an event: {}", crate::spread(took));
+    Ok(())
+}
+
+/// Times until an event is held, and until its first byte may leave after that was said.
+fn times(late: (Micros, Micros), together: bool, seed: u64) -> Result<[Vec<Micros>; 2], Box<dyn Error>> {
+    let sites = vec![0, 0, 1, 1, 2, 2];
+    let places = Places::new(sites.clone(), 0).ok_or("not in the list")?;
+    let settings = PendingSettings::new(places, 0, vec![1], seed);
+    let mut world = Sites::new(sites, settings, Link { lost: 0.0, doubled: 0.0, late });
+    world.start_all();
+    world.run(world.net.now + 2_000_000);
+    let (mut began, mut times) = (BTreeMap::new(), [Vec::new(), Vec::new()]);
+    let mut key = 0;
+    for _ in 0..20_000 {
+        world.run(world.net.now + 100);
+        for (at, of, said) in std::mem::take(&mut world.net.told) {
+            match said {
+                Said::Told(Output::Held { key }) => {
+                    times[0].push(at - began[&key]);
+                    if !together {
+                        began.insert(key, world.net.now);
+                        world.step(of, sending(key.0));
+                    }
+                }
+                Said::Told(Output::May { key, .. }) => {
+                    times[1].push(at - began[&key]);
+                    world.step(of, ended(key.0, 100));
+                }
+                _ => {}
+            }
+        }
+        if world.net.draw(10) == 0 {
+            let of = world.net.draw(6) as Number;
+            key += 1;
+            began.insert(Key(key), world.net.now);
+            world.step(of, accepted(key, 500));
+            if together {
+                world.step(of, sending(key));
+            }
+        }
+    }
+    Ok(times)
+}
+
+fn added(seeds: u64) -> Result<(), Box<dyn Error>> {
+    println!(
+        "ms in virtual time, 3 sites of 2 gateways, 1,000 events a second, {seeds} seeds, p50 / p99: one way | \
+         accepted until held | said to be sent until it may | both said at once, until it may"
+    );
+    for ms in [0, 5, 40] {
+        let late = (ms * 1_000, ms * 1_200);
+        let mut all = [Vec::new(), Vec::new(), Vec::new()];
+        for seed in 0..seeds {
+            let [held, may] = times(late, false, seed)?;
+            let [_, both] = times(late, true, seed)?;
+            all.iter_mut().zip([held, may, both]).for_each(|(all, more)| all.extend(more));
+        }
+        let text = |values: &mut Vec<Micros>| {
+            values.sort_unstable();
+            let at =
+                |share: usize| values.get(values.len() * share / 100).map_or(f64::NAN, |at| *at as f64 / 1e3);
+            format!("{:.1} / {:.1}", at(50), at(99))
+        };
+        let [held, may, both] = &mut all;
+        println!("{ms:>2} | {} | {} | {}", text(held), text(may), text(both));
+    }
+    Ok(())
+}
+
+/// Measures and prints.
+pub fn run(events: u64, rounds: usize, seeds: u64) -> Result<(), Box<dyn Error>> {
+    let events = u128::from(events.next_multiple_of(256));
+    bytes(2_560.min(events))?;
+    added(seeds)?;
+    memory(events)?;
+    rate(events, rounds)
+}
--- a/crates/pending/src/holder.rs
+++ b/crates/pending/src/holder.rs
@@ -26,7 +26,9 @@
     lines: VecDeque<Line>,
     /// Lines of events that have not ended, by event.
     pending: BTreeMap<Key, Vec<u64>>,
-    /// The latest that its writer has said when it sent what came, on its clock.
+    /// The last line that its writer said to have written.
+    head: u64,
+    /// When its writer sent the latest that came, on its clock.
     sent: Micros,
     heard: Micros,
 }
@@ -40,8 +42,10 @@
     pub from: u64,
     /// The number of the last; one below the first where there is none.
     pub through: u64,
-    /// The chain after it.
-    pub chain: u64,
+    /// The last that its writer said to have written.
+    pub head: u64,
+    /// When its writer was last heard.
+    pub heard: Micros,
     /// Those on which anything depends yet: events of the others have ended, or are past their time.
     pub entries: Vec<Entry>,
 }
@@ -71,7 +75,16 @@
 
 impl Shelf {
     fn new(begun: u32, first: u64, before: u64) -> Self {
-        Self { begun, first, before, lines: VecDeque::new(), pending: BTreeMap::new(), sent: 0, heard: 0 }
+        Self {
+            begun,
+            first,
+            before,
+            lines: VecDeque::new(),
+            pending: BTreeMap::new(),
+            head: 0,
+            sent: 0,
+            heard: 0,
+        }
     }
 
     fn through(&self) -> u64 {
@@ -113,8 +126,8 @@
         let shelf = self.shelves.get(&source)?;
         let lines = shelf.lines.iter().zip(shelf.first..);
         let entries = lines.filter_map(|(line, number)| line.entry(source, number)).collect();
-        let (from, through, chain) = (shelf.first, shelf.through(), shelf.chain());
-        Some(Held { source, from, through, chain, entries })
+        let (from, through, head, heard) = (shelf.first, shelf.through(), shelf.head, shelf.heard);
+        Some(Held { source, from, through, head, heard, entries })
     }
 
     /// Whether an event is held that is pending in a journal.
@@ -173,6 +186,7 @@
         self.drop_below(source, lines.low);
         if let Some(shelf) = self.shelves.get_mut(&source) {
             (shelf.sent, shelf.heard) = (shelf.sent.max(lines.sent), now);
+            shelf.head = shelf.head.max(lines.head);
         }
         kept
     }
--- a/crates/pending/src/journal.rs
+++ b/crates/pending/src/journal.rs
@@ -540,6 +540,7 @@
             sent: now,
             turn: one.turn,
             low: self.first,
+            head: self.last(),
             first: sent + 1,
             anew: one.begins(sent),
             before: self.chain_at(sent).to_le_bytes(),
--- a/crates/pending/src/wire.rs
+++ b/crates/pending/src/wire.rs
@@ -36,6 +36,8 @@
     pub turn: u32,
     /// Nothing below is needed any more.
     pub low: u64,
+    /// The number of the last line that is written.
+    pub head: u64,
     /// The number of the first line.
     pub first: u64,
     /// The holder's journal begins here.
--- /dev/null
+++ b/crates/pending/tests/wire.rs
@@ -0,0 +1,95 @@
+//! Frames and journals as they come from a network that cuts and changes: nothing panics, and nothing is held that was
+//! not written.
+use basaltward_fleet::Places;
+use basaltward_pending::{
+    Accepted, Again, Entry, Fault, Input, Key, Outcome, Output, Pending, PendingSettings, Step,
+};
+use proptest::prelude::*;
+
+fn settings(own: u16) -> PendingSettings {
+    let places = Places::new(vec![0, 1], own).expect("in the list");
+    PendingSettings { entry_bytes: 1_000, ..PendingSettings::new(places, u64::from(own) + 7, vec![1], 1) }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let again = prop_oneof![
+        Just(Again::Safe),
+        (0..9_000_000u64).prop_map(|window| Again::Keyed { window }),
+        Just(Again::Unsafe)
+    ];
+    let event = (any::<u128>(), again, ".{0,40}", proptest::collection::vec(any::<u8>(), 0..300), 0..3u8);
+    proptest::collection::vec(event, 1..12).prop_map(|events| {
+        let steps = events.into_iter().flat_map(|(key, again, function, event, far)| {
+            let key = Key(key);
+            let (answer, worker) = (event.clone(), function.clone());
+            let accepted =
+                Accepted { key, class: 0, tenant: 3, function, again, owed: true, deadline: 9_000, event };
+            let sending = Step::Sending { key, attempt: 1, worker, at: 77 };
+            let ended = Step::Ended { key, outcome: Outcome::Served, answer };
+            [Step::Accepted(accepted), sending, ended].into_iter().take(usize::from(far) + 1)
+        });
+        steps.collect()
+    })
+}
+
+/// The frames by which a writer sends these, each step in a turn of its own.
+fn frames(steps: &[Step]) -> Vec<Vec<u8>> {
+    let (mut writer, mut out) = (Pending::new(settings(0), 0), Vec::new());
+    writer.handle(0, 0, Input::Live(vec![true; 2]), &mut out);
+    writer.handle(0, 0, Input::LinkUp { of: 1, life: 8 }, &mut out);
+    for (step, now) in steps.iter().zip(1..) {
+        writer.handle(now, 0, Input::Step(step.clone()), &mut out);
+        writer.wake(now, 0, &mut out);
+    }
+    let sent = |output| if let Output::Send { bytes, .. } = output { Some(bytes) } else { None };
+    out.into_iter().filter_map(sent).collect()
+}
+
+/// What one holds that was sent these frames, and what it found wrong.
+fn held(frames: &[Vec<u8>]) -> (Vec<Entry>, Vec<Fault>) {
+    let (mut holder, mut out) = (Pending::new(settings(1), 0), Vec::new());
+    for bytes in frames {
+        holder.handle(0, 0, Input::Frame { from: 0, bytes: bytes.clone() }, &mut out);
+    }
+    let entries = holder.sources().collect::<Vec<_>>().into_iter().filter_map(|source| holder.held(source));
+    let entries = entries.flat_map(|held| held.entries).collect();
+    let noted = |output| if let Output::Noted(fault) = output { Some(fault) } else { None };
+    (entries, out.into_iter().filter_map(noted).collect())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(200) })]
+
+    #[test]
+    fn what_was_cut_or_changed_is_named_and_never_held(
+        steps in steps(),
+        at in any::<prop::sample::Index>(),
+        byte in any::<prop::sample::Index>(),
+        to in any::<u8>(),
+        cut in any::<bool>(),
+    ) {
+        let whole = frames(&steps);
+        let (truly, faults) = held(&whole);
+        prop_assert!(faults.is_empty());
+        prop_assert!(truly.iter().all(|entry| steps.contains(&entry.step)));
+        let mut damaged = whole.clone();
+        let frame = &mut damaged[at.index(whole.len())];
+        let byte = byte.index(frame.len());
+        if cut { frame.truncate(byte) } else { frame[byte] = to }
+        let same = damaged == whole;
+        let (entries, faults) = held(&damaged);
+        prop_assert!(entries.iter().all(|entry| steps.contains(&entry.step)));
+        prop_assert!(same || !faults.is_empty());
+        // From the damage on nothing is taken until it is sent anew.
+        let before = at.index(whole.len());
+        prop_assert!(same || entries == held(&whole[..before]).0);
+    }
+
+    #[test]
+    fn any_bytes_at_all_are_refused(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let mut bytes = bytes;
+        bytes.first_mut().into_iter().for_each(|first| *first = 0x51);
+        let (entries, faults) = held(&[bytes]);
+        prop_assert!(entries.is_empty() && faults.len() == 1);
+    }
+}
