Pending: leases, ends, take-over and rebuilding; permits for lost sites and gateways

What a lost gateway had pending is done by others only when all that was promised to it has run out and the council has given a permit for its site, or for itself while its site lives. A gateway that returns asks the council by a question that a majority has to agree on, learns from all that live what was done, and only then takes kept events.

--- a/crates/agreed/src/bounds.rs
+++ b/crates/agreed/src/bounds.rs
@@ -39,13 +39,19 @@
     pub workers: Most,
     /// Workers of a zone.
     pub workers_of_zone: Most,
+    /// Sites that are lost: with more the others are rather cut off themselves.
+    pub sites: Most,
+    /// Gateways that are lost while their sites live, likewise.
+    pub gateways: Most,
 }
 
 impl Default for Bounds {
-    /// A tenth of each, a fifth of a zone.
+    /// A tenth of each, a fifth of a zone; sites and gateways are taken over by more than half of them.
     fn default() -> Self {
         let (all, zone) = (Most::Percent(10), Most::Percent(20));
-        Self { schedulers: all, schedulers_of_zone: zone, workers: all, workers_of_zone: zone }
+        let (sites, gateways) = (Most::Percent(49), Most::Percent(49));
+        let (schedulers, workers) = (all, all);
+        Self { schedulers, schedulers_of_zone: zone, workers, workers_of_zone: zone, sites, gateways }
     }
 }
 
@@ -95,6 +101,9 @@
         /// The bound.
         most: u16,
     },
+    /// It is lost by nobody's sight, or has not been for the settling time.
+    #[error("it is in use, or has not been lost for long enough")]
+    InUse,
     /// Nobody else is known to hold what it holds.
     #[error("it holds the last copy of something that calls need")]
     LastCopy,
@@ -118,8 +127,8 @@
     Stale,
 }
 
-fn kind(subject: Subject) -> bool {
-    matches!(subject, Subject::Scheduler(_))
+fn kind(subject: Subject) -> std::mem::Discriminant<Subject> {
+    std::mem::discriminant(&subject)
 }
 
 /// All that are out: by permit, or seen to be.
@@ -140,11 +149,16 @@
     if ledger.permits.len() >= PERMITS {
         return Err(Denied::Full);
     }
+    if subject.is_taken_over() && seen.used.is_some() {
+        return Err(Denied::InUse);
+    }
     let mut out = out(ledger, sight);
     out.insert(subject);
     let (of_fleet, of_zone) = match subject {
         Subject::Scheduler(_) => (bounds.schedulers, bounds.schedulers_of_zone),
         Subject::Worker(_) => (bounds.workers, bounds.workers_of_zone),
+        Subject::Site(_) => (bounds.sites, bounds.sites),
+        Subject::Gateway(_) => (bounds.gateways, bounds.gateways),
     };
     for (group, most) in [(Group::Fleet, of_fleet), (Group::Zone(seen.zone), of_zone)] {
         // What is out and not in sight any more, as it left the list, is counted in the whole fleet.
--- a/crates/agreed/src/desk.rs
+++ b/crates/agreed/src/desk.rs
@@ -100,6 +100,8 @@
             let by_itself = match subject {
                 Subject::Scheduler(_) => shown,
                 Subject::Worker(_) => shown && seen.life != permit.life,
+                // What was done in its place it has to learn first, and says so.
+                Subject::Site(_) | Subject::Gateway(_) => false,
             };
             if warm && (by_itself || back.is_some_and(|since| now >= since + settings.warm)) {
                 left.remove(subject);
--- a/crates/agreed/src/eyes.rs
+++ b/crates/agreed/src/eyes.rs
@@ -3,7 +3,7 @@
 use crate::bounds::{Seen, Sight};
 use crate::ledger::Subject;
 use crate::member::Eyes;
-use basaltward_fleet::{Entry, Micros, Number, RUNS, State, View, counters_of};
+use basaltward_fleet::{Entry, Micros, Number, Places, RUNS, State, View, counters_of};
 
 /// See the module's page.
 pub struct Look<'a> {
@@ -11,7 +11,7 @@
     pub view: &'a View,
     /// Zones of the schedulers, by number; those that are not told are in zone 0.
     pub zones: &'a [u8],
-    /// Workers, by what the bulletin tells: put together when they are looked at, which few datagrams lead to.
+    /// Workers, by what the bulletin tells, and sites, see [`sites`]: put together when they are looked at, which few datagrams lead to.
     pub workers: &'a dyn Fn(Micros) -> Sight,
     /// The wall clock, in milliseconds since the beginning of 2026.
     pub wall_ms: u64,
@@ -47,3 +47,31 @@
         self.wall_ms
     }
 }
+
+/// Sites and the gateways of all others, as a view shows them: out of use is one of which nothing was live for the
+/// settling time. A gateway counts by itself only while its site lives.
+pub fn sites(view: &View, places: &Places, settle: Micros, now: Micros) -> Sight {
+    let used = |of: Number| {
+        let entry = &view.entries()[usize::from(of)];
+        let since = now.saturating_sub(entry.since);
+        match entry.state.is_live() || of == view.own() {
+            true => Some(if entry.state == State::Up { since } else { 0 }),
+            false => (since < settle).then_some(0),
+        }
+    };
+    let seen = |used, life| Seen { zone: 0, life, used, sole: false, runs: None };
+    let life = |of: Number| (view.entries()[usize::from(of)].incarnation.start / 1_000) as u16;
+    let mut sight = Sight::new();
+    for site in places.sites() {
+        let members: Vec<Number> =
+            places.members(site).filter(|of| usize::from(*of) < view.entries().len()).collect();
+        let lives = members.iter().filter_map(|of| used(*of)).max();
+        sight.insert(Subject::Site(site), seen(lives, 0));
+        for of in members {
+            // Of a lost site each gateway is lost, which one permit for all of them says.
+            let used = if lives.is_none() { Some(0) } else { used(of) };
+            sight.insert(Subject::Gateway(of), seen(used, life(of)));
+        }
+    }
+    sight
+}
--- a/crates/agreed/src/foreman.rs
+++ b/crates/agreed/src/foreman.rs
@@ -83,6 +83,18 @@
                 self.desk.given(now, subject);
                 Ok((changed, given.number))
             }
+            Wish::Done(subject, number) if subject.is_taken_over() => {
+                let standing = ledger.permit(subject).filter(|permit| permit.number == number);
+                standing.ok_or(Denied::Stale)?;
+                changed.remove(subject);
+                Ok((changed, number))
+            }
+            Wish::Home(subject) if subject.is_taken_over() => {
+                // Another number makes another value, which only a majority can agree on.
+                changed.given = ledger.given.wrapping_add(1);
+                Ok((changed, ledger.permit(subject).map_or(0, |permit| permit.number)))
+            }
+            Wish::Home(_) => Err(Denied::Unknown),
             Wish::Done(subject, number) if changed.bring_back(subject, number) => Ok((changed, number)),
             Wish::Done(..) => Err(Denied::Stale),
             Wish::WriteOff(subject) if ledger.permit(subject).is_some() => {
--- a/crates/agreed/src/ledger.rs
+++ b/crates/agreed/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The one value that the council agrees on: who may be out, and the release that goes on. Small enough that each
 //! datagram holds all of it.
 
-use basaltward_fleet::Number;
+use basaltward_fleet::{Number, Site};
 use serde::{Deserialize, Serialize};
 
 /// Permits at once at most: so many fit into a datagram.
@@ -14,6 +14,17 @@
     Scheduler(Number),
     /// A worker, by a hash of its name: see [`worker`].
     Worker(u32),
+    /// A site, lost with all its gateways: its permit is leave to do what it owes.
+    Site(Site),
+    /// A gateway that is lost while its site lives: leave to do what it owes.
+    Gateway(Number),
+}
+
+impl Subject {
+    /// Its permit is leave to do what it owes, and ends when it says that it has learnt what was done in its place.
+    pub fn is_taken_over(self) -> bool {
+        matches!(self, Self::Site(_) | Self::Gateway(_))
+    }
 }
 
 /// The subject that a worker's name stands for.
--- a/crates/agreed/src/lib.rs
+++ b/crates/agreed/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use bounds::{Bounds, Denied, Group, Most, Seen, Sight, out, permit};
 pub use desk::Answer as Answered;
-pub use eyes::Look;
+pub use eyes::{Look, sites};
 pub use keeper::{Keeper, Times, Turn};
 pub use ledger::{Ledger, PERMITS, Permit, Plan, Subject, mark, worker};
 #[doc(hidden)]
--- a/crates/agreed/src/plan.rs
+++ b/crates/agreed/src/plan.rs
@@ -8,7 +8,7 @@
 fn schedulers(sight: &Sight) -> impl Iterator<Item = (Number, &Seen)> {
     sight.iter().filter_map(|(subject, seen)| match subject {
         Subject::Scheduler(of) => Some((*of, seen)),
-        Subject::Worker(_) => None,
+        _ => None,
     })
 }
 
--- a/crates/agreed/src/wire.rs
+++ b/crates/agreed/src/wire.rs
@@ -36,6 +36,9 @@
     Next(u16),
     /// The halt of this count ends.
     Resume(u32),
+    /// This site or gateway would take kept events again. Answered by the number of the permit by which it was taken
+    /// over, 0 for none, as a majority knows it: never by what a foreman alone remembers.
+    Home(Subject),
 }
 
 /// What one member tells another.
--- a/crates/agreed/tests/workers.rs
+++ b/crates/agreed/tests/workers.rs
@@ -14,7 +14,13 @@
 
 fn bounds(workers: u16) -> Bounds {
     let (most, all) = (Most::Number(workers), Most::Percent(100));
-    Bounds { schedulers: all, schedulers_of_zone: all, workers: most, workers_of_zone: all }
+    Bounds {
+        schedulers: all,
+        schedulers_of_zone: all,
+        workers: most,
+        workers_of_zone: all,
+        ..Bounds::default()
+    }
 }
 
 /// A fleet of ten that gives permits.
--- a/crates/bench/src/agreed.rs
+++ b/crates/bench/src/agreed.rs
@@ -18,7 +18,13 @@
 
 fn wide() -> Bounds {
     let most = Most::Percent(100);
-    Bounds { schedulers: most, schedulers_of_zone: most, workers: most, workers_of_zone: most }
+    Bounds {
+        schedulers: most,
+        schedulers_of_zone: most,
+        workers: most,
+        workers_of_zone: most,
+        ..Bounds::default()
+    }
 }
 
 /// Asks through this one until it is permitted; how long that took. What is permitted is written off again.
--- a/crates/cli/tests/agreed.rs
+++ b/crates/cli/tests/agreed.rs
@@ -24,7 +24,13 @@
 
 fn one() -> Bounds {
     let most = Most::Number(1);
-    Bounds { schedulers: most, schedulers_of_zone: most, workers: most, workers_of_zone: most }
+    Bounds {
+        schedulers: most,
+        schedulers_of_zone: most,
+        workers: most,
+        workers_of_zone: most,
+        ..Bounds::default()
+    }
 }
 
 /// Asks through a scheduler, as an operator does.
--- a/crates/node/src/notes.rs
+++ b/crates/node/src/notes.rs
@@ -60,6 +60,8 @@
             let permit = |permit: &Permit| match permit.subject {
                 Subject::Scheduler(of) => format!("scheduler {of} {}", permit.number),
                 Subject::Worker(of) => format!("worker {of:08x} {}", permit.number),
+                Subject::Site(of) => format!("site {of} {}", permit.number),
+                Subject::Gateway(of) => format!("gateway {of} {}", permit.number),
             };
             let permits = known.value.permits.iter().map(permit).collect();
             let (epoch, version) = ((known.epoch.ms, known.epoch.by), known.version);
--- /dev/null
+++ b/crates/pending/src/lease.rs
@@ -0,0 +1,209 @@
+//! Leases: an owner sends an unsafe event only while holders of its journal have said that they do nothing in its
+//! place. It counts their word from when it asked, they from when they answered, each by a clock that only runs on;
+//! never by the wall clock, which may be put back.
+
+use basaltward_fleet::{Micros, Number};
+use std::collections::BTreeMap;
+
+/// How long a holder's word stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Terms {
+    /// By the owner's clock, from when it asked.
+    pub lease: Micros,
+    /// By the holder's clock, from when it answered.
+    pub silence: Micros,
+}
+
+impl Terms {
+    /// Terms with this silence. A clock that runs a tenth fast against one that runs a tenth slow: 0.9 / 1.1 > 0.8, so
+    /// that the lease is over before the silence is.
+    pub fn new(silence: Micros) -> Self {
+        Self { lease: silence * 8 / 10, silence }
+    }
+}
+
+/// An owner's leases, by holder.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Lease {
+    terms: Terms,
+    /// When that was asked to which each last answered, and the holder's life.
+    asked: BTreeMap<Number, (u64, Micros)>,
+}
+
+impl Lease {
+    /// None is granted.
+    pub fn new(terms: Terms) -> Self {
+        Self { terms, asked: BTreeMap::new() }
+    }
+
+    /// A holder has granted what was asked at this time of our clock. What can't have been asked then is not believed.
+    pub fn granted(&mut self, now: Micros, by: Number, life: u64, asked: Micros) {
+        if asked <= now {
+            let known = self.asked.entry(by).or_insert((life, asked));
+            // Another life of it has promised nothing that an earlier one did.
+            *known = if known.0 == life { (life, known.1.max(asked)) } else { (life, asked) };
+        }
+    }
+
+    /// It grants nothing any more, or is no holder.
+    pub fn drop_of(&mut self, by: Number) {
+        self.asked.remove(&by);
+    }
+
+    /// We were taken over: none counts.
+    pub fn drop_all(&mut self) {
+        self.asked.clear();
+    }
+
+    /// Until when so many holders do nothing in our place, by our clock; unbounded where none is needed, as there is
+    /// nobody then who could.
+    pub fn until(&self, needed: usize) -> Micros {
+        let mut asked: Vec<Micros> = self.asked.values().map(|(_, asked)| *asked).collect();
+        asked.sort_unstable_by(|a, b| b.cmp(a));
+        match needed.checked_sub(1) {
+            None => Micros::MAX,
+            Some(at) => asked.get(at).map_or(0, |asked| asked + self.terms.lease),
+        }
+    }
+
+    /// Whether the first byte of an unsafe event may leave. `now` is read after all else is done: who stood still
+    /// finds here that it did.
+    pub fn may(&self, now: Micros, needed: usize) -> bool {
+        now < self.until(needed)
+    }
+
+    /// When what so many have granted should be asked for anew: four times in a lease.
+    pub fn renew(&self, needed: usize) -> Micros {
+        self.until(needed).saturating_sub(self.terms.lease * 3 / 4)
+    }
+}
+
+/// Why a holder grants nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// An earlier life of this holder may have promised what this one does not know.
+    #[error("this gateway has just started and waits until its earlier promises are over; nothing to do")]
+    Young,
+    /// The owner was taken over.
+    #[error(
+        "what gateway {gateway} had pending is done by others: its next life takes events once it has learnt of it"
+    )]
+    Taken {
+        /// The owner.
+        gateway: Number,
+        /// Its lives up to this one.
+        life: u64,
+    },
+}
+
+/// What a holder has promised to owners.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Promises {
+    terms: Terms,
+    /// It grants nothing, and does nothing in anybody's place, before.
+    speaks: Micros,
+    /// Until when nothing is done in an owner's place.
+    until: BTreeMap<Number, Micros>,
+    /// Lives up to this one of an owner are granted nothing.
+    closed: BTreeMap<Number, u64>,
+}
+
+impl Promises {
+    /// Of a holder whose life begins.
+    pub fn new(terms: Terms, now: Micros) -> Self {
+        Self { terms, speaks: now + terms.silence, until: BTreeMap::new(), closed: BTreeMap::new() }
+    }
+
+    /// An owner asks. Who answers it promises by that to do nothing in its place for a silence.
+    ///
+    /// # Errors
+    /// Where nothing may be promised; nothing of that owner is to be stored then either.
+    pub fn grant(&mut self, now: Micros, gateway: Number, life: u64) -> Result<(), Refused> {
+        if let Some(closed) = self.closed.get(&gateway).filter(|closed| life <= **closed) {
+            return Err(Refused::Taken { gateway, life: *closed });
+        }
+        if now < self.speaks {
+            return Err(Refused::Young);
+        }
+        self.until.insert(gateway, now + self.terms.silence);
+        Ok(())
+    }
+
+    /// Nothing is granted any more to lives of this owner up to this one; never undone.
+    pub fn close(&mut self, gateway: Number, life: u64) {
+        let closed = self.closed.entry(gateway).or_insert(life);
+        *closed = life.max(*closed);
+    }
+
+    /// Up to which of its lives an owner is granted nothing.
+    pub fn closed(&self, gateway: Number) -> Option<u64> {
+        self.closed.get(&gateway).copied()
+    }
+
+    /// When all that was promised to this owner is over.
+    pub fn free_at(&self, gateway: Number) -> Micros {
+        self.until.get(&gateway).copied().unwrap_or(0).max(self.speaks)
+    }
+
+    /// Whether all that was promised to it is over.
+    pub fn free(&self, now: Micros, gateway: Number) -> bool {
+        now >= self.free_at(gateway)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TERMS: Terms = Terms { lease: 2_400_000, silence: 3_000_000 };
+
+    #[test]
+    fn an_owners_lease_is_over_before_the_holder_is_free_however_clocks_run() {
+        assert_eq!(Terms::new(3_000_000), TERMS);
+        // In true time: asked at 0, answered at once, the worst for the owner; rates a tenth apart both ways.
+        for (owner, holder) in [(9, 11), (11, 9), (10, 10), (9, 9), (11, 11)] {
+            let mut lease = Lease::new(TERMS);
+            let mut promises = Promises::new(TERMS, 0);
+            let start = 10_000_000;
+            let at = |rate: u64, time: u64| (start + time) * rate / 10;
+            promises.grant(at(holder, 0), 7, 1).expect("long started");
+            lease.granted(at(owner, 0), 1, 1, at(owner, 0));
+            let both = (0..5_000)
+                .map(|ms| ms * 1_000)
+                .find(|time| lease.may(at(owner, *time), 1) && promises.free(at(holder, *time), 7));
+            assert_eq!(both, None, "{owner} {holder}");
+            assert!(lease.may(at(owner, 2_000_000), 1) && promises.free(at(holder, 3_400_000), 7));
+        }
+    }
+
+    #[test]
+    fn an_owner_that_stood_still_finds_its_lease_over() {
+        let mut lease = Lease::new(TERMS);
+        lease.granted(1_000_000, 1, 1, 900_000);
+        lease.granted(1_000_000, 2, 1, 500_000);
+        lease.granted(1_000_000, 3, 1, 2_000_000);
+        assert!(lease.may(1_000_000, 2) && !lease.may(1_000_000, 3) && lease.may(Micros::MAX - 1, 0));
+        assert!(!lease.may(500_000 + TERMS.lease, 2) && lease.may(500_000 + TERMS.lease, 1));
+        assert!(!lease.may(31_000_000, 1));
+        // A late answer does not put it back, another life of a holder stands for itself.
+        lease.granted(2_000_000, 1, 1, 100_000);
+        assert_eq!(lease.until(1), 900_000 + TERMS.lease);
+        lease.granted(2_000_000, 1, 2, 100_000);
+        assert_eq!(lease.until(1), 500_000 + TERMS.lease);
+        lease.drop_all();
+        assert!(!lease.may(0, 1));
+    }
+
+    #[test]
+    fn a_holder_that_forgot_waits_and_one_that_took_over_grants_nothing() {
+        let mut promises = Promises::new(TERMS, 5);
+        assert_eq!(promises.grant(6, 4, 1), Err(Refused::Young));
+        assert!(!promises.free(3_000_004, 4) && promises.free(3_000_005, 4));
+        assert_eq!(promises.grant(4_000_000, 4, 9), Ok(()));
+        assert!(!promises.free(6_999_999, 4));
+        promises.close(4, 9);
+        promises.close(4, 8);
+        assert_eq!(promises.grant(8_000_000, 4, 9), Err(Refused::Taken { gateway: 4, life: 9 }));
+        assert_eq!((promises.free_at(4), promises.grant(8_000_000, 4, 10)), (7_000_000, Ok(())));
+    }
+}
--- /dev/null
+++ b/crates/pending/src/words.rs
@@ -0,0 +1,188 @@
+//! What gateways tell one another of what is taken over, and what an heir puts out.
+
+use crate::ends::{End, Sent};
+use crate::types::{Accepted, Entry, Key, Outcome, Source, WallMs};
+use basaltward_fleet::{Micros, Number, Places};
+use serde::{Deserialize, Serialize};
+
+/// What we hold of a journal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Copy {
+    /// Whose.
+    pub source: Source,
+    /// The number of its last line that we hold; nothing before it is missing but what was over.
+    pub through: u64,
+    /// The latest that its writer has said to have written.
+    pub head: u64,
+    /// For how long we have not heard of its writer.
+    pub unheard: Micros,
+    /// What matters of it yet, by number.
+    pub entries: Vec<Entry>,
+}
+
+/// Why something of a journal is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Why {
+    /// It was written and came to nobody who lives.
+    Missing,
+    /// Two hold different lines under one number.
+    Contradicted,
+    /// Nobody who lives holds anything of it: there was nothing, or it is lost with all who held it.
+    Unheld,
+}
+
+/// What is not known, and not guessed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, thiserror::Error)]
+#[error(
+    "journal {source_of:?}: lines {from} to {to:?} are gone ({why:?}): ask the clients of that gateway for what had no answer"
+)]
+pub struct Gone {
+    /// Whose journal.
+    pub source_of: Source,
+    /// The first line.
+    pub from: u64,
+    /// The last, where that is known.
+    pub to: Option<u64>,
+    /// Why.
+    pub why: Why,
+}
+
+/// What became of an event, for whoever is told of it again.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Fate {
+    /// It will be done; by whom is not settled.
+    Open,
+    /// This gateway does it.
+    By(Number),
+    /// It has ended; the answer is empty where there was none or it was too long to be kept.
+    Ended(Outcome, Vec<u8>),
+}
+
+/// Whose an event is, to whoever answers a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Stand {
+    /// The asker's.
+    Yours,
+    /// The answerer's.
+    Mine,
+    /// Nobody's any more.
+    Ended(Outcome, Vec<u8>),
+}
+
+/// What a fellow answers of an event that is claimed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Say {
+    /// Which event.
+    pub key: Key,
+    /// Whose it is.
+    pub stand: Stand,
+    /// Whether it was sent, as far as the answerer could know.
+    pub sent: Sent,
+    /// The line by which it was accepted and the chain there, where the answerer holds it.
+    pub line: Option<(Source, u64, u64)>,
+}
+
+/// What gateways tell one another of what is taken over.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Word {
+    /// I would end these, of these journals. Not answered before the answerer has begun with that journal.
+    Claim(Vec<(Key, Source)>),
+    /// The answer, by one that lives for so long.
+    Says {
+        /// Since its start.
+        age: Micros,
+        /// For each event of which it could say anything.
+        says: Vec<Say>,
+    },
+    /// These have ended so.
+    Over(Vec<(Key, Outcome, Vec<u8>)>),
+    /// Which journals of this gateway do you hold? Asked by whoever has begun with it.
+    Holds(Number),
+    /// Whether any.
+    Held(Number, bool),
+    /// My life began, and this one is over; what was done with what it and those before had pending, after this event?
+    /// Taken up only when what was promised to the asker has run out.
+    Back {
+        /// The life that is over.
+        life: u64,
+        /// The last event told before.
+        after: Option<Key>,
+    },
+    /// A part of that.
+    Did {
+        /// The life that was asked about.
+        life: u64,
+        /// By event, with its deadline.
+        fates: Vec<(Key, WallMs, Fate)>,
+        /// The last of this part, where there is more.
+        more: Option<Key>,
+    },
+}
+
+/// Figures of an heir.
+#[derive(Clone, Debug)]
+pub struct HeirsSettings {
+    /// Which gateway stands at which site.
+    pub places: Places,
+    /// Our life: those before it are over.
+    pub life: u64,
+    /// Wall clocks differ by up to this.
+    pub slack: WallMs,
+    /// Events of lost owners that are out to workers at once, at most.
+    pub most: usize,
+    /// And that begin in a second.
+    pub rate: u32,
+    /// An event that is over is remembered for so long past its deadline.
+    pub remember: WallMs,
+}
+
+/// What an heir does or wants done.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Heir {
+    /// For another gateway.
+    Send(Number, Word),
+    /// The event is ours, to be ended so by a worker: it goes the way of one that was accepted here, journal and lease
+    /// included, with its first byte said to have left at `first` if it did. Its end is told by [`Heirs::over`].
+    Adopt {
+        /// The event.
+        accepted: Accepted,
+        /// When it was first sent.
+        first: Option<WallMs>,
+        /// What is done: one of those that run.
+        end: End,
+    },
+    /// The event has ended here and no worker is asked.
+    Told {
+        /// The event.
+        key: Key,
+        /// How.
+        end: End,
+        /// For repeats.
+        outcome: Outcome,
+        /// The answer, where there is one.
+        answer: Vec<u8>,
+    },
+    /// Something is not known.
+    Gone(Gone),
+    /// All that a gateway's fellow knows of our earlier lives has come: [`crate::Return::learnt`].
+    Learnt(Number),
+}
+
+/// How events of lost owners have ended here.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Counted {
+    /// Never sent, and run here.
+    pub run: u64,
+    /// Safe, and run again.
+    pub again: u64,
+    /// Sent again under their keys.
+    pub same_key: u64,
+    /// Not run, as they may have.
+    pub may_have_run: u64,
+    /// Past their time.
+    pub closed: u64,
+    /// Let go.
+    pub let_go: u64,
+    /// Parts of journals that are not known.
+    pub gone: u64,
+}
