Merge the rooms of kept events; the gateway takes over

With it: returns and is told who sees to what.

Pending asks the council (take-over, home, done), is shown sites by the view and what is agreed, and gives loops what they do for a lost gateway as if it were accepted there. An event that heirs see to is not begun anew: its repeat is told how it ended or comes again.

--- a/crates/fellows/src/agreement.rs
+++ b/crates/fellows/src/agreement.rs
@@ -7,9 +7,9 @@
 use crate::workers::{Worker, Workers};
 use basaltward_agreed::{
     Answered, Bounds, Denied, Epoch, Eyes, Fault, Halt, Ledger, Look, Member, Output, Request, Response,
-    Status, Stored, Subject, Told, Want, Wish, done, mark,
+    Sight, Status, Stored, Subject, Told, Want, Wish, done, mark, sites,
 };
-use basaltward_fleet::{DRAINS, FleetSettings, MOST, Number, RUNS, State, View, value_of};
+use basaltward_fleet::{DRAINS, FleetSettings, MOST, Number, Places, RUNS, State, View, value_of};
 use basaltward_net::{Io, Micros};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -45,6 +45,9 @@
     started: Micros,
     /// Zones of the schedulers, by number.
     peers_zones: Vec<u8>,
+    /// Which of them stands at which site, and how long nothing of a site was live for before it counts as lost.
+    places: Option<Places>,
+    settle: Micros,
     /// The mark of the version that we run, and when it is told next.
     runs: u32,
     tell_runs: Micros,
@@ -65,6 +68,7 @@
         let life =
             [fleet.start, fleet.seed, u64::from(std::process::id()), now].map(u64::to_le_bytes).concat();
         let Some(settings) = config.agreed(fleet, crc32fast::hash(&life)) else { return Ok(None) };
+        let settle = settings.settle;
         let member = Member::new(settings, now)?;
         let learns = (fleet.size > 1).then_some((now + LEARN_US.0, now));
         Ok(Some(Self {
@@ -78,6 +82,8 @@
             noted: None,
             runs: mark(&config.version),
             peers_zones: config.zones.clone(),
+            places: config.places.clone(),
+            settle,
             tell_runs: now,
             released: false,
             out: Vec::new(),
@@ -101,9 +107,18 @@
         self.member.next_due().min(tell).min(learns).min(self.tell_runs)
     }
 
+    /// What the view shows of sites and their gateways.
+    pub fn sites(&self, view: &View, now: Micros) -> Sight {
+        self.places.iter().flat_map(|places| sites(view, places, self.settle, now)).collect()
+    }
+
     fn act(&mut self, view: &View, act: impl FnOnce(&mut Member, &Look, &mut Vec<Output>)) {
-        let known = &self.workers;
-        let workers = move |now| known.sight(now);
+        let (known, places, settle) = (&self.workers, &self.places, self.settle);
+        let workers = move |now| {
+            let mut sight = known.sight(now);
+            sight.extend(places.iter().flat_map(|places| sites(view, places, settle, now)));
+            sight
+        };
         let look = Look { view, zones: &self.peers_zones, workers: &workers, wall_ms: since_2026_ms() };
         act(&mut self.member, &look, &mut self.out);
     }
--- a/crates/fellows/src/config.rs
+++ b/crates/fellows/src/config.rs
@@ -1,6 +1,6 @@
 use crate::FellowsError;
 use basaltward_agreed::{AgreedSettings, Bounds};
-use basaltward_fleet::{FleetSettings, Micros, Number};
+use basaltward_fleet::{FleetSettings, Micros, Number, Places};
 use std::net::{IpAddr, SocketAddr};
 
 /// What a program is told of its fellows.
@@ -22,6 +22,8 @@
     pub zones: Vec<u8>,
     /// How many may be out at once, where the fleet agrees on that; without, we have no part in what is agreed.
     pub bounds: Option<Bounds>,
+    /// Which of `peers` stands at which site, where sites may be taken over.
+    pub places: Option<Places>,
     /// The version that this configuration and its program are, by its operators' name.
     pub version: String,
     /// Longest way of a datagram there and back that is not lost.
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -7,7 +7,7 @@
 use crate::lines::Lines;
 use crate::times::{TELL_US, gap, since_2026_ms};
 use crate::workers::Worker;
-use basaltward_agreed::{Fault, Ledger, Request, Stored, VERSION, Wish};
+use basaltward_agreed::{Fault, Ledger, Request, Sight, Stored, VERSION, Wish};
 use basaltward_fleet::{Answer, CALLS, MOST, Newer, Number, Output, Question, State, View, value_of};
 use basaltward_net::{Io, Micros};
 use std::collections::HashMap;
@@ -193,6 +193,11 @@
         self.agreement.as_ref().and_then(Agreement::known)
     }
 
+    /// What the view shows of sites and their gateways; nothing where we have no part in what is agreed.
+    pub fn sites(&self, now: Micros) -> Sight {
+        self.agreement.as_ref().map(|agreement| agreement.sites(&self.view, now)).unwrap_or_default()
+    }
+
     /// Whether we have a part in what is agreed.
     pub fn agrees(&self) -> bool {
         self.agreement.is_some()
--- a/crates/fellows/tests/links/bed.rs
+++ b/crates/fellows/tests/links/bed.rs
@@ -69,6 +69,7 @@
     // No address yet: datagrams that come there before the list is known are nobody's.
     let nowhere = vec![SocketAddr::from(([127, 0, 0, 1], 9)); size];
     let fellows = FellowsConfig {
+        places: None,
         name: "bed".into(),
         listen: any,
         peers: nowhere.clone(),
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -5,23 +5,26 @@
 use crate::scheduler::{RUN, STOP};
 use crate::tables::{COUNT_US, ControlEnd, Fact, Tables, Word};
 use basaltward::Micros;
+use basaltward_agreed::{Denied, Wish};
 use basaltward_config::{Config, SitesConfig};
 use basaltward_fellows::{
     Channel, Event, FellowsConfig, Ground, GroundConfig, GroundEvent, LinkEvent, LinksConfig,
 };
 use basaltward_fleet::{Number, Places, SHED, State};
 use basaltward_net::{Clock, Io, NetError, monotonic};
-use basaltward_pending::{Input, Output, Pending, PendingSettings};
+use basaltward_pending::{End, Fate, Input, Output, Pending, PendingSettings, Step};
 use basaltward_route::{FunctionTold, Route, RouteSettings};
 use basaltward_rules::{Recorder, What};
 use basaltward_shed::{ClassOf, Shed, ShedSettings};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use tracing::{info, warn};
 
 /// All is done: nobody needs the control thread any more.
 pub const END: u8 = 3;
+/// What is seen of sites and agreed on them is looked at anew after this at the latest.
+const SEE_US: Micros = 500_000;
 /// Words that wait for a loop: past this the oldest go, which its timers make up for.
 const MOST_WORDS: usize = 16_384;
 /// Datagrams between sites take so long there and back at most, by which silence is told from distance.
@@ -46,6 +49,10 @@
     stall: Arc<AtomicU64>,
     recorder: Recorder,
     leaving: bool,
+    /// Wishes of ours that have no answer yet, by number.
+    wishes: BTreeMap<u32, Wish>,
+    /// When pending is told what is seen and agreed next.
+    see: Micros,
     /// When facts are read next, though nobody wakes us.
     look: Micros,
 }
@@ -89,6 +96,7 @@
     let seed = Clock::read().wall() ^ u64::from(std::process::id()) << 40;
     GroundConfig {
         fellows: FellowsConfig {
+            places: places(sites),
             name: sites.fleet.clone(),
             listen: sites.listen,
             peers: fellows.iter().map(|fellow| fellow.tell).collect(),
@@ -151,6 +159,8 @@
             stall,
             recorder,
             leaving: false,
+            wishes: BTreeMap::new(),
+            see: now,
             look: now,
         })
     }
@@ -199,7 +209,7 @@
 
     /// What the loops have counted, and the steps of their kept events.
     fn facts(&mut self, now: Micros) {
-        let mut out = Vec::new();
+        let (own, mut out) = (self.ground.view().own(), Vec::new());
         for (number, end) in self.loops.iter_mut().enumerate() {
             while let Ok(fact) = end.facts.pop() {
                 match fact {
@@ -209,7 +219,24 @@
                 }
             }
             while let Ok(step) = end.steps.pop() {
-                self.pending.handle(now, wall_ms(), Input::Step(step), &mut out);
+                // An event that was a lost gateway's is not begun anew while heirs see to it.
+                let fate = match &step {
+                    Step::Accepted(accepted) => {
+                        self.pending.fate(accepted.key).map(|fate| (accepted.key, fate))
+                    }
+                    _ => None,
+                };
+                let (key, word) = match fate {
+                    Some((key, Fate::Ended(outcome, answer))) => (key, Word::Told(key, outcome, answer)),
+                    Some((key, Fate::By(by))) if by != own => (key, Word::Elsewhere(key)),
+                    Some((key, Fate::Open)) => (key, Word::Elsewhere(key)),
+                    Some(_) | None => {
+                        self.pending.handle(now, wall_ms(), Input::Step(step), &mut out);
+                        continue;
+                    }
+                };
+                self.pending.handle(now, wall_ms(), Input::Repeated(key), &mut out);
+                self.words[number].push_back(word);
             }
         }
         self.carry_out(now, out);
@@ -240,6 +267,19 @@
                     info!(scheduler = self.name, of, "link down");
                     Input::LinkDown { of }
                 }
+                GroundEvent::Fellow(Event::Answered { tag, answer }) => {
+                    match (self.wishes.remove(&tag), answer) {
+                        (Some(Wish::Home(subject)), Ok(permit)) => Input::Home { subject, permit },
+                        (Some(Wish::Done(subject, _)), Ok(_) | Err(Denied::Stale | Denied::Unknown)) => {
+                            Input::Done { subject }
+                        }
+                        _ => continue,
+                    }
+                }
+                GroundEvent::Fellow(Event::Agreed(_)) => {
+                    self.see = now;
+                    continue;
+                }
                 GroundEvent::Fellow(_) | GroundEvent::Link(_) => continue,
             };
             self.pending.handle(now, wall_ms(), input, &mut out);
@@ -266,6 +306,7 @@
             if live != self.live {
                 self.live = live;
                 self.route.live(&self.live);
+                self.see = now;
                 let mut out = Vec::new();
                 self.pending.handle(now, wall_ms(), Input::Live(self.live.clone()), &mut out);
                 self.carry_out(now, out);
@@ -296,6 +337,14 @@
             }
             self.tables.shed.store(Some(Arc::new(self.shed.table(now, &self.live))));
         }
+        if now >= self.see {
+            self.see = now + SEE_US;
+            let sight = self.ground.fellows().sites(now);
+            let ledger = self.ground.agreed().map(|known| known.value.clone()).unwrap_or_default();
+            let mut out = Vec::new();
+            self.pending.handle(now, wall_ms(), Input::Seen { sight, ledger }, &mut out);
+            self.carry_out(now, out);
+        }
         if self.pending.next_due() <= now {
             let mut out = Vec::new();
             self.pending.wake(now, wall_ms(), &mut out);
@@ -321,16 +370,37 @@
                     self.say(|| Word::May(key, attempt, None));
                 }
                 Output::Noted(fault) => warn!(scheduler = self.name, %fault, "journal"),
-                Output::AskTakeOver(site) => info!(scheduler = self.name, site, "counts as lost"),
-                Output::Run { pending, attempt } => {
+                Output::Ask(wish) => {
+                    info!(scheduler = self.name, ?wish, "asked of the council");
+                    if let Some(tag) = self.ground.wish(now, wish) {
+                        self.wishes.insert(tag, wish);
+                    }
+                }
+                Output::Takes => info!(scheduler = self.name, "takes kept events"),
+                Output::Lost { key } => self.say(|| Word::Lost(key)),
+                Output::Run { pending, end, .. } => {
+                    info!(
+                        scheduler = self.name,
+                        key = format!("{:x}", pending.key.0),
+                        ?end,
+                        "done for a lost gateway"
+                    );
+                    let before = if let End::SameKey { before } = end { before } else { u64::MAX };
                     let at = (pending.key.0 % self.loops.len().max(1) as u128) as usize;
                     if let Some(words) = self.words.get_mut(at) {
-                        words.push_back(Word::Run(Box::new(pending), attempt));
+                        words.push_back(Word::Run(Box::new(pending), before));
                     }
                 }
-                Output::Told { key, outcome, answer } => {
-                    self.say(|| Word::Told(key, outcome, answer.clone()))
+                Output::Told { key, end, outcome, answer } => {
+                    info!(
+                        scheduler = self.name,
+                        key = format!("{:x}", key.0),
+                        ?end,
+                        "ended for a lost gateway"
+                    );
+                    self.say(|| Word::Told(key, outcome, answer.clone()));
                 }
+                Output::Gone(gone) => warn!(scheduler = self.name, %gone, "journal of a lost gateway"),
             }
         }
     }
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -4,6 +4,7 @@
 mod notes;
 
 use crate::front::{Asked, Front, thread_of};
+use crate::kept::Start;
 use crate::links::{Done, Job, Links, attempt_name};
 use crate::mail::{Mail, Message};
 use crate::sites::Sites;
@@ -400,18 +401,20 @@
                 let repeat = front.repeat_of(&function);
                 self.sites.iter_mut().for_each(|sites| sites.started(now, attempt, &function.name));
                 let kept = self.sites.as_mut().and_then(|sites| sites.kept.as_mut());
-                let leaves =
-                    kept.is_none_or(|k| k.start((wall_ms(), until), attempt, &identity, worker.as_str()));
+                let start = kept.map_or(Start::Leaves, |kept| {
+                    kept.start((wall_ms(), until), attempt, &identity, worker.as_str())
+                });
                 let lease = Micros::MAX;
                 let job =
                     Job::Attempt { id: attempt, event: payload, function, repeat, until, identity, lease };
-                if leaves {
-                    return links.start(io, now, &worker, job);
-                }
-                if let Some(sites) = &mut self.sites {
-                    sites.park(attempt, worker, job);
+                match (start, &mut self.sites) {
+                    (Start::Waits, Some(sites)) => {
+                        sites.park(attempt, worker, job);
+                        None
+                    }
+                    (Start::Stays, _) => Some(Done::Attempt(attempt, AttemptEnd::bare(Code::Moot))),
+                    _ => links.start(io, now, &worker, job),
                 }
-                None
             }
             Output::Abort(attempt) => {
                 let sites = self.sites.as_mut();
--- a/crates/gateway/src/scheduler/calls.rs
+++ b/crates/gateway/src/scheduler/calls.rs
@@ -126,18 +126,27 @@
             let then = match word {
                 Word::Held(key, held) => kept.held(key, held),
                 Word::May(key, number, until) => kept.may(key, number, until).into_iter().collect(),
-                Word::Told(key, outcome, answer) => {
-                    kept.told(key, outcome, &answer, now);
-                    continue;
-                }
-                Word::Run(pending, attempt) => {
-                    let call = self.front.owed(&pending, (now, wall_ms()));
-                    match call {
-                        Some(call) => {
-                            kept.runs(&call, attempt);
-                            self.begin(now, call);
-                        }
-                        None => warn!(scheduler = self.name, function = pending.function, "unknown here"),
+                Word::Told(key, outcome, answer) => kept.told(key, outcome, &answer, now),
+                Word::Lost(key) => kept.lost(key),
+                Word::Elsewhere(key) => kept.elsewhere(key),
+                Word::Run(pending, before) => {
+                    let key = pending.key;
+                    let Some(mut call) = self.front.owed(&pending, (now, wall_ms())) else {
+                        warn!(
+                            scheduler = self.name,
+                            function = pending.function,
+                            "of a lost site, not known here"
+                        );
+                        kept.gives_up(key);
+                        continue;
+                    };
+                    call.deadline =
+                        call.deadline.min(now + before.saturating_sub(wall_ms()).saturating_mul(1_000));
+                    // As one that was accepted here: steps and all.
+                    match kept.accept((now, wall_ms()), call) {
+                        Accept::Go(call) => self.begin(now, call),
+                        Accept::Waits => {}
+                        Accept::Answer(..) => kept.gives_up(key),
                     }
                     continue;
                 }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -36,8 +36,12 @@
     Held(Key, bool),
     /// An attempt may leave before this time of the machine's clock, or not at all.
     May(Key, u32, Option<Micros>),
-    /// An event of a lost site is to be done, under this attempt.
-    Run(Box<Accepted>, u32),
+    /// An event of a lost site is to be done, sent before this wall time in milliseconds.
+    Run(Box<Accepted>, u64),
+    /// What was pending here is others' now: no byte of it leaves any more.
+    Lost(Key),
+    /// Another gateway sees to an event of this name: it is not begun here.
+    Elsewhere(Key),
     /// An event of a lost site has ended so, with this answer.
     Told(Key, Outcome, Vec<u8>),
 }
--- a/crates/node/src/fellows.rs
+++ b/crates/node/src/fellows.rs
@@ -23,6 +23,7 @@
 
 fn told(config: &NodeConfig, fleet: &FleetConfig) -> FellowsConfig {
     FellowsConfig {
+        places: None,
         name: fleet.name.clone(),
         listen: fleet.listen,
         peers: fleet.peers.clone(),
