--- a/crates/fellows/src/config.rs
+++ b/crates/fellows/src/config.rs
@@ -1,4 +1,6 @@
-use crate::FellowsError;
+use crate::error::FellowsError;
+use crate::frame::OVERHEAD;
+use crate::link::LinkTimes;
 use basaltward_agreed::{AgreedSettings, Bounds};
 use basaltward_fleet::{FleetSettings, Micros, Number};
 use std::net::{IpAddr, SocketAddr};
@@ -58,3 +60,54 @@
         Some(AgreedSettings { fleet: view.fleet, bounds: self.bounds?, settle, times, ..usual })
     }
 }
+
+/// What links are told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinksConfig {
+    /// Where each fellow takes connections, by number, our own included.
+    pub peers: Vec<SocketAddr>,
+    /// Longest payload of a frame.
+    pub frame_bytes: usize,
+    /// Most bytes that wait to be sent to one fellow.
+    pub unsent_bytes: usize,
+    /// Between two attempts to reach a fellow: at first, and at most.
+    pub pause: (Micros, Micros),
+    /// What waits for a connection waits for so long at most.
+    pub patience: Micros,
+    /// Times of each.
+    pub times: LinkTimes,
+}
+
+impl LinksConfig {
+    /// The usual figures: frames up to 256 KiB, 4 MiB unsent.
+    pub fn new(peers: Vec<SocketAddr>) -> Self {
+        Self {
+            peers,
+            frame_bytes: 256 << 10,
+            unsent_bytes: 4 << 20,
+            pause: (100_000, 5_000_000),
+            patience: 4_000_000,
+            times: LinkTimes::default(),
+        }
+    }
+
+    /// Checks them.
+    pub(crate) fn check(&self) -> Result<(), FellowsError> {
+        let LinkTimes { ping, silence, unread, idle, hello } = self.times;
+        let figures = [
+            ("a fellow's unsent bytes", self.unsent_bytes >= self.frame_bytes + OVERHEAD),
+            ("the time between questions", ping > 0),
+            // A loop that has not looked for two of them counts as having stood still.
+            ("the time of silence", silence >= ping * 3),
+            ("the time without an answer", unread >= silence),
+            ("the time unused", idle >= silence),
+            ("the time for a hello", hello > 0),
+            ("the pause before another attempt", self.pause.0 > 1 && self.pause.1 >= self.pause.0),
+            ("the patience for a connection", self.patience > 0),
+        ];
+        match figures.iter().find(|(_, good)| !good) {
+            Some((name, _)) => Err(FellowsError::Links(name)),
+            None => Ok(()),
+        }
+    }
+}
--- a/crates/fellows/src/error.rs
+++ b/crates/fellows/src/error.rs
@@ -29,6 +29,9 @@
     /// The lists are of different lengths.
     #[error("{0} fellows have an address for datagrams and {1} one for connections; give each of them both")]
     Addresses(usize, usize),
+    /// Links can't be kept with these figures.
+    #[error("{0} is too small for the links: raise it")]
+    Links(&'static str),
     /// The view can't be kept with these figures.
     #[error(
         "the list of fellows can't be used: {0}; give every fellow the same list, with our own number in it"
--- a/crates/fellows/src/event.rs
+++ b/crates/fellows/src/event.rs
@@ -1,5 +1,6 @@
 use basaltward_agreed::{Answered, Ledger, Stored};
 use basaltward_fleet::{Incarnation, Number, State};
+use bytes::Bytes;
 
 /// What a program hears of its fellows by datagrams.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,3 +28,34 @@
         answer: Answered,
     },
 }
+
+/// Whose frames.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[repr(u8)]
+pub enum Channel {
+    /// Journals of kept calls (`crates/pending`).
+    Pending = 1,
+    /// Choice of sites (`crates/route`).
+    Route = 2,
+    /// Shares and budgets (`crates/shed`).
+    Shed = 3,
+}
+
+impl Channel {
+    /// The channel of a frame, where it is one that we know.
+    pub(crate) fn of(byte: u8) -> Option<Self> {
+        [Self::Pending, Self::Route, Self::Shed].into_iter().find(|channel| *channel as u8 == byte)
+    }
+}
+
+/// What links tell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LinkEvent {
+    /// A fellow can be sent to and heard, in this life of it.
+    Up(Number, u64),
+    /// What was sent to it and not answered may be lost: its connection has ended, or could not be made in time. Where
+    /// another still stands, `Up` follows.
+    Down(Number),
+    /// A frame came.
+    Frame(Number, Channel, Bytes),
+}
--- a/crates/fellows/src/ground.rs
+++ b/crates/fellows/src/ground.rs
@@ -1,11 +1,11 @@
 //! All that a control thread has of its fellows: view, agreement, datagrams and links, on one loop.
 
-use crate::config::FellowsConfig;
+use crate::config::{FellowsConfig, LinksConfig};
 use crate::error::{FellowsError, LinkError};
-use crate::event::Event;
+use crate::event::{Channel, Event, LinkEvent};
 use crate::fellows::Fellows;
 use crate::link::Ours;
-use crate::links::{Channel, LinkEvent, Links, LinksConfig};
+use crate::links::Links;
 use basaltward_agreed::{Ledger, Stored, Wish};
 use basaltward_fleet::{Number, View};
 use basaltward_net::{Happened, Io, Micros, bind};
@@ -56,6 +56,7 @@
     /// Where the configuration can't be used or an address can't be had.
     pub fn open(config: GroundConfig, io: &mut Io, now: Micros) -> Result<Self, FellowsError> {
         lists(&config.fellows, &config.links.peers)?;
+        config.links.check()?;
         let (own, size) = (config.fellows.own, config.links.peers.len());
         let fellows = Fellows::open(&config.fellows, io, now)?;
         let refused = |why| FellowsError::Listen { at: config.listen, why };
--- a/crates/fellows/src/lib.rs
+++ b/crates/fellows/src/lib.rs
@@ -22,14 +22,14 @@
 mod workers;
 
 pub use ask::{ask_agreed, ask_view};
-pub use config::FellowsConfig;
+pub use config::{FellowsConfig, LinksConfig};
 pub use counts::LinkCounts;
 pub use error::{FellowsError, LinkError};
-pub use event::Event;
+pub use event::{Channel, Event, LinkEvent};
 pub use fellows::Fellows;
 pub use frame::{Decoder, Frame, OVERHEAD, write};
 pub use ground::{Ground, GroundConfig, GroundEvent};
 pub use link::LinkTimes;
-pub use links::{Channel, LinkEvent, Links, LinksConfig};
+pub use links::Links;
 pub use times::since_2026_ms;
 pub use workers::{Stands, Worker};
--- a/crates/fellows/src/links.rs
+++ b/crates/fellows/src/links.rs
@@ -3,85 +3,27 @@
 //! Promised is this: frames come whole, and in order within one connection. A frame that was taken may still be lost
 //! with its connection, which [`LinkEvent::Down`] tells; whoever needs it there numbers what it sends.
 
+use crate::config::LinksConfig;
 use crate::counts::LinkCounts;
 use crate::error::LinkError;
+use crate::event::{Channel, LinkEvent};
 use crate::frame::{Decoder, OVERHEAD, write};
 use crate::hello::{Bye, Control};
 use crate::lines::Lines;
-use crate::link::{Came, Link, LinkTimes, Ours};
+use crate::link::{Came, Link, Ours};
 use basaltward_fleet::Number;
 use basaltward_net::{ConnId, End, Io, Micros, NetError};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use tracing::{info, warn};
 
-/// A connection with no more than this unsent is ended in order; of more, the memory is wanted back at once.
+/// A connection with no more than this unsent is ended in order; of more, the memory is wanted back at once. Answers of
+/// our own may go beyond the bound by so much.
 const BACKLOG: usize = 64 << 10;
 
-/// Whose frames.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[repr(u8)]
-pub enum Channel {
-    /// Journals of kept calls (`crates/pending`).
-    Pending = 1,
-    /// Choice of sites (`crates/route`).
-    Route = 2,
-    /// Shares and budgets (`crates/shed`).
-    Shed = 3,
-}
-
-impl Channel {
-    fn of(byte: u8) -> Option<Self> {
-        [Self::Pending, Self::Route, Self::Shed].into_iter().find(|channel| *channel as u8 == byte)
-    }
-}
-
-/// What links are told.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LinksConfig {
-    /// Where each fellow takes connections, by number, our own included.
-    pub peers: Vec<SocketAddr>,
-    /// Longest payload of a frame.
-    pub frame_bytes: usize,
-    /// Most bytes that wait to be sent to one fellow.
-    pub unsent_bytes: usize,
-    /// Between two attempts to reach a fellow: at first, and at most.
-    pub pause: (Micros, Micros),
-    /// What waits for a connection waits for so long at most.
-    pub patience: Micros,
-    /// Times of each.
-    pub times: LinkTimes,
-}
-
-impl LinksConfig {
-    /// The usual figures: frames up to 256 KiB, 4 MiB unsent.
-    pub fn new(peers: Vec<SocketAddr>) -> Self {
-        Self {
-            peers,
-            frame_bytes: 256 << 10,
-            unsent_bytes: 4 << 20,
-            pause: (100_000, 5_000_000),
-            patience: 4_000_000,
-            times: LinkTimes::default(),
-        }
-    }
-}
-
-/// What links tell.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LinkEvent {
-    /// A fellow can be sent to and heard, in this life of it.
-    Up(Number, u64),
-    /// What was sent to it and not answered may be lost: its connection has ended, or could not be made in time. Where
-    /// another still stands, `Up` follows.
-    Down(Number),
-    /// A frame came.
-    Frame(Number, Channel, Bytes),
-}
-
 #[derive(Default)]
 struct Peer {
     /// The connection that we made, whether it stands or not.
@@ -275,7 +217,7 @@
                 Ok(Some(Came::Hello(of, life))) => self.met(io, now, conn, (of, life), out),
                 Ok(Some(Came::Ask(answer))) => {
                     // Whoever asks and reads no answers fills no memory.
-                    if io.unsent(conn) > self.config.unsent_bytes {
+                    if io.unsent(conn) > self.config.unsent_bytes + BACKLOG {
                         return self.end(io, now, conn, LinkError::Unread, out);
                     }
                     self.say(io, conn, &answer);
