--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 mod agreed;
 mod echo;
 mod fleet;
+mod ground;
 mod jam;
 mod load;
 mod memory;
@@ -154,6 +155,18 @@
         #[arg(long, default_value_t = 20)]
         seconds: usize,
     },
+    /// Links between fellows: how soon a frame is there, what one costs, what many cost that are quiet
+    Ground {
+        /// Times that a link is made
+        #[arg(long, default_value_t = 500)]
+        rounds: usize,
+        /// Frames of each size
+        #[arg(long, default_value_t = 500_000)]
+        frames: usize,
+        /// Links that stand
+        #[arg(long, default_value_t = 1_000)]
+        links: u16,
+    },
     /// Memory of an idle connection
     Memory {
         /// Connections
@@ -187,6 +200,7 @@
         Command::Agreed { lost, seeds, processes: Some(count), .. } => {
             agreed::processes(count, lost, seeds as usize * 10)
         }
+        Command::Ground { rounds, frames, links } => ground::run(rounds, frames, links),
         Command::Processes { counts, lost, rounds } => processes::run(&counts, lost, rounds),
         Command::Shed { multiples, seeds, seconds } => shed::run(&multiples, seeds, seconds),
         Command::Memory { connections } => memory::run(connections),
--- a/crates/bench/src/memory.rs
+++ b/crates/bench/src/memory.rs
@@ -6,7 +6,8 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
-fn resident() -> Result<f64, Box<dyn Error>> {
+/// Memory that this process has.
+pub fn resident() -> Result<f64, Box<dyn Error>> {
     let text = std::fs::read_to_string("/proc/self/statm")?;
     let pages: f64 = text.split_whitespace().nth(1).ok_or("no resident size")?.parse()?;
     Ok(pages * 4096.0)
