--- a/crates/fellows/src/links.rs
+++ b/crates/fellows/src/links.rs
@@ -32,6 +32,8 @@
     taken: Option<ConnId>,
     /// The one that frames go on: the same one for as long as it stands, so that they keep their order.
     via: Option<ConnId>,
+    /// The life that it was last met in.
+    life: Option<u64>,
     /// Frames that wait for a connection, and since when.
     waiting: BytesMut,
     since: Micros,
@@ -434,7 +436,12 @@
         peer.via = Some(via);
         peer.counts.ups += 1;
         let waiting = std::mem::take(&mut peer.waiting);
-        if let Some(output) = io.output(via).filter(|_| !waiting.is_empty()) {
+        let other = peer.life.replace(life).is_some_and(|met| met != life);
+        if other && !waiting.is_empty() {
+            // Meant for a life that is no more.
+            peer.counts.given_up += 1;
+            out.push(LinkEvent::Down(of));
+        } else if let Some(output) = io.output(via).filter(|_| !waiting.is_empty()) {
             output.extend_from_slice(&waiting);
             link.uses(now);
         }
--- a/crates/fellows/tests/links/hostile.rs
+++ b/crates/fellows/tests/links/hostile.rs
@@ -1,9 +1,9 @@
 use crate::bed::Bed;
-use crate::relay::Faults;
+use crate::relay::{Faults, Relay};
 use basaltward_fellows::{LinkError, LinkEvent, write};
 use bytes::BytesMut;
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 
 const S: u64 = 1_000_000;
 
@@ -130,14 +130,29 @@
 fn a_fellow_at_a_wrong_address_gets_nothing_that_is_for_another() {
     let mut bed = Bed::new(3);
     let two = bed.fellows[2].ground.listens();
-    bed.relays[1] = crate::relay::Relay::new(two);
-    let links: Vec<_> = bed.relays.iter().map(crate::relay::Relay::address).collect();
+    bed.relays[1] = Relay::new(two);
+    let links: Vec<_> = bed.relays.iter().map(Relay::address).collect();
     let (now, zero) = (bed.now, &mut bed.fellows[0]);
     zero.ground.reread(&mut zero.io, now, (&zero.config.fellows, links)).expect("good");
     bed.send(0, 1, b"for 1").expect("taken");
     bed.pass(10 * S);
     assert_eq!((bed.fellows[2].came(0).len(), bed.fellows[0].ground.links().up(1)), (0, None));
     assert!(bed.fellows[2].ground.links().refused() > 0);
+    // One that takes whoever comes, and says who it is.
+    let liar = TcpListener::bind("127.0.0.1:0").expect("an address");
+    bed.relays[1] = Relay::new(liar.local_addr().expect("it is bound"));
+    let links: Vec<_> = bed.relays.iter().map(Relay::address).collect();
+    let (now, zero) = (bed.now, &mut bed.fellows[0]);
+    zero.ground.reread(&mut zero.io, now, (&zero.config.fellows, links)).expect("good");
+    while bed.relays[1].came == 0 {
+        bed.send(0, 1, b"for 1").expect("taken");
+        bed.pass(S);
+    }
+    let spoilt = bed.fellows[0].ground.links().counts(1).spoilt;
+    let (mut raw, _) = liar.accept().expect("it came");
+    raw.write_all(&hello(fleet(), 2, 5, 0)).expect("written");
+    bed.until("refused", |bed| bed.fellows[0].ground.links().counts(1).spoilt == spoilt + 1);
+    assert_eq!([1, 2].map(|of| bed.fellows[0].ground.links().up(of)), [None; 2]);
 }
 
 #[test]
--- a/crates/fellows/tests/links/usual.rs
+++ b/crates/fellows/tests/links/usual.rs
@@ -174,6 +174,22 @@
     assert!(seen.eq(told.map(GroundEvent::Link).iter()));
 }
 
+#[test]
+fn what_waits_for_a_life_is_not_given_to_the_next() {
+    let mut bed = Bed::new(2);
+    bed.send(1, 0, b"first").expect("taken");
+    bed.until("up", |bed| bed.fellows[0].came(1).len() == 1);
+    bed.restart(0);
+    bed.until("its end is told", |bed| bed.fellows[1].saw(&LinkEvent::Down(0)) == 1);
+    bed.send(1, 0, b"for the life that was").expect("taken");
+    let life = bed.fellows[0].ground.life();
+    bed.pass_until(4 * S, "up again", |bed| bed.fellows[1].saw(&LinkEvent::Up(0, life)) == 1);
+    bed.send(1, 0, b"for the life that is").expect("taken");
+    bed.until("there", |bed| !bed.fellows[0].came(1).is_empty());
+    assert_eq!(bed.fellows[0].came(1), [b"for the life that is"]);
+    assert_eq!(bed.fellows[1].saw(&LinkEvent::Down(0)), 2);
+}
+
 #[test]
 fn view_facts_and_agreement_come_with_it() {
     let mut bed = Bed::new(3);
