--- a/crates/fellows/src/lib.rs
+++ b/crates/fellows/src/lib.rs
@@ -18,6 +18,7 @@
 mod lines;
 mod link;
 mod links;
+mod peer;
 mod times;
 mod workers;
 
--- a/crates/fellows/src/links.rs
+++ b/crates/fellows/src/links.rs
@@ -11,6 +11,7 @@
 use crate::hello::{Bye, Control};
 use crate::lines::Lines;
 use crate::link::{Came, Link, Ours};
+use crate::peer::Peer;
 use basaltward_fleet::Number;
 use basaltward_net::{ConnId, End, Io, Micros, NetError};
 use bytes::BytesMut;
@@ -24,26 +25,6 @@
 /// our own may go beyond the bound by so much.
 const BACKLOG: usize = 64 << 10;
 
-#[derive(Default)]
-struct Peer {
-    /// The connection that we made, whether it stands or not.
-    made: Option<ConnId>,
-    /// The one that it made, once it has said hello.
-    taken: Option<ConnId>,
-    /// The one that frames go on: the same one for as long as it stands, so that they keep their order.
-    via: Option<ConnId>,
-    /// The life that it was last met in.
-    life: Option<u64>,
-    /// Frames that wait for a connection, and since when.
-    waiting: BytesMut,
-    since: Micros,
-    /// The pause before the next attempt but one, and when the next may be.
-    pause: Micros,
-    again: Micros,
-    trip: Option<(Micros, Micros)>,
-    counts: LinkCounts,
-}
-
 /// See the module's page.
 pub struct Links {
     config: LinksConfig,
@@ -67,7 +48,7 @@
 impl Links {
     /// None yet, of us who are this, with connections coming in at this listener of the loop.
     pub(crate) fn new(config: LinksConfig, ours: Ours, listener: usize, seed: u64) -> Self {
-        let peers = config.peers.iter().map(|_| Peer { pause: config.pause.0, ..Peer::default() }).collect();
+        let peers = config.peers.iter().map(|_| Peer::new(config.pause.0)).collect();
         Self {
             config,
             ours,
@@ -308,7 +289,7 @@
         self.wanted.clear();
         let pause = self.config.pause.0;
         self.peers.iter_mut().for_each(|peer| {
-            *peer = Peer { pause, counts: peer.counts, ..Peer::default() };
+            *peer = Peer { counts: peer.counts, ..Peer::new(pause) };
         });
     }
 
@@ -330,7 +311,7 @@
         }
         self.wanted.retain(|of| usize::from(*of) < peers.len());
         let pause = self.config.pause.0;
-        self.peers.resize_with(peers.len(), || Peer { pause, ..Peer::default() });
+        self.peers.resize_with(peers.len(), || Peer::new(pause));
         (self.ours.size, self.config.peers) = (peers.len(), peers);
     }
 
@@ -380,12 +361,9 @@
         }
     }
 
-    /// The next attempt waits longer than the last one did.
     fn put_off(&mut self, now: Micros, of: Number) {
-        let peer = &mut self.peers[usize::from(of)];
-        let pause = peer.pause;
-        peer.again = now + pause / 2 + self.rng.random_range(0..=pause / 2);
-        peer.pause = (pause * 2).min(self.config.pause.1);
+        let (rng, most) = (&mut self.rng, self.config.pause.1);
+        self.peers[usize::from(of)].put_off(now, most, |below| rng.random_range(0..=below));
     }
 
     /// Whether a connection that came was nobody's yet; it is no longer.
