--- a/crates/fellows/tests/links/main.rs
+++ b/crates/fellows/tests/links/main.rs
@@ -2,4 +2,5 @@
 mod bed;
 mod hostile;
 mod relay;
+mod seeds;
 mod usual;
--- a/crates/fellows/tests/links/relay.rs
+++ b/crates/fellows/tests/links/relay.rs
@@ -29,6 +29,7 @@
     listener: TcpListener,
     to: SocketAddr,
     pairs: Vec<Pair>,
+    scratch: Vec<u8>,
     pub faults: Faults,
     /// Connections that came so far.
     pub came: usize,
@@ -38,7 +39,14 @@
     pub fn new(to: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
         listener.set_nonblocking(true).expect("it can be");
-        Self { listener, to, pairs: Vec::new(), faults: Faults::default(), came: 0 }
+        Self {
+            listener,
+            to,
+            pairs: Vec::new(),
+            scratch: vec![0; 64 << 10],
+            faults: Faults::default(),
+            came: 0,
+        }
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -60,16 +68,15 @@
             }
             self.pairs.push(Pair { ends: [from, to], on_the_way: Default::default(), gone: 0 });
         }
-        let faults = self.faults;
-        self.pairs.retain_mut(|pair| (0..2).all(|way| pair.carry(way, now, &faults)));
+        let (faults, scratch) = (self.faults, &mut self.scratch);
+        self.pairs.retain_mut(|pair| (0..2).all(|way| pair.carry(way, now, &faults, scratch)));
     }
 }
 
 impl Pair {
     /// False once the connection is over.
-    fn carry(&mut self, way: usize, now: Micros, faults: &Faults) -> bool {
-        let mut bytes = vec![0; 64 << 10];
-        match (&self.ends[way]).read(&mut bytes) {
+    fn carry(&mut self, way: usize, now: Micros, faults: &Faults, bytes: &mut [u8]) -> bool {
+        match (&self.ends[way]).read(bytes) {
             Ok(0) => return false,
             Ok(length) => self.on_the_way[way].push_back((now + faults.late, bytes[..length].to_vec())),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
@@ -82,11 +89,13 @@
                 if let Some(byte) = faults.changed.and_then(|at| bytes.get_mut(at.checked_sub(self.gone)?)) {
                     *byte ^= 0x10;
                 }
-                let left = faults.cut.map_or(usize::MAX, |cut| cut - self.gone);
+                let left = faults.cut.map_or(usize::MAX, |cut| cut.saturating_sub(self.gone));
                 bytes.truncate(left);
                 self.gone += bytes.len();
             }
-            if (&self.ends[1 - way]).write_all(&bytes).is_err() || faults.cut == Some(self.gone) {
+            if (&self.ends[1 - way]).write_all(&bytes).is_err()
+                || faults.cut.is_some_and(|cut| cut <= self.gone)
+            {
                 return false;
             }
         }
--- /dev/null
+++ b/crates/fellows/tests/links/seeds.rs
@@ -0,0 +1,85 @@
+//! Faults by chance, one seed after another: whatever happens on the way, no frame comes changed or twice, and none is
+//! lost without a word.
+
+use crate::bed::Bed;
+use crate::relay::Faults;
+use basaltward_fellows::{GroundEvent, LinkEvent};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeSet;
+
+const S: u64 = 1_000_000;
+const SIZE: usize = 3;
+
+/// What one fellow has given to another since it was last told that something may be lost.
+type Owed = [[BTreeSet<u32>; SIZE]; SIZE];
+
+fn frame(number: u32) -> Vec<u8> {
+    let mut bytes = number.to_le_bytes().to_vec();
+    bytes.resize(4 + number as usize % 3_000, number as u8);
+    bytes
+}
+
+/// Goes through what has happened: who was told of a loss is owed nothing, and what came is no longer owed.
+fn settle(bed: &mut Bed, owed: &mut Owed, came: &mut BTreeSet<(usize, u32)>, seed: u64) {
+    for (of, fellow) in bed.fellows.iter_mut().enumerate() {
+        for event in std::mem::take(&mut fellow.events) {
+            match event {
+                GroundEvent::Link(LinkEvent::Down(to)) => owed[of][usize::from(to)].clear(),
+                GroundEvent::Link(LinkEvent::Frame(from, _, bytes)) => {
+                    let number = u32::from_le_bytes(*bytes.first_chunk().expect("a number"));
+                    assert_eq!(bytes, frame(number), "seed {seed}: changed on the way");
+                    assert!(came.insert((of, number)), "seed {seed}: {number} came to {of} twice");
+                    owed[usize::from(from)][of].remove(&number);
+                }
+                GroundEvent::Link(LinkEvent::Up(..)) | GroundEvent::Fellow(_) => {}
+            }
+        }
+    }
+}
+
+fn day(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let (mut bed, mut owed, mut came) = (Bed::new(SIZE), Owed::default(), BTreeSet::new());
+    let mut number = 0;
+    for _ in 0..60 {
+        let of = rng.random_range(0..SIZE);
+        match rng.random_range(0..12) {
+            0 => bed.relays[of].cut(),
+            1 => bed.relays[of].faults.stalled = [rng.random(), rng.random()],
+            2 => bed.relays[of].faults.late = rng.random_range(0..600_000),
+            3 => bed.relays[of].faults.cut = Some(rng.random_range(1..20_000)),
+            4 => bed.relays[of].faults.changed = Some(rng.random_range(0..20_000)),
+            5 => bed.fellows[of].still = true,
+            6 => {
+                bed.restart(of);
+                // A life that is no more is owed nothing, and owes nothing.
+                (0..SIZE).for_each(|other| owed[of][other].clear());
+            }
+            7 | 8 => bed.relays[of].faults = Faults::default(),
+            _ => bed.fellows.iter_mut().for_each(|fellow| fellow.still = false),
+        }
+        for _ in 0..rng.random_range(0..30) {
+            let (from, to) = (rng.random_range(0..SIZE), rng.random_range(0..SIZE));
+            number += 1;
+            if from != to && bed.send(from, to as u16, &frame(number)).is_ok() {
+                owed[from][to].insert(number);
+            }
+        }
+        bed.pass(rng.random_range(1..60) * 50_000);
+        settle(&mut bed, &mut owed, &mut came, seed);
+    }
+    for of in 0..SIZE {
+        (bed.relays[of].faults, bed.fellows[of].still) = (Faults::default(), false);
+    }
+    bed.pass(40 * S);
+    settle(&mut bed, &mut owed, &mut came, seed);
+    assert!(owed.iter().flatten().all(BTreeSet::is_empty), "seed {seed}: lost without a word: {owed:?}");
+    assert!(came.len() * 4 > number as usize, "seed {seed}: {} of {number} came", came.len());
+}
+
+#[test]
+fn no_frame_comes_changed_or_twice_and_none_is_lost_without_a_word() {
+    let seeds = std::env::var("LINKS_SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(4);
+    (1..=seeds).for_each(day);
+}
