--- a/crates/fellows/src/links.rs
+++ b/crates/fellows/src/links.rs
@@ -3,103 +3,28 @@
 //! Promised is this: frames come whole, and in order within one connection. A frame that was taken may still be lost
 //! with its connection, which [`LinkEvent::Down`] tells; whoever needs it there numbers what it sends.
 
+use crate::config::LinksConfig;
 use crate::counts::LinkCounts;
 use crate::error::LinkError;
+use crate::event::{Channel, LinkEvent};
 use crate::frame::{Decoder, OVERHEAD, write};
 use crate::hello::{Bye, Control};
 use crate::lines::Lines;
-use crate::link::{Came, Link, LinkTimes, Ours};
+use crate::link::{Came, Link, Ours};
+use crate::peer::Peer;
 use basaltward_fleet::Number;
 use basaltward_net::{ConnId, End, Io, Micros, NetError};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use tracing::{info, warn};
 
-/// A connection with no more than this unsent is ended in order; of more, the memory is wanted back at once.
+/// A connection with no more than this unsent is ended in order; of more, the memory is wanted back at once. Answers of
+/// our own may go beyond the bound by so much.
 const BACKLOG: usize = 64 << 10;
 
-/// Whose frames.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[repr(u8)]
-pub enum Channel {
-    /// Journals of kept calls (`crates/pending`).
-    Pending = 1,
-    /// Choice of sites (`crates/route`).
-    Route = 2,
-    /// Shares and budgets (`crates/shed`).
-    Shed = 3,
-}
-
-impl Channel {
-    fn of(byte: u8) -> Option<Self> {
-        [Self::Pending, Self::Route, Self::Shed].into_iter().find(|channel| *channel as u8 == byte)
-    }
-}
-
-/// What links are told.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LinksConfig {
-    /// Where each fellow takes connections, by number, our own included.
-    pub peers: Vec<SocketAddr>,
-    /// Longest payload of a frame.
-    pub frame_bytes: usize,
-    /// Most bytes that wait to be sent to one fellow.
-    pub unsent_bytes: usize,
-    /// Between two attempts to reach a fellow: at first, and at most.
-    pub pause: (Micros, Micros),
-    /// What waits for a connection waits for so long at most.
-    pub patience: Micros,
-    /// Times of each.
-    pub times: LinkTimes,
-}
-
-impl LinksConfig {
-    /// The usual figures: frames up to 256 KiB, 4 MiB unsent.
-    pub fn new(peers: Vec<SocketAddr>) -> Self {
-        Self {
-            peers,
-            frame_bytes: 256 << 10,
-            unsent_bytes: 4 << 20,
-            pause: (100_000, 5_000_000),
-            patience: 4_000_000,
-            times: LinkTimes::default(),
-        }
-    }
-}
-
-/// What links tell.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LinkEvent {
-    /// A fellow can be sent to and heard, in this life of it.
-    Up(Number, u64),
-    /// What was sent to it and not answered may be lost: its connection has ended, or could not be made in time. Where
-    /// another still stands, `Up` follows.
-    Down(Number),
-    /// A frame came.
-    Frame(Number, Channel, Bytes),
-}
-
-#[derive(Default)]
-struct Peer {
-    /// The connection that we made, whether it stands or not.
-    made: Option<ConnId>,
-    /// The one that it made, once it has said hello.
-    taken: Option<ConnId>,
-    /// The one that frames go on: the same one for as long as it stands, so that they keep their order.
-    via: Option<ConnId>,
-    /// Frames that wait for a connection, and since when.
-    waiting: BytesMut,
-    since: Micros,
-    /// The pause before the next attempt but one, and when the next may be.
-    pause: Micros,
-    again: Micros,
-    trip: Option<(Micros, Micros)>,
-    counts: LinkCounts,
-}
-
 /// See the module's page.
 pub struct Links {
     config: LinksConfig,
@@ -123,7 +48,7 @@
 impl Links {
     /// None yet, of us who are this, with connections coming in at this listener of the loop.
     pub(crate) fn new(config: LinksConfig, ours: Ours, listener: usize, seed: u64) -> Self {
-        let peers = config.peers.iter().map(|_| Peer { pause: config.pause.0, ..Peer::default() }).collect();
+        let peers = config.peers.iter().map(|_| Peer::new(config.pause.0)).collect();
         Self {
             config,
             ours,
@@ -275,7 +200,7 @@
                 Ok(Some(Came::Hello(of, life))) => self.met(io, now, conn, (of, life), out),
                 Ok(Some(Came::Ask(answer))) => {
                     // Whoever asks and reads no answers fills no memory.
-                    if io.unsent(conn) > self.config.unsent_bytes {
+                    if io.unsent(conn) > self.config.unsent_bytes + BACKLOG {
                         return self.end(io, now, conn, LinkError::Unread, out);
                     }
                     self.say(io, conn, &answer);
@@ -364,7 +289,7 @@
         self.wanted.clear();
         let pause = self.config.pause.0;
         self.peers.iter_mut().for_each(|peer| {
-            *peer = Peer { pause, counts: peer.counts, ..Peer::default() };
+            *peer = Peer { counts: peer.counts, ..Peer::new(pause) };
         });
     }
 
@@ -386,7 +311,7 @@
         }
         self.wanted.retain(|of| usize::from(*of) < peers.len());
         let pause = self.config.pause.0;
-        self.peers.resize_with(peers.len(), || Peer { pause, ..Peer::default() });
+        self.peers.resize_with(peers.len(), || Peer::new(pause));
         (self.ours.size, self.config.peers) = (peers.len(), peers);
     }
 
@@ -436,12 +361,9 @@
         }
     }
 
-    /// The next attempt waits longer than the last one did.
     fn put_off(&mut self, now: Micros, of: Number) {
-        let peer = &mut self.peers[usize::from(of)];
-        let pause = peer.pause;
-        peer.again = now + pause / 2 + self.rng.random_range(0..=pause / 2);
-        peer.pause = (pause * 2).min(self.config.pause.1);
+        let (rng, most) = (&mut self.rng, self.config.pause.1);
+        self.peers[usize::from(of)].put_off(now, most, |below| rng.random_range(0..=below));
     }
 
     /// Whether a connection that came was nobody's yet; it is no longer.
@@ -492,7 +414,12 @@
         peer.via = Some(via);
         peer.counts.ups += 1;
         let waiting = std::mem::take(&mut peer.waiting);
-        if let Some(output) = io.output(via).filter(|_| !waiting.is_empty()) {
+        let other = peer.life.replace(life).is_some_and(|met| met != life);
+        if other && !waiting.is_empty() {
+            // Meant for a life that is no more.
+            peer.counts.given_up += 1;
+            out.push(LinkEvent::Down(of));
+        } else if let Some(output) = io.output(via).filter(|_| !waiting.is_empty()) {
             output.extend_from_slice(&waiting);
             link.uses(now);
         }
