--- /dev/null
+++ b/crates/cli/tests/sites.rs
@@ -0,0 +1,101 @@
+//! Sites of gateways and workers as processes, with faults between them, and faults planted that the judge must
+//! find.
+use basaltward_trial::{
+    Fleet, LoadSpec, SiteAct, SiteBed, SiteLink, SiteSpec, SiteStep, SitesScript, SitesSpec, Who,
+    judge_sites, run_sites,
+};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+fn site(name: &str) -> SiteSpec {
+    SiteSpec { name: name.into(), gateways: 2, workers: 3, cores: 4, memory_mb: 4_000 }
+}
+
+fn load(site: usize, class: Option<usize>, repeats: f64) -> LoadSpec {
+    LoadSpec {
+        site,
+        class,
+        functions: 0..2,
+        rate: 40.0,
+        span: 0..2_000_000,
+        patience: 2_000_000,
+        repeats,
+        retries: 1,
+        honour: false,
+        insists: false,
+        tenant: String::new(),
+    }
+}
+
+fn spec(loads: Vec<LoadSpec>) -> SitesSpec {
+    let link = SiteLink { late: (5_000, 8_000), ..SiteLink::default() };
+    SitesSpec {
+        program: env!("CARGO_BIN_EXE_basaltward").into(),
+        sites: vec![site("a"), site("b")],
+        functions: 2,
+        work_ms: 10,
+        load_ms: 50,
+        holders: 0,
+        alone: false,
+        tenants: Vec::new(),
+        links: BTreeMap::from([((0, 1), link), ((1, 0), link)]),
+        loads,
+        vars: Vec::new(),
+        seed: 5,
+    }
+}
+
+#[test]
+fn two_sites_keep_the_rules_while_links_and_gateways_fail() {
+    let slow = SiteLink { late: (100_000, 150_000), lost: 0.1, ..SiteLink::default() };
+    let silent = SiteLink { silent: true, ..slow };
+    let broken = SiteLink { broken: true, ..slow };
+    let acts = [
+        (300, SiteAct::Link(0, 1, slow)),
+        (600, SiteAct::Kill(Who::Gateway(1))),
+        (1_000, SiteAct::Link(1, 0, silent)),
+        (1_300, SiteAct::Start(Who::Gateway(1))),
+        (1_500, SiteAct::Link(0, 1, broken)),
+    ];
+    let steps = acts.map(|(ms, act)| SiteStep { at: ms * 1_000, act }).to_vec();
+    let spec = spec(vec![load(0, None, 0.0), load(1, None, 0.0)]);
+    let mut bed = run_sites(&SitesScript { spec, span: 2_000_000, steps }).expect("it runs");
+    let (records, _) = bed.finish().expect("it ends");
+    let told = judge_sites(&bed, &records);
+    assert!(told.verdict.is_good(), "{:?} {:?}", told.verdict.rules, told.verdict.fleet);
+    assert!(told.sites.iter().all(|site| site.served > 10), "{:?}", told.sites);
+    let datagrams: u64 = bed.ways.relay.counts().values().map(|c| c.datagrams.0).sum();
+    assert!(datagrams > 20, "{datagrams} datagrams between gateways");
+}
+
+/// A call as one gateway hands it to another, with hops that no gateway may give it.
+fn handed_twice(bed: &SiteBed) {
+    let mut stream = TcpStream::connect(bed.fronts[0][2]).expect("connected");
+    let call = "POST /functions/view-0 HTTP/1.1\r\nHost: b\r\nce-specversion: 1.0\r\nce-id: 1\r\nce-source: planted\r\n\
+                ce-type: t\r\nce-hops: 2\r\nce-handedby: n0\r\nContent-Length: 0\r\n\r\n";
+    stream.write_all(call.as_bytes()).expect("written");
+    assert!(stream.read(&mut [0; 64]).expect("answered") > 0);
+}
+
+/// Planted: gateways that are told nothing of one another, and a call on its second hop.
+#[test]
+fn two_effects_of_one_event_and_a_second_hop_are_found() {
+    let script = SitesScript {
+        spec: SitesSpec { alone: true, ..spec(vec![load(0, Some(2), 1.0)]) },
+        span: 2_000_000,
+        steps: Vec::new(),
+    };
+    let mut bed = run_sites(&script).expect("it runs");
+    handed_twice(&bed);
+    let (records, _) = bed.finish().expect("it ends");
+    let told = judge_sites(&bed, &records).verdict;
+    let twice = told.fleet.iter().filter(|fault| matches!(fault, Fleet::Twice(..))).count();
+    assert!(twice > 5, "{:?}", told.fleet);
+    assert!(told.fleet.contains(&Fleet::Hops("planted#1".into(), 2)), "{:?}", told.fleet);
+    assert!(
+        told.fleet.iter().all(|fault| matches!(fault, Fleet::Twice(..) | Fleet::Hops(..))),
+        "{:?}",
+        told.fleet
+    );
+}
--- a/crates/trial/src/bed.rs
+++ b/crates/trial/src/bed.rs
@@ -313,10 +313,6 @@
     pub fn agrees(&self, group: &[usize]) -> bool {
         let up: Vec<_> = self.running().into_iter().filter(|i| group.contains(i)).collect();
         let views: Vec<_> = up.iter().filter_map(|i| self.view(*i).ok()).collect();
-        let live = |view: &Answer| -> Vec<usize> {
-            let all = view.entries.iter().enumerate();
-            all.filter(|(_, seen)| seen.state.is_live()).map(|(i, _)| i).collect()
-        };
         views.len() == up.len() && views.iter().all(|view| view.digest == views[0].digest && live(view) == up)
     }
 
@@ -371,6 +367,12 @@
     }
 }
 
+/// Whom a view takes for live.
+pub(crate) fn live(view: &Answer) -> Vec<usize> {
+    let all = view.entries.iter().enumerate();
+    all.filter(|(_, seen)| seen.state.is_live()).map(|(i, _)| i).collect()
+}
+
 /// One entry of the bulletin.
 fn target(uid: &str, at: SocketAddr, state: &str) -> serde_json::Value {
     json!({"uid": uid, "endpoint": at.to_string(), "az": "east", "model": "std", "pod_group": 0,
--- a/crates/trial/src/site_bed.rs
+++ b/crates/trial/src/site_bed.rs
@@ -1,6 +1,6 @@
 //! A bed of sites: gateways and workers as processes of their own, with relays on all ways between them.
 
-use crate::bed::TrialError;
+use crate::bed::{TrialError, live};
 use crate::course::Course;
 use crate::ground::{Ground, whole};
 use crate::process::{Launch, Process};
@@ -11,6 +11,8 @@
 use crate::way::{Party, Way};
 use crate::ways::Ways;
 use basaltward_config::Config;
+use basaltward_fellows::ask_view;
+use basaltward_fleet::Answer;
 use basaltward_net::{Micros, NetError, monotonic};
 use basaltward_rules::{Record, Recorder, What};
 use basaltward_standins::{Clients, Tally};
@@ -18,6 +20,7 @@
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 /// Which processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +45,10 @@
     pub listens: Vec<SocketAddr>,
     /// Where clients reach each gateway.
     pub reached: Vec<SocketAddr>,
+    /// Where each gateway reaches the fronts of all, by number.
+    pub fronts: Vec<Vec<SocketAddr>>,
+    /// Where each takes datagrams.
+    pub tells: Vec<SocketAddr>,
     /// The relays on all ways.
     pub ways: Ways,
     /// What clients saw.
@@ -81,6 +88,7 @@
         let mesh = laying.mesh(&tells)?;
         let mut known = BTreeMap::new();
         let (mut gateways, mut reached, mut config) = (Vec::new(), Vec::new(), None);
+        let mut fronts = Vec::new();
         for i in 0..count {
             let from = Party::Scheduler(i);
             let mut reaches = Vec::new();
@@ -95,6 +103,7 @@
                 let journal = laying.route(Way { from, to: Party::Journal(j) }, journals[j], None)?;
                 reaches.push(Reach { tell, front, journal });
             }
+            fronts.push(reaches.iter().map(|reach| reach.front).collect());
             let mut workers = Vec::new();
             for w in (0..at.len()).filter(|w| at[*w] == of[i]) {
                 let to = Party::Worker(w);
@@ -143,6 +152,8 @@
             workers,
             listens,
             reached,
+            fronts,
+            tells,
             ways,
             recorder,
             began,
@@ -267,6 +278,33 @@
         }
     }
 
+    /// What a gateway believes of all, asked as an operator asks.
+    ///
+    /// # Errors
+    /// Where it does not answer.
+    pub fn view(&self, i: usize) -> Result<Answer, TrialError> {
+        Ok(ask_view(self.tells[i])?)
+    }
+
+    /// Whether all gateways that run hold the same view, and in it those that run, and no others, are live.
+    pub fn agrees(&self) -> bool {
+        let up: Vec<_> = (0..self.gateways.len()).filter(|i| self.gateways[*i].runs()).collect();
+        let views: Vec<_> = up.iter().filter_map(|i| self.view(*i).ok()).collect();
+        views.len() == up.len() && views.iter().all(|view| view.digest == views[0].digest && live(view) == up)
+    }
+
+    /// Waits until [`SiteBed::agrees`]; false where it does not within this time.
+    pub fn agreement(&self, within: Duration) -> bool {
+        let began = std::time::Instant::now();
+        while began.elapsed() < within {
+            if self.agrees() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
     /// Clients begin to call, by the loads of the spec.
     ///
     /// # Errors
--- a/crates/trial/src/site_judge.rs
+++ b/crates/trial/src/site_judge.rs
@@ -223,3 +223,96 @@
     sites.iter_mut().for_each(|site| site.latencies.sort_unstable());
     sites
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::way::Way;
+    use basaltward_rules::ClassRule;
+
+    fn records(told: &[(&str, What)]) -> Vec<Record> {
+        let record = |(t, (by, what)): (usize, &(&str, What))| Record {
+            t: t as Micros,
+            by: (*by).into(),
+            what: what.clone(),
+        };
+        told.iter().enumerate().map(record).collect()
+    }
+
+    fn ran(at: &str) -> (&str, What) {
+        (at, What::Ran { event: "e".into(), attempt: "n0/0:1".into() })
+    }
+
+    fn asked(class: &'static str) -> Asked<'static> {
+        let (first, at) = (BTreeMap::from([("e", (class, 0))]), BTreeSet::from([("e", 0)]));
+        Asked { first, at, gateways: BTreeMap::new() }
+    }
+
+    fn rules() -> RuleSettings {
+        let keyed = RepeatRule::Keyed { window: 9, all: false };
+        let all = [("safe", RepeatRule::Safe), ("keyed", keyed), ("unsafe", RepeatRule::Unsafe)];
+        let class = |(name, repeat): (&str, RepeatRule)| {
+            (name.to_owned(), ClassRule { repeat, aim: 1, worth: 1.0, late_worth: 0.0 })
+        };
+        RuleSettings {
+            classes: all.into_iter().map(class).collect(),
+            groups: BTreeMap::new(),
+            drain_grace: 0,
+            load_window: 0,
+            load_free: 0.0,
+            load_share: 0.0,
+            cold_from: 0.2,
+            warm_within: 1,
+            tip_multiple: 3.0,
+            fall: 1,
+        }
+    }
+
+    #[test]
+    fn two_effects_are_found_wherever_they_are() {
+        let both = records(&[ran("s-0"), ran("s-4")]);
+        let found = |class: &'static str, records: &[Record]| twice(records, &rules(), &asked(class)).len();
+        assert_eq!((found("safe", &both), found("keyed", &both), found("unsafe", &both)), (0, 1, 1));
+        // A worker that was started anew has lost its keys: that is the bed's doing, but excuses no unsafe event.
+        let born = ("s-0", What::Born { capacity: 1.0, warm: true });
+        let anew = records(&[born.clone(), ran("s-0"), born.clone(), ran("s-0")]);
+        assert_eq!((found("keyed", &anew), found("unsafe", &anew)), (0, 1));
+        let same_life = records(&[born, ran("s-0"), ran("s-0")]);
+        assert_eq!(found("keyed", &same_life), 1);
+    }
+
+    #[test]
+    fn a_second_hop_is_found_by_what_it_says_and_by_where_it_was_seen() {
+        let handed = |from, to, hops| Handed {
+            t: 0,
+            way: Way { from: Party::Scheduler(from), to: Party::Scheduler(to) },
+            event: "e".into(),
+            hops,
+        };
+        let count = |all: &[Handed]| hops(all, &asked("safe")).len();
+        assert_eq!(
+            count(&[handed(0, 1, Some(1)), handed(0, 2, Some(1))]),
+            0,
+            "tried at two sites, a hop each"
+        );
+        assert_eq!(count(&[handed(0, 1, Some(2))]), 1);
+        assert_eq!(count(&[handed(0, 1, Some(1)), handed(1, 2, Some(1))]), 1, "it lies about its hops");
+    }
+
+    #[test]
+    fn a_kept_event_ends_once_and_truly() {
+        let kept = ("n0/0", What::Kept { event: "e".into() });
+        let end = |how: &str| ("n1/0", What::Concluded { event: "e".into(), how: how.into() });
+        let wrong = |told: &[(&str, What)]| {
+            let mut all = records(told);
+            all.push(Record { t: DEADLINE_MS * 2_000, by: "client".into(), what: What::Stopping });
+            ended(&all, &asked("unsafe")).1
+        };
+        assert_eq!(wrong(&[kept.clone(), end("served")]), []);
+        assert_eq!(wrong(&[kept.clone()]), [Fleet::Ended("e".into(), vec![])]);
+        let both = vec!["served".to_owned(), "unrun".to_owned()];
+        assert_eq!(wrong(&[kept.clone(), end("served"), end("unrun")]), [Fleet::Ended("e".into(), both)]);
+        assert_eq!(wrong(&[kept.clone(), end("served"), end("unknown")]), [], "its heir can't know");
+        assert_eq!(wrong(&[kept, ran("s-0"), end("unrun")]), [Fleet::Untrue("e".into())]);
+    }
+}
--- a/crates/trial/src/site_script.rs
+++ b/crates/trial/src/site_script.rs
@@ -13,6 +13,9 @@
 /// Tells a gateway from when and for how long its control thread stands still, counted from its start.
 const STALL_CONTROL: &str = "BASALTWARD_PLANT_STALL_CONTROL_MS";
 
+/// All gateways agree on who lives by then.
+const AGREE: Duration = Duration::from_secs(10);
+
 /// What happens at a time.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SiteAct {
@@ -295,6 +298,8 @@
 /// Where the bed can't be made, or a process is not as the script has it.
 pub fn run_sites(script: &SitesScript) -> Result<SiteBed, TrialError> {
     let mut bed = SiteBed::start(script.spec.clone())?;
+    // Clients come once the gateways know of one another; those that never agree are called all the same.
+    let _ = bed.spec.alone || bed.agreement(AGREE);
     bed.call()?;
     let began = bed.began;
     let until = |at: Micros| {
--- a/crates/trial/tests/relay.rs
+++ b/crates/trial/tests/relay.rs
@@ -1,5 +1,5 @@
 //! The relays by themselves, between plain sockets.
-use basaltward_trial::{Laying, Loss, Party, Relay, Stream, Way};
+use basaltward_trial::{Course, Laying, Loss, Party, Relay, Stream, Way};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::time::Duration;
@@ -149,3 +149,74 @@
     assert_eq!((back.datagrams, back.delivered, back.too_long, back.strange), ((1, 300), 1, 1, 1));
     assert_eq!(counts[&Way { from: Party::Scheduler(0), to: Party::Scheduler(1) }].delivered, 0);
 }
+
+/// Puts courses on the one way, from who began and back.
+fn course(relay: &Relay, forth: Course, back: Course) {
+    relay.courses(WAY, [forth, back]);
+}
+
+#[test]
+fn late_bytes_come_in_order_and_before_the_end_behind_them() {
+    let (relay, address) = relayed();
+    let late = Course { late: (40_000, 160_000), ..Course::default() };
+    course(&relay, late, late);
+    let mut stream = connect(address);
+    let began = std::time::Instant::now();
+    let pieces: Vec<[u8; 2]> = (0..40).map(|n| [n, 255 - n]).collect();
+    for piece in &pieces {
+        stream.write_all(piece).expect("written");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    says(&mut stream, &pieces.concat());
+    assert!(began.elapsed() >= Duration::from_millis(80), "{:?}", began.elapsed());
+    // Who closes at once has still said what it said.
+    let before = relay.counts()[&WAY].bytes.0;
+    stream.write_all(b"last").expect("written");
+    drop(stream);
+    let until = std::time::Instant::now() + Duration::from_secs(10);
+    while relay.counts()[&WAY].bytes.0 < before + 4 {
+        assert!(std::time::Instant::now() < until, "the last bytes are lost");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn a_slow_way_carries_its_rate_and_loses_nothing() {
+    let (relay, address) = relayed();
+    let slow = Course { rate: Some(20_000), ..Course::default() };
+    course(&relay, slow, Course::default());
+    let mut stream = connect(address);
+    let bytes: Vec<u8> = (0..6_000).map(|n| (n % 251) as u8).collect();
+    let began = std::time::Instant::now();
+    stream.write_all(&bytes).expect("written");
+    says(&mut stream, &bytes);
+    let took = began.elapsed();
+    assert!(took >= Duration::from_millis(280), "{took:?}");
+}
+
+#[test]
+fn a_way_that_is_silent_in_one_direction_carries_the_other() {
+    let (relay, address) = relayed();
+    let mut stream = connect(address);
+    let silent = Course { silent: true, ..Course::default() };
+    course(&relay, Course::default(), silent);
+    stream.write_all(b"one").expect("written");
+    stream.set_read_timeout(Some(Duration::from_millis(200))).expect("set");
+    assert!(stream.read(&mut [0]).is_err(), "no answer comes");
+    assert_eq!(relay.counts()[&WAY].bytes, (3, 0));
+    course(&relay, Course::default(), Course::default());
+    stream.set_read_timeout(Some(Duration::from_secs(10))).expect("set");
+    says(&mut stream, b"one");
+}
+
+#[test]
+fn one_byte_is_changed_once() {
+    let (relay, address) = relayed();
+    let mut stream = connect(address);
+    relay.change(WAY);
+    for (said, comes) in [(b"abc", b"a7c"), (b"abc", b"abc")] {
+        stream.write_all(said).expect("written");
+        says(&mut stream, comes);
+    }
+    assert_eq!(relay.counts()[&WAY].changed, 1);
+}
