Gateway: a kept event that may not run twice has one owner over all sites

A repeat of an unsafe event at another gateway, also of another site, was a new event there. Its owner is now the first by rendezvous of the configured gateways that are not taken over, by what the council has agreed and never by a view; a gateway that is not its owner hands it over, one hop, and never runs it itself; who was taken over takes its events again only once what others took meanwhile is forgotten. A site counts as lost a second after nothing of it was live (the permit and the leases keep that safe); the council is asked once and not every 300 ms.

--- a/crates/fellows/src/agreement.rs
+++ b/crates/fellows/src/agreement.rs
@@ -46,8 +46,7 @@
     /// Zones of the schedulers, by number.
     peers_zones: Vec<u8>,
     /// Which of them stands at which site, and how long nothing of a site was live for before it counts as lost.
-    places: Option<Places>,
-    settle: Micros,
+    places: Option<(Places, Micros)>,
     /// The mark of the version that we run, and when it is told next.
     runs: u32,
     tell_runs: Micros,
@@ -68,7 +67,6 @@
         let life =
             [fleet.start, fleet.seed, u64::from(std::process::id()), now].map(u64::to_le_bytes).concat();
         let Some(settings) = config.agreed(fleet, crc32fast::hash(&life)) else { return Ok(None) };
-        let settle = settings.settle;
         let member = Member::new(settings, now)?;
         let learns = (fleet.size > 1).then_some((now + LEARN_US.0, now));
         Ok(Some(Self {
@@ -83,7 +81,6 @@
             runs: mark(&config.version),
             peers_zones: config.zones.clone(),
             places: config.places.clone(),
-            settle,
             tell_runs: now,
             released: false,
             out: Vec::new(),
@@ -109,14 +106,14 @@
 
     /// What the view shows of sites and their gateways.
     pub fn sites(&self, view: &View, now: Micros) -> Sight {
-        self.places.iter().flat_map(|places| sites(view, places, self.settle, now)).collect()
+        self.places.iter().flat_map(|(places, lost)| sites(view, places, *lost, now)).collect()
     }
 
     fn act(&mut self, view: &View, act: impl FnOnce(&mut Member, &Look, &mut Vec<Output>)) {
-        let (known, places, settle) = (&self.workers, &self.places, self.settle);
+        let (known, places) = (&self.workers, &self.places);
         let workers = move |now| {
             let mut sight = known.sight(now);
-            sight.extend(places.iter().flat_map(|places| sites(view, places, settle, now)));
+            sight.extend(places.iter().flat_map(|(places, lost)| sites(view, places, *lost, now)));
             sight
         };
         let look = Look { view, zones: &self.peers_zones, workers: &workers, wall_ms: since_2026_ms() };
--- a/crates/fellows/src/config.rs
+++ b/crates/fellows/src/config.rs
@@ -24,8 +24,9 @@
     pub zones: Vec<u8>,
     /// How many may be out at once, where the fleet agrees on that; without, we have no part in what is agreed.
     pub bounds: Option<Bounds>,
-    /// Which of `peers` stands at which site, where sites may be taken over.
-    pub places: Option<Places>,
+    /// Which of `peers` stands at which site, where sites may be taken over, and for how long nothing of a site was live
+    /// when it counts as lost. That may be short: a site taken for lost wrongly is out of use for a while, and no more.
+    pub places: Option<(Places, Micros)>,
     /// The version that this configuration and its program are, by its operators' name.
     pub version: String,
     /// Longest way of a datagram there and back that is not lost.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -3,8 +3,8 @@
 
 use crate::run::GatewayError;
 use crate::scheduler::{RUN, STOP};
-use crate::tables::{COUNT_US, ControlEnd, Fact, Tables, Word};
-use basaltward::Micros;
+use crate::tables::{COUNT_US, ControlEnd, Fact, Owners, Tables, Word};
+use basaltward::{Micros, Repeat};
 use basaltward_agreed::{Denied, Wish};
 use basaltward_config::{Config, SitesConfig};
 use basaltward_fellows::{
@@ -12,7 +12,7 @@
 };
 use basaltward_fleet::{Number, Places, SHED, State};
 use basaltward_net::{Clock, Io, NetError, monotonic};
-use basaltward_pending::{End, Fate, Input, Output, Pending, PendingSettings, Step};
+use basaltward_pending::{End, Fate, Input, Output, Pending, PendingSettings, Step, taken};
 use basaltward_route::{FunctionTold, Route, RouteSettings};
 use basaltward_rules::{Recorder, What};
 use basaltward_shed::{ClassOf, Shed, ShedSettings};
@@ -25,10 +25,14 @@
 pub const END: u8 = 3;
 /// What is seen of sites and agreed on them is looked at anew after this at the latest.
 const SEE_US: Micros = 500_000;
+/// Whose events are holds for so long: four times what passes until it is told anew.
+const OWNERS_US: Micros = 2_000_000;
 /// Words that wait for a loop: past this the oldest go, which its timers make up for.
 const MOST_WORDS: usize = 16_384;
 /// Datagrams between sites take so long there and back at most, by which silence is told from distance.
-const ROUND_TRIP_US: Micros = 300_000;
+const ROUND_TRIP_US: Micros = 100_000;
+/// A site of which nothing was live for so long counts as lost, as far as the view goes.
+const LOST_US: Micros = 1_000_000;
 
 /// See the module's page.
 pub struct Control {
@@ -51,6 +55,13 @@
     leaving: bool,
     /// Wishes of ours that have no answer yet, by number.
     wishes: BTreeMap<u32, Wish>,
+    places: Places,
+    /// We were taken over and return.
+    returns: bool,
+    /// When events that are ours are taken.
+    ready: Micros,
+    /// For how long events are remembered.
+    remember: Micros,
     /// When pending is told what is seen and agreed next.
     see: Micros,
     /// When facts are read next, though nobody wakes us.
@@ -96,7 +107,7 @@
     let seed = Clock::read().wall() ^ u64::from(std::process::id()) << 40;
     GroundConfig {
         fellows: FellowsConfig {
-            places: places(sites),
+            places: places(sites).map(|places| (places, LOST_US)),
             name: sites.fleet.clone(),
             listen: sites.listen,
             peers: fellows.iter().map(|fellow| fellow.tell).collect(),
@@ -139,8 +150,13 @@
             bytes: sites.journal.bytes,
             entry_bytes: sites.journal.entry_bytes,
             lease: sites.journal.lease,
-            ..PendingSettings::new(places, ground.life(), holders.collect(), u64::from(sites.own))
+            ..PendingSettings::new(places.clone(), ground.life(), holders.collect(), u64::from(sites.own))
         };
+        let windows = config.module.classes.iter().map(|class| match class.repeat {
+            Repeat::Keyed { window, .. } => window,
+            _ => 0,
+        });
+        let remember = windows.fold(config.repeats.remember, Micros::max);
         Ok(Self {
             name: format!("{}/control", config.name),
             io,
@@ -161,6 +177,10 @@
             leaving: false,
             wishes: BTreeMap::new(),
             see: now,
+            places: places.clone(),
+            returns: false,
+            ready: now,
+            remember,
             look: now,
         })
     }
@@ -269,7 +289,10 @@
                 }
                 GroundEvent::Fellow(Event::Answered { tag, answer }) => {
                     match (self.wishes.remove(&tag), answer) {
-                        (Some(Wish::Home(subject)), Ok(permit)) => Input::Home { subject, permit },
+                        (Some(Wish::Home(subject)), Ok(permit)) => {
+                            self.returns |= permit > 0;
+                            Input::Home { subject, permit }
+                        }
                         (Some(Wish::Done(subject, _)), Ok(_) | Err(Denied::Stale | Denied::Unknown)) => {
                             Input::Done { subject }
                         }
@@ -342,7 +365,11 @@
             let sight = self.ground.fellows().sites(now);
             let ledger = self.ground.agreed().map(|known| known.value.clone()).unwrap_or_default();
             let mut out = Vec::new();
+            let taken = taken(&ledger, &self.places);
             self.pending.handle(now, wall_ms(), Input::Seen { sight, ledger }, &mut out);
+            let ready = self.pending.takes() && now >= self.ready;
+            let owners = Owners { until: now + OWNERS_US, taken, ready };
+            self.tables.owners.store(Some(Arc::new(owners)));
             self.carry_out(now, out);
         }
         if self.pending.next_due() <= now {
@@ -370,13 +397,21 @@
                     self.say(|| Word::May(key, attempt, None));
                 }
                 Output::Noted(fault) => warn!(scheduler = self.name, %fault, "journal"),
+                // The member asks on by itself until it has an answer.
+                Output::Ask(wish) if self.wishes.values().any(|asked| *asked == wish) => {}
                 Output::Ask(wish) => {
                     info!(scheduler = self.name, ?wish, "asked of the council");
                     if let Some(tag) = self.ground.wish(now, wish) {
                         self.wishes.insert(tag, wish);
                     }
                 }
-                Output::Takes => info!(scheduler = self.name, "takes kept events"),
+                Output::Takes => {
+                    // Others took our events until they heard of our return. Whoever repeats one of those within the time
+                    // that it is remembered must not find us, who know nothing of it.
+                    let waits = if std::mem::take(&mut self.returns) { self.remember + OWNERS_US } else { 0 };
+                    (self.ready, self.see) = (now + waits, now);
+                    info!(scheduler = self.name, after_us = waits, "takes kept events");
+                }
                 Output::Lost { key } => self.say(|| Word::Lost(key)),
                 Output::Run { pending, end, .. } => {
                     info!(
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -136,6 +136,11 @@
         })
     }
 
+    /// Whether a class keeps its events.
+    pub fn keeps(&self, class: usize) -> bool {
+        self.classes.get(class).is_some_and(|(kept, _)| kept.is_some())
+    }
+
     /// When [`KeptEvents::wake`] is due next.
     pub fn next_due(&self) -> Option<Micros> {
         self.due.next().into_iter().chain(self.stale.next()).min()
--- a/crates/gateway/src/scheduler/calls.rs
+++ b/crates/gateway/src/scheduler/calls.rs
@@ -5,11 +5,11 @@
 use crate::kept::{Accept, Then};
 use crate::links::{Done, Job};
 use crate::mail::Message;
-use crate::sites::{Arrival, Sites};
+use crate::sites::{Arrival, Back, Sites};
 use crate::tables::Word;
 use basaltward::{Code, Micros, Repeat};
 use basaltward_cloudevents::Event;
-use basaltward_engine::{Answer, AttemptEnd, Input, NewCall, Path, Refusal, Unheard, WaiterId};
+use basaltward_engine::{Answer, AttemptEnd, Input, NewCall, Path, Unheard, WaiterId};
 use basaltward_net::ConnId;
 use basaltward_rules::What;
 use tracing::warn;
@@ -25,9 +25,8 @@
                 let (event, to) = (event_name(&event), sites.name(to).to_owned());
                 self.recorder.put(now, &self.name, What::HandedOver { event, to });
             }
-            Arrival::Shed(wait) => {
-                let answer = Answer::Refused(Refusal::Overload, Some(wait));
-                self.give(now, (waiter, answer), (0, None, Path::Direct));
+            Arrival::Refused(why, wait) => {
+                self.give(now, (waiter, Answer::Refused(why, wait)), (0, None, Path::Direct));
             }
         }
     }
@@ -36,10 +35,8 @@
     pub(super) fn came_back(&mut self, now: Micros, done: Option<Done>) {
         let back = done.and_then(|done| self.sites.as_mut()?.done(now, done));
         match back {
-            Some((call, Some(reply))) => {
-                self.give(now, (call.waiter, Answer::Served(reply)), (1, None, Path::First));
-            }
-            Some((call, None)) => self.home_call(now, call),
+            Some(Back::Answer(waiter, answer)) => self.give(now, (waiter, answer), (1, None, Path::First)),
+            Some(Back::Home(call)) => self.home_call(now, call),
             None => {}
         }
     }
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -8,9 +8,10 @@
 use basaltward::{Code, FunctionId, Micros, Repeat, WorkerId};
 use basaltward_cloudevents::Event;
 use basaltward_config::{Config, LinkConfig, SitesConfig};
-use basaltward_engine::{AttemptEnd, AttemptId, Identity, NewCall, WaiterId};
+use basaltward_engine::{Answer, AttemptEnd, AttemptId, Failure, Identity, NewCall, Refusal, WaiterId};
 use basaltward_fleet::Number;
 use basaltward_net::{ConnId, End, Io};
+use basaltward_pending::{Key, owner};
 use basaltward_route::{Counted, Counts, Handed, HandedEnd, Router, Where, home_by};
 use basaltward_shed::{Asked, Door, Ended, ShedSettings, Verdict};
 use std::collections::{BTreeMap, HashMap};
@@ -18,14 +19,35 @@
 use tracing::warn;
 use xxhash_rust::xxh3::Xxh3Default;
 
+/// What is kept back of a client's time where its call is at the owner of its event, for the answer's way.
+const WAY_US: Micros = 8_000;
+/// Whoever comes to an owner that does not take events yet is to come again after this.
+const NOT_YET_US: Micros = 1_000_000;
+
+/// What becomes of a call that has come back.
+pub enum Back {
+    /// It is answered.
+    Answer(WaiterId, Answer<Reply>),
+    /// It is tried here.
+    Home(NewCall<Event>),
+}
+
 /// What becomes of a call that has come.
 pub enum Arrival {
     /// It is answered here.
     Home(NewCall<Event>),
     /// It went to this gateway of another site.
     Away(Number),
-    /// It is turned away, and may come again after this time.
-    Shed(Micros),
+    /// It is turned away: nothing of it has run.
+    Refused(Refusal, Option<Micros>),
+}
+
+/// Whose a call is.
+enum Owned {
+    Here,
+    By(Number),
+    /// It can't be known, or the owner does not take events yet.
+    Nobody,
 }
 
 /// A call that another site has, until it ends there or comes home.
@@ -34,6 +56,8 @@
     function: u32,
     to: Number,
     began: Micros,
+    /// It has gone to the owner of its event, and is not tried here whatever comes.
+    owned: bool,
 }
 
 /// A call that is answered here.
@@ -167,12 +191,26 @@
             let asked = if handed { Asked::HandedOver } else { Asked::First };
             let hash = digest(&call.identity) as u64;
             if let Verdict::Shed(wait) = self.door.ask(now, table.as_deref(), class, tenant, asked, hash) {
-                return Arrival::Shed(wait);
+                return Arrival::Refused(Refusal::Overload, Some(wait));
             }
         }
         if !handed {
             self.counted(function).calls += 1;
         }
+        if let Some(owned) = self.owned(now, &call) {
+            return match owned {
+                Owned::Here => {
+                    self.keep(now, function, &call);
+                    Arrival::Home(call)
+                }
+                Owned::Nobody => Arrival::Refused(Refusal::Unkept, Some(NOT_YET_US)),
+                Owned::By(_) if handed => Arrival::Refused(Refusal::Unkept, Some(NOT_YET_US)),
+                Owned::By(owner) => {
+                    let until = call.deadline.saturating_sub(WAY_US);
+                    self.hand(io, now, call, (function, owner), (until, true))
+                }
+            };
+        }
         // What may not simply run again stays with the gateway that knows its repeats.
         let may_leave = self.config.hand_over && self.repeats[class] == Repeat::Safe;
         let left = call.deadline.saturating_sub(now);
@@ -182,7 +220,8 @@
                 self.router.choose(now, table.as_deref(), function, left, handed)
         {
             let here = table.as_ref().and_then(|t| t.rows.get(function as usize)).map_or(0, |row| row.here);
-            return self.hand(io, now, call, (function, fellow), here);
+            let until = home_by(now, call.deadline, here);
+            return self.hand(io, now, call, (function, fellow), (until, false));
         }
         self.keep(now, function, &call);
         Arrival::Home(call)
@@ -194,15 +233,31 @@
         self.home.insert(call.waiter, Home { function, class, tenant, came: now });
     }
 
+    /// Whose a call is, where its event has one owner over all sites: one of a kept class that may not simply run again.
+    fn owned(&self, now: Micros, call: &NewCall<Event>) -> Option<Owned> {
+        let class = call.function.class;
+        if self.repeats[class] == Repeat::Safe || !self.kept.as_ref()?.keeps(class) {
+            return None;
+        }
+        let owners = self.tables.owners.load();
+        let Some(owners) = owners.as_deref().filter(|owners| now < owners.until) else {
+            return Some(Owned::Nobody);
+        };
+        Some(match owner(Key(digest(&call.identity)), &owners.taken) {
+            Some(of) if of != self.config.own => Owned::By(of),
+            Some(_) if owners.ready => Owned::Here,
+            _ => Owned::Nobody,
+        })
+    }
+
     fn hand(
         &mut self,
         io: &mut Io,
         now: Micros,
         call: NewCall<Event>,
         (function, to): (u32, Number),
-        here: Micros,
+        (until, owned): (Micros, bool),
     ) -> Arrival {
-        let until = home_by(now, call.deadline, here);
         let job = Job::Hand {
             waiter: call.waiter,
             event: call.payload.clone(),
@@ -211,24 +266,30 @@
         };
         let Some(front) = self.fronts.get(usize::from(to)).cloned() else { return Arrival::Home(call) };
         let waiter = call.waiter;
-        self.away.insert(waiter, Away { call, function, to, began: now });
+        self.away.insert(waiter, Away { call, function, to, began: now, owned });
         match self.links.start(io, now, &front, job) {
             Some(Done::Handed(waiter, end)) => match self.handed(now, waiter, end) {
-                Some((call, None)) => Arrival::Home(call),
-                Some((_, Some(_))) | None => Arrival::Away(to),
+                Some(Back::Home(call)) => Arrival::Home(call),
+                Some(Back::Answer(_, Answer::Refused(why, wait))) => Arrival::Refused(why, wait),
+                Some(Back::Answer(..)) | None => Arrival::Away(to),
             },
             _ => Arrival::Away(to),
         }
     }
 
-    /// A call has ended at another site: the reply, or the call, which comes home.
-    fn handed(
-        &mut self,
-        now: Micros,
-        waiter: WaiterId,
-        end: AttemptEnd<Reply>,
-    ) -> Option<(NewCall<Event>, Option<Reply>)> {
-        let Away { call, function, to, began } = self.away.remove(&waiter)?;
+    /// A call has ended at another gateway.
+    fn handed(&mut self, now: Micros, waiter: WaiterId, end: AttemptEnd<Reply>) -> Option<Back> {
+        let Away { call, function, to, began, owned } = self.away.remove(&waiter)?;
+        if let (true, code) = (owned, end.code) {
+            return Some(Back::Answer(
+                waiter,
+                match end.reply {
+                    Some(reply) => Answer::Served(reply),
+                    None if code.never_ran() => Answer::Refused(Refusal::Unkept, Some(NOT_YET_US)),
+                    None => Answer::Failed(Failure::MayHaveRun),
+                },
+            ));
+        }
         let took = now.saturating_sub(began);
         let how = match end.code {
             Code::Ok => HandedEnd::Served,
@@ -239,14 +300,17 @@
         let told = Handed { function, to, took, end: how };
         self.router.ended(now, &told);
         self.rings.facts.tell(Fact::Handed(told));
-        if end.reply.is_none() {
-            self.keep(now, function, &call);
-        }
-        Some((call, end.reply))
+        Some(match end.reply {
+            Some(reply) => Back::Answer(waiter, Answer::Served(reply)),
+            None => {
+                self.keep(now, function, &call);
+                Back::Home(call)
+            }
+        })
     }
 
     /// Takes a link's end of a job.
-    pub fn done(&mut self, now: Micros, done: Done) -> Option<(NewCall<Event>, Option<Reply>)> {
+    pub fn done(&mut self, now: Micros, done: Done) -> Option<Back> {
         match done {
             Done::Handed(waiter, end) => self.handed(now, waiter, end),
             _ => None,
@@ -305,8 +369,11 @@
     /// A client has left: true where its call was at another site, which is told by the connection's end.
     pub fn left(&mut self, io: &mut Io, now: Micros, waiter: WaiterId) -> bool {
         self.answered(now, waiter, Ended::Failed);
-        let Some(Away { function, to, began, .. }) = self.away.remove(&waiter) else { return false };
+        let Some(Away { function, to, began, owned, .. }) = self.away.remove(&waiter) else { return false };
         self.links.abort_handed(io, waiter);
+        if owned {
+            return true;
+        }
         // Nothing is known of it: counted as lost it would speak against a site that did nothing wrong.
         let took = now.saturating_sub(began);
         self.router.ended(now, &Handed { function, to, took, end: HandedEnd::Refused });
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -18,6 +18,18 @@
     pub route: ArcSwapOption<basaltward_route::Table>,
     /// What is taken.
     pub shed: ArcSwapOption<basaltward_shed::Table>,
+    /// Whose kept events are.
+    pub owners: ArcSwapOption<Owners>,
+}
+
+/// Whose kept events are, by what is agreed.
+pub struct Owners {
+    /// Until when it holds.
+    pub until: Micros,
+    /// Gateways that were taken over, by number.
+    pub taken: Vec<bool>,
+    /// Whether we take events that are ours.
+    pub ready: bool,
 }
 
 /// From a loop to the control thread.
--- a/crates/pending/src/lib.rs
+++ b/crates/pending/src/lib.rs
@@ -11,6 +11,7 @@
 mod kept;
 mod lease;
 mod neighbour;
+mod owner;
 mod rebuild;
 mod seam;
 mod takeover;
@@ -26,6 +27,7 @@
 pub use journal::Written;
 pub use kept::Pending;
 pub use lease::{Lease, Promises, Refused, Terms};
+pub use owner::{owner, taken};
 pub use rebuild::Heirs;
 #[doc(hidden)]
 pub use rebuild::Planted as HeirsPlanted;
--- a/crates/play/src/bed.rs
+++ b/crates/play/src/bed.rs
@@ -167,7 +167,8 @@
         let folder = Folder::new()?;
         let config = Config {
             roster: folder.path().join("roster.xml"),
-            listen: ([127, 0, 0, 1], 0).into(),
+            // Other sites have to know the address before.
+            listen: config.sites.as_ref().map_or(([127, 0, 0, 1], 0).into(), |_| config.listen),
             count: gateways,
             ..config.clone()
         };
