Node: a second answer is not taken for one to a new request under its id

With it: tests of hangs.

Seen by the new test: a client is served under an id and uses the id again; the worker's second copy of the first answer comes while the second request is open. It was passed on as the answer to the second: served with what no worker made for it. At fault: links.rs, Links::start, whose look at which connections have carried an id (Work::went_on) lives with the call, and so knows nothing of the call before. A connection takes no request under an id that has ended on it within the last second now (lately.rs; at most four for each call that may be in hand).

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -349,7 +349,8 @@
         let (name, source) = (function.name.clone(), self.source.clone());
         let identity = Identity { tenant: 0, function: name, source, id: id.as_str().into() };
         let used = Mutex::default();
-        let payload = Arc::new(Work { id, class: read.class, body: submit.owned_body(), used });
+        let (number, class, body) = (read.request, read.class, submit.owned_body());
+        let payload = Arc::new(Work { id, number, class, body, used });
         Some(Ok(NewCall { waiter, identity, function, deadline: came + read.timeout, payload }))
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod config;
 mod fellows;
 mod front;
+mod lately;
 mod links;
 mod members;
 mod node;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -5,6 +5,7 @@
 //! else, once its last byte is with the socket, may have run.
 
 use crate::Budget;
+use crate::lately::Lately;
 use crate::work::{Served, Work};
 use basaltward::{Code, CopyNote, FunctionId, Member, MembersKind, Micros, State, WorkerId};
 use basaltward_engine::{AttemptEnd, AttemptId, OrderId};
@@ -23,6 +24,9 @@
 /// Bytes given to a connection and not yet with its socket, past which requests wait outside.
 const UNSENT: usize = 64 << 10;
 
+/// Requests that have ended lately, kept for each that may be in hand.
+const ENDED: usize = 4;
+
 /// Things due that are done at once.
 const BATCH: usize = 32;
 
@@ -108,6 +112,7 @@
     /// Where each job with a name is, and its id on the wire.
     jobs: HashMap<Name, (ConnId, String)>,
     due: Timers<Due>,
+    lately: Lately,
     /// What was given to connections since this was last taken.
     pub written: Vec<Written>,
 }
@@ -165,6 +170,7 @@
             conns: HashMap::new(),
             jobs: HashMap::new(),
             due: Timers::default(),
+            lately: Lately::new(config.budget.calls * ENDED),
             written: Vec::new(),
         }
     }
@@ -252,7 +258,9 @@
         let Some(known) = self.workers.get(worker).filter(|w| w.state == State::Active) else {
             return cut(&job, Code::Moot);
         };
-        let fresh = |conn: &ConnId| !matches!(&job, Job::Attempt { work, .. } if work.went_on(*conn));
+        self.lately.forget(now);
+        let again = |work: &Work, conn| work.went_on(conn) || self.lately.holds(conn, work.number);
+        let fresh = |conn: &ConnId| !matches!(&job, Job::Attempt { work, .. } if again(work, *conn));
         let link = |conn: &ConnId| self.conns.get(conn).filter(|l| !l.retired && l.load() < streams);
         let open = known.conns.iter().filter(|conn| fresh(conn)).filter_map(|c| Some((c, link(c)?)));
         // Of those as free as one another the one used last: the others may go.
@@ -346,6 +354,9 @@
             return cut(&job, Code::Moot);
         }
         let Open { job, since, .. } = link.open.remove(&id)?;
+        if let Job::Attempt { work, .. } = &job {
+            self.lately.note(now, conn, work.number);
+        }
         if let (Job::Attempt { .. }, Some(out)) = (&job, io.output(conn)) {
             let before = out.len();
             lines::drop_request(out, &id);
@@ -412,6 +423,9 @@
                     // Under an id that nobody waits for, or no longer: a second copy, or an answer to what was
                     // given up. It is whole, so what follows can be read.
                     let Some(open) = link.open.remove(&reply.id) else { continue };
+                    if let Job::Attempt { work, .. } = &open.job {
+                        self.lately.note(now, conn, work.number);
+                    }
                     link.used = now;
                     let worker = link.worker.clone();
                     name(&open.job).map(|name| self.jobs.remove(&name));
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -10,6 +10,8 @@
 pub struct Work {
     /// Its id, passed on as it came.
     pub id: String,
+    /// Its id as a number.
+    pub number: u64,
     /// Its class, a position in the settings.
     pub class: usize,
     /// Its body, passed on as it came.
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -3,5 +3,6 @@
 mod clients;
 mod common;
 mod fleet;
+mod late;
 mod restart;
 mod untold;
--- a/crates/standins/src/line_worker.rs
+++ b/crates/standins/src/line_worker.rs
@@ -5,7 +5,7 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
 /// Most bytes of a body; the platform's clients send no more.
@@ -57,6 +57,15 @@
     }
 }
 
+/// Whether connections wait to be accepted.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Gate {
+    Open,
+    /// It is to close behind the next connection.
+    Closes,
+    Shut,
+}
+
 type Script = dyn Fn(&Exec) -> Vec<Act> + Send + Sync;
 
 type Who = dyn Fn(SocketAddr) -> String + Send + Sync;
@@ -71,11 +80,13 @@
     /// Every line that came, without bodies.
     lines: Mutex<Vec<String>>,
     open: Mutex<Vec<TcpStream>>,
+    gate: (Mutex<Gate>, Condvar),
 }
 
 /// A stand-in worker. Its threads end with their connections, which end when it is dropped.
 pub struct LineWorker {
     address: SocketAddr,
+    listener: TcpListener,
     shared: Arc<Shared>,
 }
 
@@ -113,18 +124,20 @@
             came: AtomicUsize::new(0),
             lines: Mutex::default(),
             open: Mutex::default(),
+            gate: (Mutex::new(Gate::Open), Condvar::new()),
         });
-        let weak = Arc::downgrade(&shared);
+        let (weak, kept) = (Arc::downgrade(&shared), listener.try_clone()?);
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 let (Ok(stream), Some(shared)) = (stream, weak.upgrade()) else { return };
+                shared.pass();
                 if let Ok(kept) = stream.try_clone() {
                     lock(&shared.open).push(kept);
                 }
                 std::thread::spawn(move || shared.connection(&stream));
             }
         });
-        Ok(Self { address, shared })
+        Ok(Self { address, listener: kept, shared })
     }
 
     /// Where it listens.
@@ -137,6 +150,41 @@
         lock(&self.shared.lines).clone()
     }
 
+    /// Writes these bytes on the connection that comes from this port, whatever its script says.
+    ///
+    /// # Errors
+    /// Where no such connection stands.
+    pub fn say(&self, port: u16, bytes: &[u8]) -> io::Result<()> {
+        let open = lock(&self.shared.open);
+        let from = |stream: &&TcpStream| stream.peer_addr().is_ok_and(|from| from.port() == port);
+        let mut stream = open.iter().find(from).ok_or(io::ErrorKind::NotConnected)?;
+        stream.write_all(bytes)
+    }
+
+    /// From now on new connections do not come up: the system drops their first packets. Those begun meanwhile come
+    /// up a second after their beginning or later, as the caller's system tries again, once [`LineWorker::unplug`] is
+    /// called.
+    ///
+    /// # Errors
+    /// Where the system refuses a socket.
+    pub fn plug(&self) -> io::Result<()> {
+        *lock(&self.shared.gate.0) = Gate::Closes;
+        rustix::net::listen(&self.listener, 0)?;
+        // One connection that the thread holds, one that fills the system's queue.
+        let held = TcpStream::connect(self.address)?;
+        let gate = lock(&self.shared.gate.0);
+        drop(self.shared.gate.1.wait_while(gate, |gate| *gate != Gate::Shut));
+        let queued = TcpStream::connect(self.address)?;
+        lock(&self.shared.open).extend([held, queued]);
+        Ok(())
+    }
+
+    /// Accepts again.
+    pub fn unplug(&self) {
+        *lock(&self.shared.gate.0) = Gate::Open;
+        self.shared.gate.1.notify_all();
+    }
+
     /// Breaks every connection that stands.
     pub fn reset_all(&self) {
         for stream in lock(&self.shared.open).drain(..) {
@@ -147,6 +195,7 @@
 
 impl Drop for LineWorker {
     fn drop(&mut self) {
+        self.unplug();
         for stream in lock(&self.shared.open).drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -166,6 +215,16 @@
 }
 
 impl Shared {
+    /// Holds who accepts while the gate is shut.
+    fn pass(&self) {
+        let mut gate = lock(&self.gate.0);
+        if *gate == Gate::Closes {
+            *gate = Gate::Shut;
+            self.gate.1.notify_all();
+        }
+        drop(self.gate.1.wait_while(gate, |gate| *gate == Gate::Shut));
+    }
+
     fn connection(&self, stream: &TcpStream) {
         if let Ok(from) = stream.peer_addr() {
             let _ = self.serve(stream, from);
