Gateway: whoever does not see to an event does not say that it never ran

With it: a repeat passes the door.

Events that were taken and may not run twice are known to all loops, and their repeats pass; the owner alone has the door. A gateway that could not reach an event's owner answered as if the event had run or not run: it fails as unreached now (502, retryable: the owner tells repeats apart), and the checker takes its word that it can't know whether anything was sent (planted case without that word is still found). cargo test -p basaltward-rules -p basaltward-gateway -p basaltward-engine -p basaltward-config passes.

--- a/crates/bench/src/ground.rs
+++ b/crates/bench/src/ground.rs
@@ -26,6 +26,7 @@
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let nowhere = vec![SocketAddr::from(([127, 0, 0, 1], 9)); size];
     let fellows = FellowsConfig {
+        places: None,
         name: "bench".into(),
         listen: any,
         peers: nowhere.clone(),
--- a/crates/engine/src/types.rs
+++ b/crates/engine/src/types.rs
@@ -117,6 +117,8 @@
     Attempts,
     /// It is a repeat of a call that may have run and must not run again.
     MayHaveRun,
+    /// Another gateway sees to its event, and can't be reached or takes none yet. A repeat is told apart there.
+    Unreached,
 }
 
 /// The one final answer.
--- a/crates/gateway/src/hand_wire.rs
+++ b/crates/gateway/src/hand_wire.rs
@@ -34,7 +34,8 @@
         503 => AttemptEnd::bare(Code::Full),
         // Not known there: its list of functions is another one. Nothing has run.
         400..=499 => AttemptEnd::bare(Code::Miss),
-        _ => AttemptEnd::bare(Code::Error),
+        // A whole answer that says that it failed, which none that breaks off says.
+        _ => AttemptEnd::bare(Code::Unknown),
     }
 }
 
--- a/crates/gateway/src/problem.rs
+++ b/crates/gateway/src/problem.rs
@@ -50,9 +50,14 @@
         let (status, detail) = match why {
             Failure::Deadline => (504, "no answer came before the call's deadline; it may have run"),
             Failure::Attempts => (500, "no worker answered the call; it may have run"),
+            Failure::Unreached => (
+                502,
+                "the gateway that sees to this event can't be reached; it may have run there, send it again",
+            ),
             Failure::MayHaveRun => (500, "this event was sent before and may have run; it is not run again"),
         };
-        let retryable = repeat == Repeat::Safe;
+        // Whoever sees to an event tells its repeats apart.
+        let retryable = repeat == Repeat::Safe || why == Failure::Unreached;
         Self { status, outcome: "failed", retryable, retry_after: None, detail: detail.into() }
     }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,7 +3,7 @@
 use crate::scheduler::{KILL, Orders, RUN, STOP, Scheduler};
 use crate::sites::Sites;
 use crate::tables::{Tables, rings};
-use basaltward::{Repeat, SettingsError};
+use basaltward::{Micros, Repeat, SettingsError};
 use basaltward_config::Config;
 use basaltward_fellows::FellowsError;
 use basaltward_net::{Io, IoLimits, NetError, Waker, bind, monotonic};
@@ -112,7 +112,7 @@
                 wakers.iter().flat_map(|waker| Mail::join(std::slice::from_ref(waker), span)).collect()
             }
         };
-        let (control, mut sites) = Self::control(config, &wakers, recorder)?;
+        let (control, mut sites) = Self::control(config, &wakers, span, recorder)?;
         let (mut threads, mut stalls) = (Vec::new(), Vec::new());
         let ends = listeners.into_iter().zip(ios.into_iter().zip(mail)).zip(wakers);
         for (thread, ((listener, end), waker)) in ends.enumerate() {
@@ -136,11 +136,12 @@
     fn control(
         config: &Config,
         wakers: &[Waker],
+        span: Micros,
         recorder: &Recorder,
     ) -> Result<(Option<ControlThread>, std::vec::IntoIter<Sites>), GatewayError> {
         let Some(sites) = &config.sites else { return Ok((None, Vec::new().into_iter())) };
         let io = Io::new(IoLimits::default())?;
-        let (waker, tables) = (io.waker(), Arc::new(Tables::default()));
+        let (waker, tables) = (io.waker(), Arc::new(Tables::new(span)));
         let shed = shed_settings(config, sites).ok_or(GatewayError::Sites)?;
         let (mut ours, mut theirs) = (Vec::new(), Vec::new());
         for (thread, loop_waker) in wakers.iter().enumerate() {
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -13,8 +13,8 @@
 use basaltward_cloudevents::Event;
 use basaltward_config::Config;
 use basaltward_engine::{
-    Answer, AttemptEnd, Engine, EngineSettings, HandedOver, Input, Lag, MarginSettings, Output, Pace, Path,
-    RepeatLimits, Turn, WaiterId,
+    Answer, AttemptEnd, Engine, EngineSettings, Failure, HandedOver, Input, Lag, MarginSettings, Output,
+    Pace, Path, RepeatLimits, Turn, WaiterId,
 };
 use basaltward_net::{Clock, ConnId, Happened, Io, NetError, monotonic, thread_time};
 use basaltward_roster::{Names, RosterFile, Source};
@@ -473,9 +473,13 @@
             Answer::Failed(_) => "failed",
         };
         self.sites.iter_mut().for_each(|sites| sites.gave(now, waiter, outcome == "served"));
+        let unowned = matches!(answer, Answer::Failed(Failure::Unreached));
         let Some((waiting, status, free)) = self.front.answer(&mut self.io, now, waiter, answer) else {
             return;
         };
+        if unowned && self.recorder.is_on() {
+            self.recorder.put(now, &self.name, What::Unowned { event: event_name(&waiting.event) });
+        }
         if let Some(conn) = free
             && self.io.input(conn).is_some_and(|input| !input.is_empty())
         {
--- a/crates/gateway/src/scheduler/calls.rs
+++ b/crates/gateway/src/scheduler/calls.rs
@@ -9,7 +9,7 @@
 use crate::tables::Word;
 use basaltward::{Code, Micros, Repeat};
 use basaltward_cloudevents::Event;
-use basaltward_engine::{Answer, AttemptEnd, Input, NewCall, Path, Unheard, WaiterId};
+use basaltward_engine::{AttemptEnd, Input, NewCall, Path, Unheard, WaiterId};
 use basaltward_net::ConnId;
 use basaltward_rules::What;
 use tracing::warn;
@@ -25,9 +25,7 @@
                 let (event, to) = (event_name(&event), sites.name(to).to_owned());
                 self.recorder.put(now, &self.name, What::HandedOver { event, to });
             }
-            Arrival::Refused(why, wait) => {
-                self.give(now, (waiter, Answer::Refused(why, wait)), (0, None, Path::Direct));
-            }
+            Arrival::Answered(answer) => self.give(now, (waiter, answer), (0, None, Path::Direct)),
         }
     }
 
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -38,8 +38,8 @@
     Home(NewCall<Event>),
     /// It went to this gateway of another site.
     Away(Number),
-    /// It is turned away: nothing of it has run.
-    Refused(Refusal, Option<Micros>),
+    /// It is answered at once.
+    Answered(Answer<Reply>),
 }
 
 /// Whose a call is.
@@ -184,32 +184,28 @@
     /// A call has come from a client, or from another site.
     pub fn arrived(&mut self, io: &mut Io, now: Micros, call: NewCall<Event>) -> Arrival {
         let Some(&function) = self.positions.get(&call.function.name) else { return Arrival::Home(call) };
-        let (class, tenant) = (call.function.class, call.identity.tenant);
+        let class = call.function.class;
         let handed = hops(&call.payload);
-        if self.config.shed {
-            let table = self.tables.shed.load();
-            let asked = if handed { Asked::HandedOver } else { Asked::First };
-            let hash = digest(&call.identity) as u64;
-            if let Verdict::Shed(wait) = self.door.ask(now, table.as_deref(), class, tenant, asked, hash) {
-                return Arrival::Refused(Refusal::Overload, Some(wait));
-            }
-        }
         if !handed {
             self.counted(function).calls += 1;
         }
-        if let Some(owned) = self.owned(now, &call) {
-            return match owned {
-                Owned::Here => {
-                    self.keep(now, function, &call);
-                    Arrival::Home(call)
-                }
-                Owned::Nobody => Arrival::Refused(Refusal::Unkept, Some(NOT_YET_US)),
-                Owned::By(_) if handed => Arrival::Refused(Refusal::Unkept, Some(NOT_YET_US)),
-                Owned::By(owner) => {
-                    let until = call.deadline.saturating_sub(WAY_US);
-                    self.hand(io, now, call, (function, owner), (until, true))
-                }
-            };
+        let owned = self.owned(now, &call);
+        match owned {
+            Some(Owned::Nobody) => return Arrival::Answered(Answer::Failed(Failure::Unreached)),
+            Some(Owned::By(_)) if handed => return Arrival::Answered(Answer::Failed(Failure::Unreached)),
+            // Its owner has the door: nobody else knows whether it is in hand.
+            Some(Owned::By(owner)) => {
+                let until = call.deadline.saturating_sub(WAY_US);
+                return self.hand(io, now, call, (function, owner), (until, true));
+            }
+            Some(Owned::Here) | None => {}
+        }
+        if let Some(wait) = self.sheds(now, &call, handed) {
+            return Arrival::Answered(Answer::Refused(Refusal::Overload, Some(wait)));
+        }
+        if owned.is_some() {
+            self.keep(now, function, &call);
+            return Arrival::Home(call);
         }
         // What may not simply run again stays with the gateway that knows its repeats.
         let may_leave = self.config.hand_over && self.repeats[class] == Repeat::Safe;
@@ -227,6 +223,31 @@
         Arrival::Home(call)
     }
 
+    /// How long a call is to stay away, where the door turns it away. A repeat of an event that may be in hand or have run
+    /// is never turned away: that would say that it has not.
+    fn sheds(&mut self, now: Micros, call: &NewCall<Event>, handed: bool) -> Option<Micros> {
+        if !self.config.shed {
+            return None;
+        }
+        let (class, tenant) = (call.function.class, call.identity.tenant);
+        let (hash, guarded) = (digest(&call.identity) as u64, self.repeats[class] != Repeat::Safe);
+        let asked = match handed {
+            _ if guarded && self.tables.begun.knows(hash) => Asked::Owed,
+            true => Asked::HandedOver,
+            false => Asked::First,
+        };
+        let table = self.tables.shed.load();
+        match self.door.ask(now, table.as_deref(), class, tenant, asked, hash) {
+            Verdict::Shed(wait) => Some(wait),
+            Verdict::Take => {
+                if guarded {
+                    self.tables.begun.mark(now, hash);
+                }
+                None
+            }
+        }
+    }
+
     fn keep(&mut self, now: Micros, function: u32, call: &NewCall<Event>) {
         let (class, tenant) = (call.function.class, call.identity.tenant);
         self.counted(function).in_hand += 1;
@@ -270,8 +291,8 @@
         match self.links.start(io, now, &front, job) {
             Some(Done::Handed(waiter, end)) => match self.handed(now, waiter, end) {
                 Some(Back::Home(call)) => Arrival::Home(call),
-                Some(Back::Answer(_, Answer::Refused(why, wait))) => Arrival::Refused(why, wait),
-                Some(Back::Answer(..)) | None => Arrival::Away(to),
+                Some(Back::Answer(_, answer)) => Arrival::Answered(answer),
+                None => Arrival::Away(to),
             },
             _ => Arrival::Away(to),
         }
@@ -285,8 +306,12 @@
                 waiter,
                 match end.reply {
                     Some(reply) => Answer::Served(reply),
-                    None if code.never_ran() => Answer::Refused(Refusal::Unkept, Some(NOT_YET_US)),
-                    None => Answer::Failed(Failure::MayHaveRun),
+                    // The owner's own word; of one that was not reached nothing is known, as this may be a repeat.
+                    None if matches!(code, Code::Full | Code::Miss) => {
+                        Answer::Refused(Refusal::Unkept, Some(NOT_YET_US))
+                    }
+                    None if code == Code::Unknown => Answer::Failed(Failure::MayHaveRun),
+                    None => Answer::Failed(Failure::Unreached),
                 },
             ));
         }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -3,6 +3,7 @@
 
 use arc_swap::ArcSwapOption;
 use basaltward::Micros;
+use basaltward_engine::Seen;
 use basaltward_net::Waker;
 use basaltward_pending::{Accepted, Key, Outcome, Step};
 use rtrb::{Consumer, Producer, PushError, RingBuffer};
@@ -12,7 +13,6 @@
 const RING: usize = 4_096;
 
 /// The newest table of each room, if it ever made one.
-#[derive(Default)]
 pub struct Tables {
     /// Where calls go.
     pub route: ArcSwapOption<basaltward_route::Table>,
@@ -20,6 +20,16 @@
     pub shed: ArcSwapOption<basaltward_shed::Table>,
     /// Whose kept events are.
     pub owners: ArcSwapOption<Owners>,
+    /// Events that were taken lately and may not run twice, by any loop.
+    pub begun: Seen,
+}
+
+impl Tables {
+    /// None yet; what was taken is known for at least `span`.
+    pub fn new(span: Micros) -> Self {
+        let (route, shed, owners) = (ArcSwapOption::empty(), ArcSwapOption::empty(), ArcSwapOption::empty());
+        Self { route, shed, owners, begun: Seen::new(span) }
+    }
 }
 
 /// Whose kept events are, by what is agreed.
--- a/crates/rules/src/effects.rs
+++ b/crates/rules/src/effects.rs
@@ -31,6 +31,8 @@
     // By gateway and event, over all its loops: attempts out or ended without proof.
     let mut sent: BTreeMap<(&str, &str), Vec<Out>> = BTreeMap::new();
     let mut begun: BTreeSet<&str> = BTreeSet::new();
+    // Events that a scheduler does not see to: whether they were sent it can't know.
+    let mut unowned: BTreeSet<&str> = BTreeSet::new();
     let mut proven: BTreeMap<&str, Micros> = BTreeMap::new();
     let mut breaches = Vec::new();
     let mut breach = |t, what: String| breaches.push(Breach { rule: 2, t, what });
@@ -77,6 +79,9 @@
                 all.push((t, &record.by, attempt));
                 ran_attempts.insert(attempt);
             }
+            What::Unowned { event } => {
+                unowned.insert(event);
+            }
             What::Left { tried } | What::Cut { tried } => {
                 left.extend(asked.get(tried).map(|(event, _)| (*event, t)));
             }
@@ -86,6 +91,7 @@
                 // just left may still count as waiting at the gateway.
                 let alone = left.get(event).is_none_or(|left| t > left + CROSSING_US);
                 let never = !begun.contains(event) && open.get(event) == Some(&0) && alone;
+                let never = never && !unowned.contains(event);
                 if never && at.contains_key(to) {
                     breach(t, format!("{event}: failed although nothing of it was ever sent"));
                 }
--- a/crates/rules/src/record.rs
+++ b/crates/rules/src/record.rs
@@ -112,6 +112,11 @@
         /// That gateway's name.
         to: String,
     },
+    /// A scheduler has answered a call as failed whose event another one sees to that it could not reach.
+    Unowned {
+        /// The event's name.
+        event: String,
+    },
     /// A scheduler believes something else of one of the fleet.
     Believed {
         /// Of whom, by number.
--- a/crates/rules/tests/planted.rs
+++ b/crates/rules/tests/planted.rs
@@ -157,6 +157,18 @@
     assert_eq!(broken(joined), [0u8; 0]);
 }
 
+#[test]
+fn rule_2_who_does_not_see_to_an_event_need_not_know_whether_it_was_sent() {
+    let unowned = record(4, "g/0", What::Unowned { event: "e1".into() });
+    let failed = |more: Vec<Record>| {
+        let mut records = vec![up(), asked(1, 1, "unsafe")];
+        records.extend(more);
+        records.push(answered(5, 1, Final::Failed));
+        broken(records)
+    };
+    assert_eq!((failed(vec![unowned]), failed(Vec::new())), (Vec::new(), vec![2]));
+}
+
 #[test]
 fn rule_2_the_loops_of_a_gateway_are_one() {
     let by_other = |mut r: Record| {
