Trial: kept events are judged by the frames that cross the relays

What gateways record of themselves would not show what they believe wrongly. Relays read the frames on journals' ways (pending::glance names what one says): which entries went to whom, what holders acknowledged, how events ended.

--- a/crates/pending/src/lib.rs
+++ b/crates/pending/src/lib.rs
@@ -6,6 +6,7 @@
 mod ends;
 mod entry;
 mod error;
+mod glance;
 mod holder;
 mod journal;
 mod kept;
@@ -22,6 +23,7 @@
 
 pub use ends::{Case, End, Sent, end};
 pub use error::{Fault, Unkept, WireError};
+pub use glance::{Glance, glance};
 #[doc(hidden)]
 pub use holder::Planted;
 pub use journal::Written;
--- a/crates/rules/src/record.rs
+++ b/crates/rules/src/record.rs
@@ -132,18 +132,6 @@
         /// Who may be out, by kind and number or mark, with the number of the permit.
         permits: Vec<String>,
     },
-    /// A scheduler has an acknowledgement of a kept event's first entry from all who are to hold it.
-    Kept {
-        /// The event's name.
-        event: String,
-    },
-    /// A scheduler has decided how a kept event ended.
-    Concluded {
-        /// The event's name.
-        event: String,
-        /// `served`, `failed`, `unrun` (nothing of it has run), `unknown` (it may have run) or `expired`.
-        how: String,
-    },
     /// A scheduler was told of a worker's state.
     Told {
         /// The worker.
--- a/crates/trial/src/relay.rs
+++ b/crates/trial/src/relay.rs
@@ -7,7 +7,7 @@
 use crate::Loss;
 use crate::course::Course;
 use crate::relaying::Running;
-use crate::tap::Handed;
+use crate::tap::{Reads, Tapped};
 use crate::way::{Party, Stream, Way};
 use basaltward_net::{Io, IoLimits, Micros, NetError, Waker, bind};
 use crossbeam_queue::SegQueue;
@@ -52,8 +52,8 @@
     pub free: [Micros; 2],
     /// The next bytes from who began are changed.
     pub change: bool,
-    /// Calls on it are read.
-    pub tapped: bool,
+    /// What of it is read as it crosses.
+    pub reads: Option<Reads>,
     /// Pieces so far: how late each is follows from the seed and this.
     pub count: u64,
 }
@@ -83,7 +83,7 @@
 pub(crate) struct Shared {
     pub commands: SegQueue<(Command, SyncSender<()>)>,
     pub counts: Mutex<BTreeMap<Way, Counts>>,
-    pub handed: Mutex<Vec<Handed>>,
+    pub tapped: Mutex<Tapped>,
 }
 
 /// Tells the relays from outside.
@@ -131,15 +131,15 @@
             courses: Default::default(),
             free: [0; 2],
             change: false,
-            tapped: false,
+            reads: None,
             count: 0,
         });
         Ok(address)
     }
 
-    /// Has the calls on the way laid last read as they cross it.
-    pub fn tap(&mut self) {
-        self.routes.iter_mut().last().into_iter().for_each(|route| route.tapped = true);
+    /// Has what goes on the way laid last read as it crosses.
+    pub fn tap(&mut self, reads: Reads) {
+        self.routes.iter_mut().last().into_iter().for_each(|route| route.reads = Some(reads));
     }
 
     /// Ways for datagrams between all of these; gives for each where it reaches the others, by number, its own
@@ -216,9 +216,9 @@
         self.shared.counts.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// The calls that have crossed tapped ways so far.
-    pub fn handed(&self) -> Vec<Handed> {
-        self.shared.handed.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    /// What was read on tapped ways so far.
+    pub fn tapped(&self) -> Tapped {
+        self.shared.tapped.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
 
--- a/crates/trial/src/relaying.rs
+++ b/crates/trial/src/relaying.rs
@@ -176,7 +176,7 @@
 
     fn accepted(&mut self, conn: ConnId, listener: usize) {
         let Some(number) = self.listeners.get(&listener).copied() else { return self.io.reset(conn) };
-        let Route { way, target, from, tapped, .. } = self.routes[number];
+        let Route { way, target, from, reads, .. } = self.routes[number];
         let port = self.io.peer_address(conn).map_or(0, |peer| peer.port());
         let kept = from.and_then(|ip| self.io.connect_from(Some((ip, port).into()), target).ok());
         // The port may be in use there: the connection then has a name of its own, and only that.
@@ -184,7 +184,7 @@
         let other = kept.or_else(plain).or_else(|| self.io.connect(target).ok());
         let Some(other) = other else { return self.io.reset(conn) };
         for (own, other, near) in [(conn, other, true), (other, conn, false)] {
-            let tap = (near && tapped).then(Tap::new);
+            let tap = reads.and_then(|reads| Tap::new(reads, way, near));
             self.halves.insert(own, Half { route: number, other, near, lane: Lane::default(), tap });
         }
         self.count(way, |c| c.connections += 1);
@@ -248,12 +248,12 @@
                         let middle = bytes.len() / 2;
                         bytes[middle] ^= 0x55;
                     }
-                    if let Some(tap) = &mut half.tap {
-                        let mut handed = self.shared.handed.lock().unwrap_or_else(PoisonError::into_inner);
-                        tap.take(now, way, &bytes, &mut handed);
-                    }
                     let Some(output) = self.io.output(other) else { continue };
                     output.extend_from_slice(&bytes);
+                    if let Some(tap) = &mut half.tap {
+                        let mut tapped = self.shared.tapped.lock().unwrap_or_else(PoisonError::into_inner);
+                        tap.take(now, &bytes, &mut tapped);
+                    }
                     let length = bytes.len() as u64;
                     self.count(way, |c| {
                         *(if near { &mut c.bytes.0 } else { &mut c.bytes.1 }) += length;
--- a/crates/trial/src/site_bed.rs
+++ b/crates/trial/src/site_bed.rs
@@ -8,6 +8,7 @@
 use crate::site_files::{Reach, write_files};
 use crate::site_load::plans;
 use crate::site_spec::{SiteLink, SitesSpec};
+use crate::tap::Reads;
 use crate::way::{Party, Way};
 use crate::ways::Ways;
 use basaltward_config::Config;
@@ -99,8 +100,9 @@
                     continue;
                 }
                 let front = laying.route(Way { from, to: Party::Scheduler(j) }, listens[j], None)?;
-                laying.tap();
+                laying.tap(Reads::Calls);
                 let journal = laying.route(Way { from, to: Party::Journal(j) }, journals[j], None)?;
+                laying.tap(Reads::Frames);
                 reaches.push(Reach { tell, front, journal });
             }
             fronts.push(reaches.iter().map(|reach| reach.front).collect());
--- a/crates/trial/src/site_judge.rs
+++ b/crates/trial/src/site_judge.rs
@@ -2,8 +2,8 @@
 //! gateways and workers recorded.
 
 use crate::judge::{Fleet, Front, Verdict, common, ends};
+use crate::kept_judge::kept;
 use crate::site_bed::SiteBed;
-use crate::site_files::DEADLINE_MS;
 use crate::tap::Handed;
 use crate::way::Party;
 use basaltward_net::Micros;
@@ -61,13 +61,13 @@
     for (w, process) in bed.workers.iter().enumerate() {
         verdict.fleet.extend(ends(Party::Worker(w), process));
     }
-    let handed = bed.ways.relay.handed();
+    let tapped = bed.ways.relay.tapped();
     let asked = Asked::of(bed, &records);
     verdict.fleet.extend(twice(&records, &rules, &asked));
-    verdict.fleet.extend(hops(&handed, &asked));
-    let (kept, wrong) = ended(&records, &asked);
+    verdict.fleet.extend(hops(&tapped.handed, &asked));
+    let (kept, wrong) = kept(&tapped.noted, bed.spec.holders, &records);
     verdict.fleet.extend(wrong);
-    SitesVerdict { sites: by_site(bed, &records, &handed, &asked), kept, verdict }
+    SitesVerdict { sites: by_site(bed, &records, &tapped.handed, &asked), kept, verdict }
 }
 
 /// What clients asked.
@@ -143,42 +143,6 @@
     found
 }
 
-/// Kept events acknowledged, and how many ended how.
-type Kept = (u64, BTreeMap<String, u64>);
-
-/// Each kept event that was acknowledged ends in exactly one way, and in a true one.
-fn ended(records: &[Record], asked: &Asked) -> (Kept, Vec<Fleet>) {
-    let last = records.last().map_or(0, |record| record.t);
-    let (mut kept, mut ends) = (BTreeMap::<&str, Micros>::new(), BTreeMap::<&str, BTreeSet<&str>>::new());
-    let mut ran = BTreeSet::new();
-    for Record { t, what, .. } in records {
-        match what {
-            What::Kept { event } => drop(kept.entry(event).or_insert(*t)),
-            What::Concluded { event, how } => drop(ends.entry(event).or_default().insert(how)),
-            What::Ran { event, .. } => drop(ran.insert(event.as_str())),
-            _ => {}
-        }
-    }
-    let (mut counts, mut wrong) = (BTreeMap::<String, u64>::new(), Vec::new());
-    for (event, t) in &kept {
-        let all = ends.get(event).cloned().unwrap_or_default();
-        all.iter().for_each(|how| *counts.entry((*how).to_owned()).or_default() += 1);
-        let ways = || all.iter().map(|how| (*how).to_owned()).collect();
-        let over = t + DEADLINE_MS * 1_000 < last;
-        // Whoever took over from one that was killed between its end and telling of it can't know more.
-        let one = all.len() == 1 || all.len() == 2 && all.contains("unknown") && !all.contains("unrun");
-        if all.is_empty() && over || !all.is_empty() && !one {
-            wrong.push(Fleet::Ended((*event).to_owned(), ways()));
-        }
-    }
-    for (event, _) in ends.iter().filter(|(event, all)| all.contains("unrun") && ran.contains(*event)) {
-        if asked.first.contains_key(event) {
-            wrong.push(Fleet::Untrue((*event).to_owned()));
-        }
-    }
-    ((kept.len() as u64, counts), wrong)
-}
-
 fn by_site(bed: &SiteBed, records: &[Record], handed: &[Handed], asked: &Asked) -> Vec<SiteCalls> {
     let blank = SiteCalls { ran_at: vec![0; bed.spec.sites.len()], ..SiteCalls::default() };
     let mut sites = vec![blank; bed.spec.sites.len()];
@@ -298,21 +262,4 @@
         assert_eq!(count(&[handed(0, 1, Some(2))]), 1);
         assert_eq!(count(&[handed(0, 1, Some(1)), handed(1, 2, Some(1))]), 1, "it lies about its hops");
     }
-
-    #[test]
-    fn a_kept_event_ends_once_and_truly() {
-        let kept = ("n0/0", What::Kept { event: "e".into() });
-        let end = |how: &str| ("n1/0", What::Concluded { event: "e".into(), how: how.into() });
-        let wrong = |told: &[(&str, What)]| {
-            let mut all = records(told);
-            all.push(Record { t: DEADLINE_MS * 2_000, by: "client".into(), what: What::Stopping });
-            ended(&all, &asked("unsafe")).1
-        };
-        assert_eq!(wrong(&[kept.clone(), end("served")]), []);
-        assert_eq!(wrong(&[kept.clone()]), [Fleet::Ended("e".into(), vec![])]);
-        let both = vec!["served".to_owned(), "unrun".to_owned()];
-        assert_eq!(wrong(&[kept.clone(), end("served"), end("unrun")]), [Fleet::Ended("e".into(), both)]);
-        assert_eq!(wrong(&[kept.clone(), end("served"), end("unknown")]), [], "its heir can't know");
-        assert_eq!(wrong(&[kept, ran("s-0"), end("unrun")]), [Fleet::Untrue("e".into())]);
-    }
 }
--- a/crates/trial/src/tap.rs
+++ b/crates/trial/src/tap.rs
@@ -1,10 +1,16 @@
-//! What the relays see of calls that one gateway hands to another.
+//! What the relays see of calls that one gateway hands to another, and of kept events on journals' connections.
 
-use crate::way::Way;
+use crate::way::{Party, Way};
+use basaltward_fellows::Channel;
 use basaltward_http::{Decoded, Limits, RequestDecoder};
 use basaltward_net::Micros;
+use basaltward_pending::{Glance, glance};
 use bytes::BytesMut;
 
+/// Longest payload of a frame, and longest event of a kept call: no gateway of a bed has more.
+const FRAME_BYTES: usize = 256 << 10;
+const ENTRY_BYTES: usize = 64 << 10;
+
 /// A call that crossed from one gateway to another's front.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Handed {
@@ -18,40 +24,119 @@
     pub hops: Option<u32>,
 }
 
-/// Reads requests off the bytes of one connection.
+/// What one gateway has told another of kept events.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Noted {
+    /// When it arrived.
+    pub t: Micros,
+    /// Who says it.
+    pub from: usize,
+    /// To whom.
+    pub to: usize,
+    /// What.
+    pub what: Glance,
+}
+
+/// All that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct Tapped {
+    /// Calls handed over.
+    pub handed: Vec<Handed>,
+    /// Of kept events.
+    pub noted: Vec<Noted>,
+}
+
+/// What is read on a way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reads {
+    /// Calls, from who began.
+    Calls,
+    /// Frames between gateways, both ways.
+    Frames,
+}
+
+enum Decoder {
+    Calls(RequestDecoder, BytesMut),
+    Frames(basaltward_fellows::Decoder),
+    /// What crosses is something else, and not looked at any further.
+    Lost,
+}
+
+/// Reads what crosses on one connection in one direction.
 pub(crate) struct Tap {
-    decoder: RequestDecoder,
-    seen: BytesMut,
-    /// What crosses is no HTTP, and not looked at any further.
-    lost: bool,
+    decoder: Decoder,
+    way: Way,
+    near: bool,
 }
 
 impl Tap {
-    pub fn new() -> Self {
-        let decoder = RequestDecoder::new(Limits { body: 64 << 20, ..Limits::default() });
-        Self { decoder, seen: BytesMut::new(), lost: false }
+    /// None where nothing is to be read in that direction.
+    pub fn new(reads: Reads, way: Way, near: bool) -> Option<Self> {
+        let limits = Limits { body: 64 << 20, ..Limits::default() };
+        let decoder = match reads {
+            Reads::Calls if !near => return None,
+            Reads::Calls => Decoder::Calls(RequestDecoder::new(limits), BytesMut::new()),
+            Reads::Frames => Decoder::Frames(basaltward_fellows::Decoder::new(FRAME_BYTES)),
+        };
+        Some(Self { decoder, way, near })
     }
 
-    /// Calls that are whole with these bytes.
-    pub fn take(&mut self, t: Micros, way: Way, bytes: &[u8], out: &mut Vec<Handed>) {
-        if self.lost {
-            return;
+    /// Adds what is whole with these bytes.
+    pub fn take(&mut self, t: Micros, bytes: &[u8], out: &mut Tapped) {
+        let good = match &mut self.decoder {
+            Decoder::Calls(decoder, seen) => {
+                seen.extend_from_slice(bytes);
+                calls(t, self.way, (decoder, seen), &mut out.handed)
+            }
+            Decoder::Frames(decoder) => {
+                decoder.take(&mut bytes.into());
+                frames(t, (self.way, self.near), decoder, &mut out.noted)
+            }
+            Decoder::Lost => true,
+        };
+        if !good {
+            self.decoder = Decoder::Lost;
+        }
+    }
+}
+
+fn calls(
+    t: Micros,
+    way: Way,
+    (decoder, seen): (&mut RequestDecoder, &mut BytesMut),
+    out: &mut Vec<Handed>,
+) -> bool {
+    loop {
+        match decoder.decode(seen) {
+            Ok(Decoded::Message(request)) => {
+                let field = |name: &str| request.headers.get(name);
+                let Some((source, id)) = field("ce-source").zip(field("ce-id")) else { continue };
+                let hops = field("ce-hops").and_then(|hops| hops.parse().ok());
+                out.push(Handed { t, way, event: format!("{source}#{id}"), hops });
+            }
+            Ok(_) => return true,
+            Err(_) => return false,
         }
-        self.seen.extend_from_slice(bytes);
-        loop {
-            match self.decoder.decode(&mut self.seen) {
-                Ok(Decoded::Message(request)) => {
-                    let field = |name: &str| request.headers.get(name);
-                    let Some((source, id)) = field("ce-source").zip(field("ce-id")) else { continue };
-                    let hops = field("ce-hops").and_then(|hops| hops.parse().ok());
-                    out.push(Handed { t, way, event: format!("{source}#{id}"), hops });
-                }
-                Ok(_) => return,
-                Err(_) => {
-                    self.lost = true;
-                    return;
-                }
+    }
+}
+
+fn frames(
+    t: Micros,
+    (way, near): (Way, bool),
+    decoder: &mut basaltward_fellows::Decoder,
+    out: &mut Vec<Noted>,
+) -> bool {
+    let (Party::Scheduler(began), Party::Journal(reached)) = (way.from, way.to) else { return false };
+    let (from, to) = if near { (began, reached) } else { (reached, began) };
+    loop {
+        match decoder.frame() {
+            Ok(Some(frame)) if frame.channel == Channel::Pending as u8 => {
+                let seen = glance(&frame.payload, ENTRY_BYTES).unwrap_or_default();
+                out.extend(seen.into_iter().map(|what| Noted { t, from, to, what }));
             }
+            Ok(Some(_)) => {}
+            Ok(None) => return true,
+            Err(_) => return false,
         }
     }
 }
