--- a/crates/trial/src/tap.rs
+++ b/crates/trial/src/tap.rs
@@ -56,7 +56,7 @@
 }
 
 enum Decoder {
-    Calls(RequestDecoder, BytesMut),
+    Calls(Box<RequestDecoder>, BytesMut),
     Frames(basaltward_fellows::Decoder),
     /// What crosses is something else, and not looked at any further.
     Lost,
@@ -75,7 +75,7 @@
         let limits = Limits { body: 64 << 20, ..Limits::default() };
         let decoder = match reads {
             Reads::Calls if !near => return None,
-            Reads::Calls => Decoder::Calls(RequestDecoder::new(limits), BytesMut::new()),
+            Reads::Calls => Decoder::Calls(Box::new(RequestDecoder::new(limits)), BytesMut::new()),
             Reads::Frames => Decoder::Frames(basaltward_fellows::Decoder::new(FRAME_BYTES)),
         };
         Some(Self { decoder, way, near })
