--- a/crates/fellows/tests/links/usual.rs
+++ b/crates/fellows/tests/links/usual.rs
@@ -94,6 +94,20 @@
     }
 }
 
+#[test]
+fn attempts_where_nobody_listens_grow_rare() {
+    let mut bed = Bed::new(2);
+    let (now, zero) = (bed.now, &mut bed.fellows[0]);
+    let nobody = zero.config.links.peers.clone();
+    zero.ground.reread(&mut zero.io, now, (&zero.config.fellows, nobody)).expect("good");
+    for _ in 0..60 {
+        bed.send(0, 1, b"to nobody").expect("taken");
+        bed.pass(S);
+    }
+    let attempts = bed.fellows[0].ground.links().counts(1).unreached;
+    assert!((10..=25).contains(&attempts), "{attempts} in a minute");
+}
+
 #[test]
 fn a_round_trip_is_never_told_shorter_than_what_is_waited_for_now() {
     let mut bed = Bed::new(2);
