--- a/crates/pending/src/rebuild.rs
+++ b/crates/pending/src/rebuild.rs
@@ -48,8 +48,12 @@
     heard: Micros,
     /// Sites of those that had it and are lost: nobody there could say more than their journals.
     lost: BTreeSet<Site>,
+    /// Heirs that had claimed it and are lost: what they wrote of it goes before what its first owner did.
+    heirs: Vec<Number>,
     /// Who else holds it.
     holders: BTreeSet<Number>,
+    /// Of those that answered the claim, whose copy goes up to its line.
+    reached: BTreeSet<Number>,
     stage: Stage,
 }
 
@@ -58,6 +62,7 @@
 pub struct Heirs {
     own: Number,
     sites: Vec<Site>,
+    need: Vec<u8>,
     slack: WallMs,
     most: usize,
     rate: u32,
@@ -67,7 +72,9 @@
     begun: BTreeMap<Number, u64>,
     /// Gateways that are not asked, as they are lost by a permit.
     away: BTreeSet<Number>,
-    /// Journals of lost gateways of which our copy lacks something.
+    /// Journals of lost gateways, and how far our copies go.
+    reach: BTreeMap<Source, u64>,
+    /// Those of which our copy lacks something.
     torn: BTreeSet<Source>,
     events: BTreeMap<Key, Event>,
     /// What we were told of events that earlier lives of ours had pending, with their deadlines.
@@ -85,6 +92,24 @@
     planted: Option<Planted>,
 }
 
+impl Event {
+    /// Whether another's line of it was written by a later heir, which knew how it stood.
+    fn is_older_than(&self, line: (Source, u64, u64)) -> bool {
+        let heirs = self.heirs.iter().copied().chain(match self.stage {
+            Stage::Theirs(of) => Some(of),
+            _ => None,
+        });
+        let heirs: Vec<Number> = heirs.collect();
+        let at = |source: Source| (heirs.iter().rposition(|heir| *heir == source.gateway), source.life);
+        at(line.0).0.is_some() && at(line.0) > at(self.line.0)
+    }
+
+    fn follows(&mut self, line: (Source, u64, u64), sent: Sent) {
+        (self.line, self.sent, self.stage) = (line, sent, Stage::Open);
+        self.reached.clear();
+    }
+}
+
 fn rank(key: Key, of: Number) -> (u64, Number) {
     (xxh3_64_with_seed(&key.0.to_le_bytes(), u64::from(of)), of)
 }
@@ -96,6 +121,7 @@
         Self {
             own: places.own(),
             sites: (0..places.len() as Number).filter_map(|of| places.site(of)).collect(),
+            need: settings.holders.clone(),
             slack: settings.slack,
             most: settings.most,
             rate: settings.rate,
@@ -103,6 +129,7 @@
             start: now,
             begun: BTreeMap::from([(places.own(), settings.life.saturating_sub(1))]),
             away: BTreeSet::new(),
+            reach: BTreeMap::new(),
             torn: BTreeSet::new(),
             events: BTreeMap::new(),
             learnt: BTreeMap::new(),
@@ -187,6 +214,8 @@
                 // It stands where its journal says: whoever holds that tells it with the next claim.
                 Stage::Theirs(by) if *by == of => {
                     event.lost.insert(site);
+                    event.heirs.retain(|heir| *heir != of);
+                    event.heirs.push(of);
                     event.stage = Stage::Open;
                 }
                 Stage::Claiming(left) if away => _ = left.remove(&of),
@@ -219,6 +248,7 @@
 
     fn fold(&mut self, now: Micros, copy: Copy, out: &mut Vec<Heir>) {
         let source = copy.source;
+        self.reach.insert(source, copy.through);
         if copy.head > copy.through {
             self.torn.insert(source);
             let (from, to) = (copy.through + 1, Some(copy.head));
@@ -234,11 +264,17 @@
                         waited: false,
                         heard,
                         lost: BTreeSet::new(),
+                        heirs: Vec::new(),
                         holders: BTreeSet::new(),
+                        reached: BTreeSet::new(),
                         stage: Stage::Open,
                         accepted,
                     };
+                    let line = fresh.line;
                     let event = self.events.entry(fresh.accepted.key).or_insert(fresh);
+                    if event.is_older_than(line) {
+                        event.follows(line, Sent::Never);
+                    }
                     event.heard = event.heard.max(heard);
                     event.lost.insert(site);
                 }
@@ -288,8 +324,10 @@
     ) {
         match word {
             Word::Claim(keys) => {
-                let says: Vec<Say> =
-                    keys.into_iter().filter_map(|(key, source)| self.claimed(from, key, source)).collect();
+                let says: Vec<Say> = keys
+                    .into_iter()
+                    .filter_map(|(key, source, line)| self.claimed(from, key, source, line))
+                    .collect();
                 let age = now.saturating_sub(self.start);
                 for says in
                     pieces(says, |say| matches!(&say.stand, Stand::Ended(_, answer) if !answer.is_empty()))
@@ -327,14 +365,18 @@
     }
 
     /// What we answer a claim, and what we are bound by from then on.
-    fn claimed(&mut self, from: Number, key: Key, source: Source) -> Option<Say> {
+    fn claimed(&mut self, from: Number, key: Key, source: Source, line: u64) -> Option<Say> {
         if self.begun.get(&source.gateway).is_none_or(|life| *life < source.life) {
             return None;
         }
         // It might stand in what our copy lacks.
         let unsure = if self.torn.is_empty() { Sent::Never } else { Sent::Unknown };
+        let reaches = self.reach.get(&source).is_some_and(|through| *through >= line);
         let Some(event) = self.events.get_mut(&key) else {
-            return Some(Say { key, stand: Stand::Yours, sent: unsure, line: None });
+            // Our copy has gone past it and holds nothing of it: it was over, and how is not known any more.
+            let over = || Stand::Ended(Outcome::Failed, Vec::new());
+            let stand = if reaches { over() } else { Stand::Yours };
+            return Some(Say { key, stand, sent: unsure, line: None, reaches });
         };
         event.holders.insert(from);
         let ours = match event.stage {
@@ -350,7 +392,7 @@
                 Stand::Yours
             }
         };
-        Some(Say { key, stand, sent: event.sent.and(unsure), line: Some(event.line) })
+        Some(Say { key, stand, sent: event.sent.and(unsure), line: Some(event.line), reaches })
     }
 
     fn said(&mut self, now: Micros, from: Number, age: Micros, say: Say, out: &mut Vec<Heir>) {
@@ -362,7 +404,15 @@
         if age < now.saturating_sub(event.heard).saturating_mul(5) / 4 {
             event.sent = Sent::Unknown;
         }
+        if let Some(line) = say.line.filter(|line| event.is_older_than(*line)) {
+            event.follows(line, say.sent);
+            self.again = now;
+            return;
+        }
         event.sent = event.sent.and(say.sent);
+        if say.reaches {
+            event.reached.insert(from);
+        }
         let (own, mut contradicted) = (event.line, None);
         if let Some((source, number, chain)) = say.line {
             event.holders.insert(from);
@@ -484,12 +534,14 @@
         for event in open.take(CLAIMS - claiming.min(CLAIMS)) {
             let left =
                 if self.planted == Some(Planted::AsksNobody) { BTreeSet::new() } else { fellows.clone() };
+            event.reached.clear();
             event.stage = Stage::Claiming(left);
         }
-        let mut words: BTreeMap<Number, Vec<(Key, Source)>> = BTreeMap::new();
+        let mut words: BTreeMap<Number, Vec<(Key, Source, u64)>> = BTreeMap::new();
         for (key, event) in &self.events {
             if let Stage::Claiming(left) = &event.stage {
-                left.iter().for_each(|of| words.entry(*of).or_default().push((*key, event.line.0)));
+                left.iter()
+                    .for_each(|of| words.entry(*of).or_default().push((*key, event.line.0, event.line.1)));
             }
         }
         for (to, keys) in words {
@@ -517,8 +569,12 @@
             if !matches!(&event.stage, Stage::Claiming(left) if left.is_empty()) {
                 continue;
             }
-            // One that is lost as well might have known of a first byte.
-            if away.iter().any(|(_, site)| !event.lost.contains(site)) {
+            // One that is lost as well, or that has forgotten, might have known of a first byte.
+            let need = self.need.get(usize::from(event.accepted.class)).copied().unwrap_or(0);
+            let (source, line, _) = event.line;
+            let ours = self.reach.get(&source).is_some_and(|through| *through >= line);
+            let few = event.reached.len() + usize::from(ours) < usize::from(need);
+            if few || away.iter().any(|(_, site)| !event.lost.contains(site)) {
                 event.sent = Sent::Unknown;
             }
             event.stage = Stage::Ready;
--- a/crates/pending/src/words.rs
+++ b/crates/pending/src/words.rs
@@ -80,13 +80,15 @@
     pub sent: Sent,
     /// The line by which it was accepted and the chain there, where the answerer holds it.
     pub line: Option<(Source, u64, u64)>,
+    /// The answerer's copy of the journal goes up to that line and beyond.
+    pub reaches: bool,
 }
 
 /// What gateways tell one another of what is taken over.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Word {
-    /// I would end these, of these journals. Not answered before the answerer has begun with that journal.
-    Claim(Vec<(Key, Source)>),
+    /// I would end these, accepted by these lines. Not answered before the answerer has begun with that journal.
+    Claim(Vec<(Key, Source, u64)>),
     /// The answer, by one that lives for so long.
     Says {
         /// Since its start.
@@ -126,6 +128,8 @@
     pub places: Places,
     /// Our life: those before it are over.
     pub life: u64,
+    /// How many gateways hold an entry, by class.
+    pub holders: Vec<u8>,
     /// Wall clocks differ by up to this.
     pub slack: WallMs,
     /// Events of lost owners that are out to workers at once, at most.
