--- a/crates/bench/src/pending.rs
+++ b/crates/bench/src/pending.rs
@@ -1,6 +1,7 @@
 //! Kept events: bytes on the wire and in memory, the time that it takes until one is held, in virtual time, and how
 //! many a writer and a holder do in a second of a core.
 
+use basaltward_agreed::Subject;
 use basaltward_fleet::{Link, Micros, Number, Places};
 use basaltward_pending::{
     Accepted, Again, Input, Key, Outcome, Output, Pending, PendingSettings, Said, Sites, Step,
@@ -55,7 +56,16 @@
         let mut out = Vec::new();
         both[0].handle(0, WALL, Input::Live(vec![true; 2]), &mut out);
         both[0].handle(0, WALL, Input::LinkUp { of: 1, life: 2 }, &mut out);
-        Ok(Self { both, now: 1, wire: [0; 2], frames: [0; 2] })
+        both[1].handle(0, WALL, Input::LinkUp { of: 0, life: 1 }, &mut out);
+        for subject in [Subject::Site(0), Subject::Gateway(0)] {
+            both[0].handle(0, WALL, Input::Home { subject, permit: 0 }, &mut out);
+        }
+        let mut pair = Self { both, now: 4_000_000, wire: [0; 2], frames: [0; 2] };
+        while !pair.both[0].takes() {
+            pair.turn(std::iter::empty());
+        }
+        (pair.wire, pair.frames) = ([0; 2], [0; 2]);
+        Ok(pair)
     }
 
     /// A turn of the writer's control thread: all that loops say, then what follows until nothing is on its way.
@@ -192,7 +202,8 @@
     let settings = PendingSettings::new(places, 0, vec![1], seed);
     let mut world = Sites::new(sites, settings, Link { lost: 0.0, doubled: 0.0, late });
     world.start_all();
-    world.run(world.net.now + 2_000_000);
+    world.run(world.net.now + 8_000_000);
+    world.net.told.clear();
     let (mut began, mut times) = (BTreeMap::new(), [Vec::new(), Vec::new()]);
     let mut key = 0;
     for _ in 0..20_000 {
