Pending: one that is taken for dead lets go only when others hold as much

A holder that the view took for dead while it ran was told to let go before another held what it did: with the site lost in between, nobody knew of a first byte. Found by views that are wrong for a while.

--- a/crates/pending/src/entry.rs
+++ b/crates/pending/src/entry.rs
@@ -11,7 +11,7 @@
 /// The bytes of a line.
 #[derive(Serialize, Deserialize)]
 struct Content {
-    /// From when on nothing depends on it.
+    /// From when on nothing depends on it. First, as [`Line::until`] reads it alone.
     until: WallMs,
     step: Step,
 }
@@ -63,6 +63,11 @@
         read(self.bytes.as_ref()?)
     }
 
+    /// Until when it matters; none where the bytes are gone.
+    pub fn until(&self) -> Option<WallMs> {
+        postcard::take_from_bytes(self.bytes.as_ref()?).ok().map(|(until, _)| until)
+    }
+
     /// It as an entry; none where the bytes are gone.
     pub fn entry(&self, source: Source, number: u64) -> Option<Entry> {
         let (_, step) = self.read()?;
--- a/crates/pending/src/holder.rs
+++ b/crates/pending/src/holder.rs
@@ -261,7 +261,7 @@
     fn hollow(&mut self, source: Source, number: u64) {
         let line = self.shelves.get_mut(&source).and_then(|shelf| shelf.line(number));
         let Some(line) = line else { return };
-        let until = line.read().map(|(until, _)| until);
+        let until = line.until();
         self.bytes -= line.hollow();
         until.into_iter().for_each(|until| _ = self.due.remove(&(until, source, number)));
     }
--- a/crates/pending/src/journal.rs
+++ b/crates/pending/src/journal.rs
@@ -68,8 +68,8 @@
     events: BTreeMap<Key, Event>,
     /// Lines with their bytes, by when nothing depends on them.
     due: BTreeSet<(WallMs, u64)>,
-    /// Ends with their bytes, oldest first, and those bytes.
-    ends: VecDeque<u64>,
+    /// Ends with their bytes, and what they cost.
+    ends: BTreeSet<u64>,
     ends_bytes: usize,
     bytes: usize,
     waits: BTreeMap<u8, VecDeque<Wait>>,
@@ -79,8 +79,8 @@
     lease: Lease,
     /// When events that others did in their owners' place were first sent.
     first_sent: BTreeMap<Key, WallMs>,
-    /// Those let go of, who have not said yet that they did.
-    retired: BTreeMap<Number, Release>,
+    /// Those let go of, who have not said yet that they did, each with the number of the last line then.
+    retired: BTreeMap<Number, (u64, Release)>,
     /// The turns that they had come to.
     turns: BTreeMap<Number, u32>,
     lives: BTreeMap<Number, u64>,
@@ -102,7 +102,7 @@
             lines: VecDeque::new(),
             events: BTreeMap::new(),
             due: BTreeSet::new(),
-            ends: VecDeque::new(),
+            ends: BTreeSet::new(),
             ends_bytes: 0,
             bytes: 0,
             waits: BTreeMap::new(),
@@ -247,10 +247,10 @@
         let Some(event) = self.events.remove(&key) else { return };
         let Some((end, others)) = event.numbers.split_last() else { return };
         others.iter().for_each(|number| self.hollow(*number));
-        self.ends.push_back(*end);
+        self.ends.insert(*end);
         self.ends_bytes += self.line(*end).map_or(0, |line| line.cost());
         while self.ends_bytes > quarter
-            && let Some(oldest) = self.ends.pop_front()
+            && let Some(oldest) = self.ends.pop_first()
         {
             self.ends_bytes -= self.line(oldest).map_or(0, |line| line.cost());
             self.hollow(oldest);
@@ -259,7 +259,7 @@
 
     fn hollow(&mut self, number: u64) {
         let Some(line) = self.line(number) else { return };
-        let until = line.read().map(|(until, _)| until);
+        let until = line.until();
         let freed = line.hollow();
         self.bytes -= freed;
         until.into_iter().for_each(|until| _ = self.due.remove(&(until, number)));
@@ -276,7 +276,7 @@
                 Some(Step::Accepted(accepted)) => _ = self.events.remove(&accepted.key),
                 Some(Step::Ended { .. }) => {
                     self.ends_bytes -= self.line(number).map_or(0, |line| line.cost());
-                    self.ends.retain(|end| *end != number);
+                    self.ends.remove(&number);
                 }
                 Some(Step::Sending { .. }) | None => {}
             }
@@ -315,9 +315,13 @@
         self.choose(now);
     }
 
+    /// As many as the class that wants most.
+    fn most(&self) -> u8 {
+        self.settings.holders.iter().copied().max().unwrap_or(0)
+    }
+
     fn choose(&mut self, now: Micros) {
         self.doubted.retain(|_, until| *until > now);
-        let most = self.settings.holders.iter().copied().max().unwrap_or(0);
         let is_live = |of: Number| self.live.get(usize::from(of)) == Some(&true);
         let standing = |of| {
             let holds = self.neighbours.iter().any(|one| one.of == of);
@@ -328,7 +332,7 @@
                 false => Some(Standing::Live),
             }
         };
-        let chosen = choose(&self.settings.places, self.settings.seed, most.into(), standing);
+        let chosen = choose(&self.settings.places, self.settings.seed, self.most().into(), standing);
         self.neighbours.iter_mut().for_each(|one| one.wanted = chosen.contains(&one.of));
         for of in chosen {
             if !self.neighbours.iter().any(|one| one.of == of) {
@@ -347,7 +351,7 @@
     /// Lets go of holders that are not wanted: those not live at once, others when all wanted hold as much.
     fn retire(&mut self, now: Micros) {
         let least = self.neighbours.iter().filter(|one| one.wanted).map(|one| one.acked).min();
-        let live = &self.live;
+        let (live, last) = (&self.live, self.first + self.lines.len() as u64 - 1);
         let stays = |one: &Neighbour| {
             one.wanted
                 || live.get(usize::from(one.of)) == Some(&true) && least.is_none_or(|least| least < one.acked)
@@ -356,7 +360,7 @@
             let of = one.of;
             self.turns.insert(of, one.turn);
             self.lease.drop_of(of);
-            self.retired.insert(of, Release { source: self.source, sent: now });
+            self.retired.insert(of, (last, Release { source: self.source, sent: now }));
             self.counted.replaced += 1;
             self.unsent = true;
         }
@@ -417,7 +421,7 @@
 
     /// One that was a holder has let go.
     pub fn released(&mut self, from: Number, release: Release) {
-        if self.retired.get(&from) == Some(&release) {
+        if self.retired.get(&from).is_some_and(|(_, known)| *known == release) {
             self.retired.remove(&from);
         }
     }
@@ -545,8 +549,10 @@
         if called {
             self.call = now + CALL;
         }
-        for (of, release) in &self.retired {
-            if self.lives.contains_key(of) && (called || release.sent == now) {
+        // One that was taken for dead may hold what nobody else does, until others hold as much.
+        let held = self.held_by(self.most()).max(self.first - 1);
+        for (of, (through, release)) in &self.retired {
+            if called && *through <= held && self.lives.contains_key(of) {
                 out.push(Output::Send { to: *of, bytes: close(&Message::Release(*release)) });
             }
         }
--- a/crates/pending/src/world.rs
+++ b/crates/pending/src/world.rs
@@ -191,6 +191,10 @@
     pub planted: Option<Planted>,
     changed: BTreeMap<Number, Micros>,
     seen: Vec<bool>,
+    /// Taken for dead though they run.
+    slandered: BTreeSet<Number>,
+    /// They run, and nothing goes between them and the others.
+    apart: BTreeSet<Number>,
     told: Micros,
     seed: u64,
 }
@@ -215,6 +219,8 @@
             detection: 2_000_000,
             planted: None,
             changed: BTreeMap::new(),
+            slandered: BTreeSet::new(),
+            apart: BTreeSet::new(),
             told: 0,
             seed,
         }
@@ -261,6 +267,31 @@
         of.collect::<Vec<_>>().into_iter().for_each(|of| self.kill(of));
     }
 
+    /// The others take one for dead though it runs, or don't any more.
+    pub fn slander(&mut self, of: Number, dead: bool) {
+        if dead {
+            self.slandered.insert(of);
+        } else {
+            self.slandered.remove(&of);
+        }
+        self.changed.insert(of, self.net.now);
+    }
+
+    /// Nothing goes between a site and all others, the council among them, or does again.
+    pub fn cut(&mut self, site: Site, cut: bool) {
+        let of = self.net.numbers().filter(|of| self.sites[usize::from(*of)] == site);
+        let of: Vec<Number> = of.collect();
+        self.net.cut(&of, cut);
+        for of in of {
+            self.changed.insert(of, self.net.now);
+            if cut {
+                self.apart.insert(of);
+            } else {
+                self.apart.remove(&of);
+            }
+        }
+    }
+
     /// The connection between two breaks; what is on its way may come late, or not.
     pub fn reconnect(&mut self, one: Number, other: Number) {
         self.net.act(one, |gateway, now, out| gateway.unlinked(now, other, out));
@@ -309,8 +340,14 @@
         self.told = self.net.now;
         let sight = self.sight();
         for of in self.net.numbers() {
-            self.tell(of, Input::Live(self.seen.clone()));
-            self.tell(of, Input::Seen { sight: sight.clone(), ledger: self.ledger.clone() });
+            if self.apart.contains(&of) {
+                // Of whom it hears it sees as many as the others see of it.
+                let live = self.net.numbers().map(|other| self.apart.contains(&other)).collect();
+                self.tell(of, Input::Live(live));
+            } else {
+                self.tell(of, Input::Live(self.seen.clone()));
+                self.tell(of, Input::Seen { sight: sight.clone(), ledger: self.ledger.clone() });
+            }
         }
     }
 
@@ -320,6 +357,9 @@
         let asked: Vec<_> = self.net.told.extract_if(.., is_asked).collect();
         for (_, of, said) in asked {
             let Said::Told(Output::Ask(wish)) = said else { continue };
+            if self.apart.contains(&of) {
+                continue;
+            }
             match wish {
                 Wish::Home(subject) => {
                     let permit = self.ledger.permit(subject).map_or(0, |permit| permit.number);
@@ -350,7 +390,8 @@
             let over = self.changed.extract_if(.., |_, at| *at + self.detection <= next);
             let over: Vec<Number> = over.map(|(of, _)| of).collect();
             for of in &over {
-                self.seen[usize::from(*of)] = self.net.party(*of).is_some();
+                let hidden = self.slandered.contains(of) || self.apart.contains(of);
+                self.seen[usize::from(*of)] = self.net.party(*of).is_some() && !hidden;
             }
             if !over.is_empty() || next >= self.told + TELL {
                 self.tell_all();
--- a/crates/pending/tests/hard_cases.rs
+++ b/crates/pending/tests/hard_cases.rs
@@ -46,6 +46,7 @@
     killed: Vec<(Micros, Number)>,
     restart: Vec<(Micros, Number)>,
     unblock: Vec<(Micros, (Number, Number))>,
+    slandered: Vec<(Micros, Number)>,
     /// Nothing but kills is wrong since.
     calm: Micros,
     next_key: u128,
@@ -75,6 +76,7 @@
             killed: Vec::new(),
             restart: Vec::new(),
             unblock: Vec::new(),
+            slandered: Vec::new(),
             calm: 0,
             next_key: 1,
             gap: 100_000,
@@ -156,6 +158,7 @@
                     self.counts.2 += 1;
                     self.events.get_mut(&key).into_iter().for_each(|event| event.ends = Some(at));
                 }
+                Output::Lost { key } => _ = self.events.remove(&key),
                 // Events of lost owners are let go of here: tests/take_over.rs is about them.
                 Output::Run { pending: Accepted { key, .. }, .. } => {
                     self.step(of, Step::Ended { key, outcome: Outcome::Refused, answer: Vec::new() });
@@ -250,7 +253,11 @@
         let (one, other) =
             (self.rng.random_range(0..size) as Number, self.rng.random_range(0..size) as Number);
         let span = self.rng.random_range(S..6 * S);
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..9) {
+            8 => {
+                self.sites.slander(one, true);
+                self.slandered.push((self.now() + span, one));
+            }
             0 | 1 => self.kill(one, span),
             2 => {
                 let site = places[usize::from(one)];
@@ -276,6 +283,9 @@
         for (_, of) in self.restart.extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>() {
             self.sites.start(of);
         }
+        for (_, of) in self.slandered.extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>() {
+            self.sites.slander(of, false);
+        }
         for (_, way) in self.unblock.extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>() {
             let still = self.unblock.iter().any(|(_, other)| *other == way);
             self.sites.net.block(way, still);
