--- a/crates/bench/src/pending.rs
+++ b/crates/bench/src/pending.rs
@@ -135,7 +135,7 @@
     for body in [0, 500] {
         let mut pair = Pair::new()?;
         let before = resident()?;
-        let mut told = |pair: &Pair, stage: &str| -> Result<(), Box<dyn Error>> {
+        let told = |pair: &Pair, stage: &str| -> Result<(), Box<dyn Error>> {
             let per = |bytes: f64| bytes / events as f64;
             let (own, held) = (pair.both[0].own_size().0, pair.both[1].held_size().0);
             let resident = per(resident()? - before);
