--- /dev/null
+++ b/crates/fellows/src/config.rs
@@ -0,0 +1,115 @@
+use crate::error::FellowsError;
+use crate::frame::OVERHEAD;
+use crate::link::LinkTimes;
+use basaltward_agreed::{AgreedSettings, Bounds};
+use basaltward_fleet::{FleetSettings, Micros, Number, Places};
+use std::net::{IpAddr, SocketAddr};
+
+/// What a program is told of its fellows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FellowsConfig {
+    /// Names the fleet: datagrams and connections of another are refused.
+    pub name: String,
+    /// Where datagrams of the others come.
+    pub listen: SocketAddr,
+    /// Where each is reached and comes from, by number, our own included.
+    pub peers: Vec<SocketAddr>,
+    /// Our number in `peers`.
+    pub own: Number,
+    /// For choices.
+    pub seed: u64,
+    /// From where operators may ask.
+    pub operators: Vec<IpAddr>,
+    /// The zone of each of `peers`, as a number; those that are not told stand in the first.
+    pub zones: Vec<u8>,
+    /// How many may be out at once, where the fleet agrees on that; without, we have no part in what is agreed.
+    pub bounds: Option<Bounds>,
+    /// Which of `peers` stands at which site, where sites may be taken over.
+    pub places: Option<Places>,
+    /// The version that this configuration and its program are, by its operators' name.
+    pub version: String,
+    /// Longest way of a datagram there and back that is not lost.
+    pub round_trip: Micros,
+}
+
+impl FellowsConfig {
+    /// The usual longest way: the platform's datagrams take up to 33 ms each way.
+    pub const ROUND_TRIP: Micros = 70_000;
+
+    /// A hash of the fleet's name: members of another are not heeded. Not of its size, as a new list reaches
+    /// members one after another.
+    pub(crate) fn tag(&self) -> u32 {
+        crc32fast::hash(self.name.as_bytes())
+    }
+
+    /// Figures of the view.
+    pub(crate) fn view(&self, start: u64) -> Result<FleetSettings, FellowsError> {
+        let size = Number::try_from(self.peers.len()).map_err(|_| FellowsError::Many(self.peers.len()))?;
+        let usual = FleetSettings::new(size, self.own, start, self.seed);
+        // A period holds a question there and back, then one through others.
+        let period = usual.period.max(self.round_trip * 3);
+        let settings =
+            FleetSettings { fleet: (self.tag() >> 16) as u16, round_trip: self.round_trip, period, ..usual };
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Figures of what is agreed, in one life.
+    pub(crate) fn agreed(&self, view: &FleetSettings, life: u32) -> Option<AgreedSettings> {
+        let usual = AgreedSettings::new(view.size, view.own, life, view.seed);
+        let settle = view.settling();
+        let times = basaltward_agreed::Times { learning: usual.times.silence + settle, ..usual.times };
+        Some(AgreedSettings { fleet: view.fleet, bounds: self.bounds?, settle, times, ..usual })
+    }
+}
+
+/// What links are told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinksConfig {
+    /// Where each fellow takes connections, by number, our own included.
+    pub peers: Vec<SocketAddr>,
+    /// Longest payload of a frame.
+    pub frame_bytes: usize,
+    /// Most bytes that wait to be sent to one fellow.
+    pub unsent_bytes: usize,
+    /// Between two attempts to reach a fellow: at first, and at most.
+    pub pause: (Micros, Micros),
+    /// What waits for a connection waits for so long at most.
+    pub patience: Micros,
+    /// Times of each.
+    pub times: LinkTimes,
+}
+
+impl LinksConfig {
+    /// The usual figures: frames up to 256 KiB, 4 MiB unsent.
+    pub fn new(peers: Vec<SocketAddr>) -> Self {
+        Self {
+            peers,
+            frame_bytes: 256 << 10,
+            unsent_bytes: 4 << 20,
+            pause: (100_000, 5_000_000),
+            patience: 4_000_000,
+            times: LinkTimes::default(),
+        }
+    }
+
+    /// Checks them.
+    pub(crate) fn check(&self) -> Result<(), FellowsError> {
+        let LinkTimes { ping, silence, unread, idle, hello } = self.times;
+        let figures = [
+            ("a fellow's unsent bytes", self.unsent_bytes >= self.frame_bytes + OVERHEAD),
+            ("the time between questions", ping > 0),
+            // A loop that has not looked for two of them counts as having stood still.
+            ("the time of silence", silence >= ping * 3),
+            ("the time without an answer", unread >= silence),
+            ("the time unused", idle >= silence),
+            ("the time for a hello", hello > 0),
+            ("the pause before another attempt", self.pause.0 > 1 && self.pause.1 >= self.pause.0),
+            ("the patience for a connection", self.patience > 0),
+        ];
+        match figures.iter().find(|(_, good)| !good) {
+            Some((name, _)) => Err(FellowsError::Links(name)),
+            None => Ok(()),
+        }
+    }
+}
