--- a/crates/pending/src/journal.rs
+++ b/crates/pending/src/journal.rs
@@ -68,8 +68,8 @@
     events: BTreeMap<Key, Event>,
     /// Lines with their bytes, by when nothing depends on them.
     due: BTreeSet<(WallMs, u64)>,
-    /// Ends with their bytes, oldest first, and those bytes.
-    ends: VecDeque<u64>,
+    /// Ends with their bytes, and what they cost.
+    ends: BTreeSet<u64>,
     ends_bytes: usize,
     bytes: usize,
     waits: BTreeMap<u8, VecDeque<Wait>>,
@@ -77,10 +77,10 @@
     unleased: Vec<Wait>,
     neighbours: Vec<Neighbour>,
     lease: Lease,
-    /// When events that others did in their owners' place were first sent.
-    first_sent: BTreeMap<Key, WallMs>,
-    /// Those let go of, who have not said yet that they did.
-    retired: BTreeMap<Number, Release>,
+    /// Events of lost owners that are done here next, each with when it was first sent.
+    adopted: BTreeMap<Key, Option<WallMs>>,
+    /// Those let go of, who have not said yet that they did, each with the number of the last line then.
+    retired: BTreeMap<Number, (u64, Release)>,
     /// The turns that they had come to.
     turns: BTreeMap<Number, u32>,
     lives: BTreeMap<Number, u64>,
@@ -102,14 +102,14 @@
             lines: VecDeque::new(),
             events: BTreeMap::new(),
             due: BTreeSet::new(),
-            ends: VecDeque::new(),
+            ends: BTreeSet::new(),
             ends_bytes: 0,
             bytes: 0,
             waits: BTreeMap::new(),
             unleased: Vec::new(),
             neighbours: Vec::new(),
             lease: Lease::new(Terms::new(settings.lease)),
-            first_sent: BTreeMap::new(),
+            adopted: BTreeMap::new(),
             retired: BTreeMap::new(),
             turns: BTreeMap::new(),
             lives: BTreeMap::new(),
@@ -160,9 +160,14 @@
         match step {
             Step::Accepted(accepted) => {
                 let (key, deadline) = (accepted.key, accepted.deadline);
-                let need = self.settings.holders.get(usize::from(accepted.class)).copied().unwrap_or(0);
+                let wants = self.settings.holders.get(usize::from(accepted.class)).copied().unwrap_or(0);
                 let long = accepted.event.len() + accepted.function.len();
-                if let Some(why) = self.refusal(need, accepted.class, key, long) {
+                // Its owner's site is lost, so that there may be fewer who could hold it: it is owed all the same, and
+                // may be done again if we are lost as well.
+                let spared = self.adopted.contains_key(&key) && accepted.again != Again::Unsafe;
+                let need = if spared { wants.min(self.candidates().count() as u8) } else { wants };
+                let why = self.refusal(need, accepted.class, key, long);
+                if let Some(why) = why.filter(|why| !spared || !matches!(why, Unkept::Class(_))) {
                     self.counted.unheld += 1;
                     return out.push(Output::Unheld { key, why });
                 }
@@ -178,7 +183,7 @@
                 if let Again::Keyed { window } = event.again
                     && event.until == event.deadline
                 {
-                    let first = self.first_sent.get(&key).copied().unwrap_or(at);
+                    let first = self.adopted.get(&key).copied().flatten().unwrap_or(at);
                     event.until = event.deadline.max(first + window / 1_000);
                 }
                 let (until, most) = (event.until, self.settings.bytes);
@@ -197,14 +202,14 @@
         let live = self.candidates().count();
         // What is pending has to find room for its next steps and its end.
         let most = self.settings.bytes - self.settings.bytes / 8;
-        if need == 0 {
-            Some(Unkept::Class(class))
-        } else if self.events.contains_key(&key) {
+        if self.events.contains_key(&key) {
             Some(Unkept::Doubled(key))
         } else if bytes > self.settings.entry_bytes {
             Some(Unkept::Long { bytes, most: self.settings.entry_bytes })
         } else if self.bytes + bytes > most {
             Some(Unkept::Full { held: self.bytes, most })
+        } else if need == 0 {
+            Some(Unkept::Class(class))
         } else if live < usize::from(need) {
             Some(Unkept::Few { told: need, live: live as u8 })
         } else {
@@ -243,14 +248,14 @@
             answer = Vec::new();
         }
         self.append(now, key, until, Step::Ended { key, outcome, answer }, None);
-        self.first_sent.remove(&key);
+        self.adopted.remove(&key);
         let Some(event) = self.events.remove(&key) else { return };
         let Some((end, others)) = event.numbers.split_last() else { return };
         others.iter().for_each(|number| self.hollow(*number));
-        self.ends.push_back(*end);
+        self.ends.insert(*end);
         self.ends_bytes += self.line(*end).map_or(0, |line| line.cost());
         while self.ends_bytes > quarter
-            && let Some(oldest) = self.ends.pop_front()
+            && let Some(oldest) = self.ends.pop_first()
         {
             self.ends_bytes -= self.line(oldest).map_or(0, |line| line.cost());
             self.hollow(oldest);
@@ -259,7 +264,7 @@
 
     fn hollow(&mut self, number: u64) {
         let Some(line) = self.line(number) else { return };
-        let until = line.read().map(|(until, _)| until);
+        let until = line.until();
         let freed = line.hollow();
         self.bytes -= freed;
         until.into_iter().for_each(|until| _ = self.due.remove(&(until, number)));
@@ -276,7 +281,7 @@
                 Some(Step::Accepted(accepted)) => _ = self.events.remove(&accepted.key),
                 Some(Step::Ended { .. }) => {
                     self.ends_bytes -= self.line(number).map_or(0, |line| line.cost());
-                    self.ends.retain(|end| *end != number);
+                    self.ends.remove(&number);
                 }
                 Some(Step::Sending { .. }) | None => {}
             }
@@ -292,9 +297,9 @@
         }
     }
 
-    /// An event whose owner was lost is done here next, and was sent before.
-    pub fn adopts(&mut self, key: Key, first: WallMs) {
-        self.first_sent.insert(key, first);
+    /// An event whose owner was lost is done here next; whether it was sent before.
+    pub fn adopts(&mut self, key: Key, first: Option<WallMs>) {
+        self.adopted.insert(key, first);
     }
 
     /// What is pending here is others' now: another journal begins, as if with another life.
@@ -315,9 +320,13 @@
         self.choose(now);
     }
 
+    /// As many as the class that wants most.
+    fn most(&self) -> u8 {
+        self.settings.holders.iter().copied().max().unwrap_or(0)
+    }
+
     fn choose(&mut self, now: Micros) {
         self.doubted.retain(|_, until| *until > now);
-        let most = self.settings.holders.iter().copied().max().unwrap_or(0);
         let is_live = |of: Number| self.live.get(usize::from(of)) == Some(&true);
         let standing = |of| {
             let holds = self.neighbours.iter().any(|one| one.of == of);
@@ -328,7 +337,7 @@
                 false => Some(Standing::Live),
             }
         };
-        let chosen = choose(&self.settings.places, self.settings.seed, most.into(), standing);
+        let chosen = choose(&self.settings.places, self.settings.seed, self.most().into(), standing);
         self.neighbours.iter_mut().for_each(|one| one.wanted = chosen.contains(&one.of));
         for of in chosen {
             if !self.neighbours.iter().any(|one| one.of == of) {
@@ -347,7 +356,7 @@
     /// Lets go of holders that are not wanted: those not live at once, others when all wanted hold as much.
     fn retire(&mut self, now: Micros) {
         let least = self.neighbours.iter().filter(|one| one.wanted).map(|one| one.acked).min();
-        let live = &self.live;
+        let (live, last) = (&self.live, self.first + self.lines.len() as u64 - 1);
         let stays = |one: &Neighbour| {
             one.wanted
                 || live.get(usize::from(one.of)) == Some(&true) && least.is_none_or(|least| least < one.acked)
@@ -356,7 +365,7 @@
             let of = one.of;
             self.turns.insert(of, one.turn);
             self.lease.drop_of(of);
-            self.retired.insert(of, Release { source: self.source, sent: now });
+            self.retired.insert(of, (last, Release { source: self.source, sent: now }));
             self.counted.replaced += 1;
             self.unsent = true;
         }
@@ -417,15 +426,18 @@
 
     /// One that was a holder has let go.
     pub fn released(&mut self, from: Number, release: Release) {
-        if self.retired.get(&from) == Some(&release) {
+        if self.retired.get(&from).is_some_and(|(_, known)| *known == release) {
             self.retired.remove(&from);
         }
     }
 
     fn held_by(&self, need: u8) -> u64 {
+        if need == 0 {
+            return u64::MAX;
+        }
         let mut acked: Vec<u64> = self.neighbours.iter().map(|one| one.acked).collect();
         acked.sort_unstable_by(|a, b| b.cmp(a));
-        acked.get(usize::from(need.max(1)) - 1).copied().unwrap_or(0)
+        acked.get(usize::from(need) - 1).copied().unwrap_or(0)
     }
 
     fn tell_held(&mut self, now: Micros, out: &mut Vec<Output>) {
@@ -464,6 +476,7 @@
 
     /// Does what is due: sends what was written in this turn, calls, doubts and gives up.
     pub fn wake(&mut self, now: Micros, wall: WallMs, out: &mut Vec<Output>) {
+        self.tell_held(now, out);
         self.give_up(now, wall, out);
         self.let_go(wall);
         let (last, after) = (self.last(), self.first - 1);
@@ -545,8 +558,10 @@
         if called {
             self.call = now + CALL;
         }
-        for (of, release) in &self.retired {
-            if self.lives.contains_key(of) && (called || release.sent == now) {
+        // One that was taken for dead may hold what nobody else does, until others hold as much.
+        let held = self.held_by(self.most()).max(self.first - 1);
+        for (of, (through, release)) in &self.retired {
+            if called && *through <= held && self.lives.contains_key(of) {
                 out.push(Output::Send { to: *of, bytes: close(&Message::Release(*release)) });
             }
         }
