--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -13,6 +13,7 @@
 mod path;
 mod processes;
 mod proxy;
+mod route;
 
 use clap::{Parser, Subcommand};
 use std::error::Error;
@@ -141,6 +142,19 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Which site answers: worth and latency on five days in virtual time against other ways to choose, the swing of a
+    /// site that all see at once, and bytes and time as sites grow
+    Route {
+        /// Seeds of each day
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+        /// Days, by their names; all where none is given
+        #[arg(long, value_delimiter = ',')]
+        days: Vec<String>,
+        /// Measure how it grows, and draw it here
+        #[arg(long)]
+        grow: Option<std::path::PathBuf>,
+    },
     /// Memory of an idle connection
     Memory {
         /// Connections
@@ -175,6 +189,7 @@
             agreed::processes(count, lost, seeds as usize * 10)
         }
         Command::Processes { counts, lost, rounds } => processes::run(&counts, lost, rounds),
+        Command::Route { seeds, days, grow } => route::run(seeds, &days, grow.as_deref()),
         Command::Memory { connections } => memory::run(connections),
         Command::Parse { times } => parse::run(times),
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,12 +4,21 @@
 //! out.
 #![warn(missing_docs)]
 
+mod homes;
+mod plan;
 mod route;
 mod router;
 mod settings;
+mod site;
+mod tally;
 mod types;
+mod word;
+mod world;
 
 pub use route::Route;
 pub use router::Router;
 pub use settings::{FunctionTold, RouteError, RouteSettings};
+#[doc(hidden)]
+pub use types::Fault;
 pub use types::{Counted, Counts, Handed, HandedEnd, Row, Table, WAYS, Way, Where};
+pub use world::{Ended, Leg, ModelFunction, Policy, World, WorldSettings};
--- /dev/null
+++ b/crates/route/src/plan.rs
@@ -0,0 +1,342 @@
+//! What a site's teller works out from all that is known: homes, what goes elsewhere, and how much of it.
+
+use crate::homes::{Homes, Said, rank};
+use crate::settings::RouteSettings;
+use crate::site::{Site as Known, Usual};
+use crate::types::WAYS;
+use crate::word::{Ends, ToldRow, ToldWay};
+use basaltward_fleet::{Micros, Site};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A home is left once another is cheaper by this factor, and by this time besides.
+const GAIN: f64 = 1.6;
+const MARGIN: f64 = 5_000.0;
+/// Homes within this factor of the cheapest are as good: the order that all sites share decides among them.
+const ALIKE: f64 = 1.25;
+/// A copy that stands elsewhere is gone to where that is cheaper by this factor.
+const FOLLOW: f64 = 1.25;
+/// Figures fade against our own state in this time.
+const FADE: f64 = 1_000_000.0;
+/// Calls a second that a site gets before it has served any of ours, and as a share of what we serve.
+const FIRST: (f64, f64) = (8.0, 0.1);
+/// A site gets at most so many times what it has served of ours.
+const DOUBLE: f64 = 2.0;
+/// Shares of what a site can bear that we keep, and that we give to others' sites.
+const FILL: (f64, f64) = (0.95, 0.9);
+/// Calls a second that stand against the first refused or lost ones.
+const PRIOR: f64 = 2.0;
+/// What waits above what is in service is to be worked off in this time, in seconds.
+const DRAIN: f64 = 1.0;
+/// By how much a function that goes elsewhere already comes before one that does not.
+const STICKS: f64 = 50_000.0;
+
+/// Another site as a place for calls: it is up, its figures are fresh, and a gateway of it lives.
+pub(crate) struct Other<'a> {
+    pub site: Site,
+    pub known: &'a Known,
+    /// Time there and back.
+    pub way: f64,
+    /// How our calls ended there.
+    pub ends: Ends,
+    /// Weight of its figures by their age.
+    weight: f64,
+    refused: f64,
+    lost: f64,
+}
+
+impl<'a> Other<'a> {
+    pub fn new(now: Micros, site: Site, known: &'a Known, way: Micros, ends: Ends) -> Self {
+        let [served, refused, lost] = [ends.served, ends.refused, ends.lost].map(|x| f64::from(x) / 1e3);
+        let all = served + refused + lost + PRIOR;
+        let weight = (-(known.age(now) as f64) / FADE).exp();
+        Self { site, known, way: way as f64, ends, weight, refused: refused / all, lost: lost / all }
+    }
+
+    fn served(&self) -> f64 {
+        f64::from(self.ends.served) / 1e3
+    }
+
+    /// What its word is worth: by its age, and by what became of the calls it was trusted with.
+    fn trust(&self) -> f64 {
+        self.weight * (1.0 - self.refused).powi(2) * (1.0 - self.lost).powi(2)
+    }
+}
+
+/// What one working out gives.
+#[derive(Debug, Default)]
+pub(crate) struct Worked {
+    pub rows: Vec<ToldRow>,
+    /// Work that we have above what we can do, in calls in service.
+    pub over: f64,
+}
+
+/// What is kept from one working out to the next.
+#[derive(Debug, Default)]
+pub(crate) struct Plan {
+    /// Calls in service that a worker bears: the most seen while calls waited; 0 until then.
+    bear: f64,
+    /// Calls a second handed to each site for want of room here.
+    given: BTreeMap<Site, f64>,
+    /// Functions of which calls went elsewhere for want of room.
+    spilt: BTreeSet<u32>,
+    /// Functions that follow a copy that stands elsewhere.
+    followed: BTreeMap<u32, Site>,
+}
+
+/// All that a working out looks at.
+pub(crate) struct View<'a> {
+    pub now: Micros,
+    pub settings: &'a RouteSettings,
+    pub usual: &'a Usual,
+    pub own: &'a Known,
+    pub others: Vec<Other<'a>>,
+    /// Gateways of our site, and the number of our next word.
+    pub gateways: usize,
+    pub number: u64,
+    /// No home is held by a threshold, and none is bid for.
+    pub swings: bool,
+}
+
+impl View<'_> {
+    fn here(&self) -> Site {
+        self.settings.places.here()
+    }
+
+    /// What we think of a site's cost: told figures, drawn toward our own wait as they age, the way, and what is lost by
+    /// calls that end badly there.
+    fn there(&self, other: &Other, function: u32, cost: f64) -> f64 {
+        let doubt = (1.0 - other.weight) * self.own.wait(self.settings, self.usual, function);
+        let told = &self.settings.functions[function as usize];
+        let lost = other.lost * (told.deadline as f64 / 2.0);
+        let refused = other.refused * (other.way + self.here_now(function));
+        cost + doubt + other.way + lost + refused
+    }
+
+    fn there_now(&self, other: &Other, function: u32) -> f64 {
+        self.there(other, function, other.known.cost_now(self.settings, self.usual, function))
+    }
+
+    fn here_now(&self, function: u32) -> f64 {
+        self.own.cost_now(self.settings, self.usual, function)
+    }
+
+    /// Calls a second that a site may get of ours, by what it has proven.
+    fn proven(&self, other: &Other) -> f64 {
+        (FIRST.0.max(FIRST.1 * self.own.served)).max(DOUBLE * other.served()) * other.trust()
+    }
+
+    fn other(&self, site: Site) -> Option<&Other<'_>> {
+        self.others.iter().find(|other| other.site == site)
+    }
+
+    fn way(&self, other: &Other, function: u32, share: f64, calls: f64) -> ToldWay {
+        let loops = self.gateways.max(1) as f64 * f64::from(self.settings.loops);
+        let room = (2.0 * calls * self.settings.every as f64 / 1e6 / loops).ceil() + 1.0;
+        ToldWay {
+            site: other.site,
+            there: self.there_now(other, function) as Micros,
+            share: (share.clamp(0.0, 1.0) * 65_535.0) as u16,
+            room: room.min(65_535.0) as u16,
+        }
+    }
+}
+
+impl Plan {
+    /// Works out rows from a view; homes move by it.
+    pub fn work(&mut self, view: &View, homes: &mut Homes) -> Worked {
+        self.move_homes(view, homes);
+        let over = self.over(view);
+        let mut rows = BTreeMap::new();
+        self.follow(view, homes, &mut rows);
+        self.spill(view, homes, over, &mut rows);
+        Worked { rows: rows.into_values().collect(), over }
+    }
+
+    fn move_homes(&self, view: &View, homes: &mut Homes) {
+        let (now, here) = (view.now, view.here());
+        let mut wished = BTreeMap::new();
+        let mut functions: BTreeSet<_> = homes.entries().into_iter().collect();
+        functions.extend(view.own.figures.values().filter(|f| f.came > 0).map(|f| f.function));
+        for function in functions {
+            let (at, figure) = (homes.at(function), view.own.figure(function));
+            if at != here && view.other(at).is_none_or(|o| o.known.home(at, function).home != at) {
+                homes.back(now, function);
+                continue;
+            }
+            let (gain, margin) = if view.swings { (1.0, 0.0) } else { (GAIN, MARGIN) };
+            let placed = |known: &Known, site: Site| {
+                let figure = known.figure(function);
+                let mine = view.own.figure(function).came();
+                let calls = if at == site { figure.served().max(mine) } else { figure.served() + mine };
+                known.cost_placed(view.settings, view.usual, function, calls)
+            };
+            let cost_here = placed(view.own, here);
+            let cost = |o: &Other| view.there(o, function, placed(o.known, o.site));
+            let held = view.other(at).map_or(cost_here, cost);
+            let better = |cost: f64| cost * gain + margin < held;
+            if at != here && better(cost_here) && (view.swings || !homes.stays(now, function)) {
+                homes.back(now, function);
+                continue;
+            }
+            if figure.came == 0 {
+                continue;
+            }
+            let open = view.others.iter().filter(|o| o.known.home(o.site, function).home == o.site);
+            let costs: Vec<_> = open.map(|o| (cost(o), o)).filter(|(cost, _)| better(*cost)).collect();
+            let least = costs.iter().map(|(cost, _)| *cost).fold(f64::INFINITY, f64::min);
+            let alike = costs.iter().filter(|(cost, _)| *cost <= least * ALIKE);
+            let Some((_, best)) = alike.max_by_key(|(_, o)| rank(function, o.site)) else { continue };
+            if view.swings {
+                homes.adopt(now, function, best.site, false);
+                continue;
+            }
+            wished.insert(function, best.site);
+            let said = Said { homed: best.known.home(best.site, function), heard: best.known.heard };
+            homes.wish(now, function, best.site, view.number, &said);
+        }
+        homes.rest(now, &wished);
+    }
+
+    /// Learns what a worker bears, and gives the work that is above what we can do.
+    fn over(&mut self, view: &View) -> f64 {
+        let own = view.own;
+        if own.workers == 0.0 {
+            return 0.0;
+        }
+        let each = own.busy / own.workers;
+        self.bear = match self.bear {
+            0.0 if !own.saturated() => return 0.0,
+            bear if each > bear => each,
+            bear if own.saturated() => bear + (each - bear) * 0.05,
+            bear => bear * 1.005,
+        };
+        let bears = self.bear * own.workers;
+        let offered: f64 = own
+            .figures
+            .values()
+            .map(|f| f.came().max(f.served()) * view.usual.of(view.settings, f.function) / 1e6)
+            .sum();
+        let waiting = (own.in_hand - bears).max(0.0) * own.mean / 1e6;
+        (offered + waiting / DRAIN - FILL.0 * bears).max(0.0)
+    }
+
+    /// Calls of functions whose home is elsewhere, and of those of which a copy stands elsewhere and none here.
+    fn follow(&mut self, view: &View, homes: &Homes, rows: &mut BTreeMap<u32, ToldRow>) {
+        let (here, now) = (view.here(), view.now);
+        let mut functions: BTreeSet<_> = homes.entries().into_iter().collect();
+        for known in view.others.iter().map(|o| o.known).chain([view.own]) {
+            functions.extend(known.figures.values().filter(|f| f.peak > 0).map(|f| f.function));
+        }
+        let mut followed = BTreeMap::new();
+        for function in functions {
+            let (home, here_now) = (homes.at(function), view.here_now(function));
+            let cold = view.own.warm_now(view.settings, function) == 0.0;
+            let sticks = |o: &Other| {
+                let before = self.followed.get(&function) == Some(&o.site) || o.site == home;
+                view.there_now(o, function) / if before { GAIN } else { 1.0 }
+            };
+            let warm = |o: &&Other| o.known.warm_now(view.settings, function) > 0.0;
+            let stands = view.others.iter().filter(warm).filter(|_| cold);
+            let best = stands.min_by(|a, b| sticks(a).total_cmp(&sticks(b)));
+            let best = best.filter(|o| sticks(o) * FOLLOW + MARGIN < here_now);
+            let at_home = view.other(home).filter(|o| view.there_now(o, function) < here_now * GAIN + MARGIN);
+            let to = if home == here { best } else { at_home.or(best) };
+            let mut row = ToldRow {
+                function,
+                home,
+                stays: homes.stays(now, function),
+                here: here_now as Micros,
+                warm: view.other(home).map_or(!cold, |o| warm(&o)),
+                ..ToldRow::default()
+            };
+            if let Some(other) = to {
+                let calls = view.own.figure(function).came();
+                let allowed = view.proven(other).max(1.0);
+                let share = if calls > allowed { allowed / calls } else { 1.0 };
+                row.ways[0] = view.way(other, function, share, calls.min(allowed));
+                followed.insert(function, other.site);
+            }
+            if to.is_some() || home != here {
+                rows.insert(function, row);
+            }
+        }
+        self.followed = followed;
+    }
+
+    /// What we can't do ourselves goes to sites in proportion to their room.
+    fn spill(&mut self, view: &View, homes: &Homes, over: f64, rows: &mut BTreeMap<u32, ToldRow>) {
+        let mean = (view.own.mean / 1e6).max(1e-6);
+        let mut left = self.give(view, over, mean);
+        let mut spilt = BTreeSet::new();
+        let late = view.own.saturated();
+        if !late && left.values().all(|calls| *calls < 0.1) {
+            self.spilt = spilt;
+            return;
+        }
+        let plain = |f: &u32| homes.at(*f) == view.here();
+        let ours = view.own.figures.values().filter(|f| f.came > 0 && plain(&f.function));
+        let mut by_gain = Vec::new();
+        for figure in ours.filter(|f| !rows.contains_key(&f.function)) {
+            let function = figure.function;
+            let here = view.here_now(function);
+            let mut ways: Vec<_> = view.others.iter().map(|o| (view.there_now(o, function), o)).collect();
+            ways.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let Some((first, _)) = ways.first() else { return };
+            let sticks = if self.spilt.contains(&function) { STICKS } else { 0.0 };
+            by_gain.push((first - here - sticks, figure, here, ways));
+        }
+        by_gain.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let came: f64 = by_gain.iter().map(|(_, figure, ..)| figure.came()).sum();
+        for (_, figure, here, ways) in by_gain {
+            let (function, calls) = (figure.function, figure.came());
+            let aim = view.settings.functions[function as usize].aim as f64;
+            let (mut row, mut rest, mut used) = (ToldRow::default(), calls, 0);
+            for (there, other) in ways.into_iter().filter(|(there, _)| *there < here.max(aim)) {
+                let room = left.entry(other.site).or_default();
+                let taken = room.min(rest);
+                let spare = late && there < here;
+                if used == WAYS || (taken < 0.05 && !spare) {
+                    continue;
+                }
+                let held_ready = view.proven(other) * calls / came.max(1.0);
+                row.ways[used] = view.way(other, function, taken / calls, taken.max(held_ready));
+                (*room, rest, used) = (*room - taken, rest - taken, used + 1);
+                if taken > 0.0 {
+                    spilt.insert(function);
+                }
+            }
+            if used > 0 {
+                let (home, stays) = (view.here(), homes.stays(view.now, function));
+                rows.insert(
+                    function,
+                    ToldRow { function, home, stays, here: here as Micros, warm: true, ..row },
+                );
+            }
+        }
+        self.spilt = spilt;
+    }
+
+    /// Calls a second for each site: its room, of which we take our part among those that have too much, in proportion
+    /// to that of other sites, and no more than twice what it has served of ours.
+    fn give(&mut self, view: &View, over: f64, mean: f64) -> BTreeMap<Site, f64> {
+        let room = |o: &Other| {
+            let ours = o.served() * mean;
+            let free = (FILL.1 * self.bear * o.known.workers - o.known.busy + ours).max(0.0);
+            let others: f64 =
+                view.others.iter().filter(|x| x.site != o.site).map(|x| x.known.over * x.weight).sum();
+            let part = if over > 0.0 { over / (over + others) } else { 0.0 };
+            if o.known.saturated() { ours * 0.5 } else { (free * part * o.trust()).max(0.0) }
+        };
+        let rooms: Vec<_> = view.others.iter().map(|o| (o, room(o))).collect();
+        let all: f64 = rooms.iter().map(|(_, room)| room).sum();
+        let given = rooms.into_iter().map(|(o, room)| {
+            let fair = if all > 0.0 { room.min(over * room / all) } else { 0.0 };
+            let before = self.given.get(&o.site).copied().unwrap_or(0.0);
+            let smooth = before + (fair / mean - before) * 0.5;
+            (o.site, smooth.min(view.proven(o)))
+        });
+        let given: BTreeMap<_, _> = given.collect();
+        self.given.clone_from(&given);
+        given
+    }
+}
--- a/crates/route/src/route.rs
+++ b/crates/route/src/route.rs
@@ -1,66 +1,316 @@
 //! The control thread's part: what is counted here and told by other sites, and the table that follows from it.
 
+use crate::homes::Homes;
+use crate::plan::{Other, Plan, View, Worked};
 use crate::settings::{RouteError, RouteSettings};
-use crate::types::{Counts, Handed, Row, Table};
-use basaltward_fleet::{Micros, Number};
+use crate::site::{Site as Known, Usual};
+use crate::tally::Tally;
+use crate::types::{Counts, Fault, Handed, Row, Table, WAYS, Way};
+use crate::word::{Ends, Figure, Frame, Heard, Part, Rows, ToldRow, Word};
+use basaltward_fleet::{Micros, Number, Site};
+use std::collections::{BTreeMap, VecDeque};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Bytes of a frame at most.
-const FRAME: usize = 65_536;
+/// A way not measured for so long is silent.
+const SILENT: Micros = 3_000_000;
+/// Our last frames, of which fellows may say that they heard one.
+const REMEMBERED: usize = 64;
+
+/// Time there and back to a fellow.
+#[derive(Clone, Copy, Debug)]
+struct Link {
+    rtt: Micros,
+    at: Micros,
+}
 
 /// Works out where calls go.
 #[derive(Debug)]
 pub struct Route {
     settings: RouteSettings,
+    tally: Tally,
+    live: Vec<bool>,
+    links: BTreeMap<Number, Link>,
+    /// Number of our last frames, and when they were told.
     number: u64,
+    sent: VecDeque<(u64, Micros)>,
+    heard: BTreeMap<Number, (u64, Micros)>,
+    parts: BTreeMap<Number, (Micros, Part)>,
+    sites: BTreeMap<Site, Known>,
+    usual: Usual,
+    homes: Homes,
+    plan: Plan,
+    /// Rows in force, who worked them out, and as of when they are.
+    rows: Rows,
+    rows_by: Number,
+    rows_at: Micros,
+    table: u64,
     due: Micros,
+    fault: Option<Fault>,
 }
 
 impl Route {
     /// One gateway's, that knows nothing of other sites yet: all is answered here.
     pub fn new(settings: RouteSettings, now: Micros) -> Result<Self, RouteError> {
         settings.check()?;
-        Ok(Self { due: now + settings.every, settings, number: 0 })
+        let places = &settings.places;
+        Ok(Self {
+            tally: Tally::new(&settings, now),
+            live: vec![false; places.len()],
+            links: BTreeMap::new(),
+            number: 0,
+            sent: VecDeque::new(),
+            heard: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            sites: BTreeMap::new(),
+            usual: Usual::new(&settings),
+            homes: Homes::new(places.here(), settings.stay),
+            plan: Plan::default(),
+            rows: Rows::default(),
+            rows_by: places.own(),
+            rows_at: now,
+            table: 0,
+            due: now + settings.every,
+            fault: None,
+            settings,
+        })
     }
 
-    /// What a loop counted.
-    pub fn counted(&mut self, _now: Micros, _loop_no: u16, _counts: &Counts) {}
+    /// What a loop counted. Calls in hand are those that run or wait at this site: none that was handed over to another.
+    pub fn counted(&mut self, _now: Micros, loop_no: u16, counts: &Counts) {
+        self.tally.counted(loop_no, counts);
+    }
 
     /// How a call ended that a loop handed over.
-    pub fn handed(&mut self, _now: Micros, _handed: &Handed) {}
+    pub fn handed(&mut self, _now: Micros, handed: &Handed) {
+        if let Some(site) = self.settings.places.site(handed.to) {
+            self.tally.handed(site, handed);
+        }
+    }
 
     /// A frame of a fellow.
-    pub fn frame(&mut self, _now: Micros, from: Number, bytes: &[u8]) -> Result<(), RouteError> {
-        if self.settings.places.site(from).is_none() {
-            return Err(RouteError::Stranger(from));
+    pub fn frame(&mut self, now: Micros, from: Number, bytes: &[u8]) -> Result<(), RouteError> {
+        let site = self.settings.places.site(from).ok_or(RouteError::Stranger(from))?;
+        let frame = Frame::read(from, bytes)?;
+        let ours = site == self.settings.places.here();
+        let number = match &frame {
+            Frame::Part(part) if ours => part.number,
+            Frame::Rows(rows) if ours => rows.number,
+            Frame::Word(word) if !ours => word.number,
+            _ => return Err(RouteError::NotItsSite(from)),
+        };
+        // One that starts again counts from 1: what is old enough gives way to any.
+        let last = self.heard.get(&from).copied().unwrap_or((0, 0));
+        if number <= last.0 && now < last.1 + self.settings.hold {
+            return Ok(());
         }
-        if bytes.len() > FRAME {
-            return Err(RouteError::TooLong { from, bytes: bytes.len() });
+        self.heard.insert(from, (number, now));
+        match frame {
+            Frame::Part(part) => {
+                self.parts.insert(from, (now, part));
+            }
+            Frame::Rows(rows) => {
+                let Some(at) = self.as_of(now, rows.heard) else { return Ok(()) };
+                if from == self.teller(site) || now > self.rows_at + self.settings.hold {
+                    (self.rows, self.rows_by, self.rows_at) = (rows, from, at);
+                }
+            }
+            Frame::Word(word) => {
+                let Some(at) = self.as_of(now, word.heard) else { return Ok(()) };
+                let stale = self.sites.get(&site).is_none_or(|k| k.age(now) > self.settings.hold);
+                if from == self.teller(site) || stale {
+                    let known = Known::told(&self.settings, &self.usual, at, &word);
+                    if now.saturating_sub(at) <= self.settings.hold {
+                        self.homes.heard(now, site, &known.homes);
+                    }
+                    self.sites.insert(site, known);
+                }
+            }
         }
         Ok(())
     }
 
     /// Time there and back to a fellow, as just measured.
-    pub fn link(&mut self, _now: Micros, _to: Number, _rtt: Micros) {}
+    pub fn link(&mut self, now: Micros, to: Number, rtt: Micros) {
+        let link = self.links.entry(to).or_insert(Link { rtt, at: now });
+        // Slower is believed at once by half, quicker slowly: one quick answer is no quick link.
+        let rtt = if rtt > link.rtt { (rtt + link.rtt) / 2 } else { (rtt + 3 * link.rtt) / 4 };
+        *link = Link { rtt, at: now };
+    }
 
     /// Which fellows the view holds for living, by number.
-    pub fn live(&mut self, _live: &[bool]) {}
+    pub fn live(&mut self, live: &[bool]) {
+        let known = self.live.len().min(live.len());
+        self.live.fill(false);
+        self.live[..known].copy_from_slice(&live[..known]);
+    }
 
     /// Frames that are due, each with who gets it.
     pub fn tell(&mut self, now: Micros) -> Vec<(Number, Vec<u8>)> {
         self.due = now + self.settings.every;
-        Vec::new()
+        self.number += 1;
+        self.sent.push_back((self.number, now));
+        if self.sent.len() > REMEMBERED {
+            self.sent.pop_front();
+        }
+        let (own, here) = (self.settings.places.own(), self.settings.places.here());
+        let part = self.tally.part(now, self.number);
+        let teller = self.teller(here);
+        if teller != own {
+            self.parts.clear();
+            return Frame::Part(part).bytes().map(|bytes| (teller, bytes)).into_iter().collect();
+        }
+        self.take_over(now);
+        self.parts.insert(own, (now, part));
+        self.parts.retain(|_, (at, _)| now <= *at + self.settings.hold);
+        let (word, rows) = self.work(now);
+        let mut frames = Vec::new();
+        let sites = self.settings.places.sites();
+        for site in sites.into_iter().filter(|site| *site != here) {
+            let to = self.teller(site);
+            if self.is_live(to) {
+                let word = Word { heard: self.heard_of(now, to), ..word.clone() };
+                frames.extend(Frame::Word(word).bytes().map(|bytes| (to, bytes)));
+            }
+        }
+        for to in self.living(here).filter(|to| *to != own).collect::<Vec<_>>() {
+            let rows = Rows { heard: self.heard_of(now, to), ..rows.clone() };
+            frames.extend(Frame::Rows(rows).bytes().map(|bytes| (to, bytes)));
+        }
+        (self.rows, self.rows_at) = (rows, now);
+        frames
     }
 
     /// Where calls go as of now.
     pub fn table(&mut self, now: Micros) -> Table {
-        self.number += 1;
+        self.table += 1;
         let here = self.settings.places.here();
-        let rows = vec![Row { home: here, ..Row::default() }; self.settings.functions.len()];
-        Table { number: self.number, until: now + self.settings.hold, here, rows }
+        let plain = Row { home: here, warm: true, ..Row::default() };
+        let mut rows = vec![plain; self.settings.functions.len()];
+        for told in &self.rows.rows {
+            if let Some(row) = rows.get_mut(told.function as usize) {
+                *row = Row { home: told.home, here: told.here, warm: told.warm, ways: self.ways(now, told) };
+            }
+        }
+        Table { number: self.table, until: self.rows_at + self.settings.hold, here, rows }
     }
 
     /// When [`Route::tell`] and [`Route::table`] are due next.
     pub fn next_due(&self) -> Micros {
         self.due
     }
+
+    /// Plants a fault, which the checkers have to find.
+    #[doc(hidden)]
+    pub fn plant(&mut self, fault: Fault) {
+        self.fault = Some(fault);
+    }
+
+    fn is_live(&self, of: Number) -> bool {
+        of == self.settings.places.own() || self.live.get(usize::from(of)) == Some(&true)
+    }
+
+    fn living(&self, site: Site) -> impl Iterator<Item = Number> {
+        self.settings.places.members(site).filter(|of| self.is_live(*of))
+    }
+
+    /// Who tells for a site: one of its living, by rendezvous.
+    fn teller(&self, site: Site) -> Number {
+        let weight = |of: &Number| xxh3_64_with_seed(&of.to_le_bytes(), u64::from(site));
+        self.living(site).max_by_key(weight).unwrap_or(Number::MAX)
+    }
+
+    /// We tell from now on, where another did: what it had moved is where it was.
+    fn take_over(&mut self, now: Micros) {
+        let own = self.settings.places.own();
+        if self.rows_by == own {
+            return;
+        }
+        self.rows_by = own;
+        self.homes.clear();
+        if now <= self.rows_at + self.settings.hold {
+            let here = self.settings.places.here();
+            for row in self.rows.rows.iter().filter(|row| row.home != here || row.stays) {
+                self.homes.adopt(now, row.function, row.home, row.stays);
+            }
+        }
+    }
+
+    /// As of when a frame is at the least: its sender had heard one of ours by then. None where it had not, or one that
+    /// is long forgotten: nobody knows how old such a frame is.
+    fn as_of(&self, now: Micros, heard: Option<Heard>) -> Option<Micros> {
+        if self.fault == Some(Fault::StaleIsFresh) {
+            return Some(now);
+        }
+        let heard = heard?;
+        let sent = self.sent.iter().find(|(number, _)| *number == heard.number)?;
+        Some(sent.1.saturating_add(heard.held).min(now))
+    }
+
+    fn heard_of(&self, now: Micros, of: Number) -> Option<Heard> {
+        let (number, at) = self.heard.get(&of)?;
+        Some(Heard { number: *number, held: now.saturating_sub(*at) })
+    }
+
+    /// Time there and back to a site: the quickest way to one of its living that is not silent.
+    fn way(&self, now: Micros, site: Site) -> Option<Micros> {
+        let links = self.living(site).filter_map(|of| self.links.get(&of));
+        links.filter(|link| now < link.at + SILENT).map(|link| link.rtt).min()
+    }
+
+    fn ways(&self, now: Micros, told: &ToldRow) -> [Way; WAYS] {
+        let heard = |of: &Number| self.links.get(of).is_none_or(|link| now < link.at + SILENT);
+        let own = u64::from(self.settings.places.own());
+        told.ways.each_ref().map(|way| {
+            let key = (u64::from(told.function) << 16) | own;
+            let weight = |of: &Number| xxh3_64_with_seed(&of.to_le_bytes(), key);
+            let living = self.living(way.site).filter(heard);
+            let fellow = living.max_by_key(weight).filter(|_| way.room > 0);
+            fellow.map_or(Way::default(), |fellow| Way { fellow, ..Way::from(way) })
+        })
+    }
+
+    fn work(&mut self, now: Micros) -> (Word, Rows) {
+        let (settings, here) = (&self.settings, self.settings.places.here());
+        let mut figures = BTreeMap::<u32, Figure>::new();
+        let (mut workers, mut ends) = (0, BTreeMap::<Site, Ends>::new());
+        for (_, part) in self.parts.values() {
+            workers = workers.max(part.workers);
+            for f in &part.by {
+                figures.entry(f.function).and_modify(|sum| *sum = sum.and(f)).or_insert(*f);
+            }
+            for e in &part.ends {
+                let sum = ends.entry(e.site).or_insert(Ends { site: e.site, ..Ends::default() });
+                sum.served = sum.served.saturating_add(e.served);
+                sum.refused = sum.refused.saturating_add(e.refused);
+                sum.lost = sum.lost.saturating_add(e.lost);
+            }
+        }
+        let by = figures.into_values().collect();
+        let mut word = Word { number: self.number, heard: None, workers, over: 0, by, homes: Vec::new() };
+        let own = Known::told(settings, &self.usual, now, &word);
+        self.usual.learn(settings, &own);
+        self.sites
+            .values()
+            .filter(|k| k.age(now) < settings.hold)
+            .for_each(|k| self.usual.learn(settings, k));
+        let fresh = self.sites.iter().filter(|(_, known)| known.age(now) <= settings.hold);
+        let others = fresh.filter_map(|(site, known)| {
+            let way = self.way(now, *site)?;
+            Some(Other::new(now, *site, known, way, ends.get(site).copied().unwrap_or_default()))
+        });
+        let view = View {
+            now,
+            settings,
+            usual: &self.usual,
+            own: &own,
+            others: others.collect(),
+            gateways: self.living(here).count(),
+            number: self.number,
+            swings: self.fault == Some(Fault::Swings),
+        };
+        let Worked { rows, over } = self.plan.work(&view, &mut self.homes);
+        word.over = (over * 1e3).min(f64::from(u32::MAX)) as u32;
+        word.homes = self.homes.told(now);
+        (word, Rows { number: self.number, heard: None, rows })
+    }
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,6 +1,6 @@
 //! A loop's own part: it reads the newest table and counts at once what it sent by it.
 
-use crate::types::{Handed, HandedEnd, Table, Way, Where};
+use crate::types::{Fault, Handed, HandedEnd, Table, Way, Where};
 use basaltward_fleet::{Micros, Places, Site};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -42,6 +42,7 @@
     /// Sent since, by function and site.
     sent: HashMap<(u32, Site), u16>,
     seen: Vec<Seen>,
+    fault: Option<Fault>,
 }
 
 impl Router {
@@ -49,7 +50,7 @@
     pub fn new(places: Places, seed: u64) -> Self {
         let sites = places.sites().last().map_or(0, |last| usize::from(*last) + 1);
         let rng = StdRng::seed_from_u64(seed);
-        Self { places, rng, number: 0, sent: HashMap::new(), seen: vec![Seen::default(); sites] }
+        Self { places, rng, number: 0, sent: HashMap::new(), seen: vec![Seen::default(); sites], fault: None }
     }
 
     /// Where a call with this patience left is answered. One that came handed over is answered here whatever a table
@@ -62,7 +63,11 @@
         patience: Micros,
         handed_already: bool,
     ) -> Where {
-        let Some(table) = table.filter(|t| now < t.until && !handed_already) else { return Where::Here };
+        let Some(table) =
+            table.filter(|t| now < t.until && (!handed_already || self.fault == Some(Fault::Hops)))
+        else {
+            return Where::Here;
+        };
         let Some(row) = table.rows.get(function as usize) else { return Where::Here };
         if table.number != self.number {
             self.number = table.number;
@@ -109,6 +114,12 @@
         }
     }
 
+    /// Plants a fault, which the checkers have to find.
+    #[doc(hidden)]
+    pub fn plant(&mut self, fault: Fault) {
+        self.fault = Some(fault);
+    }
+
     fn takes(&self, now: Micros, function: u32, way: &Way, patience: Micros, here: Micros) -> bool {
         let Some(seen) = self.seen.get(usize::from(way.site)) else { return false };
         let late = way.there > patience && here <= way.there;
@@ -117,7 +128,7 @@
         let sent = self.sent.get(&(function, way.site)).copied().unwrap_or(0);
         // After a pause one goes there alone, until it has ended.
         let probing = seen.pause > 0 && seen.out > 0;
-        way.share > 0 && !late && !silent && now >= seen.shut && !probing && sent < way.room
+        !late && !silent && now >= seen.shut && !probing && sent < way.room
     }
 
     fn leaves(&mut self, now: Micros, function: u32, way: &Way) {
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -79,6 +79,8 @@
 
 /// Most sites that stand in for one another.
 pub(crate) const MOST_SITES: u8 = 64;
+/// Bytes of a frame at most.
+pub(crate) const FRAME: usize = 65_536;
 /// Most functions: a position is a number in a frame.
 const MOST_FUNCTIONS: usize = 100_000;
 
--- /dev/null
+++ b/crates/route/src/site.rs
@@ -0,0 +1,194 @@
+//! What is known of a site, our own or another, and what follows from it: how much it does, how long calls wait there,
+//! how much of its memory is in use.
+
+use crate::settings::RouteSettings;
+use crate::word::{Figure, Homed, MOST_FIGURES, Word};
+use basaltward_fleet::Micros;
+use std::collections::BTreeMap;
+
+/// Time to load a copy where none is told, as a multiple of the aim.
+const LOAD_AIMS: f64 = 2.0;
+/// A queue below this, or below half of the usual time, is chance.
+const QUEUE: f64 = 20_000.0;
+/// Calls a second at which a function's own queue counts as much as the whole site's.
+const OWN: f64 = 10.0;
+/// Share of a site's memory from which on a load drives out what others use.
+const FULL: f64 = 0.7;
+/// How much dearer a load is where memory is wholly in use.
+const DRIVEN_OUT: f64 = 3.0;
+
+/// Usual times of functions, as all sites tell them: what is above them was waited.
+#[derive(Clone, Debug)]
+pub(crate) struct Usual(Vec<f64>);
+
+impl Usual {
+    pub fn new(settings: &RouteSettings) -> Self {
+        Self(vec![0.0; settings.functions.len()])
+    }
+
+    pub fn of(&self, settings: &RouteSettings, function: u32) -> f64 {
+        match self.0.get(function as usize) {
+            Some(usual) if *usual > 0.0 => *usual,
+            _ => settings.functions.get(function as usize).map_or(0.0, |f| f.aim as f64 / 4.0),
+        }
+    }
+
+    /// Learns from a site's figures: quickly downward, slowly upward, hardly where calls wait.
+    pub fn learn(&mut self, settings: &RouteSettings, site: &Site) {
+        let every = settings.every as f64 / 1e6;
+        for figure in site.figures.values().filter(|f| f.served > 0 && f.took > 0) {
+            let Some(usual) = self.0.get_mut(figure.function as usize) else { continue };
+            let loading = figure.cold() * load(settings, figure.function);
+            let sample = (f64::from(figure.took) - loading).max(f64::from(figure.took) * 0.1);
+            let calls = (figure.served() * every / 5.0).min(1.0);
+            let up = if site.saturated() { 0.000_5 } else { 0.02 };
+            let weight = if *usual == 0.0 {
+                1.0
+            } else if sample < *usual {
+                0.1 * calls
+            } else {
+                up * calls
+            };
+            *usual += (sample - *usual) * weight;
+        }
+    }
+}
+
+/// Time to load a copy.
+pub(crate) fn load(settings: &RouteSettings, function: u32) -> f64 {
+    let told = settings.functions.get(function as usize);
+    told.map_or(0.0, |f| f.load.map_or(f.aim as f64 * LOAD_AIMS, |load| load as f64))
+}
+
+/// A site as it is known.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Site {
+    /// The figures are as of then, or later.
+    pub at: Micros,
+    /// What it has heard of us: the number of our last word.
+    pub heard: u64,
+    pub workers: f64,
+    pub over: f64,
+    pub figures: BTreeMap<u32, Figure>,
+    pub homes: BTreeMap<u32, Homed>,
+    /// Calls served in a second, calls in hand, those of them in service.
+    pub served: f64,
+    pub in_hand: f64,
+    pub busy: f64,
+    /// Time that a call waits, for chance taken off.
+    pub queue: f64,
+    /// Usual time of a call there.
+    pub mean: f64,
+    pub used_mb: f64,
+}
+
+impl Site {
+    /// By a word, of which no figure goes past what a site of this fleet can be.
+    pub fn told(settings: &RouteSettings, usual: &Usual, at: Micros, word: &Word) -> Self {
+        let known = settings.functions.len();
+        let of_us = |f: &&Figure| (f.function as usize) < known;
+        let figures: BTreeMap<_, _> =
+            word.by.iter().take(MOST_FIGURES).filter(of_us).map(|f| (f.function, *f)).collect();
+        let homes = word.homes.iter().take(known).map(|h| (h.function, *h)).collect();
+        let workers = f64::from(word.workers.min(settings.workers_most));
+        let mut site = Self {
+            at,
+            heard: word.heard.map_or(0, |heard| heard.number),
+            workers,
+            over: f64::from(word.over) / 1e3,
+            figures,
+            homes,
+            ..Self::default()
+        };
+        site.sum_up(settings, usual);
+        site
+    }
+
+    fn sum_up(&mut self, settings: &RouteSettings, usual: &Usual) {
+        let (mut expected, mut work) = (0.0, 0.0);
+        for (function, f) in &self.figures {
+            let (served, time) = (f.served(), usual.of(settings, *function));
+            self.served += served;
+            self.in_hand += f.in_hand();
+            work += served * time / 1e6;
+            expected += served * (time + f.cold() * load(settings, *function)) / 1e6;
+            let told = &settings.functions[*function as usize];
+            if f.peak > 0 {
+                self.used_mb += f64::from(f.peak.div_ceil(told.lanes)) * f64::from(told.memory_mb);
+            }
+        }
+        self.busy = work.min(self.in_hand.max(work));
+        self.mean = if self.served > 0.0 { work * 1e6 / self.served } else { 0.0 };
+        let excess = self.in_hand - expected - expected.max(1.0).sqrt();
+        self.queue = excess.max(0.0) * 1e6 / self.served.max(1.0);
+    }
+
+    pub fn saturated(&self) -> bool {
+        self.queue > QUEUE.max(self.mean / 2.0)
+    }
+
+    pub fn age(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.at)
+    }
+
+    pub fn figure(&self, function: u32) -> Figure {
+        self.figures.get(&function).copied().unwrap_or_default()
+    }
+
+    /// Where a function's calls of this site are at home.
+    pub fn home(&self, own: basaltward_fleet::Site, function: u32) -> Homed {
+        let plain = Homed { function, home: own, stays: false, bid: None };
+        self.homes.get(&function).copied().unwrap_or(plain)
+    }
+
+    /// Time that a call of a function waits: by its own depth and rate, drawn to the site's where it has few calls.
+    pub fn wait(&self, settings: &RouteSettings, usual: &Usual, function: u32) -> f64 {
+        let f = self.figure(function);
+        let time = (usual.of(settings, function) + f.cold() * load(settings, function)) / 1e6;
+        let expected = f.served() * time;
+        let own = (f.in_hand() - expected - expected.max(1.0).sqrt()).max(0.0);
+        ((own + OWN * self.queue / 1e6) * 1e6 / (f.served() + OWN)).max(0.0)
+    }
+
+    /// The pressure ratio with a further copy: memory in use, and the newcomer's, over what there is.
+    pub fn pressure(&self, settings: &RouteSettings, function: u32) -> f64 {
+        let mb = settings.functions.get(function as usize).map_or(0, |f| f.memory_mb);
+        let all = self.workers * f64::from(settings.worker_mb);
+        if all > 0.0 { (self.used_mb + f64::from(mb)) / all } else { f64::INFINITY }
+    }
+
+    /// What a load costs: dearer where it drives out what others use.
+    fn load_cost(&self, settings: &RouteSettings, function: u32) -> f64 {
+        let over = ((self.pressure(settings, function) - FULL) / (1.0 - FULL)).clamp(0.0, 1.0);
+        load(settings, function) * (1.0 + DRIVEN_OUT * over)
+    }
+
+    /// The chance that a copy stands and has a lane, as of now.
+    pub fn warm_now(&self, settings: &RouteSettings, function: u32) -> f64 {
+        let f = self.figure(function);
+        let lanes = settings.functions.get(function as usize).map_or(1, |told| told.lanes);
+        let standing = f64::from(f.peak.div_ceil(lanes)) * f64::from(lanes);
+        match f.peak {
+            0 => 0.0,
+            _ if standing >= f.in_hand() + 1.0 => 1.0,
+            _ => 0.5,
+        }
+    }
+
+    /// What an answer costs as of now, the way aside.
+    pub fn cost_now(&self, settings: &RouteSettings, usual: &Usual, function: u32) -> f64 {
+        let cold = 1.0 - self.warm_now(settings, function);
+        self.wait(settings, usual, function)
+            + usual.of(settings, function)
+            + cold * self.load_cost(settings, function)
+    }
+
+    /// What an answer would cost in the long run if `calls` a second were answered here, the way aside: copies stand by
+    /// the chance that another call came within the time that idle ones are kept.
+    pub fn cost_placed(&self, settings: &RouteSettings, usual: &Usual, function: u32, calls: f64) -> f64 {
+        let cold = (-calls * settings.keep as f64 / 1e6).exp();
+        self.wait(settings, usual, function)
+            + usual.of(settings, function)
+            + cold * self.load_cost(settings, function)
+    }
+}
--- /dev/null
+++ b/crates/route/src/tally.rs
@@ -0,0 +1,125 @@
+//! What this gateway's own loops counted, smoothed over a second.
+
+use crate::settings::RouteSettings;
+use crate::types::{Counts, Handed, HandedEnd};
+use crate::word::{Ends, Figure, MOST_FIGURES, Part};
+use basaltward_fleet::{Micros, Site};
+use std::collections::BTreeMap;
+
+/// Span over which rates are smoothed.
+const SMOOTH: f64 = 1_000_000.0;
+
+#[derive(Clone, Debug, Default)]
+struct Function {
+    /// Since the last telling: came, served, took, found no copy.
+    sums: [f64; 4],
+    /// A second's, smoothed, of the same.
+    rates: [f64; 4],
+    /// In hand, by loop.
+    in_hand: BTreeMap<u16, u32>,
+    smooth_in_hand: f64,
+    /// Most in hand in this half of the keep time, and in the one before.
+    peaks: [u32; 2],
+}
+
+/// All that one gateway has counted.
+#[derive(Debug)]
+pub(crate) struct Tally {
+    functions: BTreeMap<u32, Function>,
+    known: u32,
+    /// Workers, by loop: each is told the same, or a part of the same.
+    workers: BTreeMap<u16, u32>,
+    /// Since the last telling and smoothed: served, refused, lost.
+    ends: BTreeMap<Site, ([f64; 3], [f64; 3])>,
+    keep: Micros,
+    half_began: Micros,
+    told: Micros,
+}
+
+impl Tally {
+    pub fn new(settings: &RouteSettings, now: Micros) -> Self {
+        Self {
+            functions: BTreeMap::new(),
+            known: settings.functions.len() as u32,
+            workers: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            keep: settings.keep,
+            half_began: now,
+            told: now,
+        }
+    }
+
+    pub fn counted(&mut self, loop_no: u16, counts: &Counts) {
+        self.workers.insert(loop_no, counts.workers);
+        self.functions.values_mut().for_each(|f| f.in_hand.retain(|of, _| *of != loop_no));
+        for c in counts.by.iter().filter(|c| c.function < self.known) {
+            let f = self.functions.entry(c.function).or_default();
+            let cold = c.served.saturating_sub(c.warm);
+            let new = [f64::from(c.calls), f64::from(c.served), c.took as f64, f64::from(cold)];
+            f.sums.iter_mut().zip(new).for_each(|(sum, new)| *sum += new);
+            if c.in_hand > 0 {
+                f.in_hand.insert(loop_no, c.in_hand);
+            }
+            // One that came and went within the span needed a lane as well.
+            let at_once = f.in_hand.values().sum::<u32>().max(u32::from(c.served > 0));
+            f.peaks[0] = f.peaks[0].max(at_once);
+        }
+    }
+
+    pub fn handed(&mut self, to: Site, handed: &Handed) {
+        let (sums, _) = self.ends.entry(to).or_default();
+        sums[match handed.end {
+            HandedEnd::Served => 0,
+            HandedEnd::Refused => 1,
+            HandedEnd::Unreached | HandedEnd::Lost => 2,
+        }] += 1.0;
+    }
+
+    /// What is told now. The smoothing goes on by it: it is called once a telling.
+    pub fn part(&mut self, now: Micros, number: u64) -> Part {
+        let span = now.saturating_sub(self.told).max(1) as f64;
+        let weight = 1.0 - (-span / SMOOTH).exp();
+        let smooth = |rate: &mut f64, sum: &mut f64| {
+            *rate += (*sum * 1e6 / span - *rate) * weight;
+            *sum = 0.0;
+        };
+        self.told = now;
+        let turn = now >= self.half_began + self.keep / 2;
+        if turn {
+            self.half_began = now;
+        }
+        for f in self.functions.values_mut() {
+            f.rates.iter_mut().zip(&mut f.sums).for_each(|(rate, sum)| smooth(rate, sum));
+            let in_hand = f.in_hand.values().sum::<u32>();
+            f.smooth_in_hand += (f64::from(in_hand) - f.smooth_in_hand) * weight.max(0.5);
+            if turn {
+                f.peaks = [in_hand, f.peaks[0]];
+            }
+        }
+        self.functions.retain(|_, f| {
+            f.peaks != [0, 0] || f.rates[0] > 1e-3 || f.rates[1] > 1e-3 || !f.in_hand.is_empty()
+        });
+        let milli = |x: f64| (x * 1e3).clamp(0.0, f64::from(u32::MAX)) as u32;
+        let by = self.functions.iter().map(|(function, f)| Figure {
+            function: *function,
+            came: milli(f.rates[0]),
+            served: milli(f.rates[1]),
+            took: if f.rates[1] > 0.0 { (f.rates[2] / f.rates[1]) as u32 } else { 0 },
+            cold: if f.rates[1] > 0.0 { (f.rates[3] / f.rates[1] * 1e3) as u16 } else { 0 },
+            in_hand: milli(f.smooth_in_hand),
+            peak: f.peaks[0].max(f.peaks[1]),
+        });
+        let mut by: Vec<_> = by.collect();
+        if by.len() > MOST_FIGURES {
+            by.sort_by_key(|f| std::cmp::Reverse(f.came.saturating_add(f.served)));
+            by.truncate(MOST_FIGURES);
+        }
+        let ends = self.ends.iter_mut().map(|(site, (sums, rates))| {
+            rates.iter_mut().zip(sums).for_each(|(rate, sum)| smooth(rate, sum));
+            let [served, refused, lost] = rates.map(milli);
+            Ends { site: *site, served, refused, lost }
+        });
+        let ends = ends.collect();
+        Part { number, workers: self.workers.values().copied().max().unwrap_or(0), by, ends }
+    }
+}
--- a/crates/route/src/types.rs
+++ b/crates/route/src/types.rs
@@ -114,3 +114,15 @@
     /// By position; what is not here is answered here.
     pub rows: Vec<Row>,
 }
+
+/// What a checker has to find where it is planted.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A frame is taken for as old as its way is long, whatever it says.
+    StaleIsFresh,
+    /// Homes move without a threshold, without staying and without asking.
+    Swings,
+    /// A call that came handed over is handed on.
+    Hops,
+}
--- /dev/null
+++ b/crates/route/src/world/links.rs
@@ -0,0 +1,68 @@
+//! Links between sites, modelled as kept TCP connections are: what is lost comes later, what is cut comes once healed.
+
+use basaltward_fleet::{Micros, Site};
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+/// One way between two sites.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Leg {
+    /// Time that a message takes.
+    pub delay: Micros,
+    /// And up to this more.
+    pub jitter: Micros,
+    /// Share that is lost and sent again.
+    pub lost: f64,
+    /// Nothing comes through.
+    pub cut: bool,
+}
+
+/// A lost message is sent again after this, then after twice that.
+const AGAIN: Micros = 200_000;
+
+#[derive(Debug)]
+pub(crate) struct Links {
+    sites: usize,
+    legs: Vec<Leg>,
+}
+
+impl Links {
+    pub fn new(sites: Site, delay: Micros) -> Self {
+        let sites = usize::from(sites);
+        let leg = |at: usize| {
+            // Sites stand in a ring: neighbours are near.
+            let apart = (at / sites).abs_diff(at % sites);
+            let apart = apart.min(sites - apart).max(1) as u64;
+            let near = at / sites == at % sites;
+            let delay = if near { 200 } else { delay * (1 + apart) / 2 };
+            Leg { delay, jitter: delay / 10, lost: 0.0, cut: false }
+        };
+        Self { sites, legs: (0..sites * sites).map(leg).collect() }
+    }
+
+    pub fn leg(&self, from: Site, to: Site) -> &Leg {
+        &self.legs[usize::from(from) * self.sites + usize::from(to)]
+    }
+
+    pub fn leg_mut(&mut self, from: Site, to: Site) -> &mut Leg {
+        &mut self.legs[usize::from(from) * self.sites + usize::from(to)]
+    }
+
+    /// Time that a message takes now; none where the way is cut.
+    pub fn late(&self, rng: &mut StdRng, from: Site, to: Site) -> Option<Micros> {
+        let leg = self.leg(from, to);
+        let mut late = leg.delay + rng.random_range(0..=leg.jitter);
+        let mut again = AGAIN;
+        while leg.lost > 0.0 && rng.random_bool(leg.lost.min(0.9)) {
+            late += again;
+            again *= 2;
+        }
+        (!leg.cut).then_some(late)
+    }
+
+    /// Time there and back as it truly is, for who sees all.
+    pub fn round_trip(&self, a: Site, b: Site) -> Option<Micros> {
+        let (there, back) = (self.leg(a, b), self.leg(b, a));
+        (!there.cut && !back.cut).then(|| there.delay + back.delay)
+    }
+}
--- /dev/null
+++ b/crates/route/src/world/mod.rs
@@ -0,0 +1,582 @@
+//! Sites, their workers, clients and the links between them, in virtual time: one seed, one history.
+
+mod links;
+mod policy;
+mod workers;
+
+pub use links::Leg;
+pub use policy::Policy;
+pub use workers::ModelFunction;
+
+use crate::route::Route;
+use crate::router::Router;
+use crate::settings::{RouteError, RouteSettings};
+use crate::types::{Counted, Counts, Fault, Handed, HandedEnd, Table, Where};
+use basaltward_fleet::{Micros, Number, Places, Site};
+use links::Links;
+use policy::Snapshot;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use workers::{Job, Later, Workers};
+
+/// What a world is made of.
+#[derive(Clone, Debug)]
+pub struct WorldSettings {
+    /// Sites.
+    pub sites: Site,
+    /// Gateways of each.
+    pub gateways: u16,
+    /// Workers of each.
+    pub workers: u32,
+    /// Calls that a worker does at once.
+    pub cores: u32,
+    /// Memory of a worker.
+    pub worker_mb: u32,
+    /// All functions.
+    pub functions: Vec<ModelFunction>,
+    /// Time of a message between neighbouring sites.
+    pub delay: Micros,
+    /// How sites are chosen.
+    pub policy: Policy,
+    /// What all draws follow from.
+    pub seed: u64,
+}
+
+/// A call that has ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ended {
+    /// When it came.
+    pub came: Micros,
+    /// Its function.
+    pub function: u32,
+    /// Where its client is.
+    pub site: Site,
+    /// Where it was answered last.
+    pub by: Site,
+    /// How often it crossed between sites in a row, as the longest chain.
+    pub hops: u32,
+    /// Time until its answer; none where it had none in time.
+    pub took: Option<Micros>,
+    /// What it was worth: 1 within its aim, falling to 0 at its deadline.
+    pub worth: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    function: u32,
+    site: Site,
+    gateway: Number,
+    came: Micros,
+    until: Micros,
+    /// Try that is under way: an answer or a time-out of another is void.
+    attempt: u32,
+    handed: Option<(Number, Micros)>,
+    hops: u32,
+    ended: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Arrival { site: Site, function: u32, turn: u32 },
+    Reach { call: usize, attempt: u32, at: Number },
+    Back { call: usize, attempt: u32, end: u8, by: Site },
+    Overdue { call: usize, attempt: u32 },
+    Loaded { site: Site, life: u32 },
+    Done { site: Site, life: u32, job: Job, worker: usize, copy: u64, warm: bool },
+    Expired { site: Site, life: u32, job: Job },
+    Frame { from: Number, to: Number, bytes: Vec<u8> },
+    Tick(Number),
+    Ping { from: Number },
+    Pong { from: Number, of: Number, sent: Micros },
+    Look,
+    Live,
+}
+
+struct Gateway {
+    route: Route,
+    router: Router,
+    table: Option<Table>,
+    counts: BTreeMap<u32, Counted>,
+    /// Its control thread stands still.
+    stalled: bool,
+}
+
+impl Gateway {
+    fn new(of: &WorldSettings, places: &Places, own: Number, now: Micros) -> Result<Self, RouteError> {
+        let sites: Vec<_> = (0..places.len() as Number).filter_map(|of| places.site(of)).collect();
+        let places = Places::new(sites, own).ok_or(RouteError::Stranger(own))?;
+        let seed = of.seed ^ (u64::from(own) << 32);
+        let told = of.functions.iter().map(|f| f.told).collect();
+        let settings = RouteSettings::new(places.clone(), told, of.worker_mb, seed);
+        Ok(Self {
+            route: Route::new(RouteSettings { keep: KEEP, every: TICK, ..settings }, now)?,
+            router: Router::new(places, seed),
+            table: None,
+            counts: BTreeMap::new(),
+            stalled: false,
+        })
+    }
+}
+
+struct SiteState {
+    workers: Workers,
+    up: bool,
+    /// How often it was up; what belongs to another life is void.
+    life: u32,
+    refuses: bool,
+}
+
+/// The world.
+pub struct World {
+    settings: WorldSettings,
+    /// Its time.
+    pub now: Micros,
+    /// Calls that have ended, in order.
+    pub ended: Vec<Ended>,
+    /// Bytes told between gateways.
+    pub bytes: u64,
+    places: Places,
+    rng: StdRng,
+    links: Links,
+    sites: Vec<SiteState>,
+    gateways: Vec<Gateway>,
+    calls: Vec<Call>,
+    rates: BTreeMap<(Site, u32), (f64, u32)>,
+    queue: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    order: u64,
+    /// Messages that wait for a cut to heal.
+    held: Vec<(Site, Site, Due)>,
+    snapshot: Vec<Snapshot>,
+}
+
+/// How often control threads tell, ping, and are told who lives.
+const TICK: Micros = 250_000;
+const PING: Micros = 1_000_000;
+/// The world begins then: no clock is at nothing.
+const BEGIN: Micros = 10_000_000;
+const KEEP: Micros = 10_000_000;
+
+impl World {
+    /// A world in which nobody calls yet.
+    pub fn new(settings: WorldSettings) -> Result<Self, RouteError> {
+        let of: Vec<Site> = (0..u16::from(settings.sites) * settings.gateways)
+            .map(|n| (n / settings.gateways) as Site)
+            .collect();
+        let places = Places::new(of, 0).ok_or(RouteError::Stranger(0))?;
+        let all = 0..places.len() as Number;
+        let gateways = all.map(|own| Gateway::new(&settings, &places, own, BEGIN));
+        let gateways = gateways.collect::<Result<_, _>>()?;
+        let site = |_| SiteState {
+            workers: Workers::new(
+                settings.functions.clone(),
+                settings.workers,
+                settings.cores,
+                settings.worker_mb,
+                KEEP,
+            ),
+            up: true,
+            life: 0,
+            refuses: false,
+        };
+        let mut world = Self {
+            now: BEGIN,
+            ended: Vec::new(),
+            bytes: 0,
+            places,
+            rng: StdRng::seed_from_u64(settings.seed),
+            links: Links::new(settings.sites, settings.delay),
+            sites: (0..settings.sites).map(site).collect(),
+            gateways,
+            calls: Vec::new(),
+            rates: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            held: Vec::new(),
+            snapshot: Vec::new(),
+            settings,
+        };
+        for own in 0..world.gateways.len() as Number {
+            let first = world.rng.random_range(0..TICK);
+            world.after(first, Due::Tick(own));
+            world.after(first / 2, Due::Ping { from: own });
+        }
+        world.after(0, Due::Live);
+        world.after(0, Due::Look);
+        Ok(world)
+    }
+
+    /// Since the world began.
+    pub fn elapsed(&self) -> Micros {
+        self.now - BEGIN
+    }
+
+    /// Clients of a site call a function so often in a second from now on.
+    pub fn rate(&mut self, site: Site, function: u32, calls: f64) {
+        let (_, turn) = self.rates.get(&(site, function)).copied().unwrap_or_default();
+        self.rates.insert((site, function), (calls, turn + 1));
+        self.next_arrival(site, function);
+    }
+
+    /// One way between two sites, to be changed; what waited for it goes on.
+    pub fn leg(&mut self, from: Site, to: Site, change: impl FnOnce(&mut Leg)) {
+        change(self.links.leg_mut(from, to));
+        if !self.links.leg(from, to).cut {
+            let (free, held) =
+                std::mem::take(&mut self.held).into_iter().partition(|h| (h.0, h.1) == (from, to));
+            self.held = held;
+            let free: Vec<_> = free;
+            free.into_iter().for_each(|(from, to, due)| self.cross(from, to, due));
+        }
+    }
+
+    /// A site vanishes with all that it has in hand, or comes back with nothing.
+    pub fn power(&mut self, site: Site, up: bool) {
+        let state = &mut self.sites[usize::from(site)];
+        (state.up, state.life) = (up, state.life + 1);
+        state.workers.clear();
+        for of in 0..self.gateways.len() as Number {
+            if self.site_of(of) == site {
+                self.gateways[usize::from(of)].counts.clear();
+                if up && let Ok(fresh) = Gateway::new(&self.settings, &self.places, of, self.now) {
+                    self.gateways[usize::from(of)] = fresh;
+                }
+            }
+        }
+        for call in 0..self.calls.len() {
+            if self.calls[call].site == site && !self.calls[call].ended {
+                self.end(call, site, None);
+            }
+        }
+        self.after(PING, Due::Live);
+    }
+
+    /// All copies of a site that do nothing are gone.
+    pub fn cool(&mut self, site: Site) {
+        self.sites[usize::from(site)].workers.cool();
+    }
+
+    /// A site refuses what others hand over, whatever it says, or takes it again.
+    pub fn refuses(&mut self, site: Site, refuses: bool) {
+        self.sites[usize::from(site)].refuses = refuses;
+    }
+
+    /// A gateway's control thread stands still, or goes on.
+    pub fn stall(&mut self, gateway: Number, stalled: bool) {
+        self.gateways[usize::from(gateway)].stalled = stalled;
+    }
+
+    /// Plants a fault in all gateways.
+    #[doc(hidden)]
+    pub fn plant(&mut self, fault: Fault) {
+        self.gateways.iter_mut().for_each(|g| {
+            g.route.plant(fault);
+            g.router.plant(fault);
+        });
+    }
+
+    /// The table that a gateway's loop has.
+    pub fn table(&self, gateway: Number) -> Option<&Table> {
+        self.gateways.get(usize::from(gateway)).and_then(|g| g.table.as_ref())
+    }
+
+    /// Loads begun at all sites.
+    pub fn loads(&self) -> u64 {
+        self.sites.iter().map(|s| s.workers.loads).sum()
+    }
+
+    /// Calls in hand that were handed to a site.
+    pub fn handed_to(&self, site: Site) -> usize {
+        let to = |c: &&Call| !c.ended && c.handed.is_some_and(|(to, _)| self.places.site(to) == Some(site));
+        self.calls.iter().filter(to).count()
+    }
+
+    /// Runs until then, counted from the world's beginning.
+    pub fn run(&mut self, until: Micros) {
+        let until = BEGIN + until;
+        while let Some(Reverse((at, ..))) = self.queue.peek()
+            && *at <= until
+        {
+            let Some(Reverse((at, _, due))) = self.queue.pop() else { break };
+            self.now = at;
+            self.due(due);
+        }
+        self.now = until;
+    }
+
+    fn after(&mut self, late: Micros, due: Due) {
+        self.order += 1;
+        self.queue.push(Reverse((self.now + late, self.order, due)));
+    }
+
+    fn cross(&mut self, from: Site, to: Site, due: Due) {
+        match self.links.late(&mut self.rng, from, to) {
+            Some(late) => self.after(late, due),
+            None => self.held.push((from, to, due)),
+        }
+    }
+
+    fn site_of(&self, of: Number) -> Site {
+        self.places.site(of).unwrap_or_default()
+    }
+
+    fn is_up(&self, of: Number) -> bool {
+        self.sites[usize::from(self.site_of(of))].up
+    }
+
+    fn next_arrival(&mut self, site: Site, function: u32) {
+        let (rate, turn) = self.rates.get(&(site, function)).copied().unwrap_or_default();
+        if rate > 0.0 {
+            let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate * 1e6;
+            self.after(gap as Micros, Due::Arrival { site, function, turn });
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Arrival { site, function, turn } => {
+                if self.rates.get(&(site, function)).is_some_and(|(_, now)| *now == turn) {
+                    self.arrival(site, function);
+                    self.next_arrival(site, function);
+                }
+            }
+            Due::Reach { call, attempt, at } => self.reach(call, attempt, at),
+            Due::Back { call, attempt, end, by } => {
+                let end = [HandedEnd::Served, HandedEnd::Refused, HandedEnd::Lost][usize::from(end)];
+                self.back(call, attempt, end, by);
+            }
+            Due::Overdue { call, attempt } => self.back(call, attempt, HandedEnd::Lost, 0),
+            Due::Loaded { site, life } => {
+                if self.sites[usize::from(site)].life == life {
+                    self.pump(site);
+                }
+            }
+            Due::Done { site, life, job, worker, copy, warm } => {
+                if self.sites[usize::from(site)].life == life {
+                    self.sites[usize::from(site)].workers.done(self.now, worker, copy);
+                    self.done(site, job, warm);
+                    self.pump(site);
+                }
+            }
+            Due::Expired { site, life, job } => {
+                if self.sites[usize::from(site)].life == life {
+                    self.count(job.at, job.function, |c| c.in_hand = c.in_hand.saturating_sub(1));
+                    if self.calls[job.call].attempt == job.attempt {
+                        self.end(job.call, site, None);
+                    }
+                }
+            }
+            Due::Frame { from, to, bytes } => {
+                if self.is_up(to) {
+                    // What can't be read is an error of this world, seen by tests as a wrong choice.
+                    let read = self.gateways[usize::from(to)].route.frame(self.now, from, &bytes);
+                    debug_assert!(read.is_ok(), "{read:?}");
+                }
+            }
+            Due::Tick(own) => self.tick(own),
+            Due::Ping { from } => {
+                let here = self.site_of(from);
+                let others: Vec<_> =
+                    (0..self.gateways.len() as Number).filter(|of| self.site_of(*of) != here).collect();
+                let others: Vec<_> =
+                    others.into_iter().filter(|of| self.is_up(*of) && self.is_up(from)).collect();
+                for of in others {
+                    let there = self.site_of(of);
+                    // A ping that is cut off is no measurement once healed.
+                    let way = self.links.late(&mut self.rng, here, there);
+                    let back = self.links.late(&mut self.rng, there, here);
+                    if let (Some(way), Some(back)) = (way, back) {
+                        let sent = self.now;
+                        self.after(way + back, Due::Pong { from, of, sent });
+                    }
+                }
+                self.after(PING, Due::Ping { from });
+            }
+            Due::Pong { from, of, sent } => {
+                let rtt = self.now - sent;
+                self.gateways[usize::from(from)].route.link(self.now, of, rtt);
+            }
+            Due::Look => {
+                self.look();
+                self.after(TICK, Due::Look);
+            }
+            Due::Live => {
+                let live: Vec<_> = (0..self.gateways.len() as Number).map(|of| self.is_up(of)).collect();
+                self.gateways.iter_mut().for_each(|g| g.route.live(&live));
+            }
+        }
+    }
+
+    fn tick(&mut self, own: Number) {
+        self.after(TICK, Due::Tick(own));
+        let (now, here) = (self.now, self.site_of(own));
+        let state = &self.sites[usize::from(here)];
+        let gateway = &mut self.gateways[usize::from(own)];
+        if !state.up || gateway.stalled {
+            return;
+        }
+        let by: Vec<_> = gateway.counts.values().copied().collect();
+        gateway.counts.values_mut().for_each(|c| {
+            *c = Counted { function: c.function, in_hand: c.in_hand, ..Counted::default() };
+        });
+        gateway.counts.retain(|_, c| c.in_hand > 0);
+        let in_hand = by.iter().map(|c| c.in_hand).sum();
+        let counts = Counts { span: TICK, by, in_hand, workers: state.workers.workers() };
+        gateway.route.counted(now, 0, &counts);
+        if self.settings.policy != Policy::Ours {
+            return;
+        }
+        let frames = gateway.route.tell(now);
+        gateway.table = Some(gateway.route.table(now));
+        for (to, bytes) in frames {
+            self.bytes += bytes.len() as u64;
+            let there = self.site_of(to);
+            self.cross(here, there, Due::Frame { from: own, to, bytes });
+        }
+    }
+
+    /// Clients of a lost site call the next one.
+    fn arrival(&mut self, site: Site, function: u32) {
+        let all = self.settings.sites;
+        let Some(site) = (0..all).map(|n| (site + n) % all).find(|s| self.sites[usize::from(*s)].up) else {
+            return;
+        };
+        let gateways = self.settings.gateways;
+        let gateway = u16::from(site) * gateways + self.rng.random_range(0..gateways);
+        let deadline = self.settings.functions[function as usize].told.deadline;
+        let (came, until) = (self.now, self.now + deadline);
+        let call = self.calls.len();
+        self.calls.push(Call {
+            function,
+            site,
+            gateway,
+            came,
+            until,
+            attempt: 0,
+            handed: None,
+            hops: 0,
+            ended: false,
+        });
+        self.count(gateway, function, |c| c.calls += 1);
+        self.place(call, gateway, deadline, false);
+    }
+
+    fn place(&mut self, call: usize, at: Number, patience: Micros, handed: bool) {
+        let function = self.calls[call].function;
+        match self.choose(at, function, patience, handed) {
+            Where::Here => self.begin(call, at),
+            Where::There { site, fellow } => {
+                let c = &mut self.calls[call];
+                c.hops += 1;
+                (c.handed, c.attempt) = (Some((fellow, self.now)), c.attempt + 1);
+                let attempt = c.attempt;
+                if !handed {
+                    self.after(patience / 2, Due::Overdue { call, attempt });
+                }
+                let here = self.site_of(at);
+                self.cross(here, site, Due::Reach { call, attempt, at: fellow });
+            }
+        }
+    }
+
+    fn reach(&mut self, call: usize, attempt: u32, at: Number) {
+        let (c, there) = (self.calls[call], self.site_of(at));
+        if !self.is_up(at) || c.attempt != attempt {
+            return;
+        }
+        let state = &self.sites[usize::from(there)];
+        if state.refuses || state.workers.full(self.now, c.until) {
+            let back = Due::Back { call, attempt, end: 1, by: there };
+            return self.cross(there, c.site, back);
+        }
+        let patience = c.until.saturating_sub(self.now);
+        self.place(call, at, patience, true);
+    }
+
+    /// A call is to be done at the site of this gateway.
+    fn begin(&mut self, call: usize, at: Number) {
+        let site = self.site_of(at);
+        let function = self.calls[call].function;
+        let mean = self.settings.functions[function as usize].service as f64;
+        let service = (mean * self.rng.random_range(0.4..1.6)) as Micros;
+        let Call { until, attempt, .. } = self.calls[call];
+        let job = Job { call, attempt, at, function, came: self.now, until, service };
+        if self.sites[usize::from(site)].workers.full(self.now, job.until) {
+            return self.end(call, site, None);
+        }
+        self.count(at, function, |c| c.in_hand += 1);
+        let mut later = Vec::new();
+        self.sites[usize::from(site)].workers.offer(self.now, job, &mut later);
+        self.later(site, later);
+    }
+
+    fn pump(&mut self, site: Site) {
+        let mut later = Vec::new();
+        self.sites[usize::from(site)].workers.pump(self.now, &mut later);
+        self.later(site, later);
+    }
+
+    fn later(&mut self, site: Site, later: Vec<(Micros, Later)>) {
+        let life = self.sites[usize::from(site)].life;
+        for (at, later) in later {
+            let due = match later {
+                Later::Loaded => Due::Loaded { site, life },
+                Later::Expired { job } => Due::Expired { site, life, job },
+                Later::Done { job, worker, copy, warm } => Due::Done { site, life, job, worker, copy, warm },
+            };
+            self.after(at - self.now, due);
+        }
+    }
+
+    fn done(&mut self, site: Site, job: Job, warm: bool) {
+        let (c, now) = (self.calls[job.call], self.now);
+        self.count(job.at, job.function, |n| {
+            (n.served, n.took, n.warm) = (n.served + 1, n.took + now - job.came, n.warm + u32::from(warm));
+            n.in_hand = n.in_hand.saturating_sub(1);
+        });
+        match c.handed.is_some() {
+            _ if c.attempt != job.attempt => {}
+            true => {
+                self.cross(site, c.site, Due::Back { call: job.call, attempt: c.attempt, end: 0, by: site })
+            }
+            false => self.end(job.call, site, Some(now - c.came)),
+        }
+    }
+
+    /// The answer of a call that was handed over, or none in time: it is done at home then.
+    fn back(&mut self, call: usize, attempt: u32, end: HandedEnd, by: Site) {
+        let c = self.calls[call];
+        let Some((to, sent)) = c.handed.filter(|_| c.attempt == attempt && !c.ended) else { return };
+        let handed = Handed { function: c.function, to, took: self.now - sent, end };
+        let gateway = &mut self.gateways[usize::from(c.gateway)];
+        gateway.router.ended(self.now, &handed);
+        gateway.route.handed(self.now, &handed);
+        self.calls[call].handed = None;
+        self.calls[call].attempt += 1;
+        match end {
+            HandedEnd::Served => self.end(call, by, Some(self.now - c.came)),
+            _ => self.begin(call, c.gateway),
+        }
+    }
+
+    fn end(&mut self, call: usize, by: Site, took: Option<Micros>) {
+        let c = &mut self.calls[call];
+        if std::mem::replace(&mut c.ended, true) {
+            return;
+        }
+        let told = self.settings.functions[c.function as usize].told;
+        let took = took.filter(|took| *took <= told.deadline);
+        let worth = took.map_or(0.0, |took| {
+            let left = told.deadline.saturating_sub(took) as f64;
+            (left / (told.deadline - told.aim).max(1) as f64).min(1.0)
+        });
+        let (came, function, site, hops) = (c.came - BEGIN, c.function, c.site, c.hops);
+        self.ended.push(Ended { came, function, site, by, hops, took, worth });
+    }
+
+    fn count(&mut self, at: Number, function: u32, change: impl FnOnce(&mut Counted)) {
+        let counts = &mut self.gateways[usize::from(at)].counts;
+        change(counts.entry(function).or_insert(Counted { function, ..Counted::default() }));
+    }
+}
--- /dev/null
+++ b/crates/route/src/world/workers.rs
@@ -0,0 +1,235 @@
+//! Workers of a site, modelled: copies in memory, lanes, cores, loads, and calls that wait for them.
+
+use crate::settings::FunctionTold;
+use basaltward_fleet::{Micros, Number};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What a function does, which nobody is told.
+#[derive(Clone, Copy, Debug)]
+pub struct ModelFunction {
+    /// What is told.
+    pub told: FunctionTold,
+    /// Mean time of a call in service.
+    pub service: Micros,
+    /// Time to load a copy.
+    pub load: Micros,
+}
+
+/// A call at a site.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Job {
+    pub call: usize,
+    pub attempt: u32,
+    /// Gateway that has it in hand.
+    pub at: Number,
+    pub function: u32,
+    pub came: Micros,
+    /// Nobody waits for it after this.
+    pub until: Micros,
+    /// What it will take in service.
+    pub service: Micros,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Copy {
+    number: u64,
+    function: u32,
+    ready: Micros,
+    taken: u32,
+    idle_since: Micros,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Worker {
+    copies: Vec<Copy>,
+    running: u32,
+}
+
+/// What is to be done later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Later {
+    /// A copy is loaded.
+    Loaded,
+    /// A call is done; it found a copy that stood.
+    Done { job: Job, worker: usize, copy: u64, warm: bool },
+    /// A call has waited past its time.
+    Expired { job: Job },
+}
+
+/// A site's workers.
+#[derive(Debug)]
+pub(crate) struct Workers {
+    functions: Vec<ModelFunction>,
+    workers: Vec<Worker>,
+    cores: u32,
+    memory_mb: u32,
+    keep: Micros,
+    waiting: BTreeMap<u32, VecDeque<Job>>,
+    waiting_work: Micros,
+    copies: u64,
+    /// Loads begun.
+    pub loads: u64,
+}
+
+impl Workers {
+    pub fn new(
+        functions: Vec<ModelFunction>,
+        workers: u32,
+        cores: u32,
+        memory_mb: u32,
+        keep: Micros,
+    ) -> Self {
+        let workers = vec![Worker::default(); workers as usize];
+        let waiting = BTreeMap::new();
+        Self { functions, workers, cores, memory_mb, keep, waiting, waiting_work: 0, copies: 0, loads: 0 }
+    }
+
+    /// All copies are gone, and all that ran or waited.
+    pub fn clear(&mut self) {
+        self.workers.iter_mut().for_each(|w| *w = Worker::default());
+        self.waiting.clear();
+        self.waiting_work = 0;
+    }
+
+    /// All copies that do nothing are gone.
+    pub fn cool(&mut self) {
+        self.workers.iter_mut().for_each(|w| w.copies.retain(|c| c.taken > 0));
+    }
+
+    pub fn workers(&self) -> u32 {
+        self.workers.len() as u32
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.waiting.values().map(VecDeque::len).sum()
+    }
+
+    pub fn running(&self) -> u32 {
+        self.workers.iter().map(|w| w.running).sum()
+    }
+
+    fn all_cores(&self) -> u64 {
+        (self.workers.len() as u64 * u64::from(self.cores)).max(1)
+    }
+
+    /// Whether a call of a function would be begun at once.
+    pub fn free(&self, now: Micros, function: u32) -> bool {
+        self.waiting.is_empty() && self.lane(now, function).is_some()
+    }
+
+    /// Time that a call would take here, by all that is true now.
+    pub fn estimate(&self, now: Micros, function: u32) -> Micros {
+        let model = &self.functions[function as usize];
+        let free = self.workers.iter().any(|w| w.running < self.cores);
+        let queue = if free { 0 } else { (self.waiting_work + model.service) / self.all_cores() };
+        let copies = self.workers.iter().flat_map(|w| &w.copies).filter(|c| c.function == function);
+        let ready =
+            copies.filter(|c| c.taken < model.told.lanes || !free).map(|c| c.ready.saturating_sub(now)).min();
+        queue.max(ready.unwrap_or(model.load)) + model.service
+    }
+
+    /// Whether a call that comes now would wait past its time.
+    pub fn full(&self, now: Micros, until: Micros) -> bool {
+        now + self.waiting_work / self.all_cores() > until
+    }
+
+    pub fn offer(&mut self, now: Micros, job: Job, later: &mut Vec<(Micros, Later)>) {
+        self.waiting_work += job.service;
+        self.waiting.entry(job.function).or_default().push_back(job);
+        self.pump(now, later);
+    }
+
+    /// A call is done: its lane is free.
+    pub fn done(&mut self, now: Micros, worker: usize, copy: u64) {
+        let Some(worker) = self.workers.get_mut(worker) else { return };
+        worker.running = worker.running.saturating_sub(1);
+        if let Some(copy) = worker.copies.iter_mut().find(|c| c.number == copy) {
+            copy.taken = copy.taken.saturating_sub(1);
+            copy.idle_since = now;
+        }
+    }
+
+    /// Begins what can be begun, and loads what is wanted.
+    pub fn pump(&mut self, now: Micros, later: &mut Vec<(Micros, Later)>) {
+        let mut heads: Vec<_> =
+            self.waiting.iter().filter_map(|(f, jobs)| Some((jobs.front()?.came, *f))).collect();
+        heads.sort_unstable();
+        for (_, function) in heads {
+            while let Some(job) = self.waiting.get(&function).and_then(|jobs| jobs.front()).copied() {
+                if now < job.until {
+                    let Some((at, copy)) = self.lane(now, function) else {
+                        self.load(now, function, later);
+                        break;
+                    };
+                    let worker = &mut self.workers[at];
+                    worker.running += 1;
+                    let copy = &mut worker.copies[copy];
+                    copy.taken += 1;
+                    let warm = copy.ready <= job.came;
+                    let done = Later::Done { job, worker: at, copy: copy.number, warm };
+                    later.push((now + job.service, done));
+                } else {
+                    later.push((now, Later::Expired { job }));
+                }
+                self.waiting_work = self.waiting_work.saturating_sub(job.service);
+                self.waiting.get_mut(&function).into_iter().for_each(|jobs| drop(jobs.pop_front()));
+            }
+        }
+        self.waiting.retain(|_, jobs| !jobs.is_empty());
+    }
+
+    /// A lane of a standing copy at the worker with the most cores free.
+    fn lane(&self, now: Micros, function: u32) -> Option<(usize, usize)> {
+        let lanes = self.functions[function as usize].told.lanes;
+        let open = self.workers.iter().enumerate().filter(|(_, w)| w.running < self.cores);
+        let lane = |w: &Worker| {
+            let fits = |c: &Copy| {
+                let kept = c.taken > 0 || now <= c.idle_since.max(c.ready) + self.keep;
+                c.function == function && c.ready <= now && c.taken < lanes && kept
+            };
+            w.copies.iter().position(fits)
+        };
+        let lanes = open.filter_map(|(at, w)| Some((w.running, at, lane(w)?)));
+        lanes.min().map(|(_, at, copy)| (at, copy))
+    }
+
+    /// Loads another copy where as many calls wait as those under way have lanes.
+    fn load(&mut self, now: Micros, function: u32, later: &mut Vec<(Micros, Later)>) {
+        let model = self.functions[function as usize];
+        let all = self.workers.iter().flat_map(|w| &w.copies).filter(|c| c.function == function);
+        let coming = all.filter(|c| c.ready > now).count() * model.told.lanes as usize;
+        let wait = self.waiting.get(&function).map_or(0, VecDeque::len);
+        let (keep, mb) = (self.keep, |f: u32| self.functions[f as usize].told.memory_mb);
+        let idle = |c: &Copy| c.taken == 0 && c.ready <= now;
+        let used = |w: &Worker| w.copies.iter().map(|c| mb(c.function)).sum::<u32>();
+        let held = |w: &Worker| w.copies.iter().filter(|c| !idle(c)).map(|c| mb(c.function)).sum::<u32>();
+        let fits = |w: &Worker| w.running < self.cores && held(w) + model.told.memory_mb <= self.memory_mb;
+        if wait <= coming {
+            return;
+        }
+        let places = self.workers.iter().enumerate().filter(|(_, w)| fits(w));
+        let Some((at, _)) = places.min_by_key(|(_, w)| (w.running, used(w))) else { return };
+        let mut taken = used(&self.workers[at]);
+        let mut idle: Vec<_> = self.workers[at]
+            .copies
+            .iter()
+            .filter(|c| idle(c))
+            .map(|c| (c.idle_since, c.number, c.function))
+            .collect();
+        idle.sort_unstable();
+        let mut out = Vec::new();
+        for (since, number, of) in idle {
+            if now > since + keep || taken + model.told.memory_mb > self.memory_mb {
+                taken -= mb(of);
+                out.push(number);
+            }
+        }
+        let (ready, number) = (now + model.load, self.copies);
+        self.copies += 1;
+        self.loads += 1;
+        let worker = &mut self.workers[at];
+        worker.copies.retain(|c| !out.contains(&c.number));
+        worker.copies.push(Copy { number, function, ready, taken: 0, idle_since: ready });
+        later.push((ready, Later::Loaded));
+    }
+}
