--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::homes::{Homes, Said, rank};
 use crate::settings::RouteSettings;
-use crate::site::{Site as Known, Usual};
+use crate::site::{Site as Known, Usual, load};
 use crate::types::WAYS;
 use crate::word::{Ends, ToldRow, ToldWay};
 use basaltward_fleet::{Micros, Site};
@@ -125,6 +125,17 @@
         (FIRST.0.max(FIRST.1 * self.own.served)).max(DOUBLE * other.served()) * other.trust()
     }
 
+    /// Calls a second that a site would do of a function if ours went there: those of all that are at home there.
+    fn placed(&self, homes: &Homes, function: u32, site: Site) -> f64 {
+        let here = self.here();
+        let home = |x: Site, known: &Known| {
+            if x == here { homes.at(function) } else { known.home(x, function).home }
+        };
+        let others = self.others.iter().map(|o| (o.site, o.known)).filter(|(x, k)| home(*x, k) == site);
+        let others: f64 = others.map(|(_, known)| known.figure(function).calls()).sum();
+        others + self.own.figure(function).calls()
+    }
+
     fn other(&self, site: Site) -> Option<&Other<'_>> {
         self.others.iter().find(|other| other.site == site)
     }
@@ -156,31 +167,28 @@
         let (now, here) = (view.now, view.here());
         let mut wished = BTreeMap::new();
         let mut functions: BTreeSet<_> = homes.entries().into_iter().collect();
-        functions.extend(view.own.figures.values().filter(|f| f.came > 0).map(|f| f.function));
+        functions.extend(view.own.figures.values().filter(|f| f.calls > 0).map(|f| f.function));
         for function in functions {
-            let (at, figure) = (homes.at(function), view.own.figure(function));
+            let at = homes.at(function);
             if at != here && view.other(at).is_none_or(|o| o.known.home(at, function).home != at) {
                 homes.back(now, function);
                 continue;
             }
             let (gain, margin) = if view.swings { (1.0, 0.0) } else { (GAIN, MARGIN) };
+            // A queue here is no reason to move a home: what can't be done here goes elsewhere call by call.
             let placed = |known: &Known, site: Site| {
-                let figure = known.figure(function);
-                let mine = view.own.figure(function).came();
-                let calls = if at == site { figure.served().max(mine) } else { figure.served() + mine };
+                let calls = view.placed(homes, function, site);
                 known.cost_placed(view.settings, view.usual, function, calls)
             };
             let cost_here = placed(view.own, here);
-            let cost = |o: &Other| view.there(o, function, placed(o.known, o.site));
+            let wait = |o: &Other| o.known.wait(view.settings, view.usual, function);
+            let cost = |o: &Other| view.there(o, function, placed(o.known, o.site) + wait(o));
             let held = view.other(at).map_or(cost_here, cost);
             let better = |cost: f64| cost * gain + margin < held;
             if at != here && better(cost_here) && (view.swings || !homes.stays(now, function)) {
                 homes.back(now, function);
                 continue;
             }
-            if figure.came == 0 {
-                continue;
-            }
             let open = view.others.iter().filter(|o| o.known.home(o.site, function).home == o.site);
             let costs: Vec<_> = open.map(|o| (cost(o), o)).filter(|(cost, _)| better(*cost)).collect();
             let least = costs.iter().map(|(cost, _)| *cost).fold(f64::INFINITY, f64::min);
@@ -250,9 +258,15 @@
                 ..ToldRow::default()
             };
             if let Some(other) = to {
-                let calls = view.own.figure(function).came();
-                let allowed = view.proven(other).max(1.0);
+                let figure = view.own.figure(function);
+                let (calls, allowed) = (figure.came(), view.proven(other).max(1.0));
                 let share = if calls > allowed { allowed / calls } else { 1.0 };
+                // Where calls are many a copy here pays: one call a while stays, for which it is loaded.
+                let every = view.settings.every as f64 / 1e6;
+                let kept = figure.calls() * view.settings.keep as f64 / 1e6;
+                let pays = other.way > load(view.settings, function) / kept.max(1.0);
+                let stays = home == here && figure.in_hand() < 0.5 && pays;
+                let share = if stays { share.min(1.0 - (0.25 / (calls * every)).min(0.5)) } else { share };
                 row.ways[0] = view.way(other, function, share, calls.min(allowed));
                 followed.insert(function, other.site);
             }
--- a/crates/route/src/route.rs
+++ b/crates/route/src/route.rs
@@ -76,8 +76,8 @@
     }
 
     /// What a loop counted. Calls in hand are those that run or wait at this site: none that was handed over to another.
-    pub fn counted(&mut self, _now: Micros, loop_no: u16, counts: &Counts) {
-        self.tally.counted(loop_no, counts);
+    pub fn counted(&mut self, now: Micros, loop_no: u16, counts: &Counts) {
+        self.tally.counted(now, loop_no, counts);
     }
 
     /// How a call ended that a loop handed over.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -11,7 +11,7 @@
 /// Refused ones among so many calls pause a site: one refusal is chance, a quarter is none.
 const REFUSED: f32 = 0.25;
 /// An answer that is late by this multiple of what was expected says that the site is silent.
-const SILENT: u64 = 4;
+const SILENT: u64 = 2;
 /// No silence is read from less.
 const SILENT_LEAST: Micros = 250_000;
 
--- a/crates/route/src/site.rs
+++ b/crates/route/src/site.rs
@@ -183,12 +183,10 @@
             + cold * self.load_cost(settings, function)
     }
 
-    /// What an answer would cost in the long run if `calls` a second were answered here, the way aside: copies stand by
-    /// the chance that another call came within the time that idle ones are kept.
+    /// What an answer would cost in the long run if `calls` a second were answered here, way and wait aside: copies stand
+    /// by the chance that another call came within the time that idle ones are kept.
     pub fn cost_placed(&self, settings: &RouteSettings, usual: &Usual, function: u32, calls: f64) -> f64 {
         let cold = (-calls * settings.keep as f64 / 1e6).exp();
-        self.wait(settings, usual, function)
-            + usual.of(settings, function)
-            + cold * self.load_cost(settings, function)
+        usual.of(settings, function) + cold * self.load_cost(settings, function)
     }
 }
--- a/crates/route/src/tally.rs
+++ b/crates/route/src/tally.rs
@@ -8,6 +8,8 @@
 
 /// Span over which rates are smoothed.
 const SMOOTH: f64 = 1_000_000.0;
+/// Span over which calls are counted for homes, which move slowly.
+const SLOW: f64 = 20_000_000.0;
 
 #[derive(Clone, Debug, Default)]
 struct Function {
@@ -15,6 +17,10 @@
     sums: [f64; 4],
     /// A second's, smoothed, of the same.
     rates: [f64; 4],
+    /// Calls a second over the longer span.
+    slow: f64,
+    /// When one was served last: copies stand for the keep time from then.
+    served_at: Option<Micros>,
     /// In hand, by loop.
     in_hand: BTreeMap<u16, u32>,
     smooth_in_hand: f64,
@@ -49,11 +55,14 @@
         }
     }
 
-    pub fn counted(&mut self, loop_no: u16, counts: &Counts) {
+    pub fn counted(&mut self, now: Micros, loop_no: u16, counts: &Counts) {
         self.workers.insert(loop_no, counts.workers);
         self.functions.values_mut().for_each(|f| f.in_hand.retain(|of, _| *of != loop_no));
         for c in counts.by.iter().filter(|c| c.function < self.known) {
             let f = self.functions.entry(c.function).or_default();
+            if c.served > 0 {
+                f.served_at = Some(now);
+            }
             let cold = c.served.saturating_sub(c.warm);
             let new = [f64::from(c.calls), f64::from(c.served), c.took as f64, f64::from(cold)];
             f.sums.iter_mut().zip(new).for_each(|(sum, new)| *sum += new);
@@ -79,6 +88,7 @@
     pub fn part(&mut self, now: Micros, number: u64) -> Part {
         let span = now.saturating_sub(self.told).max(1) as f64;
         let weight = 1.0 - (-span / SMOOTH).exp();
+        let slowly = 1.0 - (-span / SLOW).exp();
         let smooth = |rate: &mut f64, sum: &mut f64| {
             *rate += (*sum * 1e6 / span - *rate) * weight;
             *sum = 0.0;
@@ -89,6 +99,7 @@
             self.half_began = now;
         }
         for f in self.functions.values_mut() {
+            f.slow += (f.sums[0] * 1e6 / span - f.slow) * slowly;
             f.rates.iter_mut().zip(&mut f.sums).for_each(|(rate, sum)| smooth(rate, sum));
             let in_hand = f.in_hand.values().sum::<u32>();
             f.smooth_in_hand += (f64::from(in_hand) - f.smooth_in_hand) * weight.max(0.5);
@@ -96,18 +107,19 @@
                 f.peaks = [in_hand, f.peaks[0]];
             }
         }
-        self.functions.retain(|_, f| {
-            f.peaks != [0, 0] || f.rates[0] > 1e-3 || f.rates[1] > 1e-3 || !f.in_hand.is_empty()
-        });
+        self.functions
+            .retain(|_, f| f.peaks != [0, 0] || f.slow > 1e-3 || f.rates[1] > 1e-3 || !f.in_hand.is_empty());
+        let keep = self.keep;
         let milli = |x: f64| (x * 1e3).clamp(0.0, f64::from(u32::MAX)) as u32;
         let by = self.functions.iter().map(|(function, f)| Figure {
             function: *function,
             came: milli(f.rates[0]),
+            calls: milli(f.slow),
             served: milli(f.rates[1]),
             took: if f.rates[1] > 0.0 { (f.rates[2] / f.rates[1]) as u32 } else { 0 },
             cold: if f.rates[1] > 0.0 { (f.rates[3] / f.rates[1] * 1e3) as u16 } else { 0 },
             in_hand: milli(f.smooth_in_hand),
-            peak: f.peaks[0].max(f.peaks[1]),
+            peak: if f.served_at.is_some_and(|at| now <= at + keep) { f.peaks[0].max(f.peaks[1]) } else { 0 },
         });
         let mut by: Vec<_> = by.collect();
         if by.len() > MOST_FIGURES {
--- a/crates/route/src/word.rs
+++ b/crates/route/src/word.rs
@@ -15,6 +15,8 @@
     pub function: u32,
     /// Calls of clients in 1,000 s.
     pub came: u32,
+    /// The same over a longer span.
+    pub calls: u32,
     /// Calls served in 1,000 s.
     pub served: u32,
     /// Mean time of those served.
@@ -23,7 +25,7 @@
     pub cold: u16,
     /// In hand, in thousandths, smoothed.
     pub in_hand: u32,
-    /// Most in hand at once within the time that idle copies are kept.
+    /// Most in hand at once within the time that idle copies are kept; 0 where none was served in it.
     pub peak: u32,
 }
 
@@ -32,6 +34,10 @@
         f64::from(self.came) / 1e3
     }
 
+    pub fn calls(&self) -> f64 {
+        f64::from(self.calls) / 1e3
+    }
+
     pub fn served(&self) -> f64 {
         f64::from(self.served) / 1e3
     }
@@ -53,6 +59,7 @@
         Self {
             function: self.function,
             came: self.came.saturating_add(other.came),
+            calls: self.calls.saturating_add(other.calls),
             served: self.served.saturating_add(other.served),
             took: weigh(self.took.into(), other.took.into()) as u32,
             cold: weigh(self.cold.into(), other.cold.into()) as u16,
--- a/crates/route/src/world/mod.rs
+++ b/crates/route/src/world/mod.rs
@@ -126,6 +126,7 @@
     /// How often it was up; what belongs to another life is void.
     life: u32,
     refuses: bool,
+    boasts: bool,
 }
 
 /// The world.
@@ -179,6 +180,7 @@
             up: true,
             life: 0,
             refuses: false,
+            boasts: false,
         };
         let mut world = Self {
             now: BEGIN,
@@ -262,6 +264,11 @@
         self.sites[usize::from(site)].refuses = refuses;
     }
 
+    /// A site says that it has a hundred times its workers and nothing in hand, or speaks the truth again.
+    pub fn boasts(&mut self, site: Site, boasts: bool) {
+        self.sites[usize::from(site)].boasts = boasts;
+    }
+
     /// A gateway's control thread stands still, or goes on.
     pub fn stall(&mut self, gateway: Number, stalled: bool) {
         self.gateways[usize::from(gateway)].stalled = stalled;
@@ -286,6 +293,11 @@
         self.sites.iter().map(|s| s.workers.loads).sum()
     }
 
+    /// Calls that have not ended.
+    pub fn in_hand(&self) -> usize {
+        self.calls.iter().filter(|c| !c.ended).count()
+    }
+
     /// Calls in hand that were handed to a site.
     pub fn handed_to(&self, site: Site) -> usize {
         let to = |c: &&Call| !c.ended && c.handed.is_some_and(|(to, _)| self.places.site(to) == Some(site));
@@ -416,13 +428,17 @@
         if !state.up || gateway.stalled {
             return;
         }
-        let by: Vec<_> = gateway.counts.values().copied().collect();
+        let mut by: Vec<_> = gateway.counts.values().copied().collect();
+        if state.boasts {
+            by.iter_mut().for_each(|c| c.in_hand = 0);
+        }
         gateway.counts.values_mut().for_each(|c| {
             *c = Counted { function: c.function, in_hand: c.in_hand, ..Counted::default() };
         });
         gateway.counts.retain(|_, c| c.in_hand > 0);
         let in_hand = by.iter().map(|c| c.in_hand).sum();
-        let counts = Counts { span: TICK, by, in_hand, workers: state.workers.workers() };
+        let workers = state.workers.workers() * if state.boasts { 100 } else { 1 };
+        let counts = Counts { span: TICK, by, in_hand, workers };
         gateway.route.counted(now, 0, &counts);
         if self.settings.policy != Policy::Ours {
             return;
--- a/crates/route/src/world/workers.rs
+++ b/crates/route/src/world/workers.rs
@@ -45,6 +45,9 @@
     running: u32,
 }
 
+/// A copy idle for less is not let go for another one.
+const REST: Micros = 1_000_000;
+
 /// What is to be done later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Later {
@@ -172,7 +175,9 @@
                     later.push((now, Later::Expired { job }));
                 }
                 self.waiting_work = self.waiting_work.saturating_sub(job.service);
-                self.waiting.get_mut(&function).into_iter().for_each(|jobs| drop(jobs.pop_front()));
+                if let Some(jobs) = self.waiting.get_mut(&function) {
+                    jobs.pop_front();
+                }
             }
         }
         self.waiting.retain(|_, jobs| !jobs.is_empty());
@@ -200,7 +205,7 @@
         let coming = all.filter(|c| c.ready > now).count() * model.told.lanes as usize;
         let wait = self.waiting.get(&function).map_or(0, VecDeque::len);
         let (keep, mb) = (self.keep, |f: u32| self.functions[f as usize].told.memory_mb);
-        let idle = |c: &Copy| c.taken == 0 && c.ready <= now;
+        let idle = |c: &Copy| c.taken == 0 && c.idle_since.max(c.ready) + REST < now;
         let used = |w: &Worker| w.copies.iter().map(|c| mb(c.function)).sum::<u32>();
         let held = |w: &Worker| w.copies.iter().filter(|c| !idle(c)).map(|c| mb(c.function)).sum::<u32>();
         let fits = |w: &Worker| w.running < self.cores && held(w) + model.told.memory_mb <= self.memory_mb;
