--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -22,9 +22,13 @@
 /// A site gets at most so many times what it has served of ours.
 const DOUBLE: f64 = 2.0;
 /// Shares of what a site can bear that we keep, and that we give to others' sites.
-const FILL: (f64, f64) = (0.95, 0.9);
+const FILL: (f64, f64) = (0.95, 1.0);
 /// Calls a second that stand against the first refused or lost ones.
 const PRIOR: f64 = 2.0;
+/// What is left, each telling, of what went to a site where calls wait.
+const YIELD: f64 = 0.8;
+/// Answers may take this multiple of what a site's word has them take, and this more, before it is doubted.
+const LONGER: (f64, f64) = (2.0, 100_000.0);
 /// What waits above what is in service is to be worked off in this time, in seconds.
 const DRAIN: f64 = 1.0;
 /// By how much a function that goes elsewhere already comes before one that does not.
@@ -42,6 +46,8 @@
     weight: f64,
     refused: f64,
     lost: f64,
+    /// How much longer answers take than its word has it.
+    longer: f64,
 }
 
 impl<'a> Other<'a> {
@@ -49,7 +55,12 @@
         let [served, refused, lost] = [ends.served, ends.refused, ends.lost].map(|x| f64::from(x) / 1e3);
         let all = served + refused + lost + PRIOR;
         let weight = (-(known.age(now) as f64) / FADE).exp();
-        Self { site, known, way: way as f64, ends, weight, refused: refused / all, lost: lost / all }
+        let way = way as f64;
+        // By its word, with slack for a mix of functions that is not its own.
+        let told = known.in_hand * 1e6 / known.served.max(0.1);
+        let told = way + LONGER.0 * told.max(known.mean) + LONGER.1;
+        let longer = if served > 0.5 { (f64::from(ends.took) - told).max(0.0) } else { 0.0 };
+        Self { site, known, way, ends, weight, refused: refused / all, lost: lost / all, longer }
     }
 
     fn served(&self) -> f64 {
@@ -58,7 +69,8 @@
 
     /// What its word is worth: by its age, and by what became of the calls it was trusted with.
     fn trust(&self) -> f64 {
-        self.weight * (1.0 - self.refused).powi(2) * (1.0 - self.lost).powi(2)
+        let slow = LONGER.1 / (LONGER.1 + self.longer);
+        self.weight * (1.0 - self.refused).powi(2) * (1.0 - self.lost).powi(2) * slow
     }
 }
 
@@ -109,7 +121,7 @@
         let told = &self.settings.functions[function as usize];
         let lost = other.lost * (told.deadline as f64 / 2.0);
         let refused = other.refused * (other.way + self.here_now(function));
-        cost + doubt + other.way + lost + refused
+        cost + doubt + other.way + lost + refused + other.longer
     }
 
     fn there_now(&self, other: &Other, function: u32) -> f64 {
@@ -215,8 +227,10 @@
         self.bear = match self.bear {
             0.0 if !own.saturated() => return 0.0,
             bear if each > bear => each,
-            bear if own.saturated() => bear + (each - bear) * 0.05,
-            bear => bear * 1.005,
+            bear if own.saturated() => bear + (each - bear) * 0.1,
+            // Perhaps it bears more: it is found out by keeping more, where some is given away.
+            bear if self.given.values().any(|calls| *calls > 1.0) => bear * 1.005,
+            bear => bear,
         };
         let bears = self.bear * own.workers;
         let offered: f64 = own
@@ -339,7 +353,7 @@
             let others: f64 =
                 view.others.iter().filter(|x| x.site != o.site).map(|x| x.known.over * x.weight).sum();
             let part = if over > 0.0 { over / (over + others) } else { 0.0 };
-            if o.known.saturated() { ours * 0.5 } else { (free * part * o.trust()).max(0.0) }
+            if o.known.saturated() { ours * YIELD } else { (free * part * o.trust()).max(0.0) }
         };
         let rooms: Vec<_> = view.others.iter().map(|o| (o, room(o))).collect();
         let all: f64 = rooms.iter().map(|(_, room)| room).sum();
--- a/crates/route/src/route.rs
+++ b/crates/route/src/route.rs
@@ -279,10 +279,7 @@
                 figures.entry(f.function).and_modify(|sum| *sum = sum.and(f)).or_insert(*f);
             }
             for e in &part.ends {
-                let sum = ends.entry(e.site).or_insert(Ends { site: e.site, ..Ends::default() });
-                sum.served = sum.served.saturating_add(e.served);
-                sum.refused = sum.refused.saturating_add(e.refused);
-                sum.lost = sum.lost.saturating_add(e.lost);
+                ends.entry(e.site).and_modify(|sum| *sum = sum.and(e)).or_insert(*e);
             }
         }
         let by = figures.into_values().collect();
--- a/crates/route/src/site.rs
+++ b/crates/route/src/site.rs
@@ -33,7 +33,7 @@
         }
     }
 
-    /// Learns from a site's figures: quickly downward, slowly upward, hardly where calls wait.
+    /// Learns from a site's figures: quickly downward, slowly upward, not where calls wait.
     pub fn learn(&mut self, settings: &RouteSettings, site: &Site) {
         let every = settings.every as f64 / 1e6;
         for figure in site.figures.values().filter(|f| f.served > 0 && f.took > 0) {
@@ -41,7 +41,7 @@
             let loading = figure.cold() * load(settings, figure.function);
             let sample = (f64::from(figure.took) - loading).max(f64::from(figure.took) * 0.1);
             let calls = (figure.served() * every / 5.0).min(1.0);
-            let up = if site.saturated() { 0.000_5 } else { 0.02 };
+            let up = if site.saturated() { 0.0 } else { 0.003 };
             let weight = if *usual == 0.0 {
                 1.0
             } else if sample < *usual {
--- a/crates/route/src/tally.rs
+++ b/crates/route/src/tally.rs
@@ -35,8 +35,8 @@
     known: u32,
     /// Workers, by loop: each is told the same, or a part of the same.
     workers: BTreeMap<u16, u32>,
-    /// Since the last telling and smoothed: served, refused, lost.
-    ends: BTreeMap<Site, ([f64; 3], [f64; 3])>,
+    /// Since the last telling and smoothed: served, refused, lost, time of those served.
+    ends: BTreeMap<Site, ([f64; 4], [f64; 4])>,
     keep: Micros,
     half_began: Micros,
     told: Micros,
@@ -78,7 +78,10 @@
     pub fn handed(&mut self, to: Site, handed: &Handed) {
         let (sums, _) = self.ends.entry(to).or_default();
         sums[match handed.end {
-            HandedEnd::Served => 0,
+            HandedEnd::Served => {
+                sums[3] += handed.took as f64;
+                0
+            }
             HandedEnd::Refused => 1,
             HandedEnd::Unreached | HandedEnd::Lost => 2,
         }] += 1.0;
@@ -128,8 +131,9 @@
         }
         let ends = self.ends.iter_mut().map(|(site, (sums, rates))| {
             rates.iter_mut().zip(sums).for_each(|(rate, sum)| smooth(rate, sum));
-            let [served, refused, lost] = rates.map(milli);
-            Ends { site: *site, served, refused, lost }
+            let took = if rates[0] > 0.0 { (rates[3] / rates[0]) as u32 } else { 0 };
+            let [served, refused, lost, _] = rates.map(milli);
+            Ends { site: *site, served, refused, lost, took }
         });
         let ends = ends.collect();
         Part { number, workers: self.workers.values().copied().max().unwrap_or(0), by, ends }
--- a/crates/route/src/word.rs
+++ b/crates/route/src/word.rs
@@ -77,6 +77,23 @@
     pub refused: u32,
     /// Lost, or never reached it.
     pub lost: u32,
+    /// Mean time of those served, the way included.
+    pub took: u32,
+}
+
+impl Ends {
+    /// These and those of another gateway with the same site.
+    pub fn and(self, other: &Self) -> Self {
+        let took = |e: &Self| u64::from(e.took) * u64::from(e.served);
+        let all = u64::from(self.served) + u64::from(other.served);
+        Self {
+            site: self.site,
+            served: self.served.saturating_add(other.served),
+            refused: self.refused.saturating_add(other.refused),
+            lost: self.lost.saturating_add(other.lost),
+            took: (took(&self) + took(other)).checked_div(all).unwrap_or(0) as u32,
+        }
+    }
 }
 
 /// The last frame of the receiver that was heard, and how long before this one was written: the receiver's own clock
