Gateway: the door stands where a call is worked

With it: a key of one cell is none at another site.

Where a call goes is chosen first now, and one that is handed over meets the door of the other site; at home it meets ours only when it comes back. Heirs treat every keyed event as unsafe but those of group all. cargo test -p basaltward-gateway passes.

--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -5,7 +5,7 @@
 use crate::front::extensions::KEPT;
 use crate::sites::digest;
 use crate::worker_wire::Reply;
-use basaltward::{Micros, Repeat};
+use basaltward::{Group, Micros, Repeat};
 use basaltward_cloudevents::{Attribute, Event, from_json, to_json};
 use basaltward_config::{KeptConfig, Unheld};
 use basaltward_engine::{Answer, AttemptEnd, AttemptId, Failure, Identity, NewCall, Refusal, WaiterId};
@@ -109,8 +109,9 @@
 fn again(repeat: Repeat) -> Again {
     match repeat {
         Repeat::Safe => Again::Safe,
-        Repeat::Keyed { window, .. } => Again::Keyed { window },
-        Repeat::Unsafe => Again::Unsafe,
+        // Workers of another site share no memory of keys but where all do.
+        Repeat::Keyed { group: Group::All, window } => Again::Keyed { window },
+        Repeat::Keyed { .. } | Repeat::Unsafe => Again::Unsafe,
     }
 }
 
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -189,8 +189,7 @@
         if !handed {
             self.counted(function).calls += 1;
         }
-        let owned = self.owned(now, &call);
-        match owned {
+        match self.owned(now, &call) {
             Some(Owned::Nobody) => return Arrival::Answered(Answer::Failed(Failure::Unreached)),
             Some(Owned::By(_)) if handed => return Arrival::Answered(Answer::Failed(Failure::Unreached)),
             // Its owner has the door: nobody else knows whether it is in hand.
@@ -200,27 +199,37 @@
             }
             Some(Owned::Here) | None => {}
         }
-        if let Some(wait) = self.sheds(now, &call, handed) {
-            return Arrival::Answered(Answer::Refused(Refusal::Overload, Some(wait)));
+        // What may not simply run again stays with the gateway that knows its repeats.
+        let may_leave = self.config.hand_over && self.repeats[class] == Repeat::Safe && !handed;
+        if may_leave {
+            let left = call.deadline.saturating_sub(now);
+            let table = self.tables.route.load();
+            let there = self.router.choose(now, table.as_deref(), function, left, handed);
+            if let Where::There { fellow, .. } = there {
+                let row = table.as_ref().and_then(|t| t.rows.get(function as usize));
+                let until = home_by(now, call.deadline, row.map_or(0, |row| row.here));
+                return self.hand(io, now, call, (function, fellow), (until, false));
+            }
         }
-        if owned.is_some() {
-            self.keep(now, function, &call);
-            return Arrival::Home(call);
+        match self.begins(now, function, &call, handed) {
+            Ok(()) => Arrival::Home(call),
+            Err(answer) => Arrival::Answered(answer),
         }
-        // What may not simply run again stays with the gateway that knows its repeats.
-        let may_leave = self.config.hand_over && self.repeats[class] == Repeat::Safe;
-        let left = call.deadline.saturating_sub(now);
-        let table = self.tables.route.load();
-        if may_leave
-            && let Where::There { fellow, .. } =
-                self.router.choose(now, table.as_deref(), function, left, handed)
-        {
-            let here = table.as_ref().and_then(|t| t.rows.get(function as usize)).map_or(0, |row| row.here);
-            let until = home_by(now, call.deadline, here);
-            return self.hand(io, now, call, (function, fellow), (until, false));
+    }
+
+    /// The door stands where a call is to be worked: one that was handed over meets that of the other site first.
+    fn begins(
+        &mut self,
+        now: Micros,
+        function: u32,
+        call: &NewCall<Event>,
+        handed: bool,
+    ) -> Result<(), Answer<Reply>> {
+        if let Some(wait) = self.sheds(now, call, handed) {
+            return Err(Answer::Refused(Refusal::Overload, Some(wait)));
         }
-        self.keep(now, function, &call);
-        Arrival::Home(call)
+        self.keep(now, function, call);
+        Ok(())
     }
 
     /// How long a call is to stay away, where the door turns it away. A repeat of an event that may be in hand or have run
@@ -327,10 +336,10 @@
         self.rings.facts.tell(Fact::Handed(told));
         Some(match end.reply {
             Some(reply) => Back::Answer(waiter, Answer::Served(reply)),
-            None => {
-                self.keep(now, function, &call);
-                Back::Home(call)
-            }
+            None => match self.begins(now, function, &call, false) {
+                Ok(()) => Back::Home(call),
+                Err(answer) => Back::Answer(waiter, answer),
+            },
         })
     }
 
