--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -305,6 +305,7 @@
             for done in done {
                 self.done(now, Some(done));
             }
+            self.sites.iter_mut().for_each(|sites| sites.lateness = self.engine.lateness(now));
             let then = self.sites.as_mut().map(|sites| sites.kept_due(now)).unwrap_or_default();
             self.then(now, then);
             let back = self.sites.as_mut().map(|sites| sites.wake(&mut self.io, now));
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -96,6 +96,8 @@
     workers: u32,
     /// Facts that were let go, as last told.
     lost: u64,
+    /// How late this loop lately was, which comes off the time of whoever waits for another gateway.
+    pub lateness: Micros,
 }
 
 /// A digest of an event's name that is the same at all gateways.
@@ -152,6 +154,7 @@
             since: now,
             workers: 0,
             lost: 0,
+            lateness: 0,
         })
     }
 
@@ -194,7 +197,7 @@
             Some(Owned::By(_)) if handed => return Arrival::Answered(Answer::Failed(Failure::Unreached)),
             // Its owner has the door: nobody else knows whether it is in hand.
             Some(Owned::By(owner)) => {
-                let until = call.deadline.saturating_sub(WAY_US);
+                let until = call.deadline.saturating_sub(WAY_US + self.lateness);
                 return self.hand(io, now, call, (function, owner), (until, true));
             }
             Some(Owned::Here) | None => {}
