Trial: who is down refuses connections, and kept events are told line by line

A relay took connections in place of a killed gateway, so that a call handed to it could not be known not to have run, as it is where a host is down: ways to who is down are shut.

--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -56,10 +56,12 @@
     let gateways = bed.gateways.iter().enumerate().map(|(i, process)| (Party::Scheduler(i), process));
     let workers = bed.workers.iter().enumerate().map(|(w, process)| (Party::Worker(w), process));
     keep(options, &all, &lanes(gateways.chain(workers), &bed.ways.faults, (bed.began, end)))?;
-    for (number, process) in bed.gateways.iter().enumerate() {
-        if let Some(folder) = &options.records {
+    if let Some(folder) = &options.records {
+        for (number, process) in bed.gateways.iter().enumerate() {
             write(folder.join(format!("n{number}.log")), process.said().join("\n"))?;
         }
+        let noted: Vec<_> = bed.ways.relay.tapped().noted.iter().map(|noted| format!("{noted}\n")).collect();
+        write(folder.join("kept.txt"), noted.concat())?;
     }
     shares(script, &told);
     tell(&told.verdict)
--- a/crates/pending/src/glance.rs
+++ b/crates/pending/src/glance.rs
@@ -4,7 +4,7 @@
 use crate::error::WireError;
 use crate::types::{Key, Outcome, Source, Step};
 use crate::wire::{Message, Sent, open};
-use crate::words::Word;
+use crate::words::{Fate, Say, Stand, Word};
 
 /// One thing that a frame says.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,6 +34,20 @@
         Message::Word(Word::Over(ends)) => {
             ends.into_iter().map(|(key, outcome, _)| Glance::Over(key, outcome)).collect()
         }
+        Message::Word(Word::Did { fates, .. }) => {
+            let over = |(key, _, fate): (Key, _, Fate)| match fate {
+                Fate::Ended(outcome, _) => Some(Glance::Over(key, outcome)),
+                Fate::Open | Fate::By(_) => None,
+            };
+            fates.into_iter().filter_map(over).collect()
+        }
+        Message::Word(Word::Says { says, .. }) => {
+            let over = |say: Say| match say.stand {
+                Stand::Ended(outcome, _) => Some(Glance::Over(say.key, outcome)),
+                Stand::Yours | Stand::Mine => None,
+            };
+            says.into_iter().filter_map(over).collect()
+        }
         Message::Release(_) | Message::Released(_) | Message::Word(_) | Message::Call => Vec::new(),
     })
 }
--- a/crates/rules/src/effects.rs
+++ b/crates/rules/src/effects.rs
@@ -96,6 +96,10 @@
                     breach(t, format!("{event}: failed although nothing of it was ever sent"));
                 }
             }
+            // What has left for another gateway may have been sent by it, whether that is known or not.
+            What::HandedOver { event, .. } => {
+                begun.insert(event);
+            }
             What::Ended { attempt, code } if NEVER_RAN.contains(&code.as_str()) => {
                 proven.insert(attempt, t);
             }
--- a/crates/trial/src/site_bed.rs
+++ b/crates/trial/src/site_bed.rs
@@ -213,12 +213,34 @@
         let (gateways, workers) = self.meant(who);
         workers.into_iter().try_for_each(|w| self.workers[w].start())?;
         gateways.into_iter().try_for_each(|i| self.gateways[i].start())?;
+        self.shut(who, false);
         Ok(())
     }
 
+    /// Nobody listens where these did, or they do again.
+    fn shut(&mut self, who: Who, shut: bool) {
+        let (gateways, workers) = self.meant(who);
+        let all = 0..self.gateways.len();
+        for i in gateways {
+            self.ways.shut(Way { from: Party::Clients, to: Party::Scheduler(i) }, shut);
+            for from in all.clone().filter(|from| *from != i).map(Party::Scheduler) {
+                for to in [Party::Scheduler(i), Party::Journal(i)] {
+                    self.ways.shut(Way { from, to }, shut);
+                }
+            }
+        }
+        for w in workers {
+            let here = self.of.1[w];
+            for i in self.gateways_of(here) {
+                self.ways.shut(Way { from: Party::Scheduler(i), to: Party::Worker(w) }, shut);
+            }
+        }
+    }
+
     /// Kills outright.
     pub fn kill(&mut self, who: Who) {
         self.each(who, Process::kill);
+        self.shut(who, true);
         for i in self.meant(who).0 {
             // It could not say so itself. It has one loop.
             self.recorder.put(monotonic(), &format!("n{i}/0"), What::Down { killed: true });
@@ -233,6 +255,7 @@
         self.each(who, Process::stop);
         let mut ended = Ok(());
         self.each(who, |process| ended = std::mem::replace(&mut ended, Ok(())).and(process.join()));
+        self.shut(who, true);
         Ok(ended?)
     }
 
--- a/crates/trial/src/tap.rs
+++ b/crates/trial/src/tap.rs
@@ -4,8 +4,9 @@
 use basaltward_fellows::Channel;
 use basaltward_http::{Decoded, Limits, RequestDecoder};
 use basaltward_net::Micros;
-use basaltward_pending::{Glance, glance};
+use basaltward_pending::{Accepted, Glance, Source, Step, glance};
 use bytes::BytesMut;
+use std::fmt;
 
 /// Longest payload of a frame, and longest event of a kept call: no gateway of a bed has more.
 const FRAME_BYTES: usize = 256 << 10;
@@ -37,6 +38,40 @@
     pub what: Glance,
 }
 
+impl fmt::Display for Noted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} n{}-n{}: ", self.t, self.from, self.to)?;
+        let line = |source: &Source, number: &u64| format!("n{}/{:x} {number}", source.gateway, source.life);
+        match &self.what {
+            Glance::Line(source, number, step) => match step {
+                Step::Accepted(a) => write!(
+                    f,
+                    "{} accepted {:x} {} {}",
+                    line(source, number),
+                    a.key.0,
+                    a.function,
+                    event_name(a)
+                ),
+                Step::Sending { key, attempt, worker, .. } => {
+                    write!(f, "{} sending {:x} {attempt} {worker}", line(source, number), key.0)
+                }
+                Step::Ended { key, outcome, .. } => {
+                    write!(f, "{} ended {:x} {outcome:?}", line(source, number), key.0)
+                }
+            },
+            Glance::Held(source, through) => write!(f, "{} held", line(source, through)),
+            Glance::Over(key, outcome) => write!(f, "over {:x} {outcome:?}", key.0),
+        }
+    }
+}
+
+/// An accepted event's name, as records have it.
+pub(crate) fn event_name(accepted: &Accepted) -> String {
+    let told: serde_json::Value = serde_json::from_slice(&accepted.event).unwrap_or_default();
+    let part = |name: &str| told[name].as_str().unwrap_or_default().to_owned();
+    format!("{}#{}", part("source"), part("id"))
+}
+
 /// All that was seen.
 #[derive(Clone, Debug, Default)]
 pub struct Tapped {
--- a/crates/trial/src/ways.rs
+++ b/crates/trial/src/ways.rs
@@ -5,7 +5,7 @@
 use crate::relay::Relay;
 use crate::way::{Stream, Way};
 use basaltward_net::{Micros, monotonic};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// See the module.
 pub struct Ways {
@@ -19,13 +19,15 @@
     closed: BTreeMap<Way, [Option<u64>; 2]>,
     streams: BTreeMap<Way, Stream>,
     courses: BTreeMap<Way, [Course; 2]>,
+    /// Nobody listens at their ends.
+    shut: BTreeSet<Way>,
 }
 
 impl Ways {
     /// No faults yet.
     pub fn new(relay: Relay) -> Self {
-        let (closed, streams, courses) = Default::default();
-        Self { relay, faults: Vec::new(), leaks: Vec::new(), closed, streams, courses }
+        let (closed, streams, courses, shut) = Default::default();
+        Self { relay, faults: Vec::new(), leaks: Vec::new(), closed, streams, courses, shut }
     }
 
     /// What becomes of the connections of a way from now on.
@@ -33,10 +35,25 @@
         if self.streams.insert(way, stream).unwrap_or_default() == stream {
             return;
         }
-        self.settle(way, |ways| ways.relay.stream(way, stream));
+        self.settle(way, |ways| {
+            if !ways.shut.contains(&way) {
+                ways.relay.stream(way, stream);
+            }
+        });
         self.note(way, format!("{stream:?}").to_lowercase());
     }
 
+    /// Nobody listens at the end of a way, or somebody does again: a relay would else take connections in its place.
+    /// That is no fault of the way.
+    pub fn shut(&mut self, way: Way, shut: bool) {
+        let changed = if shut { self.shut.insert(way) } else { self.shut.remove(&way) };
+        if changed {
+            let stream =
+                if shut { Stream::Refuse } else { self.streams.get(&way).copied().unwrap_or_default() };
+            self.relay.stream(way, stream);
+        }
+    }
+
     /// How bytes of a way travel from now on, from who began and back.
     pub fn courses(&mut self, way: Way, courses: [Course; 2]) {
         if self.courses.insert(way, courses).unwrap_or_default() == courses {
