Shed: one answer to overload by all gateways, learnt capacity, shares

With it: budget of retries, promised times.

Need: each gateway sheds by its own queue and counts its own retries; sums are nobody's decision.

A loop's door takes by rates from the last whole table, tells who is turned away a time at which half of its pair's rate is kept for those who come then, and past the table's end goes by an even part of its site. Told figures move a share only within stated bounds.

Measured by basaltward-bench shed.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -13,6 +13,7 @@
 mod path;
 mod processes;
 mod proxy;
+mod shed;
 
 use clap::{Parser, Subcommand};
 use std::error::Error;
@@ -141,6 +142,18 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Overload answered by four sites as one beside each gateway for itself, in virtual time
+    Shed {
+        /// Multiples of the workers' capacity
+        #[arg(long, value_delimiter = ',', default_value = "1,2,5,10")]
+        multiples: Vec<f64>,
+        /// Seeds
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        /// Span of each load in seconds
+        #[arg(long, default_value_t = 20)]
+        seconds: usize,
+    },
     /// Memory of an idle connection
     Memory {
         /// Connections
@@ -175,6 +188,7 @@
             agreed::processes(count, lost, seeds as usize * 10)
         }
         Command::Processes { counts, lost, rounds } => processes::run(&counts, lost, rounds),
+        Command::Shed { multiples, seeds, seconds } => shed::run(&multiples, seeds, seconds),
         Command::Memory { connections } => memory::run(connections),
         Command::Parse { times } => parse::run(times),
     }
--- /dev/null
+++ b/crates/bench/src/shed.rs
@@ -0,0 +1,106 @@
+//! Overload answered by four sites as one beside each gateway for itself, in virtual time, on the same seeds: goodput
+//! at multiples of what the workers can do, the time to come back, and tenants beside one at ten times its quota.
+
+use basaltward_fleet::{Micros, Site};
+use basaltward_shed::{Act, Bed, Second, Stream, World};
+use std::error::Error;
+
+const S: Micros = 1_000_000;
+/// Before the load, and seconds of it that are not counted.
+const QUIET: usize = 10;
+
+struct Ran {
+    seconds: Vec<Second>,
+    capacity: f64,
+}
+
+fn ran(bed: &Bed, seed: u64, span: usize, acts: Vec<(Micros, Act)>) -> Ran {
+    let mut world = World::new(bed.clone(), seed, acts);
+    world.run(span as Micros * S);
+    world.seconds.resize_with(span, Second::default);
+    Ran { seconds: world.seconds, capacity: bed.capacity() }
+}
+
+fn mean(seconds: &[Second], of: impl Fn(&Second) -> f64) -> f64 {
+    seconds.iter().map(of).sum::<f64>() / seconds.len().max(1) as f64
+}
+
+/// Both ways for each seed, joined as two texts.
+fn both(seeds: u64, bed: &Bed, measure: impl Fn(&Bed, u64) -> f64) -> String {
+    let of = |as_one: bool| {
+        let bed = Bed { as_one, ..bed.clone() };
+        crate::spread((1..=seeds).map(|seed| measure(&bed, seed)).collect())
+    };
+    format!("{} | {}", of(true), of(false))
+}
+
+/// Seconds after the load's end until goodput is whole for good: what comes, or what the workers can do, but for 5%.
+fn back(ran: &Ran, end: usize) -> f64 {
+    // Over a second and the next, as the count of one second by itself scatters.
+    let whole = |pair: &[Second]| {
+        let came = mean(pair, |second| f64::from(second.first)).min(ran.capacity);
+        mean(pair, |second| f64::from(second.served)) >= 0.95 * came - 3.0 * came.sqrt() / 2f64.sqrt()
+    };
+    let last = ran.seconds[end..].windows(2).rposition(|pair| !whole(pair));
+    last.map_or(0.0, |last| last as f64 + 1.0)
+}
+
+/// Measures and prints.
+pub fn run(multiples: &[f64], seeds: u64, seconds: usize) -> Result<(), Box<dyn Error>> {
+    println!(
+        "4 sites of 2 gateways and 10 workers, {seeds} seeds, clients go on for 5 s, half of them honour Retry-After"
+    );
+    println!("goodput as a share of capacity, median (least to greatest)\nload | as one | each for itself");
+    for &multiple in multiples {
+        let bed = Bed { load: vec![(0, 0.5), (QUIET as Micros * S, multiple)], ..Bed::new() };
+        let goodput = |bed: &Bed, seed| {
+            let ran = ran(bed, seed, QUIET + 5 + seconds, Vec::new());
+            mean(&ran.seconds[QUIET + 5..], |second| f64::from(second.served)) / ran.capacity
+        };
+        println!("{multiple} | {}", both(seeds, &bed, goodput));
+    }
+    println!(
+        "\nseconds until goodput is whole after 10 s at five times capacity, then 0.8\ncase | as one | each for itself"
+    );
+    let end = QUIET + 10;
+    let load = vec![(0, 0.5), (QUIET as Micros * S, 5.0), (end as Micros * S, 0.8)];
+    let half = || [0, 2, 4, 6].map(|of| ((QUIET as Micros + 5) * S, Act::Kill(of))).to_vec();
+    let split = || vec![((QUIET as Micros + 5) * S, Act::Cut(vec![0, 1, 2, 3]))];
+    let cases: [(&str, &dyn Fn() -> Vec<(Micros, Act)>); 3] =
+        [("as is", &Vec::new), ("half of the gateways killed", &half), ("the view split", &split)];
+    for (name, acts) in cases {
+        let bed = Bed { load: load.clone(), ..Bed::new() };
+        println!("{name} | {}", both(seeds, &bed, |bed, seed| back(&ran(bed, seed, end + 20, acts()), end)));
+    }
+    println!(
+        "\nshare served of two tenants within their quotas beside one at ten times\ncase | as one | each for itself"
+    );
+    for (name, site) in [("at all sites", None), ("at one site", Some(0))] {
+        let bed = tenants(site);
+        let served = |bed: &Bed, seed| {
+            let ran = ran(bed, seed, QUIET + 5 + seconds, Vec::new());
+            let sum = |of: fn(&Second) -> f64| mean(&ran.seconds[QUIET + 5..], of);
+            let first =
+                sum(|second| [0, 1].map(|t| f64::from(*second.first_of.get(&t).unwrap_or(&0))).iter().sum());
+            let good =
+                sum(|second| [0, 1].map(|t| f64::from(*second.served_of.get(&t).unwrap_or(&0))).iter().sum());
+            good / first
+        };
+        println!("{name} | {}", both(seeds, &bed, served));
+    }
+    Ok(())
+}
+
+/// Two tenants that ask for 80% of their quotas, and one at ten times its own, at all sites or at one.
+fn tenants(site: Option<Site>) -> Bed {
+    let third = Bed::new().capacity() / 3.0;
+    let stream = |tenant, rate| Stream { site: None, class: 0, tenant, rate, steady: true };
+    let hog = Stream { site, tenant: 2, rate: third, ..stream(2, third) };
+    Bed {
+        quotas: vec![third; 3],
+        over_share_worth: 0.1,
+        streams: vec![stream(0, third * 0.8), stream(1, third * 0.8), Stream { steady: false, ..hog }],
+        load: vec![(0, 0.5), (QUIET as Micros * S, 10.0)],
+        ..Bed::new()
+    }
+}
--- /dev/null
+++ b/crates/shed/src/fill.rs
@@ -0,0 +1,182 @@
+//! Admitted shares: the worth first, of one worth those within their tenants' quotas, and of a class each tenant's
+//! rise alike until its calls are all taken or there is no room (max-min fair), over all sites at once.
+
+use crate::settings::ShedSettings;
+
+/// What comes to a site and what it can do, calls a second.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// Capacity.
+    pub room: f64,
+    /// By class, then tenant.
+    pub came: Vec<f64>,
+}
+
+/// Steps of one filling at most: each ends at a pair that is satisfied or a site that is full.
+const STEPS: usize = 400;
+
+/// How much of each pair's calls is within its tenant's quota: the classes of greater worth use it first.
+pub fn within(settings: &ShedSettings, totals: &[f64], part: f64) -> Vec<f64> {
+    let tenants = settings.tenants();
+    let mut within = vec![1.0; totals.len()];
+    let mut order: Vec<usize> = (0..settings.classes.len()).collect();
+    order.sort_by(|a, b| settings.classes[*b].worth.total_cmp(&settings.classes[*a].worth).then(a.cmp(b)));
+    for (tenant, quota) in settings.quotas.iter().enumerate() {
+        let mut left = quota * part;
+        for class in &order {
+            let cell = class * tenants + tenant;
+            let taken = totals[cell].min(left);
+            within[cell] = if totals[cell] > 0.0 { taken / totals[cell] } else { 1.0 };
+            left -= taken;
+        }
+    }
+    within
+}
+
+/// What is admitted at each site, by pair, and the room that is left there.
+pub fn admitted(settings: &ShedSettings, sites: &[Demand], within: &[f64]) -> Vec<Demand> {
+    let tenants = settings.tenants();
+    let mut levels: Vec<(f64, bool, usize)> = Vec::new();
+    for (class, of) in settings.classes.iter().enumerate() {
+        levels.push((of.worth, false, class));
+        levels.push((of.worth * settings.over_share_worth, true, class));
+    }
+    levels.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
+    let mut done: Vec<Demand> =
+        sites.iter().map(|site| Demand { room: site.room, came: vec![0.0; site.came.len()] }).collect();
+    for (_, over, class) in levels {
+        let cells = class * tenants..(class + 1) * tenants;
+        let part = |cell: usize| if over { 1.0 - within[cell] } else { within[cell] };
+        let wanted: Vec<Vec<f64>> = sites
+            .iter()
+            .map(|site| cells.clone().map(|cell| site.came[cell] * part(cell)).collect())
+            .collect();
+        let mut room: Vec<f64> = done.iter().map(|site| site.room).collect();
+        let given = fill(&wanted, &mut room);
+        for ((site, given), room) in done.iter_mut().zip(given).zip(room) {
+            site.room = room;
+            cells.clone().zip(given).for_each(|(cell, given)| site.came[cell] += given);
+        }
+    }
+    done
+}
+
+/// Raises all tenants alike, each over the sites where it wants more in proportion to what it wants there.
+fn fill(wanted: &[Vec<f64>], room: &mut [f64]) -> Vec<Vec<f64>> {
+    const LITTLE: f64 = 1e-9;
+    let tenants = wanted.first().map_or(0, Vec::len);
+    let mut given = vec![vec![0.0; tenants]; wanted.len()];
+    for _ in 0..STEPS {
+        let mut speed = vec![vec![0.0; tenants]; wanted.len()];
+        for tenant in 0..tenants {
+            let wants = |site: usize| {
+                if room[site] > LITTLE { (wanted[site][tenant] - given[site][tenant]).max(0.0) } else { 0.0 }
+            };
+            let total: f64 = (0..wanted.len()).map(wants).sum();
+            if total > LITTLE {
+                (0..wanted.len()).for_each(|site| speed[site][tenant] = wants(site) / total);
+            }
+        }
+        let mut step = f64::INFINITY;
+        for (site, speeds) in speed.iter().enumerate() {
+            let all: f64 = speeds.iter().sum();
+            if all > 0.0 {
+                step = step.min(room[site] / all);
+            }
+            for (tenant, speed) in speeds.iter().enumerate().filter(|(_, speed)| **speed > 0.0) {
+                step = step.min((wanted[site][tenant] - given[site][tenant]) / speed);
+            }
+        }
+        if !step.is_finite() {
+            break;
+        }
+        for (site, speeds) in speed.iter().enumerate() {
+            for (tenant, speed) in speeds.iter().enumerate() {
+                given[site][tenant] += speed * step;
+                room[site] -= speed * step;
+            }
+        }
+        room.iter_mut().for_each(|room| *room = room.max(0.0));
+    }
+    given
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::ClassOf;
+    use basaltward_fleet::Places;
+    use rand::rngs::StdRng;
+    use rand::{RngExt, SeedableRng};
+
+    fn settings(worths: &[f64], quotas: Vec<f64>) -> ShedSettings {
+        let class = |worth: &f64| ClassOf { worth: *worth, aim: 500_000, deadline: 2_000_000 };
+        let places = Places::new(vec![0], 0).expect("in the list");
+        let usual = ShedSettings::new(worths.iter().map(class).collect(), quotas, places);
+        ShedSettings { over_share_worth: 0.2, ..usual }
+    }
+
+    #[test]
+    fn worth_goes_first_then_who_is_within_its_quota() {
+        let settings = settings(&[1.0, 10.0], vec![30.0, 30.0]);
+        let sites = [Demand { room: 100.0, came: vec![40.0, 40.0, 5.0, 60.0] }];
+        let done = admitted(&settings, &sites, &within(&settings, &[40.0, 40.0, 5.0, 60.0], 1.0));
+        // Class 1: 5 and 30 within, worth 10; 30 past it, worth 2; class 0: 25 within of tenant 0 and none of 1.
+        let expected = [25.0 + 5.0, 5.0, 5.0, 60.0];
+        let close = done[0].came.iter().zip(expected).all(|(a, b)| (a - b).abs() < 1e-6);
+        assert!(close && done[0].room < 1e-6, "{done:?}");
+    }
+
+    /// By small steps, each to the tenant that has least.
+    fn by_steps(wanted: &[f64], mut room: f64) -> Vec<f64> {
+        let mut given = vec![0.0; wanted.len()];
+        while room > 0.0 {
+            let open = |at: &usize| given[*at] + 0.01 <= wanted[*at];
+            let least = (0..wanted.len()).filter(open).min_by(|a, b| given[*a].total_cmp(&given[*b]));
+            let Some(least) = least else { break };
+            given[least] += 0.01;
+            room -= 0.01;
+        }
+        given
+    }
+
+    #[test]
+    fn shares_of_one_site_are_those_that_small_steps_come_to() {
+        let mut rng = StdRng::seed_from_u64(3);
+        for _ in 0..300 {
+            let wanted: Vec<f64> = (0..rng.random_range(1..8)).map(|_| rng.random_range(0.0..30.0)).collect();
+            let room = rng.random_range(1.0..100.0);
+            let steps = by_steps(&wanted, room);
+            let filled = fill(std::slice::from_ref(&wanted), &mut [room]);
+            let off = filled[0].iter().zip(&steps).map(|(a, b)| (a - b).abs()).fold(0.0, f64::max);
+            assert!(off < 0.05, "{wanted:?} into {room}: {filled:?}, by steps {steps:?}");
+        }
+    }
+
+    #[test]
+    fn no_site_takes_more_than_it_can_and_none_has_room_that_it_could_use() {
+        let mut rng = StdRng::seed_from_u64(4);
+        for _ in 0..300 {
+            let (sites, tenants) = (rng.random_range(1..6), rng.random_range(1..6));
+            let settings = settings(&[1.0, 3.0], vec![20.0; tenants]);
+            let sites: Vec<Demand> = (0..sites)
+                .map(|_| Demand {
+                    room: rng.random_range(0.0..80.0),
+                    came: (0..tenants * 2).map(|_| rng.random_range(0.0..20.0)).collect(),
+                })
+                .collect();
+            let totals: Vec<f64> =
+                (0..tenants * 2).map(|cell| sites.iter().map(|site| site.came[cell]).sum()).collect();
+            let done = admitted(&settings, &sites, &within(&settings, &totals, 1.0));
+            for (site, done) in sites.iter().zip(&done) {
+                let (wanted, given): (f64, f64) = (site.came.iter().sum(), done.came.iter().sum());
+                assert!(
+                    (given - wanted.min(site.room)).abs() < 1e-3,
+                    "{given} of {wanted} into {}",
+                    site.room
+                );
+                assert!(done.came.iter().zip(&site.came).all(|(given, wanted)| *given <= wanted + 1e-6));
+            }
+        }
+    }
+}
--- a/crates/shed/src/lib.rs
+++ b/crates/shed/src/lib.rs
@@ -3,14 +3,27 @@
 //! the control thread last made. Free of I/O: counts, facts and times in, facts and tables out.
 #![warn(missing_docs)]
 
+mod capacity;
 mod door;
+mod fill;
+mod heard;
+mod retries;
+mod seen;
 mod settings;
 mod shed;
 mod table;
 mod types;
+mod wire;
+mod world;
 
 pub use door::Door;
+#[doc(hidden)]
+pub use door::DoorFault;
 pub use settings::{ClassOf, ShedError, ShedSettings};
+#[doc(hidden)]
+pub use shed::Fault;
 pub use shed::Shed;
 pub use table::{Share, Table};
 pub use types::{Asked, Count, Counts, Ended, Verdict};
+#[doc(hidden)]
+pub use world::{Act, Bed, Second, Stream, World};
--- a/crates/shed/src/table.rs
+++ b/crates/shed/src/table.rs
@@ -7,6 +7,8 @@
     pub rates: Vec<f64>,
     /// For any of them, beyond its own.
     pub spare: f64,
+    /// Of each of them at least this, that a pair whose share is nothing is seen at all.
+    pub trickle: f64,
     /// Retries that nobody asked for, by class, then tenant.
     pub retries: Vec<f64>,
 }
--- a/crates/shed/src/types.rs
+++ b/crates/shed/src/types.rs
@@ -22,15 +22,16 @@
     Shed(Micros),
 }
 
-/// How a call that the door took has ended.
+/// How a call that the door took has ended. What it waited is the time from its coming until its work began, at the
+/// gateway and in its worker's queue as far as the worker tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
-    /// Answered within its aim, begun after this wait.
+    /// Answered within its aim, after this wait.
     Served(Micros),
-    /// Answered later than its aim, begun after this wait.
+    /// Answered later than its aim, after this wait.
     Late(Micros),
-    /// Refused or failed after this wait.
-    Failed(Micros),
+    /// Failed after the door; what was refused there is told by [`crate::Door::refused`].
+    Failed,
 }
 
 /// Calls of one class and tenant at one loop since it counted last.
@@ -52,9 +53,11 @@
     pub late: u32,
     /// Turned away at the door.
     pub shed: u32,
-    /// Refused or failed after the door.
+    /// Refused after the door: nothing of it had run.
+    pub refused: u32,
+    /// Failed after the door.
     pub ended: u32,
-    /// What those begun had waited, all together.
+    /// What those answered had waited, all together.
     pub waited: Micros,
 }
 
