--- a/crates/shed/src/shed.rs
+++ b/crates/shed/src/shed.rs
@@ -18,14 +18,21 @@
 const HELD: Micros = 30_000_000;
 /// A share is at least this part of an even one of our site, whatever fellows tell.
 pub(crate) const LEAST: f64 = 0.25;
-/// Pairs whose calls are all taken may take so much more than was seen.
-const HEADROOM: f64 = 1.25;
+/// Pairs whose calls are all taken may take so much more than was seen, and the root of it at least: so far does a
+/// count scatter by itself.
+const HEADROOM: f64 = 0.25;
 /// Of a pair's share so much goes to the loops evenly, for what has just moved between them.
 const EVEN: f64 = 0.05;
 /// A pair without a share still gets a call through in a while: calls a second, and as a part of all.
 const TRICKLE: f64 = 0.5;
 const TRICKLE_PART: f64 = 0.02;
 
+/// Of what a fellow says it answers at most so many times what we answer counts: no word of one among two raises our
+/// belief past the three halves of what is true.
+const MOST_TOLD: f64 = 2.0;
+/// One in so many late or refused after the door stands for the wait wanted.
+const MISSED: f64 = 20.0;
+
 /// Faults that tests plant.
 #[doc(hidden)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,10 +47,11 @@
     mark: u16,
     /// What comes to each loop, by pair.
     loops: Vec<Vec<Load>>,
+    /// What each loop answers, calls a second.
     answered: Vec<f64>,
     in_hand: Vec<u32>,
-    /// Since the last table: calls begun, what they had waited, whether any was turned away.
-    step: (u32, Micros, bool),
+    /// Since the last table.
+    step: Step,
     /// For how long nothing has been answered though calls were in hand.
     stuck: Micros,
     capacity: Capacity,
@@ -57,6 +65,17 @@
     fault: Option<Fault>,
 }
 
+/// What has ended since the last table.
+#[derive(Clone, Copy, Debug, Default)]
+struct Step {
+    answered: u32,
+    waited: Micros,
+    /// Answered late, or refused after the door.
+    missed: u32,
+    refused: u32,
+    shed: bool,
+}
+
 /// A fellow as it counts in one table.
 struct Counted {
     of: Number,
@@ -93,7 +112,7 @@
             loops: vec![vec![Load::default(); cells]; loops],
             answered: vec![0.0; loops],
             in_hand: vec![0; loops],
-            step: (0, 0, false),
+            step: Step::default(),
             stuck: 0,
             capacity: Capacity::new(settings.wait()),
             fellows: vec![Fellow::default(); settings.places.len()],
@@ -128,18 +147,20 @@
         let seconds = counts.span as f64 / 1e6;
         let weight = 1.0 - (-(counts.span as f64) / FORGET).exp();
         let learn = |rate: &mut f64, seen: u32| *rate += weight * (f64::from(seen) / seconds - *rate);
-        let (mut answered, mut waited, mut shed) = (0, 0, false);
+        let (mut answered, step) = (0, &mut self.step);
         for (load, count) in loads.iter_mut().zip(&counts.by) {
             learn(&mut load.came, count.came());
             learn(&mut load.first, count.first);
             learn(&mut load.retries, count.budgeted);
             answered += count.answered();
-            waited += count.waited;
-            shed |= count.shed > 0;
+            step.waited += count.waited;
+            step.missed += count.late + count.refused;
+            step.refused += count.refused;
+            step.shed |= count.shed > 0;
         }
         learn(&mut self.answered[loop_no], answered);
         self.in_hand[loop_no] = counts.in_hand;
-        self.step = (self.step.0 + answered, self.step.1 + waited, self.step.2 | shed);
+        self.step.answered += answered;
     }
 
     /// A fact of a fellow, as the board gives it now. It may be given again as long as it stands there.
@@ -210,19 +231,28 @@
 
     fn learn(&mut self, now: Micros, fellows: &[Counted]) {
         let span = now.saturating_sub(self.last).min(self.settings.stands);
-        let (begun, waited, shed) = std::mem::take(&mut self.step);
+        let step = std::mem::take(&mut self.step);
         let in_hand = self.in_hand.iter().any(|in_hand| *in_hand > 0);
-        self.stuck = if begun == 0 && in_hand { self.stuck + span } else { 0 };
-        let wait = match begun {
+        self.stuck = if step.answered == 0 && in_hand { self.stuck + span } else { 0 };
+        let wait = match step.answered {
             0 if in_hand => Some(self.capacity.wait().max(self.stuck)),
             0 => None,
-            _ => Some(waited / Micros::from(begun)),
+            answered => Some(step.waited / Micros::from(answered)),
         };
+        // A queue that nobody tells of is seen by what it makes late.
+        let ended = f64::from(step.answered + step.refused).max(1.0);
+        let missed = f64::from(step.missed) / ended;
+        let unseen = (self.settings.wait() as f64 * (missed * MISSED).min(3.0)) as Micros;
+        let (wait, shed) = (wait.map(|wait| wait.max(unseen)), step.shed);
         let here = self.settings.places.here();
         let beside = || fellows.iter().filter(|f| f.live && self.settings.places.site(f.of) == Some(here));
-        let answered = self.answered.iter().sum::<f64>() + beside().map(|f| f.head.answered).sum::<f64>();
-        let believed = beside().map(|f| f.head.capacity).filter(|capacity| *capacity > 0.0).collect();
-        self.capacity.learn(&Seen { span, wait, answered, shed, fellows: median(believed) });
+        let own = self.answered.iter().sum::<f64>();
+        let answered = own + beside().map(|f| f.head.answered.min(own * MOST_TOLD)).sum::<f64>();
+        let believed: Vec<f64> = beside().map(|f| f.head.capacity).filter(|told| *told > 0.0).collect();
+        // One fellow by itself is not believed by who has not learnt yet: it may be a liar.
+        let alone = believed.len() == 1 && self.capacity.believed().is_none();
+        let fellows = median(believed).filter(|_| !alone);
+        self.capacity.learn(&Seen { span, wait, answered, shed, fellows });
     }
 
     /// The table that holds now, by who is believed to be living. One that has stood still for longer than facts are
@@ -230,7 +260,7 @@
     pub fn table(&mut self, now: Micros, live: &[bool]) -> Table {
         if now.saturating_sub(self.last) > self.settings.stands {
             self.fellows.iter_mut().for_each(|fellow| *fellow = Fellow::default());
-            self.step = (0, 0, false);
+            self.step = Step::default();
             self.last = now;
         }
         let fellows = self.counting(now, live);
@@ -242,19 +272,20 @@
         let Some((room, believed)) = room else {
             return Table { number: self.number, until, shares: None, alone: None };
         };
-        let shares = Some(self.by_loop(self.together(room, &fellows)));
+        let shares = Some(self.by_loop(self.together(room, live, &fellows)));
         let alone = Some(self.by_loop(self.alone(believed)));
         Table { number: self.number, until, shares, alone }
     }
 
     /// Our share as worked out from what all have told.
-    fn together(&self, room: f64, fellows: &[Counted]) -> Share {
+    fn together(&self, room: f64, live: &[bool], fellows: &[Counted]) -> Share {
         let settings = &self.settings;
         let (places, cells, own) = (&settings.places, settings.cells(), self.own());
         let sites = places.sites();
         let mut totals: Vec<f64> = own.iter().map(|load| load.came).collect();
         let mut demand: Vec<Demand> = Vec::new();
         let mut ours = (vec![0.0; cells], 1);
+        let silent = self.silent(live, fellows);
         for site in &sites {
             let here = *site == places.here();
             let at = || fellows.iter().filter(|f| places.site(f.of) == Some(*site));
@@ -273,11 +304,12 @@
             if here {
                 ours.0 = own.iter().map(|load| load.came.min(room)).collect();
                 came.iter_mut().zip(&ours.0).for_each(|(all, ours)| *all += ours);
-                ours.1 += at().filter(|f| f.live).count();
+                ours.1 += at().filter(|f| f.live).count() + silent;
             }
             // Pairs that no page has room for take their part of it unseen.
             let known: f64 = came.iter().sum();
             let part = if rest > 0.0 { known / (known + rest) } else { 1.0 };
+            let part = if here { part * (ours.1 - silent) as f64 / ours.1 as f64 } else { part };
             demand.push(Demand { room: room * part, came });
         }
         let within_quota = within(settings, &totals, 1.0);
@@ -288,17 +320,26 @@
         let rate = |cell: usize| {
             let (all, ours) = (demand.came[cell], ours.0[cell]);
             let given = if all > 0.0 { given.came[cell] * ours / all } else { 0.0 };
-            let most = if given >= 0.99 * ours { given * HEADROOM } else { given };
-            most.max(least[cell])
+            let more = if given >= 0.99 * ours { (given * HEADROOM).max(given.sqrt()) } else { 0.0 };
+            (given + more).max(least[cell])
         };
         Share {
             rates: (0..cells).map(rate).collect(),
-            spare: given.room / ours.1 as f64,
+            spare: given.room / (ours.1 - silent) as f64,
             trickle: 0.0,
             retries: (0..cells).map(|cell| self.retries(cell, &own, fellows)).collect(),
         }
     }
 
+    /// How many live at our site without a word: they are taken to have an even part, as they do by a table past its
+    /// time.
+    fn silent(&self, live: &[bool], fellows: &[Counted]) -> usize {
+        let places = &self.settings.places;
+        let lives = |of: &Number| *of != places.own() && live.get(usize::from(*of)) == Some(&true);
+        let beside = places.members(places.here()).filter(lives);
+        beside.filter(|of| !fellows.iter().any(|fellow| fellow.of == *of)).count()
+    }
+
     fn retries(&self, cell: usize, own: &[Load], fellows: &[Counted]) -> f64 {
         let others: Vec<Carries> =
             fellows.iter().map(|f| Carries { load: f.loads[cell], lends: f.live }).collect();
