--- /dev/null
+++ b/crates/pending/tests/heirs.rs
@@ -0,0 +1,340 @@
+//! What heirs go through, in virtual time over many seeds: owners, heirs and second sites killed at each step, gateways
+//! that stand still for up to 30 s, clocks a tenth apart. Other seeds: `HEIRS_SEEDS=0..1000 cargo test --release`.
+use basaltward_fleet::{Link, Micros, Number, Places};
+use basaltward_pending::{
+    Accepted, Again, End, Fate, Key, Outcome, Output, PendingSettings, Said, Sites, Source, Step,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+const S: Micros = 1_000_000;
+const MS: Micros = 1_000;
+
+fn seeds(usual: u64) -> std::ops::Range<u64> {
+    let told = std::env::var("HEIRS_SEEDS").unwrap_or_default();
+    let told = told.split_once("..").and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
+    told.unwrap_or(0..usual)
+}
+
+/// How far one event has come, as its loop sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum At {
+    Written,
+    Held,
+    Announced,
+    Sent,
+    Ended,
+}
+
+/// Its loop could not go on: until that is held by others an heir may still run it, and the client is told so.
+const GIVEN_UP: &str = "given up";
+
+/// What a loop does next.
+#[derive(Clone, Copy, Debug)]
+enum Does {
+    /// Says that the first byte is about to leave.
+    Announce,
+    /// Lets it leave before this time of its clock.
+    Write(Micros),
+}
+
+struct Event {
+    again: Again,
+    first: Number,
+    by: Source,
+    at: At,
+    /// First bytes, by whose journal; and when an end was told.
+    sent: Vec<Source>,
+    told: Option<&'static str>,
+    does: Option<Does>,
+    /// A worker answers then.
+    answers: Option<Micros>,
+}
+
+/// What befalls a gateway, once an event of its own, or one that it has inherited, has come so far.
+#[derive(Clone, Copy, Debug)]
+struct Blow {
+    at: At,
+    inherited: bool,
+    what: What,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum What {
+    KillSite,
+    StandStill(Micros),
+    CutSite,
+}
+
+struct Run {
+    sites: Sites,
+    places: Vec<u8>,
+    events: BTreeMap<Key, Event>,
+    blows: Vec<Blow>,
+    broken: Vec<String>,
+    gone: usize,
+    /// First bytes of unsafe events that left after an end was told.
+    late: usize,
+    lost: Option<Micros>,
+    settled: Micros,
+    cut: Vec<(Micros, u8)>,
+}
+
+impl Run {
+    fn new(places: &[u8], seed: u64, blows: Vec<Blow>) -> Self {
+        let own = Places::new(places.to_vec(), 0).expect("one");
+        let settings = PendingSettings { heir_rate: 400, ..PendingSettings::new(own, 0, vec![2], seed) };
+        let link = Link { lost: 0.01, doubled: 0.02, late: (1 * MS, 30 * MS) };
+        let mut sites = Sites::new(places.to_vec(), settings, link);
+        sites.start_all();
+        let (events, broken, cut) = (BTreeMap::new(), Vec::new(), Vec::new());
+        let places = places.to_vec();
+        let mut run =
+            Self { sites, places, events, blows, broken, gone: 0, late: 0, lost: None, settled: 0, cut };
+        run.pass(6 * S);
+        run
+    }
+
+    fn accept(&mut self, of: Number, again: Again) -> Option<Key> {
+        let by = self.sites.net.party(of)?.pending.source();
+        let key = Key(self.events.len() as u128 + 1);
+        let known = Event {
+            again,
+            first: of,
+            by,
+            at: At::Written,
+            sent: Vec::new(),
+            told: None,
+            does: None,
+            answers: None,
+        };
+        self.events.insert(key, known);
+        let deadline = self.sites.wall(of) + 60_000;
+        let function = "f".into();
+        let accepted =
+            Accepted { key, class: 0, tenant: 0, function, again, owed: true, deadline, event: vec![1; 40] };
+        self.sites.step(of, Step::Accepted(accepted));
+        self.comes(key, At::Written);
+        Some(key)
+    }
+
+    fn runs(&self, by: Source) -> bool {
+        self.sites.net.is_up(by.gateway)
+            && self.sites.net.party(by.gateway).is_some_and(|one| one.pending.source() == by)
+    }
+
+    /// An event has come so far: what was to befall its gateway then does.
+    fn comes(&mut self, key: Key, at: At) {
+        let event = self.events.get_mut(&key).expect("known");
+        event.at = at;
+        let of = event.by.gateway;
+        let inherited = of != event.first;
+        let strikes = |blow: &Blow| blow.at == at && blow.inherited == inherited;
+        let Some(index) = self.blows.iter().position(strikes) else { return };
+        let (blow, site) = (self.blows.remove(index), self.places[usize::from(of)]);
+        self.lost.get_or_insert(self.sites.net.now);
+        match blow.what {
+            What::KillSite => self.sites.kill_site(site),
+            What::StandStill(span) => {
+                self.sites.net.pause(of, span);
+                self.sites.slander(of, true);
+                self.cut.push((self.sites.net.now + span, 100 + of as u8));
+            }
+            What::CutSite => {
+                self.sites.cut(site, true);
+                self.cut.push((self.sites.net.now + 12 * S, site));
+            }
+        }
+    }
+
+    fn ends(&mut self, key: Key, how: &'static str) {
+        let event = self.events.get_mut(&key).expect("known");
+        event.told.get_or_insert(how);
+        self.settled = self.sites.net.now;
+        self.comes(key, At::Ended);
+    }
+
+    fn loops(&mut self) {
+        for (_, of, said) in std::mem::take(&mut self.sites.net.told) {
+            let Said::Told(output) = said else { continue };
+            let source = self.sites.net.party(of).map(|one| one.pending.source());
+            let ours = |run: &Self, key: &Key| source == Some(run.events[key].by);
+            match output {
+                Output::Held { key } if ours(self, &key) && self.events[&key].at == At::Written => {
+                    self.events.get_mut(&key).expect("known").does = Some(Does::Announce);
+                    self.comes(key, At::Held);
+                }
+                Output::May { key, until, .. } if ours(self, &key) => {
+                    self.events.get_mut(&key).expect("known").does = Some(Does::Write(until));
+                    self.comes(key, At::Announced);
+                }
+                Output::MayNot { key, .. } | Output::Unheld { key, .. } if ours(self, &key) => {
+                    self.sites.step(of, Step::Ended { key, outcome: Outcome::Refused, answer: Vec::new() });
+                    self.ends(key, GIVEN_UP);
+                }
+                Output::Run { pending, end, .. } => {
+                    let event = self.events.get_mut(&pending.key).expect("known");
+                    if end == End::Run && event.again == Again::Unsafe && !event.sent.is_empty() {
+                        self.broken.push(format!("{:?} was sent and runs at {of}", pending.key));
+                    }
+                    let Some(by) = source else { continue };
+                    (event.by, event.answers, event.does) = (by, None, None);
+                    let key = pending.key;
+                    self.sites.step(of, Step::Accepted(pending));
+                    self.comes(key, At::Written);
+                }
+                Output::Told { key, end, .. } => {
+                    let event = self.events.get_mut(&key).expect("known");
+                    if event.at == At::Ended {
+                        continue;
+                    }
+                    (event.answers, event.does) = (None, None);
+                    self.ends(key, if end == End::MayHaveRun { "unknown" } else { "closed" });
+                }
+                Output::Gone(_) => self.gone += 1,
+                _ => {}
+            }
+        }
+        let does = self.events.iter().filter_map(|(key, event)| Some((*key, event.by, event.does?)));
+        for (key, by, does) in does.collect::<Vec<_>>() {
+            // One that stands still goes on later, and looks at the time then.
+            if self.runs(by) {
+                self.events.get_mut(&key).expect("known").does = None;
+                self.goes_on(key, by, does);
+            }
+        }
+        let now = self.sites.net.now;
+        let over = self.events.iter().filter(|(_, event)| event.answers.is_some_and(|at| at <= now));
+        let over: Vec<(Key, Source)> = over.map(|(key, event)| (*key, event.by)).collect();
+        for (key, by) in over {
+            let gone = self.sites.net.party(by.gateway).is_none_or(|one| one.pending.source() != by);
+            if gone || self.runs(by) {
+                self.events.get_mut(&key).expect("known").answers = None;
+            }
+            if self.runs(by) {
+                self.sites.step(by.gateway, Step::Ended { key, outcome: Outcome::Served, answer: vec![1] });
+                self.ends(key, "served");
+            }
+        }
+    }
+
+    fn goes_on(&mut self, key: Key, by: Source, does: Does) {
+        let (of, now) = (by.gateway, self.sites.net.now);
+        match does {
+            Does::Announce => {
+                let (worker, at) = ("w".into(), self.sites.wall(of));
+                self.sites.step(of, Step::Sending { key, attempt: 0, worker, at });
+            }
+            Does::Write(until) if self.sites.net.clock(of) < until => {
+                let event = self.events.get_mut(&key).expect("known");
+                event.sent.push(by);
+                event.answers = Some(now + 300 * MS);
+                self.late += usize::from(
+                    event.told.is_some_and(|told| told != GIVEN_UP) && event.again == Again::Unsafe,
+                );
+                self.comes(key, At::Sent);
+            }
+            Does::Write(_) => {
+                self.sites.step(of, Step::Ended { key, outcome: Outcome::Refused, answer: Vec::new() });
+                self.ends(key, GIVEN_UP);
+            }
+        }
+    }
+
+    fn pass(&mut self, span: Micros) {
+        let until = self.sites.net.now + span;
+        while self.sites.net.now < until {
+            self.sites.run(self.sites.net.now + 10 * MS);
+            self.loops();
+            let now = self.sites.net.now;
+            for (_, of) in self.cut.extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>() {
+                match of {
+                    100.. => self.sites.slander(u16::from(of - 100), false),
+                    site => self.sites.cut(site, false),
+                }
+            }
+        }
+    }
+
+    /// Runs until all is over; what is broken, and what is left.
+    fn judge(&mut self, seed: u64, name: &str) {
+        self.pass(45 * S);
+        for (key, event) in &self.events {
+            let by: BTreeSet<&Source> = event.sent.iter().collect();
+            if event.again == Again::Unsafe && by.len() > 1 {
+                self.broken.push(format!("{key:?} left from {by:?}"));
+            }
+            if event.told.is_none() && event.at > At::Written {
+                let fates: Vec<Option<Fate>> =
+                    self.sites.net.numbers().map(|of| self.sites.net.party(of)?.pending.fate(*key)).collect();
+                self.broken.push(format!("{key:?} {:?} {:?} has no end: {fates:?}", event.again, event.at));
+            }
+        }
+        assert_eq!(self.late, 0, "{name}, seed {seed}: first bytes after an end was told");
+        assert!(self.broken.is_empty(), "{name}, seed {seed}: {:?}", self.broken);
+    }
+}
+
+const STEPS: [At; 5] = [At::Written, At::Held, At::Announced, At::Sent, At::Ended];
+const KINDS: [Again; 3] = [Again::Safe, Again::Unsafe, Again::Keyed { window: 60 * S }];
+
+/// Each kind of event in flight at an owner that is struck when the last one has come so far.
+fn history(places: &[u8], seed: u64, blows: Vec<Blow>) -> Run {
+    let mut run = Run::new(places, seed, blows);
+    let owner = (seed % places.len() as u64) as Number;
+    for round in 0..6 {
+        let again = KINDS[(round + seed as usize) % 3];
+        if run.accept(owner, again).is_none() {
+            break;
+        }
+        run.pass((seed % 5) * 7 * MS + 10 * MS);
+    }
+    run
+}
+
+const PLACES: [&[u8]; 3] = [&[0, 1, 2], &[0, 0, 1, 1, 2, 2], &[0, 1, 2, 3]];
+
+#[test]
+fn a_site_killed_at_each_step_leaves_one_end_to_each_event() {
+    for seed in seeds(3) {
+        for at in STEPS {
+            let blows = vec![Blow { at, inherited: false, what: What::KillSite }];
+            let mut run = history(PLACES[seed as usize % 3], seed, blows);
+            run.judge(seed, &format!("killed when {at:?}"));
+        }
+    }
+}
+
+#[test]
+fn an_heir_killed_at_each_step_is_followed_by_another() {
+    for seed in seeds(3) {
+        for at in STEPS {
+            let first = Blow { at: At::Held, inherited: false, what: What::KillSite };
+            let then = Blow { at, inherited: true, what: What::KillSite };
+            let mut run = history(PLACES[2], seed, vec![first, then]);
+            run.judge(seed, &format!("heir killed when {at:?}"));
+        }
+    }
+}
+
+#[test]
+fn an_owner_that_stands_still_at_each_step_sends_nothing_late() {
+    for seed in seeds(3) {
+        for at in STEPS {
+            let span = [1, 4, 30][seed as usize % 3] * S;
+            let blows = vec![Blow { at, inherited: false, what: What::StandStill(span) }];
+            let mut run = history(PLACES[seed as usize % 2], seed, blows);
+            run.judge(seed, &format!("stood still for {span} us when {at:?}"));
+        }
+    }
+}
+
+#[test]
+fn a_site_cut_off_at_each_step_is_done_elsewhere_and_comes_home() {
+    for seed in seeds(3) {
+        for at in STEPS {
+            let blows = vec![Blow { at, inherited: false, what: What::CutSite }];
+            let mut run = history(PLACES[seed as usize % 3], seed, blows);
+            run.judge(seed, &format!("cut off when {at:?}"));
+        }
+    }
+}
