--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -85,6 +85,9 @@
             site.latency(0.5) as f64 / 1e3,
             site.latency(0.99) as f64 / 1e3
         );
+        let seconds: Vec<_> = site.seconds.iter().map(u64::to_string).collect();
+        let (came, taken) = site.again;
+        println!("  came again {came}, not refused {taken}; served each second {}", seconds.join(" "));
     }
     let (kept, ends) = &told.kept;
     let ends: Vec<_> = ends.iter().map(|(how, count)| format!(", {how} {count}")).collect();
--- a/crates/trial/src/site_judge.rs
+++ b/crates/trial/src/site_judge.rs
@@ -29,6 +29,10 @@
     pub handed: u64,
     /// Times from a try to its reply, of those served, sorted.
     pub latencies: Vec<Micros>,
+    /// Tries of clients that had been refused and came again, and of them those that were not refused.
+    pub again: (u64, u64),
+    /// Served in each second from the clients' beginning.
+    pub seconds: Vec<u64>,
 }
 
 impl SiteCalls {
@@ -149,23 +153,32 @@
     let (of, at) = &bed.of;
     let workers: BTreeMap<_, _> =
         at.iter().enumerate().map(|(w, s)| (Party::Worker(w).to_string(), *s)).collect();
-    let mut tries = BTreeMap::new();
+    let (mut tries, mut refused) = (BTreeMap::new(), BTreeSet::new());
     for Record { t, by, what } in records {
         match what {
-            What::Asked { tried, to, .. } => {
+            What::Asked { tried, event, to, .. } => {
                 let Some(gateway) = asked.gateways.get(to) else { continue };
-                tries.insert(*tried, (*t, of[*gateway]));
+                let again = refused.contains(event);
+                tries.insert(*tried, (*t, of[*gateway], event, again));
                 sites[of[*gateway]].asked += 1;
+                sites[of[*gateway]].again.0 += u64::from(again);
             }
             What::Answered { tried, answer, .. } => {
-                let Some((began, site)) = tries.get(tried) else { continue };
+                let Some((began, site, event, again)) = tries.get(tried) else { continue };
                 let site = &mut sites[*site];
+                site.again.1 += u64::from(*again && *answer != Final::Refused);
                 match answer {
                     Final::Served => {
                         site.served += 1;
                         site.latencies.push(t - began);
+                        let second = (t.saturating_sub(bed.began) / 1_000_000) as usize;
+                        site.seconds.resize(site.seconds.len().max(second + 1), 0);
+                        site.seconds[second] += 1;
+                    }
+                    Final::Refused => {
+                        site.refused += 1;
+                        refused.insert(*event);
                     }
-                    Final::Refused => site.refused += 1,
                     Final::Failed | Final::Rejected => site.failed += 1,
                 }
             }
