--- a/crates/pending/tests/heirs.rs
+++ b/crates/pending/tests/heirs.rs
@@ -83,7 +83,7 @@
     fn new(places: &[u8], seed: u64, blows: Vec<Blow>) -> Self {
         let own = Places::new(places.to_vec(), 0).expect("one");
         let settings = PendingSettings { heir_rate: 400, ..PendingSettings::new(own, 0, vec![2], seed) };
-        let link = Link { lost: 0.01, doubled: 0.02, late: (1 * MS, 30 * MS) };
+        let link = Link { lost: 0.01, doubled: 0.02, late: (MS, 30 * MS) };
         let mut sites = Sites::new(places.to_vec(), settings, link);
         sites.start_all();
         let (events, broken, cut) = (BTreeMap::new(), Vec::new(), Vec::new());
--- a/crates/shed/src/door.rs
+++ b/crates/shed/src/door.rs
@@ -169,7 +169,8 @@
     /// Takes one though nothing may be left: what is owed is paid off by what would come next.
     fn owe(&mut self, cell: usize, rate: f64, most: f64) -> bool {
         let bucket = &mut self.buckets[cell].calls;
-        let taken = *bucket >= 1.0 || *bucket > -(rate * most);
+        // What is owed is owed where no rate is left as well, of which no bound can be made.
+        let taken = *bucket >= 1.0 || most.is_infinite() || *bucket > -(rate * most);
         *bucket -= if taken { 1.0 } else { 0.0 };
         *bucket = bucket.max(-(rate * OWED + 1.0));
         taken
@@ -254,3 +255,25 @@
         self.seen.len()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::ClassOf;
+    use crate::table::Share;
+    use basaltward_fleet::Places;
+
+    #[test]
+    fn what_is_owed_is_taken_where_a_class_has_no_share_at_all() {
+        let places = Places::new(vec![0], 0).expect("in the list");
+        let class = ClassOf { worth: 1.0, aim: 1_000_000, deadline: 2_000_000 };
+        let settings = ShedSettings::new(vec![class], Vec::new(), places);
+        let share = Share { rates: vec![0.0], spare: 0.0, trickle: 0.0, retries: vec![0.0] };
+        let shares = Some(vec![share]);
+        let table = Table { number: 1, until: Micros::MAX, shares: shares.clone(), alone: shares };
+        let mut door = Door::new(0, settings, 0);
+        let mut ask = |now, asked| door.ask(now, Some(&table), 0, 0, asked, now);
+        assert!((1..200).all(|now| ask(now, Asked::Owed) == Verdict::Take));
+        assert!(matches!(ask(300, Asked::First), Verdict::Shed(_)));
+    }
+}
