--- a/crates/fellows/src/links.rs
+++ b/crates/fellows/src/links.rs
@@ -81,8 +81,8 @@
         self.links.get(&via)?.of().map(|(_, life)| life)
     }
 
-    /// The way there and back, and how old that is. While an answer is owed for longer than the last took, so long at
-    /// least.
+    /// The way there and back on a link that stands, and how old that is; none where none stands. While an answer is owed
+    /// for longer than the last took, so long at least.
     pub fn rtt(&self, of: Number, now: Micros) -> Option<(Micros, Micros)> {
         let peer = self.peers.get(usize::from(of))?;
         let (trip, at) = peer.trip?;
@@ -476,7 +476,7 @@
             peer.taken = None;
         }
         if peer.via == Some(conn) {
-            peer.via = None;
+            (peer.via, peer.trip) = (None, None);
             out.push(LinkEvent::Down(of));
             self.stands(io, now, of, out);
         }
--- a/crates/fellows/tests/links/usual.rs
+++ b/crates/fellows/tests/links/usual.rs
@@ -73,6 +73,7 @@
         bed.relays[1].faults.stalled[way] = true;
         let told = bed.pass_until(6 * S, "told", |bed| bed.fellows[0].saw(&LinkEvent::Down(1)) == 2);
         assert!((3 * S..=5 * S).contains(&told), "{told}");
+        assert_eq!(bed.fellows[0].ground.links().rtt(1, bed.now), None, "no link, no figure");
         bed.pass(2 * S);
         for of in 0..2 {
             let counts = bed.fellows[of].ground.links().counts(1 - of as u16);
