--- a/crates/fellows/tests/links/bed.rs
+++ b/crates/fellows/tests/links/bed.rs
@@ -86,7 +86,7 @@
     };
     let mut links =
         LinksConfig { frame_bytes: 4 << 10, unsent_bytes: 256 << 10, ..LinksConfig::new(nowhere) };
-    links.times.idle = 30 * S;
+    (links.times.idle, links.times.unread) = (30 * S, 30 * S);
     GroundConfig { fellows, listen: any, links }
 }
 
