--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -151,7 +151,7 @@
         /// Days, by their names; all where none is given
         #[arg(long, value_delimiter = ',')]
         days: Vec<String>,
-        /// Measure how it grows, and draw it here
+        /// Measure how it grows in place of the days, and draw it into this file
         #[arg(long)]
         grow: Option<std::path::PathBuf>,
     },
--- a/crates/bench/src/route.rs
+++ b/crates/bench/src/route.rs
@@ -2,6 +2,7 @@
 //! ones and by one that sees all sites at once.
 
 mod days;
+mod grow;
 
 use basaltward_route::{Ended, Policy};
 use days::{DAYS, Day};
@@ -69,7 +70,9 @@
 
 /// Measures and prints.
 pub fn run(seeds: u64, days: &[String], grow: Option<&Path>) -> Result<(), Box<dyn Error>> {
-    let _ = grow;
+    if let Some(to) = grow {
+        return grow::run(to);
+    }
     let asked = |name: &str| days.is_empty() || days.iter().any(|day| day == name);
     println!(
         "{seeds} seeds; worth of a call, latency in ms (late: none in its time), share handed over, loads, swing"
--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -368,29 +368,6 @@
             (o.site, smooth.min(view.proven(o)))
         });
         let given: BTreeMap<_, _> = given.collect();
-        eprintln!(
-            "s{} {} over {over:.1} bear {:.2} own q {:.0} busy {:.1} hand {:.0} mean {:.0} given {:?} proven {:?} others {:?}",
-            view.here(),
-            view.now / 1000,
-            self.bear,
-            view.own.queue / 1e3,
-            view.own.busy,
-            view.own.in_hand,
-            view.own.mean,
-            given.values().map(|x| *x as u32).collect::<Vec<_>>(),
-            view.others.iter().map(|o| view.proven(o) as u32).collect::<Vec<_>>(),
-            view.others
-                .iter()
-                .map(|o| (
-                    (o.known.queue / 1e3) as u32,
-                    o.known.busy as u32,
-                    o.known.over as u32,
-                    (o.longer / 1e3) as u32,
-                    (o.refused * 100.0) as u32,
-                    (o.lost * 100.0) as u32
-                ))
-                .collect::<Vec<_>>()
-        );
         self.given.clone_from(&given);
         given
     }
