--- a/crates/agreed/src/world.rs
+++ b/crates/agreed/src/world.rs
@@ -4,13 +4,13 @@
 //! says when it is done. What is out is known here, whatever anybody believes.
 
 use crate::bounds::Sight;
-use crate::eyes::Look;
+use crate::eyes::{Look, sites};
 use crate::ledger::Subject;
 use crate::member::{Fault, Member, Output};
 use crate::settings::AgreedSettings;
 use crate::wire::{VERSION, Wish};
 use basaltward_fleet::{
-    FleetSettings, Link, Micros, Net, Number, Output as Seen, Party, RUNS, View, value_of,
+    FleetSettings, Link, Micros, Net, Number, Output as Seen, Party, Places, RUNS, Site, View, value_of,
 };
 use std::collections::BTreeMap;
 
@@ -24,6 +24,8 @@
     /// The part.
     pub member: Member,
     workers: Sight,
+    /// Where all stand, and by when a view shows who is lost.
+    places: Option<(Places, Micros)>,
     wall_ms: u64,
     /// Sent for what is agreed.
     bytes: u64,
@@ -50,8 +52,13 @@
         act: impl FnOnce(&mut Member, &Look, &mut Vec<Output>) -> T,
     ) -> T {
         let wall_ms = self.wall_ms + now / 1_000;
-        let told = &self.workers;
-        let look = Look { view: &self.view, zones: &[], workers: &|_| told.clone(), wall_ms };
+        let (view, told, places) = (&self.view, &self.workers, &self.places);
+        let seen = |now| {
+            let mut seen = told.clone();
+            seen.extend(places.iter().flat_map(|(places, settle)| sites(view, places, *settle, now)));
+            seen
+        };
+        let look = Look { view, zones: &[], workers: &seen, wall_ms };
         let mut told = Vec::new();
         let done = act(&mut self.member, &look, &mut told);
         let bytes =
@@ -141,6 +148,7 @@
     pub net: Net<Scheduler>,
     settings: AgreedSettings,
     workers: Sight,
+    sites: Vec<Site>,
     asked: BTreeMap<(Number, u32), Errand>,
     planted: Option<Fault>,
     /// Answers that operators have had.
@@ -154,7 +162,20 @@
     /// So many schedulers by these settings, none of them started.
     pub fn new(size: Number, settings: AgreedSettings, workers: Sight, link: Link) -> Self {
         let net = Net::new(size, settings.seed, link);
-        Self { net, settings, workers, asked: BTreeMap::new(), planted: None, answers: Vec::new() }
+        Self {
+            net,
+            settings,
+            workers,
+            sites: Vec::new(),
+            asked: BTreeMap::new(),
+            planted: None,
+            answers: Vec::new(),
+        }
+    }
+
+    /// Whoever starts from now on is a gateway at one of these sites.
+    pub fn set_sites(&mut self, sites: Vec<Site>) {
+        self.sites = sites;
     }
 
     /// Whoever starts from now on has this fault.
@@ -182,6 +203,7 @@
             view,
             member,
             workers: self.workers.clone(),
+            places: Places::new(self.sites.clone(), of).map(|places| (places, self.settings.settle)),
             wall_ms,
             bytes: 0,
             runs,
--- a/crates/pending/src/rebuild.rs
+++ b/crates/pending/src/rebuild.rs
@@ -15,6 +15,9 @@
 const BYTES: usize = 48 << 10;
 /// Claims that are out at once.
 const CLAIMS: usize = 1024;
+/// Events of our earlier lives of which we learn, and bytes of their answers, at most: with more we are not home until
+/// some are past their time.
+const LEARNT: (usize, usize) = (1 << 17, 16 << 20);
 /// A word without an answer is sent again after this.
 const AGAIN: Micros = 300_000;
 
@@ -79,6 +82,7 @@
     events: BTreeMap<Key, Event>,
     /// What we were told of events that earlier lives of ours had pending, with their deadlines.
     learnt: BTreeMap<Key, (WallMs, Fate)>,
+    learnt_bytes: usize,
     /// Gateways of which we ask whether anybody holds anything: those yet to answer.
     asked: BTreeMap<Number, BTreeSet<Number>>,
     /// Events that are out to workers here.
@@ -133,6 +137,7 @@
             torn: BTreeSet::new(),
             events: BTreeMap::new(),
             learnt: BTreeMap::new(),
+            learnt_bytes: 0,
             asked: BTreeMap::new(),
             out: 0,
             ration: 0,
@@ -341,7 +346,9 @@
                     if let Some((_, fate)) =
                         self.learnt.get_mut(&key).filter(|(_, fate)| *fate == Fate::By(from))
                     {
-                        *fate = Fate::Ended(outcome, answer.clone());
+                        let fits = self.learnt_bytes + answer.len() <= LEARNT.1;
+                        *fate = Fate::Ended(outcome, if fits { answer.clone() } else { Vec::new() });
+                        self.learnt_bytes += fate.answer_bytes();
                     }
                     let theirs = |event: &&mut Event| event.stage == Stage::Theirs(from);
                     if let Some(event) = self.events.get_mut(&key).filter(theirs) {
@@ -456,7 +463,7 @@
         let (mut fates, mut bytes, mut more) = (Vec::<(Key, WallMs, Fate)>::new(), 0, None);
         for (key, event) in rest {
             let fate = self.fate_of(event);
-            bytes += if let Fate::Ended(_, answer) = &fate { answer.len() } else { 0 };
+            bytes += fate.answer_bytes();
             if fates.len() == BATCH || (bytes > BYTES && !fates.is_empty()) {
                 more = fates.last().map(|(key, ..)| *key);
                 break;
@@ -475,6 +482,9 @@
         more: Option<Key>,
         out: &mut Vec<Heir>,
     ) {
+        if self.learnt.len() + fates.len() > LEARNT.0 {
+            return;
+        }
         out.push(match more {
             Some(_) => Heir::Send(from, Word::Back { life, after: more }),
             None => Heir::Learnt(from),
@@ -488,7 +498,14 @@
                 (Fate::By(_), Fate::By(of)) => *of == from,
             };
             if later {
-                known.1 = fate;
+                known.1 = match fate {
+                    // It was served: that its answer is not kept is told as it is of one that was too long.
+                    Fate::Ended(outcome, answer) if self.learnt_bytes + answer.len() > LEARNT.1 => {
+                        Fate::Ended(outcome, Vec::new())
+                    }
+                    fate => fate,
+                };
+                self.learnt_bytes += known.1.answer_bytes();
             }
         }
     }
@@ -509,7 +526,11 @@
             }
             _ => true,
         });
-        self.learnt.retain(|_, (deadline, _)| wall < deadline.saturating_add(remember + slack));
+        let over =
+            |_: &Key, (deadline, _): &mut (WallMs, Fate)| wall >= deadline.saturating_add(remember + slack);
+        for (_, (_, fate)) in self.learnt.extract_if(.., over) {
+            self.learnt_bytes -= fate.answer_bytes();
+        }
         let open = self.events.values().any(|event| matches!(event.stage, Stage::Open | Stage::Claiming(_)));
         if !open && self.asked.is_empty() {
             self.again = Micros::MAX;
--- a/crates/pending/src/words.rs
+++ b/crates/pending/src/words.rs
@@ -58,6 +58,13 @@
     Ended(Outcome, Vec<u8>),
 }
 
+impl Fate {
+    /// Bytes of the answer that it holds.
+    pub fn answer_bytes(&self) -> usize {
+        if let Self::Ended(_, answer) = self { answer.len() } else { 0 }
+    }
+}
+
 /// Whose an event is, to whoever answers a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stand {
