Gateway: an event that others see to is forgotten after its time

Events of a gateway that was taken over stayed in its memory for good. Closed a second past their deadline, bounded as all that has ended; an attempt of one never leaves, a repeat is told that it may have run (test, free of I/O).

--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -415,6 +415,13 @@
             match event.state {
                 // A timer of an earlier call of this name may come first.
                 State::Waits(_) if now >= event.until => then.extend(self.held(key, false)),
+                // Whoever sees to it has closed it by now.
+                State::Lost if now >= event.deadline + CLOSE_US => {
+                    self.events.entry(key).and_modify(|event| {
+                        event.state = State::Ended(Some((Outcome::Failed, None)));
+                    });
+                    self.forget_oldest(key);
+                }
                 State::Held | State::Bare if now >= event.deadline + CLOSE_US => {
                     let outcome = if event.ran { Outcome::Failed } else { Outcome::Refused };
                     self.end(key, outcome, Vec::new());
@@ -545,6 +552,23 @@
         assert_eq!(answer(&mut kept, "x"), None, "past the bound");
     }
 
+    #[test]
+    fn what_others_see_to_does_not_leave_any_more_and_is_forgotten_after_its_time() {
+        let mut kept = events(Unheld::Refuse, Repeat::Unsafe);
+        kept.accept((0, 0), call(1, "a", 0));
+        kept.held(key("a"), true);
+        let identity = call(1, "a", 0).identity;
+        kept.start((0, 3 * S), attempt(0), &identity, "w");
+        assert!(matches!(kept.lost(key("a"))[..], [Then::Stay(id)] if id == attempt(0)));
+        assert_eq!(kept.start((0, 3 * S), attempt(1), &identity, "w"), Start::Stays);
+        let failed = |accept| matches!(accept, Accept::Answer(_, Answer::Failed(Failure::MayHaveRun)));
+        assert!(failed(kept.accept((0, 0), call(2, "a", 0))));
+        kept.wake(8 * S + CLOSE_US);
+        assert!(failed(kept.accept((9 * S, 0), call(3, "a", 0))));
+        ["b", "c"].map(|id| kept.told(key(id), Outcome::Failed, &[], 9 * S));
+        assert!(matches!(kept.accept((9 * S, 0), call(4, "a", 0)), Accept::Waits), "past the bound");
+    }
+
     #[test]
     fn a_control_thread_that_stands_still_bounds_what_waits() {
         let mut kept = events(Unheld::Refuse, Repeat::Safe);
