--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -318,7 +318,9 @@
         if answer == Final::Served {
             self.tally.latencies.push(now - progress.first.unwrap_or(now));
         }
-        let repeat = answer == Final::Refused || answer == Final::Failed && plan.retries.after_failure;
+        // 502: whoever sees to the event can't be reached, and tells its repeats apart.
+        let harmless = answer == Final::Refused || response.status == 502;
+        let repeat = harmless || answer == Final::Failed && plan.retries.after_failure;
         let again = response.headers.get("retry-after").and_then(|told| told.parse::<Micros>().ok());
         let again = again.filter(|_| plan.retries.honour).map(|seconds| seconds * 1_000_000);
         let wait = again.unwrap_or(plan.retries.wait);
