Fellows: a throttled link is not taken for a silent one

With it: and a new link has a round trip at once.

A receiver asked nothing more until its first question was answered, and that answer waited behind what the link had yet to carry: the sender heard nothing for 4 s and ended the link.

--- a/crates/fellows/src/link.rs
+++ b/crates/fellows/src/link.rs
@@ -18,7 +18,7 @@
     pub unread: Micros,
     /// One that nothing of any room went on for so long is ended by whoever made it.
     pub idle: Micros,
-    /// From its beginning until both have said hello, at most.
+    /// Until a connection stands, and then until both have said hello, at most.
     pub hello: Micros,
 }
 
@@ -96,6 +96,11 @@
         self.of
     }
 
+    /// The connection that we made stands, and our hello goes.
+    pub fn greets(&mut self, now: Micros) {
+        self.began = now;
+    }
+
     /// A frame of a room goes.
     pub fn uses(&mut self, now: Micros) {
         self.used = now;
@@ -190,12 +195,17 @@
         if self.toward.is_some() && now >= self.used + times.idle {
             return Err(LinkError::Idle);
         }
-        if self.asked.is_some() || now < self.next_ask {
+        if now < self.next_ask {
             return Ok(None);
         }
-        self.asks = self.asks.wrapping_add(1);
-        (self.asked, self.next_ask) = (Some((self.asks, now)), now + times.ping);
-        Ok(Some(Control::Ping(self.asks)))
+        self.next_ask = now + times.ping;
+        // Asked again though no answer came: behind what a throttled link has yet to carry it takes long, and the other
+        // end, which hears our questions alone, would take us for silent.
+        let (tag, _) = *self.asked.get_or_insert_with(|| {
+            self.asks = self.asks.wrapping_add(1);
+            (self.asks, now)
+        });
+        Ok(Some(Control::Ping(tag)))
     }
 
     /// When [`Link::wake`] is due next.
@@ -203,9 +213,8 @@
         if self.of.is_none() {
             return self.began + times.hello;
         }
-        let ask = if self.asked.is_some() { Micros::MAX } else { self.next_ask };
         let idle = if self.toward.is_some() { self.used + times.idle } else { Micros::MAX };
-        ask.min(idle).min(self.heard + times.silence)
+        self.next_ask.min(idle).min(self.heard + times.silence)
     }
 
     /// We have stood still: what waits at the socket was not looked at, so no silence counts and no question that
--- a/crates/fellows/src/links.rs
+++ b/crates/fellows/src/links.rs
@@ -178,7 +178,9 @@
     /// A connection that we began stands.
     pub fn connected(&mut self, io: &mut Io, now: Micros, conn: ConnId) {
         self.look(now);
-        if let Some(to) = self.links.get(&conn).and_then(Link::toward) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        if let Some(to) = link.toward() {
+            link.greets(now);
             self.say(io, conn, &self.ours.hello(to));
         }
     }
@@ -394,9 +396,14 @@
                 self.end(io, now, other, LinkError::Replaced, out);
             }
         }
+        let trip = self.links.get(&conn).map(|link| (link.stood(now), now));
+        let peer = &mut self.peers[usize::from(of)];
         if taken {
-            self.peers[usize::from(of)].taken = Some(conn);
+            peer.taken = Some(conn);
             self.say(io, conn, &self.ours.hello(of));
+        } else {
+            // Our hello and theirs.
+            peer.trip = trip;
         }
         self.stands(io, now, of, out);
     }
--- a/crates/fellows/tests/links/relay.rs
+++ b/crates/fellows/tests/links/relay.rs
@@ -10,6 +10,8 @@
 pub struct Faults {
     /// Bytes come so much later.
     pub late: Micros,
+    /// So many bytes a second go each way, at most.
+    pub rate: Option<u64>,
     /// Bytes of one way go nowhere, and neither end is told.
     pub stalled: [bool; 2],
     /// Connections are closed once so many bytes have gone from whoever made them.
@@ -22,6 +24,8 @@
     ends: [TcpStream; 2],
     on_the_way: [VecDeque<(Micros, Vec<u8>)>; 2],
     gone: usize,
+    /// Until when the last bytes of each way take.
+    busy: [Micros; 2],
     /// Nothing goes on it any more, not even its end.
     frozen: bool,
 }
@@ -77,6 +81,7 @@
                 ends: [from, to],
                 on_the_way: Default::default(),
                 gone: 0,
+                busy: [0; 2],
                 frozen: false,
             });
         }
@@ -88,12 +93,16 @@
 impl Pair {
     /// False once the connection is over.
     fn carry(&mut self, way: usize, now: Micros, faults: &Faults, bytes: &mut [u8]) -> bool {
-        if faults.stalled[way] || self.frozen {
+        if faults.stalled[way] || self.frozen || now < self.busy[way] {
             return true;
         }
-        match (&self.ends[way]).read(bytes) {
+        let room = faults.rate.map_or(bytes.len(), |rate| bytes.len().min(rate as usize / 20));
+        match (&self.ends[way]).read(&mut bytes[..room]) {
             Ok(0) => return false,
-            Ok(length) => self.on_the_way[way].push_back((now + faults.late, bytes[..length].to_vec())),
+            Ok(length) => {
+                self.busy[way] = now + faults.rate.map_or(0, |rate| length as u64 * 1_000_000 / rate);
+                self.on_the_way[way].push_back((now + faults.late, bytes[..length].to_vec()));
+            }
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
             Err(_) => return false,
         }
--- a/crates/fellows/tests/links/usual.rs
+++ b/crates/fellows/tests/links/usual.rs
@@ -95,6 +95,25 @@
     }
 }
 
+#[test]
+fn a_throttled_link_carries_all_and_is_not_taken_for_a_stalled_one() {
+    let mut bed = Bed::with(2, |config| config.links.times.unread = 120 * S);
+    bed.send(0, 1, b"up").expect("taken");
+    bed.until("up", |bed| bed.fellows[1].came(0).len() == 1);
+    bed.relays[1].faults.rate = Some(50_000);
+    // 40 s of it.
+    let mut taken = 0;
+    while taken < 500 {
+        taken += usize::from(bed.send(0, 1, &[1; 4_000]).is_ok());
+        bed.pass(20_000);
+    }
+    let slow = bed.fellows[0].ground.links().rtt(1, bed.now).expect("it stands").0;
+    assert!(slow > 5 * S, "its round trip shows what waits: {slow}");
+    bed.pass_until(60 * S, "all there", |bed| bed.fellows[1].came(0).len() == taken + 1);
+    let counts = bed.fellows[0].ground.links().counts(1);
+    assert_eq!((counts.ups, counts.stalled, counts.cut), (1, 0, 0));
+}
+
 #[test]
 fn attempts_where_nobody_listens_grow_rare() {
     let mut bed = Bed::new(2);
