--- a/crates/pending/src/kept.rs
+++ b/crates/pending/src/kept.rs
@@ -51,6 +51,7 @@
             most: settings.heir_most,
             rate: settings.heir_rate,
             remember: settings.remember_ms,
+            holders: settings.holders.clone(),
         };
         Self {
             entry_bytes: settings.entry_bytes,
