--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -15,6 +15,7 @@
 mod pending;
 mod processes;
 mod proxy;
+mod route;
 mod shed;
 
 use clap::{Parser, Subcommand};
@@ -168,6 +169,19 @@
         #[arg(long, default_value_t = 1_000)]
         links: u16,
     },
+    /// Which site answers: worth and latency on five days in virtual time against other ways to choose, the swing of a
+    /// site that all see at once, and bytes and time as sites grow
+    Route {
+        /// Seeds of each day
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+        /// Days, by their names; all where none is given
+        #[arg(long, value_delimiter = ',')]
+        days: Vec<String>,
+        /// Measure how it grows, and draw it here
+        #[arg(long)]
+        grow: Option<std::path::PathBuf>,
+    },
     /// Memory of an idle connection
     Memory {
         /// Connections
@@ -216,6 +230,7 @@
         Command::Ground { rounds, frames, links } => ground::run(rounds, frames, links),
         Command::Processes { counts, lost, rounds } => processes::run(&counts, lost, rounds),
         Command::Shed { multiples, seeds, seconds } => shed::run(&multiples, seeds, seconds),
+        Command::Route { seeds, days, grow } => route::run(seeds, &days, grow.as_deref()),
         Command::Memory { connections } => memory::run(connections),
         Command::Pending { events, rounds, seeds } => pending::run(events, rounds, seeds),
         Command::Parse { times } => parse::run(times),
--- a/crates/pending/src/lib.rs
+++ b/crates/pending/src/lib.rs
@@ -6,11 +6,13 @@
 mod ends;
 mod entry;
 mod error;
+mod glance;
 mod holder;
 mod journal;
 mod kept;
 mod lease;
 mod neighbour;
+mod owner;
 mod rebuild;
 mod seam;
 mod takeover;
@@ -21,11 +23,13 @@
 
 pub use ends::{Case, End, Sent, end};
 pub use error::{Fault, Unkept, WireError};
+pub use glance::{Glance, glance};
 #[doc(hidden)]
 pub use holder::Planted;
 pub use journal::Written;
 pub use kept::Pending;
 pub use lease::{Lease, Promises, Refused, Terms};
+pub use owner::{owner, taken};
 pub use rebuild::Heirs;
 #[doc(hidden)]
 pub use rebuild::Planted as HeirsPlanted;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,13 +5,22 @@
 #![warn(missing_docs)]
 
 mod home;
+mod homes;
+mod plan;
 mod route;
 mod router;
 mod settings;
+mod site;
+mod tally;
 mod types;
+mod word;
+mod world;
 
 pub use home::home_by;
 pub use route::Route;
 pub use router::Router;
 pub use settings::{FunctionTold, RouteError, RouteSettings};
+#[doc(hidden)]
+pub use types::Fault;
 pub use types::{Counted, Counts, Handed, HandedEnd, Row, Table, WAYS, Way, Where};
+pub use world::{Ended, Leg, ModelFunction, Policy, World, WorldSettings};
--- a/crates/shed/src/door.rs
+++ b/crates/shed/src/door.rs
@@ -16,10 +16,13 @@
 const OWED: f64 = 1.0;
 /// Who is a little early has come at its time.
 const EARLY: Micros = 50_000;
-/// Calls that may come at once after a quiet time, in seconds of their rate.
+/// Calls that may come at once after a quiet time, in seconds of their rate; of a slow pair more, up to a few, as they
+/// don't come evenly.
 const BURST: f64 = 0.05;
+const SLOW_BURST: f64 = 0.5;
+const FEW: f64 = 6.0;
 /// Retries that may come at once, in seconds of their rate.
-const RETRY_BURST: f64 = 0.5;
+const RETRY_BURST: f64 = 0.1;
 /// Shortest and longest time told. Past the longest no room is promised.
 const SOONEST: Micros = 250_000;
 const LATEST: Micros = 120_000_000;
@@ -44,6 +47,8 @@
     free: Micros,
     /// Until when it is filled.
     at: Micros,
+    /// Answered a second.
+    answered: f64,
 }
 
 /// The door of one loop.
@@ -143,7 +148,8 @@
         let bucket = &mut self.buckets[cell];
         let (rate, retries) = (share.rates[cell].max(share.trickle), share.retries[cell]);
         let seconds = since(&mut bucket.at);
-        bucket.calls = (bucket.calls + rate * seconds).min((rate * BURST).max(1.0));
+        bucket.calls =
+            (bucket.calls + rate * seconds).min((rate * BURST).max((rate * SLOW_BURST).min(FEW)).max(1.0));
         bucket.retries = (bucket.retries + retries * seconds).min((retries * RETRY_BURST).max(1.0));
         let seconds = since(&mut self.at);
         self.spare = (self.spare + share.spare * seconds).min((share.spare * BURST).max(1.0));
@@ -163,7 +169,8 @@
     /// Takes one though nothing may be left: what is owed is paid off by what would come next.
     fn owe(&mut self, cell: usize, rate: f64, most: f64) -> bool {
         let bucket = &mut self.buckets[cell].calls;
-        let taken = *bucket >= 1.0 || *bucket > -(rate * most);
+        // What is owed is owed where no rate is left as well, of which no bound can be made.
+        let taken = *bucket >= 1.0 || most.is_infinite() || *bucket > -(rate * most);
         *bucket -= if taken { 1.0 } else { 0.0 };
         *bucket = bucket.max(-(rate * OWED + 1.0));
         taken
@@ -181,19 +188,41 @@
         if let Some(at) = told {
             return Verdict::Shed((at.max(now + SOONEST) - now).min(LATEST));
         }
+        Verdict::Shed(self.promise(now, (cell, rate), key_hash))
+    }
+
+    /// The next time at which there is room for who is turned away now.
+    fn promise(&mut self, now: Micros, (cell, rate): (usize, f64), key_hash: u64) -> Micros {
         let bucket = &mut self.buckets[cell];
         let at = bucket.free.max(now + SOONEST);
         let step = 1e6 * self.come_back.max(FEWEST) / (rate * PROMISED).max(0.01);
         bucket.free = (at + step as Micros).min(now + LATEST * 2);
         if at - now <= LATEST {
             self.seen.put(key_hash, at, cell);
-            return Verdict::Shed(at - now);
+            return at - now;
         }
         // No room can be promised: the times told are spread all the same.
-        Verdict::Shed(LATEST + key_hash % LATEST)
+        LATEST + key_hash % LATEST
+    }
+
+    /// A call that was taken has been refused after the door, and nothing of it has run: when it is to come again.
+    pub fn refused(
+        &mut self,
+        now: Micros,
+        table: Option<&Table>,
+        class: usize,
+        tenant: usize,
+        key_hash: u64,
+    ) -> Micros {
+        let cell = self.settings.cell(class, tenant);
+        self.counts[cell].refused += 1;
+        // Without a share there is only what was answered to go by.
+        let share = table.and_then(|table| table.share(now, self.loop_no));
+        let rate = share.map_or(self.buckets[cell].answered, |share| share.rates[cell]);
+        self.promise(now, (cell, rate), key_hash)
     }
 
-    /// A call that was taken has ended.
+    /// A call that was taken has ended otherwise.
     pub fn counted(&mut self, class: usize, tenant: usize, ended: Ended) {
         let count = &mut self.counts[self.settings.cell(class, tenant)];
         match ended {
@@ -212,6 +241,11 @@
     /// What was counted since the last time, for the control thread.
     pub fn take(&mut self, now: Micros, in_hand: u32) -> Counts {
         let span = now.saturating_sub(std::mem::replace(&mut self.since, now));
+        let weight = 1.0 - (-(span as f64) / 1e6).exp();
+        for (bucket, count) in self.buckets.iter_mut().zip(&self.counts) {
+            let rate = f64::from(count.answered()) * 1e6 / span.max(1) as f64;
+            bucket.answered += weight * (rate - bucket.answered);
+        }
         let by = std::mem::replace(&mut self.counts, vec![Count::default(); self.settings.cells()]);
         Counts { span, by, in_hand }
     }
@@ -221,3 +255,25 @@
         self.seen.len()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::ClassOf;
+    use crate::table::Share;
+    use basaltward_fleet::Places;
+
+    #[test]
+    fn what_is_owed_is_taken_where_a_class_has_no_share_at_all() {
+        let places = Places::new(vec![0], 0).expect("in the list");
+        let class = ClassOf { worth: 1.0, aim: 1_000_000, deadline: 2_000_000 };
+        let settings = ShedSettings::new(vec![class], Vec::new(), places);
+        let share = Share { rates: vec![0.0], spare: 0.0, trickle: 0.0, retries: vec![0.0] };
+        let shares = Some(vec![share]);
+        let table = Table { number: 1, until: Micros::MAX, shares: shares.clone(), alone: shares };
+        let mut door = Door::new(0, settings, 0);
+        let mut ask = |now, asked| door.ask(now, Some(&table), 0, 0, asked, now);
+        assert!((1..200).all(|now| ask(now, Asked::Owed) == Verdict::Take));
+        assert!(matches!(ask(300, Asked::First), Verdict::Shed(_)));
+    }
+}
--- a/crates/trial/src/site_bed.rs
+++ b/crates/trial/src/site_bed.rs
@@ -8,6 +8,7 @@
 use crate::site_files::{Reach, write_files};
 use crate::site_load::plans;
 use crate::site_spec::{SiteLink, SitesSpec};
+use crate::tap::Reads;
 use crate::way::{Party, Way};
 use crate::ways::Ways;
 use basaltward_config::Config;
@@ -99,8 +100,9 @@
                     continue;
                 }
                 let front = laying.route(Way { from, to: Party::Scheduler(j) }, listens[j], None)?;
-                laying.tap();
+                laying.tap(Reads::Calls);
                 let journal = laying.route(Way { from, to: Party::Journal(j) }, journals[j], None)?;
+                laying.tap(Reads::Frames);
                 reaches.push(Reach { tell, front, journal });
             }
             fronts.push(reaches.iter().map(|reach| reach.front).collect());
@@ -114,7 +116,7 @@
             reached.push(laying.route(Way { from: Party::Clients, to: from }, listens[i], None)?);
             let path = write_files(&spec, &ground, i, &reaches, &workers)?;
             config.get_or_insert(basaltward_config::load(&path)?);
-            let args = ["--log", "info", "serve", "--config"]
+            let args = ["--log", "info,basaltward::call=off", "serve", "--config"]
                 .map(OsString::from)
                 .into_iter()
                 .chain([path.into()])
@@ -211,12 +213,34 @@
         let (gateways, workers) = self.meant(who);
         workers.into_iter().try_for_each(|w| self.workers[w].start())?;
         gateways.into_iter().try_for_each(|i| self.gateways[i].start())?;
+        self.shut(who, false);
         Ok(())
     }
 
+    /// Nobody listens where these did, or they do again.
+    fn shut(&mut self, who: Who, shut: bool) {
+        let (gateways, workers) = self.meant(who);
+        let all = 0..self.gateways.len();
+        for i in gateways {
+            self.ways.shut(Way { from: Party::Clients, to: Party::Scheduler(i) }, shut);
+            for from in all.clone().filter(|from| *from != i).map(Party::Scheduler) {
+                for to in [Party::Scheduler(i), Party::Journal(i)] {
+                    self.ways.shut(Way { from, to }, shut);
+                }
+            }
+        }
+        for w in workers {
+            let here = self.of.1[w];
+            for i in self.gateways_of(here) {
+                self.ways.shut(Way { from: Party::Scheduler(i), to: Party::Worker(w) }, shut);
+            }
+        }
+    }
+
     /// Kills outright.
     pub fn kill(&mut self, who: Who) {
         self.each(who, Process::kill);
+        self.shut(who, true);
         for i in self.meant(who).0 {
             // It could not say so itself. It has one loop.
             self.recorder.put(monotonic(), &format!("n{i}/0"), What::Down { killed: true });
@@ -231,6 +255,7 @@
         self.each(who, Process::stop);
         let mut ended = Ok(());
         self.each(who, |process| ended = std::mem::replace(&mut ended, Ok(())).and(process.join()));
+        self.shut(who, true);
         Ok(ended?)
     }
 
