--- a/crates/pending/src/kept.rs
+++ b/crates/pending/src/kept.rs
@@ -14,6 +14,7 @@
 use crate::words::{Copy, Counted, Fate, Heir, HeirsSettings, Word};
 use basaltward_agreed::{Ledger, Sight, Subject, Wish};
 use basaltward_fleet::{Micros, Number, Places};
+use std::collections::BTreeMap;
 
 /// So often what is held is looked through for what is past its time.
 const SWEEP: Micros = 1_000_000;
@@ -35,6 +36,9 @@
     sight: Sight,
     ledger: Ledger,
     lives: Vec<u64>,
+    /// Lives that are over of which a claim has told, until what we promised to them has run out; whether their
+    /// gateways are away.
+    behind: BTreeMap<Number, (u64, bool)>,
     sweep: Micros,
     look: Micros,
     now: Micros,
@@ -63,6 +67,7 @@
             journal: Journal::new(settings),
             live: vec![false; places.len()],
             lives: vec![0; places.len()],
+            behind: BTreeMap::new(),
             sight: Sight::new(),
             ledger: Ledger::default(),
             sweep: now + SWEEP,
@@ -206,6 +211,11 @@
             Message::Released(release) => self.journal.released(from, release),
             Message::Word(word) => {
                 let mut heirs = Vec::new();
+                if let Word::Claim(keys) = &word {
+                    let mut sources: Vec<Source> = keys.iter().map(|(_, source, _)| *source).collect();
+                    sources.dedup();
+                    sources.into_iter().for_each(|source| self.follow(now, source, &mut heirs));
+                }
                 if self.may_answer(now, from, &word) {
                     let holder = &self.holder;
                     self.heirs.word(now, from, word, |of, life| holder.copies(now, of, life), &mut heirs);
@@ -225,6 +235,29 @@
         self.promises.free(now, from)
     }
 
+    /// A claim tells that a life is over of which we may not have heard: one that was taken over while it ran begins
+    /// another journal without another connection. What we promised to it has to run out first.
+    fn follow(&mut self, now: Micros, Source { gateway, life }: Source, heirs: &mut Vec<Heir>) {
+        if gateway == self.places.own() || self.promises.closed(gateway) >= Some(life) {
+            return;
+        }
+        self.promises.close(gateway, life);
+        let site = self.places.site(gateway).map(Subject::Site);
+        let subjects = [Some(Subject::Gateway(gateway)), site];
+        let away = subjects.into_iter().flatten().any(|subject| self.watch.has_begun(subject));
+        self.behind.insert(gateway, (life, away));
+        self.catch_up(now, heirs);
+    }
+
+    fn catch_up(&mut self, now: Micros, heirs: &mut Vec<Heir>) {
+        let promises = &self.promises;
+        let free: Vec<_> = self.behind.extract_if(.., |of, _| promises.free(now, *of)).collect();
+        for (of, (life, away)) in free {
+            let copies = self.holder.copies(now, of, life);
+            self.heirs.begin(now, of, life, away, copies, heirs);
+        }
+    }
+
     fn lines(&mut self, now: Micros, from: Number, lines: &Lines, out: &mut Vec<Output>) {
         let granted = match self.holder.is_for_us(lines) {
             true => self.promises.grant(now, from, lines.source.life),
@@ -326,6 +359,7 @@
             self.go_home(now, out);
         }
         let mut heirs = Vec::new();
+        self.catch_up(now, &mut heirs);
         self.heirs.wake(now, wall, &mut heirs);
         self.pass_on(heirs, out);
     }
--- a/crates/pending/tests/take_over.rs
+++ b/crates/pending/tests/take_over.rs
@@ -43,9 +43,10 @@
 }
 
 impl Run {
-    fn new(places: &[u8], seed: u64, link: Link) -> Self {
+    fn new(places: &[u8], holders: [u8; 2], seed: u64, link: Link) -> Self {
         let own = Places::new(places.to_vec(), 0).expect("one");
-        let settings = PendingSettings { heir_rate: 400, ..PendingSettings::new(own, 0, vec![1, 2], seed) };
+        let settings =
+            PendingSettings { heir_rate: 400, ..PendingSettings::new(own, 0, holders.into(), seed) };
         let mut sites = Sites::new(places.to_vec(), settings, link);
         sites.start_all();
         let rng = StdRng::seed_from_u64(seed);
@@ -194,7 +195,7 @@
     for seed in seeds(6) {
         let places = [vec![0, 0, 1, 1], vec![0, 0, 1, 1, 2, 2], vec![0, 1, 2]][seed as usize % 3].clone();
         let late = [(2_000, 2_000), (1_000, 30_000)][seed as usize % 2];
-        let mut run = Run::new(&places, seed, Link { lost: 0.0, doubled: 0.0, late });
+        let mut run = Run::new(&places, [1, 2], seed, Link { lost: 0.0, doubled: 0.0, late });
         run.pass(5 * S, false);
         run.pass(3 * S, true);
         let site = run.rng.random_range(0..=places[places.len() - 1]);
@@ -210,10 +211,51 @@
     assert!(ends["served"] > 10 * ends["may have run"], "{ends:?}");
 }
 
+#[test]
+fn what_only_one_gateway_held_ends_though_the_other_never_heard_of_its_owner() {
+    for seed in seeds(6) {
+        let link = Link { lost: 0.0, doubled: 0.0, late: (1_000, 3_000) };
+        let mut run = Run::new(&[0, 0, 1, 1], [1, 1], seed, link);
+        run.pass(5 * S, false);
+        run.pass(3 * S, true);
+        run.killed = Some(run.sites.net.now);
+        run.sites.kill(3);
+        // At times both are permitted one by one before their site is.
+        run.pass(u64::from(seed as u16 % 3) * S, true);
+        run.killed = Some(run.sites.net.now);
+        run.sites.kill(2);
+        run.pass(2 * S, true);
+        run.pass(30 * S, false);
+        let open = run.judge();
+        assert!(run.broken.is_empty() && open.is_empty(), "seed {seed}: {:?} open {open:?}", run.broken);
+    }
+}
+
+#[test]
+fn one_that_was_taken_over_while_it_ran_and_then_is_lost_is_rebuilt_as_well() {
+    for seed in seeds(3) {
+        let link = Link { lost: 0.0, doubled: 0.0, late: (1_000, 3_000) };
+        let mut run = Run::new(&[0, 0, 1, 1], [1, 1], seed, link);
+        run.pass(5 * S, true);
+        [2, 3].into_iter().for_each(|of| run.sites.slander(of, true));
+        run.pass(8 * S, false);
+        [2, 3].into_iter().for_each(|of| run.sites.slander(of, false));
+        run.pass(40 * S, false);
+        assert!(run.sites.net.party(2).is_some_and(|one| one.pending.takes()), "seed {seed}");
+        run.pass(3 * S, true);
+        run.killed = Some(run.sites.net.now);
+        run.sites.kill_site(1);
+        run.pass(2 * S, true);
+        run.pass(30 * S, false);
+        let open = run.judge();
+        assert!(open.is_empty(), "seed {seed}: open {open:?}");
+    }
+}
+
 /// A site is cut off with calls in hand, longer than a lease, and comes back.
 fn cut_off(seed: u64) -> Run {
     let places = [vec![0, 0, 1, 1, 2, 2], vec![0, 1, 2]][seed as usize % 2].clone();
-    let mut run = Run::new(&places, seed, Link { lost: 0.0, doubled: 0.0, late: (1_000, 20_000) });
+    let mut run = Run::new(&places, [1, 2], seed, Link { lost: 0.0, doubled: 0.0, late: (1_000, 20_000) });
     run.pass(5 * S, false);
     run.pass(3 * S, true);
     let site = run.rng.random_range(0..3);
