--- /dev/null
+++ b/crates/pending/src/claims.rs
@@ -0,0 +1,226 @@
+//! What gateways answer one another of what is taken over: claims, and what was done in the place of one that returns.
+
+use crate::ends::Sent;
+use crate::rebuild::{Event, Heirs, Stage, rank};
+use crate::types::{Key, Outcome, Source, WallMs};
+use crate::words::{Copy, Fate, Gone, Heir, Say, Stand, Why, Word};
+use basaltward_fleet::{Micros, Number};
+
+/// Keys in a word, at most, and bytes of answers in one.
+pub(crate) const BATCH: usize = 256;
+const BYTES: usize = 48 << 10;
+/// Events of our earlier lives of which we learn, and bytes of their answers, at most: with more we are not home until
+/// some are past their time.
+const LEARNT: (usize, usize) = (1 << 17, 16 << 20);
+
+impl Heirs {
+    /// Another gateway's word. `copies` gives all that we hold of a gateway's journals, up to a life.
+    pub fn word(
+        &mut self,
+        now: Micros,
+        from: Number,
+        word: Word,
+        copies: impl Fn(Number, u64) -> Vec<Copy>,
+        out: &mut Vec<Heir>,
+    ) {
+        match word {
+            Word::Claim(keys) => {
+                let says: Vec<Say> = keys
+                    .into_iter()
+                    .filter_map(|(key, source, line)| self.claimed(from, key, source, line))
+                    .collect();
+                let age = now.saturating_sub(self.start);
+                for says in
+                    pieces(says, |say| matches!(&say.stand, Stand::Ended(_, answer) if !answer.is_empty()))
+                {
+                    out.push(Heir::Send(from, Word::Says { age, says }));
+                }
+            }
+            Word::Says { age, says } => says.into_iter().for_each(|say| self.said(now, from, age, say, out)),
+            Word::Over(ends) => {
+                for (key, outcome, answer) in ends {
+                    if let Some((_, fate)) =
+                        self.learnt.get_mut(&key).filter(|(_, fate)| *fate == Fate::By(from))
+                    {
+                        let fits = self.learnt_bytes + answer.len() <= LEARNT.1;
+                        *fate = Fate::Ended(outcome, if fits { answer.clone() } else { Vec::new() });
+                        self.learnt_bytes += fate.answer_bytes();
+                    }
+                    let theirs = |event: &&mut Event| event.stage == Stage::Theirs(from);
+                    if let Some(event) = self.events.get_mut(&key).filter(theirs) {
+                        Self::close(event, &mut self.out, outcome, answer);
+                    }
+                }
+            }
+            Word::Holds(of) => {
+                if let Some(life) = self.begun.get(&of) {
+                    let any = !copies(of, *life).is_empty();
+                    out.push(Heir::Send(from, Word::Held(of, any)));
+                }
+            }
+            Word::Held(of, true) => _ = self.asked.remove(&of),
+            Word::Held(of, false) => {
+                self.asked.get_mut(&of).into_iter().for_each(|left| _ = left.remove(&from));
+            }
+            Word::Back { life, after } => self.tell_back(now, from, life, after, copies, out),
+            Word::Did { life, fates, more } => self.learn(from, life, fates, more, out),
+        }
+    }
+
+    /// What we answer a claim, and what we are bound by from then on.
+    fn claimed(&mut self, from: Number, key: Key, source: Source, line: u64) -> Option<Say> {
+        if self.begun.get(&source.gateway).is_none_or(|life| *life < source.life) {
+            return None;
+        }
+        let upto = self.reach.get(&source).copied();
+        let torn = self.reach.iter().any(|(of, (through, head))| *of != source && head > through);
+        let Some(event) = self.events.get_mut(&key) else {
+            // Our copy has gone past it and holds nothing of it: it was over, and how is not known any more.
+            let over = upto.is_some_and(|(through, _)| through >= line);
+            let stand = if over { Stand::Ended(Outcome::Failed, Vec::new()) } else { Stand::Yours };
+            return Some(Say { key, stand, sent: Sent::Never, line: None, upto, torn });
+        };
+        event.holders.insert(from);
+        let ours = match event.stage {
+            Stage::Ready | Stage::Out => true,
+            Stage::Open | Stage::Claiming(_) => rank(key, self.own) > rank(key, from),
+            Stage::Theirs(_) | Stage::Over(..) => false,
+        };
+        let stand = match &event.stage {
+            Stage::Over(outcome, answer) => Stand::Ended(*outcome, answer.clone()),
+            _ if ours => Stand::Mine,
+            _ => {
+                event.stage = Stage::Theirs(from);
+                Stand::Yours
+            }
+        };
+        Some(Say { key, stand, sent: event.sent, line: Some(event.line), upto, torn })
+    }
+
+    fn said(&mut self, now: Micros, from: Number, age: Micros, say: Say, out: &mut Vec<Heir>) {
+        let Some(event) = self.events.get_mut(&say.key) else { return };
+        if !matches!(&event.stage, Stage::Claiming(left) if left.contains(&from)) {
+            return;
+        }
+        // One that began after its owner was last heard may have forgotten what it held; clocks differ by a tenth.
+        if age < now.saturating_sub(event.heard).saturating_mul(5) / 4 {
+            event.sent = Sent::Unknown;
+        }
+        if let Some(line) = say.line.filter(|line| event.is_older_than(*line)) {
+            event.follows(line, say.sent);
+            self.again = now;
+            return;
+        }
+        event.sent = event.sent.and(say.sent);
+        event.torn |= say.torn;
+        if let Some((through, head)) = say.upto {
+            event.upto = (event.upto.0.max(through), event.upto.1.max(head));
+            if through >= event.line.1 {
+                event.reached.insert(from);
+            }
+        }
+        let (own, mut contradicted) = (event.line, None);
+        if let Some((source, number, chain)) = say.line {
+            event.holders.insert(from);
+            if (source, number) == (own.0, own.1) && chain != own.2 {
+                event.sent = Sent::Unknown;
+                contradicted =
+                    Some(Gone { source_of: source, from: number, to: Some(number), why: Why::Contradicted });
+            }
+        }
+        match say.stand {
+            Stand::Yours => {
+                if let Stage::Claiming(left) = &mut event.stage {
+                    left.remove(&from);
+                }
+            }
+            Stand::Mine => event.stage = Stage::Theirs(from),
+            Stand::Ended(outcome, answer) => Self::close(event, &mut self.out, outcome, answer),
+        }
+        contradicted.into_iter().for_each(|gone| self.name(gone, out));
+    }
+
+    /// A later life of a gateway asks: from here on its earlier ones are over, and all that they had pending is told.
+    fn tell_back(
+        &mut self,
+        now: Micros,
+        from: Number,
+        life: u64,
+        after: Option<Key>,
+        copies: impl Fn(Number, u64) -> Vec<Copy>,
+        out: &mut Vec<Heir>,
+    ) {
+        if self.begun.get(&from).is_none_or(|begun| *begun < life) {
+            self.begin(now, from, life, false, copies(from, life));
+        }
+        let of_it = |event: &Event| event.line.0.gateway == from && event.line.0.life <= life;
+        // Whoever does one of them tells the asker how it ends.
+        let all = self.events.values_mut().filter(|event| of_it(event));
+        all.for_each(|event| _ = event.holders.insert(from));
+        let later = |key: &Key| after.is_none_or(|after| *key > after);
+        let rest = self.events.iter().filter(|(key, event)| later(key) && of_it(event));
+        let (mut fates, mut bytes, mut more) = (Vec::<(Key, WallMs, Fate)>::new(), 0, None);
+        for (key, event) in rest {
+            let fate = self.fate_of(event);
+            bytes += fate.answer_bytes();
+            if fates.len() == BATCH || (bytes > BYTES && !fates.is_empty()) {
+                more = fates.last().map(|(key, ..)| *key);
+                break;
+            }
+            fates.push((*key, event.accepted.deadline, fate));
+        }
+        out.push(Heir::Send(from, Word::Did { life, fates, more }));
+    }
+
+    /// What others did in our place, for repeats: an end goes before who does it, and that before nobody yet.
+    fn learn(
+        &mut self,
+        from: Number,
+        life: u64,
+        fates: Vec<(Key, WallMs, Fate)>,
+        more: Option<Key>,
+        out: &mut Vec<Heir>,
+    ) {
+        if self.learnt.len() + fates.len() > LEARNT.0 {
+            return;
+        }
+        out.push(match more {
+            Some(_) => Heir::Send(from, Word::Back { life, after: more }),
+            None => Heir::Learnt(from),
+        });
+        for (key, deadline, fate) in fates {
+            let known = self.learnt.entry(key).or_insert((deadline, Fate::Open));
+            let later = match (&known.1, &fate) {
+                (Fate::Ended(..), _) | (_, Fate::Open) => false,
+                (Fate::Open, _) | (_, Fate::Ended(..)) => true,
+                // Whoever does it says so itself.
+                (Fate::By(_), Fate::By(of)) => *of == from,
+            };
+            if later {
+                known.1 = match fate {
+                    // It was served: that its answer is not kept is told as it is of one that was too long.
+                    Fate::Ended(outcome, answer) if self.learnt_bytes + answer.len() > LEARNT.1 => {
+                        Fate::Ended(outcome, Vec::new())
+                    }
+                    fate => fate,
+                };
+                self.learnt_bytes += known.1.answer_bytes();
+            }
+        }
+    }
+}
+
+/// Pieces of at most [`BATCH`], those with answers alone.
+fn pieces(says: Vec<Say>, alone: impl Fn(&Say) -> bool) -> Vec<Vec<Say>> {
+    let mut pieces: Vec<Vec<Say>> = Vec::new();
+    let mut room = 0;
+    for say in says {
+        if room == 0 || alone(&say) {
+            pieces.push(Vec::new());
+            room = BATCH;
+        }
+        room = if alone(&say) { 0 } else { room - 1 };
+        pieces.last_mut().into_iter().for_each(|piece| piece.push(say.clone()));
+    }
+    pieces
+}
--- a/crates/pending/src/kept.rs
+++ b/crates/pending/src/kept.rs
@@ -261,7 +261,7 @@
 
     /// Looks at who is lost, by the view and by what is agreed.
     fn look(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let (mut turns, mut heirs) = (Vec::new(), Vec::new());
+        let mut turns = Vec::new();
         let (lives, holder) = (&self.lives, &self.holder);
         let life = |of: Number| lives.get(usize::from(of)).copied().max(holder.life(of)).unwrap_or(0);
         self.watch.look(now, &self.sight, &self.ledger, life, &mut self.promises, &mut turns);
@@ -271,7 +271,7 @@
                 Turn::Begin { lives, .. } => {
                     for (of, life) in lives {
                         let copies = self.holder.copies(now, of, life);
-                        self.heirs.begin(now, of, life, true, copies, &mut heirs);
+                        self.heirs.begin(now, of, life, true, copies);
                     }
                 }
                 Turn::Back(Subject::Site(site)) => {
@@ -283,11 +283,10 @@
                     let life = self.journal.source().life;
                     self.journal.lose(now, out);
                     self.home = Return::new(&self.places, now);
-                    self.heirs.begin(now, self.places.own(), life, false, Vec::new(), &mut heirs);
+                    self.heirs.begin(now, self.places.own(), life, false, Vec::new());
                 }
             }
         }
-        self.pass_on(heirs, out);
         let lost = self.sight.iter().any(|(of, seen)| of.is_taken_over() && seen.used.is_none());
         let taken = self.ledger.permits.iter().any(|permit| permit.subject.is_taken_over());
         self.look = if lost || taken { now + LOOK } else { Micros::MAX };
--- a/crates/pending/src/lib.rs
+++ b/crates/pending/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 mod choose;
+mod claims;
 mod ends;
 mod entry;
 mod error;
--- a/crates/pending/src/rebuild.rs
+++ b/crates/pending/src/rebuild.rs
@@ -3,21 +3,16 @@
 //! that hold an event the one of the highest rank claims it; once all have answered it ends by [`crate::end`], under a
 //! ration. What is missing is named, and counts as if it spoke of a first byte.
 
+use crate::claims::BATCH;
 use crate::ends::{Case, End, Sent, end};
 use crate::types::{Accepted, Entry, Key, Outcome, Source, Step, WallMs};
-use crate::words::{Copy, Counted, Fate, Gone, Heir, HeirsSettings, Say, Stand, Why, Word};
+use crate::words::{Copy, Counted, Fate, Gone, Heir, HeirsSettings, Why, Word};
 use basaltward_fleet::{Micros, Number, Site};
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Keys in a word, at most, and bytes of answers in one.
-const BATCH: usize = 256;
-const BYTES: usize = 48 << 10;
 /// Claims that are out at once.
 const CLAIMS: usize = 1024;
-/// Events of our earlier lives of which we learn, and bytes of their answers, at most: with more we are not home until
-/// some are past their time.
-const LEARNT: (usize, usize) = (1 << 17, 16 << 20);
 /// A word without an answer is sent again after this.
 const AGAIN: Micros = 300_000;
 
@@ -32,7 +27,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Stage {
+pub(crate) enum Stage {
     Open,
     Claiming(BTreeSet<Number>),
     Ready,
@@ -42,63 +37,65 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Event {
-    accepted: Accepted,
-    line: (Source, u64, u64),
-    sent: Sent,
-    waited: bool,
+pub(crate) struct Event {
+    pub(crate) accepted: Accepted,
+    pub(crate) line: (Source, u64, u64),
+    pub(crate) sent: Sent,
+    pub(crate) waited: bool,
     /// When its owner was last heard.
-    heard: Micros,
+    pub(crate) heard: Micros,
     /// Sites of those that had it and are lost: nobody there could say more than their journals.
-    lost: BTreeSet<Site>,
+    pub(crate) lost: BTreeSet<Site>,
     /// Heirs that had claimed it and are lost: what they wrote of it goes before what its first owner did.
-    heirs: Vec<Number>,
+    pub(crate) heirs: Vec<Number>,
     /// Who else holds it.
-    holders: BTreeSet<Number>,
+    pub(crate) holders: BTreeSet<Number>,
+    /// How far its journal is known to any that answered, and how far it was written as any knows.
+    pub(crate) upto: (u64, u64),
+    /// Some that answered lack something of another journal.
+    pub(crate) torn: bool,
     /// Of those that answered the claim, whose copy goes up to its line.
-    reached: BTreeSet<Number>,
-    stage: Stage,
+    pub(crate) reached: BTreeSet<Number>,
+    pub(crate) stage: Stage,
 }
 
 /// See the module's page.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Heirs {
-    own: Number,
-    sites: Vec<Site>,
-    need: Vec<u8>,
-    slack: WallMs,
-    most: usize,
-    rate: u32,
-    remember: WallMs,
-    start: Micros,
+    pub(crate) own: Number,
+    pub(crate) sites: Vec<Site>,
+    pub(crate) need: Vec<u8>,
+    pub(crate) slack: WallMs,
+    pub(crate) most: usize,
+    pub(crate) rate: u32,
+    pub(crate) remember: WallMs,
+    pub(crate) start: Micros,
     /// Lives up to this one of a gateway are over.
-    begun: BTreeMap<Number, u64>,
+    pub(crate) begun: BTreeMap<Number, u64>,
     /// Gateways that are not asked, as they are lost by a permit.
-    away: BTreeSet<Number>,
-    /// Journals of lost gateways, and how far our copies go.
-    reach: BTreeMap<Source, u64>,
-    /// Those of which our copy lacks something.
-    torn: BTreeSet<Source>,
-    events: BTreeMap<Key, Event>,
+    pub(crate) away: BTreeSet<Number>,
+    /// Journals of lost gateways: how far our copies go, and how far they were written as we know.
+    pub(crate) reach: BTreeMap<Source, (u64, u64)>,
+    pub(crate) events: BTreeMap<Key, Event>,
     /// What we were told of events that earlier lives of ours had pending, with their deadlines.
-    learnt: BTreeMap<Key, (WallMs, Fate)>,
-    learnt_bytes: usize,
+    pub(crate) learnt: BTreeMap<Key, (WallMs, Fate)>,
+    pub(crate) learnt_bytes: usize,
     /// Gateways of which we ask whether anybody holds anything: those yet to answer.
-    asked: BTreeMap<Number, BTreeSet<Number>>,
+    pub(crate) asked: BTreeMap<Number, BTreeSet<Number>>,
     /// Events that are out to workers here.
-    out: usize,
+    pub(crate) out: usize,
     /// The ration: a thousandth of an event each, and when it was filled last.
-    ration: u64,
-    filled: Micros,
-    again: Micros,
-    named: BTreeSet<Gone>,
-    counted: Counted,
-    planted: Option<Planted>,
+    pub(crate) ration: u64,
+    pub(crate) filled: Micros,
+    pub(crate) again: Micros,
+    pub(crate) named: BTreeSet<Gone>,
+    pub(crate) counted: Counted,
+    pub(crate) planted: Option<Planted>,
 }
 
 impl Event {
     /// Whether another's line of it was written by a later heir, which knew how it stood.
-    fn is_older_than(&self, line: (Source, u64, u64)) -> bool {
+    pub(crate) fn is_older_than(&self, line: (Source, u64, u64)) -> bool {
         let heirs = self.heirs.iter().copied().chain(match self.stage {
             Stage::Theirs(of) => Some(of),
             _ => None,
@@ -108,13 +105,13 @@
         at(line.0).0.is_some() && at(line.0) > at(self.line.0)
     }
 
-    fn follows(&mut self, line: (Source, u64, u64), sent: Sent) {
+    pub(crate) fn follows(&mut self, line: (Source, u64, u64), sent: Sent) {
         (self.line, self.sent, self.stage) = (line, sent, Stage::Open);
         self.reached.clear();
     }
 }
 
-fn rank(key: Key, of: Number) -> (u64, Number) {
+pub(crate) fn rank(key: Key, of: Number) -> (u64, Number) {
     (xxh3_64_with_seed(&key.0.to_le_bytes(), u64::from(of)), of)
 }
 
@@ -134,7 +131,6 @@
             begun: BTreeMap::from([(places.own(), settings.life.saturating_sub(1))]),
             away: BTreeSet::new(),
             reach: BTreeMap::new(),
-            torn: BTreeSet::new(),
             events: BTreeMap::new(),
             learnt: BTreeMap::new(),
             learnt_bytes: 0,
@@ -175,7 +171,7 @@
         held.or_else(|| self.learnt.get(&key).map(|(_, fate)| fate.clone()))
     }
 
-    fn fate_of(&self, event: &Event) -> Fate {
+    pub(crate) fn fate_of(&self, event: &Event) -> Fate {
         match &event.stage {
             Stage::Open | Stage::Claiming(_) => Fate::Open,
             Stage::Ready | Stage::Out => Fate::By(self.own),
@@ -192,15 +188,7 @@
     /// These lives of a gateway and all before them are over, and what we promised to it has run out: what it had
     /// pending is its heirs'. `copies` is all that we hold of its journals. `away`: it is lost by a permit, and not
     /// asked until [`Heirs::back`]; where it is not, a later life of it has told so itself.
-    pub fn begin(
-        &mut self,
-        now: Micros,
-        of: Number,
-        life: u64,
-        away: bool,
-        copies: Vec<Copy>,
-        out: &mut Vec<Heir>,
-    ) {
+    pub fn begin(&mut self, now: Micros, of: Number, life: u64, away: bool, copies: Vec<Copy>) {
         let known = self.begun.entry(of).or_insert(life);
         *known = life.max(*known);
         if away {
@@ -211,7 +199,7 @@
             }
         }
         for copy in copies {
-            self.fold(now, copy, out);
+            self.fold(now, copy);
         }
         let site = self.site(of);
         for event in self.events.values_mut() {
@@ -244,21 +232,16 @@
         all.filter(|of| *of != self.own && !self.away.contains(of)).collect()
     }
 
-    fn name(&mut self, gone: Gone, out: &mut Vec<Heir>) {
+    pub(crate) fn name(&mut self, gone: Gone, out: &mut Vec<Heir>) {
         if self.named.insert(gone) {
             self.counted.gone += 1;
             out.push(Heir::Gone(gone));
         }
     }
 
-    fn fold(&mut self, now: Micros, copy: Copy, out: &mut Vec<Heir>) {
+    fn fold(&mut self, now: Micros, copy: Copy) {
         let source = copy.source;
-        self.reach.insert(source, copy.through);
-        if copy.head > copy.through {
-            self.torn.insert(source);
-            let (from, to) = (copy.through + 1, Some(copy.head));
-            self.name(Gone { source_of: source, from, to, why: Why::Missing }, out);
-        }
+        self.reach.insert(source, (copy.through, copy.head));
         let (heard, site) = (now.saturating_sub(copy.unheard), self.site(source.gateway));
         for Entry { number, chain, step, .. } in copy.entries {
             match step {
@@ -271,6 +254,8 @@
                         lost: BTreeSet::new(),
                         heirs: Vec::new(),
                         holders: BTreeSet::new(),
+                        upto: (0, 0),
+                        torn: false,
                         reached: BTreeSet::new(),
                         stage: Stage::Open,
                         accepted,
@@ -294,12 +279,9 @@
                 }
             }
         }
-        let torn = self.torn.contains(&source);
-        let of_it = self.events.values_mut().filter(|event| event.line.0 == source && torn);
-        of_it.for_each(|event| event.sent = Sent::Unknown);
     }
 
-    fn close(event: &mut Event, slots: &mut usize, outcome: Outcome, answer: Vec<u8>) {
+    pub(crate) fn close(event: &mut Event, slots: &mut usize, outcome: Outcome, answer: Vec<u8>) {
         match event.stage {
             // A later word takes nothing back, but for an answer where it was only known that it may have run.
             Stage::Over(Outcome::Failed, _) if outcome == Outcome::Served => {}
@@ -318,198 +300,6 @@
         out.extend(told.map(|to| Heir::Send(*to, Word::Over(vec![(key, outcome, answer.clone())]))));
     }
 
-    /// Another gateway's word. `copies` gives all that we hold of a gateway's journals, up to a life.
-    pub fn word(
-        &mut self,
-        now: Micros,
-        from: Number,
-        word: Word,
-        copies: impl Fn(Number, u64) -> Vec<Copy>,
-        out: &mut Vec<Heir>,
-    ) {
-        match word {
-            Word::Claim(keys) => {
-                let says: Vec<Say> = keys
-                    .into_iter()
-                    .filter_map(|(key, source, line)| self.claimed(from, key, source, line))
-                    .collect();
-                let age = now.saturating_sub(self.start);
-                for says in
-                    pieces(says, |say| matches!(&say.stand, Stand::Ended(_, answer) if !answer.is_empty()))
-                {
-                    out.push(Heir::Send(from, Word::Says { age, says }));
-                }
-            }
-            Word::Says { age, says } => says.into_iter().for_each(|say| self.said(now, from, age, say, out)),
-            Word::Over(ends) => {
-                for (key, outcome, answer) in ends {
-                    if let Some((_, fate)) =
-                        self.learnt.get_mut(&key).filter(|(_, fate)| *fate == Fate::By(from))
-                    {
-                        let fits = self.learnt_bytes + answer.len() <= LEARNT.1;
-                        *fate = Fate::Ended(outcome, if fits { answer.clone() } else { Vec::new() });
-                        self.learnt_bytes += fate.answer_bytes();
-                    }
-                    let theirs = |event: &&mut Event| event.stage == Stage::Theirs(from);
-                    if let Some(event) = self.events.get_mut(&key).filter(theirs) {
-                        Self::close(event, &mut self.out, outcome, answer);
-                    }
-                }
-            }
-            Word::Holds(of) => {
-                if let Some(life) = self.begun.get(&of) {
-                    let any = !copies(of, *life).is_empty();
-                    out.push(Heir::Send(from, Word::Held(of, any)));
-                }
-            }
-            Word::Held(of, true) => _ = self.asked.remove(&of),
-            Word::Held(of, false) => {
-                self.asked.get_mut(&of).into_iter().for_each(|left| _ = left.remove(&from));
-            }
-            Word::Back { life, after } => self.tell_back(now, from, life, after, copies, out),
-            Word::Did { life, fates, more } => self.learn(from, life, fates, more, out),
-        }
-    }
-
-    /// What we answer a claim, and what we are bound by from then on.
-    fn claimed(&mut self, from: Number, key: Key, source: Source, line: u64) -> Option<Say> {
-        if self.begun.get(&source.gateway).is_none_or(|life| *life < source.life) {
-            return None;
-        }
-        // It might stand in what our copy lacks.
-        let unsure = if self.torn.is_empty() { Sent::Never } else { Sent::Unknown };
-        let reaches = self.reach.get(&source).is_some_and(|through| *through >= line);
-        let Some(event) = self.events.get_mut(&key) else {
-            // Our copy has gone past it and holds nothing of it: it was over, and how is not known any more.
-            let over = || Stand::Ended(Outcome::Failed, Vec::new());
-            let stand = if reaches { over() } else { Stand::Yours };
-            return Some(Say { key, stand, sent: unsure, line: None, reaches });
-        };
-        event.holders.insert(from);
-        let ours = match event.stage {
-            Stage::Ready | Stage::Out => true,
-            Stage::Open | Stage::Claiming(_) => rank(key, self.own) > rank(key, from),
-            Stage::Theirs(_) | Stage::Over(..) => false,
-        };
-        let stand = match &event.stage {
-            Stage::Over(outcome, answer) => Stand::Ended(*outcome, answer.clone()),
-            _ if ours => Stand::Mine,
-            _ => {
-                event.stage = Stage::Theirs(from);
-                Stand::Yours
-            }
-        };
-        Some(Say { key, stand, sent: event.sent.and(unsure), line: Some(event.line), reaches })
-    }
-
-    fn said(&mut self, now: Micros, from: Number, age: Micros, say: Say, out: &mut Vec<Heir>) {
-        let Some(event) = self.events.get_mut(&say.key) else { return };
-        if !matches!(&event.stage, Stage::Claiming(left) if left.contains(&from)) {
-            return;
-        }
-        // One that began after its owner was last heard may have forgotten what it held; clocks differ by a tenth.
-        if age < now.saturating_sub(event.heard).saturating_mul(5) / 4 {
-            event.sent = Sent::Unknown;
-        }
-        if let Some(line) = say.line.filter(|line| event.is_older_than(*line)) {
-            event.follows(line, say.sent);
-            self.again = now;
-            return;
-        }
-        event.sent = event.sent.and(say.sent);
-        if say.reaches {
-            event.reached.insert(from);
-        }
-        let (own, mut contradicted) = (event.line, None);
-        if let Some((source, number, chain)) = say.line {
-            event.holders.insert(from);
-            if (source, number) == (own.0, own.1) && chain != own.2 {
-                event.sent = Sent::Unknown;
-                contradicted =
-                    Some(Gone { source_of: source, from: number, to: Some(number), why: Why::Contradicted });
-            }
-        }
-        match say.stand {
-            Stand::Yours => {
-                if let Stage::Claiming(left) = &mut event.stage {
-                    left.remove(&from);
-                }
-            }
-            Stand::Mine => event.stage = Stage::Theirs(from),
-            Stand::Ended(outcome, answer) => Self::close(event, &mut self.out, outcome, answer),
-        }
-        contradicted.into_iter().for_each(|gone| self.name(gone, out));
-    }
-
-    /// A later life of a gateway asks: from here on its earlier ones are over, and all that they had pending is told.
-    fn tell_back(
-        &mut self,
-        now: Micros,
-        from: Number,
-        life: u64,
-        after: Option<Key>,
-        copies: impl Fn(Number, u64) -> Vec<Copy>,
-        out: &mut Vec<Heir>,
-    ) {
-        if self.begun.get(&from).is_none_or(|begun| *begun < life) {
-            self.begin(now, from, life, false, copies(from, life), out);
-        }
-        let of_it = |event: &Event| event.line.0.gateway == from && event.line.0.life <= life;
-        // Whoever does one of them tells the asker how it ends.
-        let all = self.events.values_mut().filter(|event| of_it(event));
-        all.for_each(|event| _ = event.holders.insert(from));
-        let later = |key: &Key| after.is_none_or(|after| *key > after);
-        let rest = self.events.iter().filter(|(key, event)| later(key) && of_it(event));
-        let (mut fates, mut bytes, mut more) = (Vec::<(Key, WallMs, Fate)>::new(), 0, None);
-        for (key, event) in rest {
-            let fate = self.fate_of(event);
-            bytes += fate.answer_bytes();
-            if fates.len() == BATCH || (bytes > BYTES && !fates.is_empty()) {
-                more = fates.last().map(|(key, ..)| *key);
-                break;
-            }
-            fates.push((*key, event.accepted.deadline, fate));
-        }
-        out.push(Heir::Send(from, Word::Did { life, fates, more }));
-    }
-
-    /// What others did in our place, for repeats: an end goes before who does it, and that before nobody yet.
-    fn learn(
-        &mut self,
-        from: Number,
-        life: u64,
-        fates: Vec<(Key, WallMs, Fate)>,
-        more: Option<Key>,
-        out: &mut Vec<Heir>,
-    ) {
-        if self.learnt.len() + fates.len() > LEARNT.0 {
-            return;
-        }
-        out.push(match more {
-            Some(_) => Heir::Send(from, Word::Back { life, after: more }),
-            None => Heir::Learnt(from),
-        });
-        for (key, deadline, fate) in fates {
-            let known = self.learnt.entry(key).or_insert((deadline, Fate::Open));
-            let later = match (&known.1, &fate) {
-                (Fate::Ended(..), _) | (_, Fate::Open) => false,
-                (Fate::Open, _) | (_, Fate::Ended(..)) => true,
-                // Whoever does it says so itself.
-                (Fate::By(_), Fate::By(of)) => *of == from,
-            };
-            if later {
-                known.1 = match fate {
-                    // It was served: that its answer is not kept is told as it is of one that was too long.
-                    Fate::Ended(outcome, answer) if self.learnt_bytes + answer.len() > LEARNT.1 => {
-                        Fate::Ended(outcome, Vec::new())
-                    }
-                    fate => fate,
-                };
-                self.learnt_bytes += known.1.answer_bytes();
-            }
-        }
-    }
-
     /// Does what is due.
     pub fn wake(&mut self, now: Micros, wall: WallMs, out: &mut Vec<Heir>) {
         if now >= self.again {
@@ -517,7 +307,7 @@
             self.claim(out);
             self.ask_held(out);
         }
-        self.settle();
+        self.settle(out);
         self.act(now, wall, out);
         let (remember, slack) = (self.remember, self.slack);
         self.events.retain(|_, event| match event.stage {
@@ -556,6 +346,9 @@
             let left =
                 if self.planted == Some(Planted::AsksNobody) { BTreeSet::new() } else { fellows.clone() };
             event.reached.clear();
+            let lacks = |(of, (through, head)): (&Source, &(u64, u64))| *of != event.line.0 && head > through;
+            event.torn = self.reach.iter().any(lacks);
+            event.upto = self.reach.get(&event.line.0).copied().unwrap_or((0, 0));
             event.stage = Stage::Claiming(left);
         }
         let mut words: BTreeMap<Number, Vec<(Key, Source, u64)>> = BTreeMap::new();
@@ -584,23 +377,33 @@
     }
 
     /// Claims to which all have answered.
-    fn settle(&mut self) {
+    fn settle(&mut self, out: &mut Vec<Heir>) {
+        let mut gone = Vec::new();
         let away: Vec<(Number, Site)> = self.away.iter().map(|of| (*of, self.site(*of))).collect();
         for event in self.events.values_mut() {
             if !matches!(&event.stage, Stage::Claiming(left) if left.is_empty()) {
                 continue;
             }
-            // One that is lost as well, or that has forgotten, might have known of a first byte.
+            // One that is lost as well, or that has forgotten, might have known of a first byte; so might a line that
+            // nobody has, or one of an heir's that somebody lacks.
             let need = self.need.get(usize::from(event.accepted.class)).copied().unwrap_or(0);
             let (source, line, _) = event.line;
-            let ours = self.reach.get(&source).is_some_and(|through| *through >= line);
+            let ours = self.reach.get(&source).is_some_and(|(through, _)| *through >= line);
             let few = event.reached.len() + usize::from(ours) < usize::from(need);
-            let missed = few || away.iter().any(|(_, site)| !event.lost.contains(site));
+            let (through, head) = event.upto;
+            if head > through {
+                gone.push(Gone { source_of: source, from: through + 1, to: Some(head), why: Why::Missing });
+            }
+            let missed = few
+                || head > through
+                || (event.torn && !event.heirs.is_empty())
+                || away.iter().any(|(_, site)| !event.lost.contains(site));
             if missed && self.planted != Some(Planted::AsksNobody) {
                 event.sent = Sent::Unknown;
             }
             event.stage = Stage::Ready;
         }
+        gone.into_iter().for_each(|gone| self.name(gone, out));
     }
 
     /// Ends what is ready, nearest deadline first; workers are asked under the ration.
@@ -652,18 +455,3 @@
         }
     }
 }
-
-/// Pieces of at most [`BATCH`], those with answers alone.
-fn pieces(says: Vec<Say>, alone: impl Fn(&Say) -> bool) -> Vec<Vec<Say>> {
-    let mut pieces: Vec<Vec<Say>> = Vec::new();
-    let mut room = 0;
-    for say in says {
-        if room == 0 || alone(&say) {
-            pieces.push(Vec::new());
-            room = BATCH;
-        }
-        room = if alone(&say) { 0 } else { room - 1 };
-        pieces.last_mut().into_iter().for_each(|piece| piece.push(say.clone()));
-    }
-    pieces
-}
--- a/crates/pending/src/words.rs
+++ b/crates/pending/src/words.rs
@@ -87,8 +87,10 @@
     pub sent: Sent,
     /// The line by which it was accepted and the chain there, where the answerer holds it.
     pub line: Option<(Source, u64, u64)>,
-    /// The answerer's copy of the journal goes up to that line and beyond.
-    pub reaches: bool,
+    /// How far the answerer's copy of the journal that was named goes, and how far it was written as it knows.
+    pub upto: Option<(u64, u64)>,
+    /// Of some other journal of a lost gateway the answerer lacks something.
+    pub torn: bool,
 }
 
 /// What gateways tell one another of what is taken over.
--- a/crates/pending/tests/model.rs
+++ b/crates/pending/tests/model.rs
@@ -218,7 +218,7 @@
                 if let Turn::Begin { lives, .. } = turn {
                     for (lost, life) in lives {
                         let lines = if lost == 0 { holder.holds } else { holder.of_other };
-                        holder.heirs.begin(now, lost, life, true, copy(lost, life, lines), &mut out);
+                        holder.heirs.begin(now, lost, life, true, copy(lost, life, lines));
                     }
                 }
             }
