--- a/crates/pending/src/rebuild.rs
+++ b/crates/pending/src/rebuild.rs
@@ -198,6 +198,9 @@
                 self.asked.insert(of, self.fellows());
             }
         }
+        if of == self.own {
+            self.lose();
+        }
         for copy in copies {
             self.fold(now, copy);
         }
@@ -218,6 +221,18 @@
         self.again = now;
     }
 
+    /// We were taken over: what we claimed may be others' now, and what we adopted may have been sent.
+    fn lose(&mut self) {
+        self.out = 0;
+        for event in self.events.values_mut() {
+            match event.stage {
+                Stage::Out => (event.stage, event.sent) = (Stage::Open, Sent::Unknown),
+                Stage::Claiming(_) | Stage::Ready => event.stage = Stage::Open,
+                Stage::Open | Stage::Theirs(_) | Stage::Over(..) => {}
+            }
+        }
+    }
+
     /// It takes part again.
     pub fn back(&mut self, of: Number) {
         self.away.remove(&of);
--- a/crates/pending/tests/heirs.rs
+++ b/crates/pending/tests/heirs.rs
@@ -319,6 +319,20 @@
     }
 }
 
+#[test]
+fn an_heir_cut_off_or_standing_still_at_each_step_does_nothing_twice() {
+    for seed in seeds(3) {
+        for at in STEPS {
+            for what in [What::CutSite, What::StandStill(12 * S)] {
+                let first = Blow { at: At::Held, inherited: false, what: What::KillSite };
+                let then = Blow { at, inherited: true, what };
+                let mut run = history(PLACES[2], seed, vec![first, then]);
+                run.judge(seed, &format!("heir struck by {what:?} when {at:?}"));
+            }
+        }
+    }
+}
+
 #[test]
 fn an_owner_that_stands_still_at_each_step_sends_nothing_late() {
     for seed in seeds(3) {
