--- a/crates/pending/src/kept.rs
+++ b/crates/pending/src/kept.rs
@@ -214,7 +214,7 @@
                 if let Word::Claim(keys) = &word {
                     let mut sources: Vec<Source> = keys.iter().map(|(_, source, _)| *source).collect();
                     sources.dedup();
-                    sources.into_iter().for_each(|source| self.follow(now, source, &mut heirs));
+                    sources.into_iter().for_each(|source| self.follow(now, source));
                 }
                 if self.may_answer(now, from, &word) {
                     let holder = &self.holder;
@@ -237,7 +237,7 @@
 
     /// A claim tells that a life is over of which we may not have heard: one that was taken over while it ran begins
     /// another journal without another connection. What we promised to it has to run out first.
-    fn follow(&mut self, now: Micros, Source { gateway, life }: Source, heirs: &mut Vec<Heir>) {
+    fn follow(&mut self, now: Micros, Source { gateway, life }: Source) {
         if gateway == self.places.own() || self.promises.closed(gateway) >= Some(life) {
             return;
         }
@@ -246,15 +246,15 @@
         let subjects = [Some(Subject::Gateway(gateway)), site];
         let away = subjects.into_iter().flatten().any(|subject| self.watch.has_begun(subject));
         self.behind.insert(gateway, (life, away));
-        self.catch_up(now, heirs);
+        self.catch_up(now);
     }
 
-    fn catch_up(&mut self, now: Micros, heirs: &mut Vec<Heir>) {
+    fn catch_up(&mut self, now: Micros) {
         let promises = &self.promises;
         let free: Vec<_> = self.behind.extract_if(.., |of, _| promises.free(now, *of)).collect();
         for (of, (life, away)) in free {
             let copies = self.holder.copies(now, of, life);
-            self.heirs.begin(now, of, life, away, copies, heirs);
+            self.heirs.begin(now, of, life, away, copies);
         }
     }
 
@@ -358,7 +358,7 @@
             self.go_home(now, out);
         }
         let mut heirs = Vec::new();
-        self.catch_up(now, &mut heirs);
+        self.catch_up(now);
         self.heirs.wake(now, wall, &mut heirs);
         self.pass_on(heirs, out);
     }
