--- a/crates/shed/tests/hard_cases.rs
+++ b/crates/shed/tests/hard_cases.rs
@@ -106,6 +106,18 @@
     }
 }
 
+#[test]
+fn three_of_ten_gateways_do_what_all_did_once_the_others_are_noticed_gone() {
+    for seed in seeds(1) {
+        let bed = Bed { sites: 1, gateways: 10, streams: vec![stream(0, 200.0)], ..bed(2.0) };
+        let kills = [0, 1, 2, 3, 4, 5, 6].map(|of| (BEGINS + 4, Act::Kill(of)));
+        let seconds = ran(&bed, seed, BEGINS + 16, kills.to_vec());
+        let (before, after) = (&seconds[BEGINS + 2..BEGINS + 4], &seconds[BEGINS + 8..]);
+        let (before, after) = (goodput(&bed, before), goodput(&bed, after));
+        assert!(before >= 0.85 && after >= 0.95, "{before}, then {after}, seed {seed}");
+    }
+}
+
 /// Two tenants within their quotas beside one at ten times its own.
 fn crowded(site: Option<u8>) -> Bed {
     let third = 400.0 / 3.0;
