--- a/crates/fellows/src/links.rs
+++ b/crates/fellows/src/links.rs
@@ -81,8 +81,8 @@
         self.links.get(&via)?.of().map(|(_, life)| life)
     }
 
-    /// The way there and back, and how old that is. While an answer is owed for longer than the last took, so long at
-    /// least.
+    /// The way there and back on a link that stands, and how old that is; none where none stands. While an answer is owed
+    /// for longer than the last took, so long at least.
     pub fn rtt(&self, of: Number, now: Micros) -> Option<(Micros, Micros)> {
         let peer = self.peers.get(usize::from(of))?;
         let (trip, at) = peer.trip?;
@@ -178,7 +178,9 @@
     /// A connection that we began stands.
     pub fn connected(&mut self, io: &mut Io, now: Micros, conn: ConnId) {
         self.look(now);
-        if let Some(to) = self.links.get(&conn).and_then(Link::toward) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        if let Some(to) = link.toward() {
+            link.greets(now);
             self.say(io, conn, &self.ours.hello(to));
         }
     }
@@ -394,9 +396,14 @@
                 self.end(io, now, other, LinkError::Replaced, out);
             }
         }
+        let trip = self.links.get(&conn).map(|link| (link.stood(now), now));
+        let peer = &mut self.peers[usize::from(of)];
         if taken {
-            self.peers[usize::from(of)].taken = Some(conn);
+            peer.taken = Some(conn);
             self.say(io, conn, &self.ours.hello(of));
+        } else {
+            // Our hello and theirs.
+            peer.trip = trip;
         }
         self.stands(io, now, of, out);
     }
@@ -476,7 +483,7 @@
             peer.taken = None;
         }
         if peer.via == Some(conn) {
-            peer.via = None;
+            (peer.via, peer.trip) = (None, None);
             out.push(LinkEvent::Down(of));
             self.stands(io, now, of, out);
         }
--- a/crates/pending/src/kept.rs
+++ b/crates/pending/src/kept.rs
@@ -214,7 +214,7 @@
                 if let Word::Claim(keys) = &word {
                     let mut sources: Vec<Source> = keys.iter().map(|(_, source, _)| *source).collect();
                     sources.dedup();
-                    sources.into_iter().for_each(|source| self.follow(now, source, &mut heirs));
+                    sources.into_iter().for_each(|source| self.follow(now, source));
                 }
                 if self.may_answer(now, from, &word) {
                     let holder = &self.holder;
@@ -237,7 +237,7 @@
 
     /// A claim tells that a life is over of which we may not have heard: one that was taken over while it ran begins
     /// another journal without another connection. What we promised to it has to run out first.
-    fn follow(&mut self, now: Micros, Source { gateway, life }: Source, heirs: &mut Vec<Heir>) {
+    fn follow(&mut self, now: Micros, Source { gateway, life }: Source) {
         if gateway == self.places.own() || self.promises.closed(gateway) >= Some(life) {
             return;
         }
@@ -246,15 +246,15 @@
         let subjects = [Some(Subject::Gateway(gateway)), site];
         let away = subjects.into_iter().flatten().any(|subject| self.watch.has_begun(subject));
         self.behind.insert(gateway, (life, away));
-        self.catch_up(now, heirs);
+        self.catch_up(now);
     }
 
-    fn catch_up(&mut self, now: Micros, heirs: &mut Vec<Heir>) {
+    fn catch_up(&mut self, now: Micros) {
         let promises = &self.promises;
         let free: Vec<_> = self.behind.extract_if(.., |of, _| promises.free(now, *of)).collect();
         for (of, (life, away)) in free {
             let copies = self.holder.copies(now, of, life);
-            self.heirs.begin(now, of, life, away, copies, heirs);
+            self.heirs.begin(now, of, life, away, copies);
         }
     }
 
@@ -294,7 +294,7 @@
 
     /// Looks at who is lost, by the view and by what is agreed.
     fn look(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let (mut turns, mut heirs) = (Vec::new(), Vec::new());
+        let mut turns = Vec::new();
         let (lives, holder) = (&self.lives, &self.holder);
         let life = |of: Number| lives.get(usize::from(of)).copied().max(holder.life(of)).unwrap_or(0);
         self.watch.look(now, &self.sight, &self.ledger, life, &mut self.promises, &mut turns);
@@ -304,7 +304,7 @@
                 Turn::Begin { lives, .. } => {
                     for (of, life) in lives {
                         let copies = self.holder.copies(now, of, life);
-                        self.heirs.begin(now, of, life, true, copies, &mut heirs);
+                        self.heirs.begin(now, of, life, true, copies);
                     }
                 }
                 Turn::Back(Subject::Site(site)) => {
@@ -316,11 +316,10 @@
                     let life = self.journal.source().life;
                     self.journal.lose(now, out);
                     self.home = Return::new(&self.places, now);
-                    self.heirs.begin(now, self.places.own(), life, false, Vec::new(), &mut heirs);
+                    self.heirs.begin(now, self.places.own(), life, false, Vec::new());
                 }
             }
         }
-        self.pass_on(heirs, out);
         let lost = self.sight.iter().any(|(of, seen)| of.is_taken_over() && seen.used.is_none());
         let taken = self.ledger.permits.iter().any(|permit| permit.subject.is_taken_over());
         self.look = if lost || taken { now + LOOK } else { Micros::MAX };
@@ -359,7 +358,7 @@
             self.go_home(now, out);
         }
         let mut heirs = Vec::new();
-        self.catch_up(now, &mut heirs);
+        self.catch_up(now);
         self.heirs.wake(now, wall, &mut heirs);
         self.pass_on(heirs, out);
     }
