--- a/crates/pending/src/claims.rs
+++ b/crates/pending/src/claims.rs
@@ -52,9 +52,9 @@
                     }
                 }
             }
-            Word::Holds(of) => {
-                if let Some(life) = self.begun.get(&of) {
-                    let any = !copies(of, *life).is_empty();
+            Word::Holds(of, life) => {
+                if self.begun.get(&of).is_some_and(|begun| *begun >= life) {
+                    let any = !copies(of, life).is_empty();
                     out.push(Heir::Send(from, Word::Held(of, any)));
                 }
             }
--- a/crates/pending/src/rebuild.rs
+++ b/crates/pending/src/rebuild.rs
@@ -387,7 +387,8 @@
             self.name(Gone { source_of, from: 1, to: None, why: Why::Unheld }, out);
         }
         for (of, left) in &self.asked {
-            out.extend(left.iter().map(|to| Heir::Send(*to, Word::Holds(*of))));
+            let life = self.begun.get(of).copied().unwrap_or(0);
+            out.extend(left.iter().map(|to| Heir::Send(*to, Word::Holds(*of, life))));
         }
     }
 
--- a/crates/pending/src/words.rs
+++ b/crates/pending/src/words.rs
@@ -107,8 +107,8 @@
     },
     /// These have ended so.
     Over(Vec<(Key, Outcome, Vec<u8>)>),
-    /// Which journals of this gateway do you hold? Asked by whoever has begun with it.
-    Holds(Number),
+    /// Do you hold anything of this gateway's lives up to this one? Answered by whoever has begun with it.
+    Holds(Number, u64),
     /// Whether any.
     Held(Number, bool),
     /// My life began, and this one is over; what was done with what it and those before had pending, after this event?
--- a/crates/pending/tests/model.rs
+++ b/crates/pending/tests/model.rs
@@ -231,7 +231,7 @@
         for heir in out {
             match heir {
                 // What asks whether anybody holds a journal bears on no event.
-                Heir::Send(_, Word::Holds(_) | Word::Held(..)) => {}
+                Heir::Send(_, Word::Holds(..) | Word::Held(..)) => {}
                 Heir::Send(to, word) => {
                     let told = (of, to, word);
                     // The same word again, but for the age that it tells.
