--- a/crates/bench/src/shed.rs
+++ b/crates/bench/src/shed.rs
@@ -66,11 +66,12 @@
     let load = vec![(0, 0.5), (QUIET as Micros * S, 5.0), (end as Micros * S, 0.8)];
     let half = || [0, 2, 4, 6].map(|of| ((QUIET as Micros + 5) * S, Act::Kill(of))).to_vec();
     let split = || vec![((QUIET as Micros + 5) * S, Act::Cut(vec![0, 1, 2, 3]))];
-    let cases: [(&str, &dyn Fn() -> Vec<(Micros, Act)>); 3] =
-        [("as is", &Vec::new), ("half of the gateways killed", &half), ("the view split", &split)];
-    for (name, acts) in cases {
+    for (name, acts) in
+        [("as is", Vec::new()), ("half of the gateways killed", half()), ("the view split", split())]
+    {
         let bed = Bed { load: load.clone(), ..Bed::new() };
-        println!("{name} | {}", both(seeds, &bed, |bed, seed| back(&ran(bed, seed, end + 20, acts()), end)));
+        let took = |bed: &Bed, seed| back(&ran(bed, seed, end + 20, acts.clone()), end);
+        println!("{name} | {}", both(seeds, &bed, took));
     }
     println!(
         "\nshare served of two tenants within their quotas beside one at ten times\ncase | as one | each for itself"
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -5,7 +5,7 @@
 use crate::front::extensions::KEPT;
 use crate::sites::digest;
 use crate::worker_wire::Reply;
-use basaltward::{Micros, Repeat};
+use basaltward::{Group, Micros, Repeat};
 use basaltward_cloudevents::{Attribute, Event, from_json, to_json};
 use basaltward_config::{KeptConfig, Unheld};
 use basaltward_engine::{Answer, AttemptEnd, AttemptId, Failure, Identity, NewCall, Refusal, WaiterId};
@@ -79,6 +79,8 @@
     ran: bool,
     /// Nobody holds it.
     bare: bool,
+    /// When its entry counts as not held.
+    until: Micros,
 }
 
 struct Parked {
@@ -109,8 +111,9 @@
 fn again(repeat: Repeat) -> Again {
     match repeat {
         Repeat::Safe => Again::Safe,
-        Repeat::Keyed { window, .. } => Again::Keyed { window },
-        Repeat::Unsafe => Again::Unsafe,
+        // Workers of another site share no memory of keys but where all do.
+        Repeat::Keyed { group: Group::All, window } => Again::Keyed { window },
+        Repeat::Keyed { .. } | Repeat::Unsafe => Again::Unsafe,
     }
 }
 
@@ -136,6 +139,11 @@
         })
     }
 
+    /// Whether a class keeps its events.
+    pub fn keeps(&self, class: usize) -> bool {
+        self.classes.get(class).is_some_and(|(kept, _)| kept.is_some())
+    }
+
     /// When [`KeptEvents::wake`] is due next.
     pub fn next_due(&self) -> Option<Micros> {
         self.due.next().into_iter().chain(self.stale.next()).min()
@@ -182,7 +190,7 @@
         let until = now + deadline.saturating_sub(now) / HELD_SHARE;
         let state = if waits { State::Waits(Vec::new()) } else { State::Bare };
         self.due.set(if waits { until } else { deadline + CLOSE_US }, key);
-        self.events.insert(key, Kept { state, class, deadline, sent: 0, ran: false, bare: !waits });
+        self.events.insert(key, Kept { state, class, deadline, sent: 0, ran: false, bare: !waits, until });
         if !waits {
             self.waiters.insert(call.waiter, key);
             return Accept::Go(call);
@@ -352,7 +360,7 @@
     pub fn told(&mut self, key: Key, outcome: Outcome, answer: &[u8], now: Micros) -> Vec<Then> {
         let reply = from_json(answer).ok().map(|event| Reply(Arc::new(event)));
         let state = State::Ended(Some((outcome, reply)));
-        let known = Kept { state, class: 0, deadline: now, sent: 0, ran: true, bare: false };
+        let known = Kept { state, class: 0, deadline: now, sent: 0, ran: true, bare: false, until: now };
         let calls = match self.events.get_mut(&key).map(|event| &mut event.state) {
             None | Some(State::Ended(_) | State::Lost) => Vec::new(),
             Some(State::Waits(calls)) => std::mem::take(calls),
@@ -405,7 +413,8 @@
         while let Some((_, key)) = self.due.due(now) {
             let Some(event) = self.events.get(&key) else { continue };
             match event.state {
-                State::Waits(_) => then.extend(self.held(key, false)),
+                // A timer of an earlier call of this name may come first.
+                State::Waits(_) if now >= event.until => then.extend(self.held(key, false)),
                 State::Held | State::Bare if now >= event.deadline + CLOSE_US => {
                     let outcome = if event.ran { Outcome::Failed } else { Outcome::Refused };
                     self.end(key, outcome, Vec::new());
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -8,9 +8,10 @@
 use basaltward::{Code, FunctionId, Micros, Repeat, WorkerId};
 use basaltward_cloudevents::Event;
 use basaltward_config::{Config, LinkConfig, SitesConfig};
-use basaltward_engine::{AttemptEnd, AttemptId, Identity, NewCall, WaiterId};
+use basaltward_engine::{Answer, AttemptEnd, AttemptId, Failure, Identity, NewCall, Refusal, WaiterId};
 use basaltward_fleet::Number;
 use basaltward_net::{ConnId, End, Io};
+use basaltward_pending::{Key, owner};
 use basaltward_route::{Counted, Counts, Handed, HandedEnd, Router, Where, home_by};
 use basaltward_shed::{Asked, Door, Ended, ShedSettings, Verdict};
 use std::collections::{BTreeMap, HashMap};
@@ -18,14 +19,35 @@
 use tracing::warn;
 use xxhash_rust::xxh3::Xxh3Default;
 
+/// What is kept back of a client's time where its call is at the owner of its event, for the answer's way.
+const WAY_US: Micros = 8_000;
+/// Whoever comes to an owner that does not take events yet is to come again after this.
+const NOT_YET_US: Micros = 1_000_000;
+
+/// What becomes of a call that has come back.
+pub enum Back {
+    /// It is answered.
+    Answer(WaiterId, Answer<Reply>),
+    /// It is tried here.
+    Home(NewCall<Event>),
+}
+
 /// What becomes of a call that has come.
 pub enum Arrival {
     /// It is answered here.
     Home(NewCall<Event>),
     /// It went to this gateway of another site.
     Away(Number),
-    /// It is turned away, and may come again after this time.
-    Shed(Micros),
+    /// It is answered at once.
+    Answered(Answer<Reply>),
+}
+
+/// Whose a call is.
+enum Owned {
+    Here,
+    By(Number),
+    /// It can't be known, or the owner does not take events yet.
+    Nobody,
 }
 
 /// A call that another site has, until it ends there or comes home.
@@ -34,6 +56,8 @@
     function: u32,
     to: Number,
     began: Micros,
+    /// It has gone to the owner of its event, and is not tried here whatever comes.
+    owned: bool,
 }
 
 /// A call that is answered here.
@@ -72,6 +96,8 @@
     workers: u32,
     /// Facts that were let go, as last told.
     lost: u64,
+    /// How late this loop lately was, which comes off the time of whoever waits for another gateway.
+    pub lateness: Micros,
 }
 
 /// A digest of an event's name that is the same at all gateways.
@@ -128,6 +154,7 @@
             since: now,
             workers: 0,
             lost: 0,
+            lateness: 0,
         })
     }
 
@@ -160,32 +187,77 @@
     /// A call has come from a client, or from another site.
     pub fn arrived(&mut self, io: &mut Io, now: Micros, call: NewCall<Event>) -> Arrival {
         let Some(&function) = self.positions.get(&call.function.name) else { return Arrival::Home(call) };
-        let (class, tenant) = (call.function.class, call.identity.tenant);
+        let class = call.function.class;
         let handed = hops(&call.payload);
-        if self.config.shed {
-            let table = self.tables.shed.load();
-            let asked = if handed { Asked::HandedOver } else { Asked::First };
-            let hash = digest(&call.identity) as u64;
-            if let Verdict::Shed(wait) = self.door.ask(now, table.as_deref(), class, tenant, asked, hash) {
-                return Arrival::Shed(wait);
-            }
-        }
         if !handed {
             self.counted(function).calls += 1;
         }
+        match self.owned(now, &call) {
+            Some(Owned::Nobody) => return Arrival::Answered(Answer::Failed(Failure::Unreached)),
+            Some(Owned::By(_)) if handed => return Arrival::Answered(Answer::Failed(Failure::Unreached)),
+            // Its owner has the door: nobody else knows whether it is in hand.
+            Some(Owned::By(owner)) => {
+                let until = call.deadline.saturating_sub(WAY_US + self.lateness);
+                return self.hand(io, now, call, (function, owner), (until, true));
+            }
+            Some(Owned::Here) | None => {}
+        }
         // What may not simply run again stays with the gateway that knows its repeats.
-        let may_leave = self.config.hand_over && self.repeats[class] == Repeat::Safe;
-        let left = call.deadline.saturating_sub(now);
-        let table = self.tables.route.load();
-        if may_leave
-            && let Where::There { fellow, .. } =
-                self.router.choose(now, table.as_deref(), function, left, handed)
-        {
-            let here = table.as_ref().and_then(|t| t.rows.get(function as usize)).map_or(0, |row| row.here);
-            return self.hand(io, now, call, (function, fellow), here);
+        let may_leave = self.config.hand_over && self.repeats[class] == Repeat::Safe && !handed;
+        if may_leave {
+            let left = call.deadline.saturating_sub(now);
+            let table = self.tables.route.load();
+            let there = self.router.choose(now, table.as_deref(), function, left, handed);
+            if let Where::There { fellow, .. } = there {
+                let row = table.as_ref().and_then(|t| t.rows.get(function as usize));
+                let until = home_by(now, call.deadline, row.map_or(0, |row| row.here));
+                return self.hand(io, now, call, (function, fellow), (until, false));
+            }
+        }
+        match self.begins(now, function, &call, handed) {
+            Ok(()) => Arrival::Home(call),
+            Err(answer) => Arrival::Answered(answer),
+        }
+    }
+
+    /// The door stands where a call is to be worked: one that was handed over meets that of the other site first.
+    fn begins(
+        &mut self,
+        now: Micros,
+        function: u32,
+        call: &NewCall<Event>,
+        handed: bool,
+    ) -> Result<(), Answer<Reply>> {
+        if let Some(wait) = self.sheds(now, call, handed) {
+            return Err(Answer::Refused(Refusal::Overload, Some(wait)));
+        }
+        self.keep(now, function, call);
+        Ok(())
+    }
+
+    /// How long a call is to stay away, where the door turns it away. A repeat of an event that may be in hand or have run
+    /// is never turned away: that would say that it has not.
+    fn sheds(&mut self, now: Micros, call: &NewCall<Event>, handed: bool) -> Option<Micros> {
+        if !self.config.shed {
+            return None;
+        }
+        let (class, tenant) = (call.function.class, call.identity.tenant);
+        let (hash, guarded) = (digest(&call.identity) as u64, self.repeats[class] != Repeat::Safe);
+        let asked = match handed {
+            _ if guarded && self.tables.begun.knows(hash) => Asked::Owed,
+            true => Asked::HandedOver,
+            false => Asked::First,
+        };
+        let table = self.tables.shed.load();
+        match self.door.ask(now, table.as_deref(), class, tenant, asked, hash) {
+            Verdict::Shed(wait) => Some(wait),
+            Verdict::Take => {
+                if guarded {
+                    self.tables.begun.mark(now, hash);
+                }
+                None
+            }
         }
-        self.keep(now, function, &call);
-        Arrival::Home(call)
     }
 
     fn keep(&mut self, now: Micros, function: u32, call: &NewCall<Event>) {
@@ -194,15 +266,31 @@
         self.home.insert(call.waiter, Home { function, class, tenant, came: now });
     }
 
+    /// Whose a call is, where its event has one owner over all sites: one of a kept class that may not simply run again.
+    fn owned(&self, now: Micros, call: &NewCall<Event>) -> Option<Owned> {
+        let class = call.function.class;
+        if self.repeats[class] == Repeat::Safe || !self.kept.as_ref()?.keeps(class) {
+            return None;
+        }
+        let owners = self.tables.owners.load();
+        let Some(owners) = owners.as_deref().filter(|owners| now < owners.until) else {
+            return Some(Owned::Nobody);
+        };
+        Some(match owner(Key(digest(&call.identity)), &owners.taken) {
+            Some(of) if of != self.config.own => Owned::By(of),
+            Some(_) if owners.ready => Owned::Here,
+            _ => Owned::Nobody,
+        })
+    }
+
     fn hand(
         &mut self,
         io: &mut Io,
         now: Micros,
         call: NewCall<Event>,
         (function, to): (u32, Number),
-        here: Micros,
+        (until, owned): (Micros, bool),
     ) -> Arrival {
-        let until = home_by(now, call.deadline, here);
         let job = Job::Hand {
             waiter: call.waiter,
             event: call.payload.clone(),
@@ -211,24 +299,34 @@
         };
         let Some(front) = self.fronts.get(usize::from(to)).cloned() else { return Arrival::Home(call) };
         let waiter = call.waiter;
-        self.away.insert(waiter, Away { call, function, to, began: now });
+        self.away.insert(waiter, Away { call, function, to, began: now, owned });
         match self.links.start(io, now, &front, job) {
             Some(Done::Handed(waiter, end)) => match self.handed(now, waiter, end) {
-                Some((call, None)) => Arrival::Home(call),
-                Some((_, Some(_))) | None => Arrival::Away(to),
+                Some(Back::Home(call)) => Arrival::Home(call),
+                Some(Back::Answer(_, answer)) => Arrival::Answered(answer),
+                None => Arrival::Away(to),
             },
             _ => Arrival::Away(to),
         }
     }
 
-    /// A call has ended at another site: the reply, or the call, which comes home.
-    fn handed(
-        &mut self,
-        now: Micros,
-        waiter: WaiterId,
-        end: AttemptEnd<Reply>,
-    ) -> Option<(NewCall<Event>, Option<Reply>)> {
-        let Away { call, function, to, began } = self.away.remove(&waiter)?;
+    /// A call has ended at another gateway.
+    fn handed(&mut self, now: Micros, waiter: WaiterId, end: AttemptEnd<Reply>) -> Option<Back> {
+        let Away { call, function, to, began, owned } = self.away.remove(&waiter)?;
+        if let (true, code) = (owned, end.code) {
+            return Some(Back::Answer(
+                waiter,
+                match end.reply {
+                    Some(reply) => Answer::Served(reply),
+                    // The owner's own word; of one that was not reached nothing is known, as this may be a repeat.
+                    None if matches!(code, Code::Full | Code::Miss) => {
+                        Answer::Refused(Refusal::Unkept, Some(NOT_YET_US))
+                    }
+                    None if code == Code::Unknown => Answer::Failed(Failure::MayHaveRun),
+                    None => Answer::Failed(Failure::Unreached),
+                },
+            ));
+        }
         let took = now.saturating_sub(began);
         let how = match end.code {
             Code::Ok => HandedEnd::Served,
@@ -239,14 +337,17 @@
         let told = Handed { function, to, took, end: how };
         self.router.ended(now, &told);
         self.rings.facts.tell(Fact::Handed(told));
-        if end.reply.is_none() {
-            self.keep(now, function, &call);
-        }
-        Some((call, end.reply))
+        Some(match end.reply {
+            Some(reply) => Back::Answer(waiter, Answer::Served(reply)),
+            None => match self.begins(now, function, &call, false) {
+                Ok(()) => Back::Home(call),
+                Err(answer) => Back::Answer(waiter, answer),
+            },
+        })
     }
 
     /// Takes a link's end of a job.
-    pub fn done(&mut self, now: Micros, done: Done) -> Option<(NewCall<Event>, Option<Reply>)> {
+    pub fn done(&mut self, now: Micros, done: Done) -> Option<Back> {
         match done {
             Done::Handed(waiter, end) => self.handed(now, waiter, end),
             _ => None,
@@ -305,8 +406,11 @@
     /// A client has left: true where its call was at another site, which is told by the connection's end.
     pub fn left(&mut self, io: &mut Io, now: Micros, waiter: WaiterId) -> bool {
         self.answered(now, waiter, Ended::Failed);
-        let Some(Away { function, to, began, .. }) = self.away.remove(&waiter) else { return false };
+        let Some(Away { function, to, began, owned, .. }) = self.away.remove(&waiter) else { return false };
         self.links.abort_handed(io, waiter);
+        if owned {
+            return true;
+        }
         // Nothing is known of it: counted as lost it would speak against a site that did nothing wrong.
         let took = now.saturating_sub(began);
         self.router.ended(now, &Handed { function, to, took, end: HandedEnd::Refused });
