--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -139,15 +139,14 @@
         (FIRST.0.max(FIRST.1 * self.own.served) + DOUBLE * other.served()) * other.trust()
     }
 
-    /// Calls a second that a site would do of a function if ours went there: those of all that are at home there.
-    fn placed(&self, homes: &Homes, function: u32, site: Site) -> f64 {
-        let here = self.here();
-        let home = |x: Site, known: &Known| {
-            if x == here { homes.at(function) } else { known.home(x, function).home }
-        };
-        let others = self.others.iter().map(|o| (o.site, o.known)).filter(|(x, k)| home(*x, k) == site);
-        let others: f64 = others.map(|(_, known)| known.figure(function).calls()).sum();
-        others + self.own.figure(function).calls()
+    /// Calls a second of a function by the site that they are at home at, ours aside.
+    fn at_homes(&self, function: u32) -> BTreeMap<Site, f64> {
+        let mut calls = BTreeMap::new();
+        for other in &self.others {
+            let home = other.known.home(other.site, function).home;
+            *calls.entry(home).or_default() += other.known.figure(function).calls();
+        }
+        calls
     }
 
     fn other(&self, site: Site) -> Option<&Other<'_>> {
@@ -190,8 +189,9 @@
             }
             let (gain, margin) = if view.swings { (1.0, 0.0) } else { (GAIN, MARGIN) };
             // A queue here is no reason to move a home: what can't be done here goes elsewhere call by call.
+            let (at_homes, ours) = (view.at_homes(function), view.own.figure(function).calls());
             let placed = |known: &Known, site: Site| {
-                let calls = view.placed(homes, function, site);
+                let calls = ours + at_homes.get(&site).copied().unwrap_or(0.0);
                 known.cost_placed(view.settings, view.usual, function, calls)
             };
             let cost_here = placed(view.own, here);
