--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -49,6 +49,8 @@
     tables: Arc<Tables>,
     live: Vec<bool>,
     fellows: Number,
+    /// When the way to each was measured that the choice of sites was told last.
+    measured: Vec<Micros>,
     wanted: Arc<AtomicU8>,
     stall: Arc<AtomicU64>,
     recorder: Recorder,
@@ -171,6 +173,7 @@
             tables,
             live: Vec::new(),
             fellows: sites.fellows.len() as Number,
+            measured: vec![0; sites.fellows.len()],
             wanted,
             stall,
             recorder,
@@ -337,7 +340,12 @@
         }
         if self.hand_over && self.route.next_due() <= now {
             for of in 0..self.fellows {
-                if let Some((rtt, _)) = self.ground.links().rtt(of, now) {
+                // Each measurement once: told again and again it would count as many.
+                if let Some((rtt, age)) = self.ground.links().rtt(of, now)
+                    && let Some(told) = self.measured.get_mut(usize::from(of))
+                    && now.saturating_sub(age) > *told
+                {
+                    *told = now.saturating_sub(age);
                     self.route.link(now, of, rtt);
                 }
             }
