--- a/crates/pending/tests/heirs.rs
+++ b/crates/pending/tests/heirs.rs
@@ -2,8 +2,8 @@
 //! that stand still for up to 30 s, clocks a tenth apart. Other seeds: `HEIRS_SEEDS=0..1000 cargo test --release`.
 use basaltward_fleet::{Link, Micros, Number, Places};
 use basaltward_pending::{
-    Accepted, Again, End, Fate, HeirsPlanted, Key, Outcome, Output, Pending, PendingSettings, Said, Sites,
-    Source, Step,
+    Accepted, Again, Copy, End, Entry, Fate, Heir, Heirs, HeirsPlanted, HeirsSettings, Key, Outcome, Output,
+    Pending, PendingSettings, Said, Say, Sent, Sites, Source, Stand, Step, Word,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -432,3 +432,37 @@
     );
     assert!(!counts.contains_key("lost"), "{counts:?}");
 }
+
+/// One that was taken over while what it had claimed waited for the ration asks all anew before it does any of it.
+#[test]
+fn what_was_claimed_before_a_take_over_is_claimed_anew() {
+    let places = Places::new(vec![0, 1, 2], 1).expect("one");
+    let (life, holders, slack, remember) = (10, vec![1], 0, 0);
+    let settings = HeirsSettings { places, life, holders, slack, most: 0, rate: 1_000, remember };
+    let mut heirs = Heirs::new(&settings, 0);
+    let (key, source, function, event) = (Key(1), Source { gateway: 0, life: 1 }, "f".into(), Vec::new());
+    let again = Again::Unsafe;
+    let accepted =
+        Accepted { key, class: 0, tenant: 0, function, again, owed: true, deadline: 1_000_000, event };
+    let entries = vec![Entry { source, number: 1, chain: 1, step: Step::Accepted(accepted) }];
+    let copy = Copy { source, through: 1, head: 1, unheard: 0, entries };
+    heirs.begin(S, 0, 1, true, vec![copy]);
+    let mut out = Vec::new();
+    heirs.wake(S, 1, &mut out);
+    assert_eq!(out, [Heir::Send(2, Word::Claim(vec![(key, source, 1)]))]);
+    let say = Say { key, stand: Stand::Yours, sent: Sent::Never, line: None, upto: None, torn: false };
+    let word = Word::Says { age: 100 * S, says: vec![say] };
+    heirs.word(S, 2, word.clone(), |_, _| Vec::new(), &mut out);
+    heirs.wake(S, 1, &mut out);
+    assert_eq!(heirs.fate(key), Some(Fate::By(1)), "it waits for the ration");
+    // Taken over meanwhile, and back.
+    heirs.begin(2 * S, 1, 10, false, Vec::new());
+    heirs.set_ration(1_000, 8);
+    out.clear();
+    heirs.wake(2 * S, 2, &mut out);
+    assert_eq!(out, [Heir::Send(2, Word::Claim(vec![(key, source, 1)]))]);
+    heirs.word(2 * S, 2, word, |_, _| Vec::new(), &mut out);
+    out.clear();
+    heirs.wake(2 * S, 2, &mut out);
+    assert!(matches!(out[..], [Heir::Adopt { end: End::Run, .. }]), "{out:?}");
+}
