--- a/crates/fellows/src/error.rs
+++ b/crates/fellows/src/error.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 /// Why a program can't have fellows.
-#[derive(Debug, Error)]
+#[derive(Debug, Error, strum::VariantNames)]
 pub enum FellowsError {
     /// The address of its datagrams can't be had.
     #[error(
@@ -46,7 +46,7 @@
 }
 
 /// Why a connection to a fellow ended, or a frame was not taken for one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, strum::VariantNames)]
 pub enum LinkError {
     /// A frame is longer than allowed, or empty.
     #[error(
--- a/crates/pending/src/error.rs
+++ b/crates/pending/src/error.rs
@@ -4,7 +4,7 @@
 use basaltward_fleet::Number;
 
 /// Why an event is not kept, or not kept any more.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, strum::VariantNames)]
 pub enum Unkept {
     /// The class keeps nothing.
     #[error("class {0} keeps no events: give it pending=\"kept\" in the settings of all gateways alike")]
@@ -63,7 +63,7 @@
 }
 
 /// What is wrong with a frame from another gateway. Nothing of it was taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, strum::VariantNames)]
 pub enum WireError {
     /// Of another version.
     #[error("a frame of version {0:#04x}: run the same version at all gateways")]
@@ -83,7 +83,7 @@
 }
 
 /// What is named and never filled: a journal as it came differs from what was written, or is not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, strum::VariantNames)]
 pub enum Fault {
     /// Entries are missing. They are asked for again.
     #[error(
--- a/crates/pending/src/lease.rs
+++ b/crates/pending/src/lease.rs
@@ -79,7 +79,7 @@
 }
 
 /// Why a holder grants nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, strum::VariantNames)]
 pub enum Refused {
     /// An earlier life of this holder may have promised what this one does not know.
     #[error("this gateway has just started and waits until its earlier promises are over; nothing to do")]
--- a/crates/pending/src/words.rs
+++ b/crates/pending/src/words.rs
@@ -21,7 +21,9 @@
 }
 
 /// Why something of a journal is not known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, strum::VariantNames,
+)]
 pub enum Why {
     /// It was written and came to nobody who lives.
     Missing,
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -85,7 +85,7 @@
 const MOST_FUNCTIONS: usize = 100_000;
 
 /// What is refused. Nothing is lost by it but the thing refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, strum::VariantNames)]
 pub enum RouteError {
     /// Too many sites.
     #[error("{0} sites are configured, 64 at most stand in for one another: split the fleet")]
--- a/crates/shed/src/settings.rs
+++ b/crates/shed/src/settings.rs
@@ -34,7 +34,7 @@
 }
 
 /// Why settings can't be used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, strum::VariantNames)]
 pub enum ShedError {
     /// There is no class.
     #[error("no class of calls is configured: give at least one")]
