--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -265,7 +265,10 @@
             Some(conn) => conn,
             None if !room => return cut(&job, Code::Full),
             None => match self.connect(io, now, worker) {
-                Some(conn) => conn,
+                Some(conn) => {
+                    debug!(target: "basaltward::link", %worker, held = self.conns.len(), alone, "connect");
+                    conn
+                }
                 None => return cut(&job, Code::ConnectFailed),
             },
         };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -491,6 +491,7 @@
             }
             Output::Start { attempt, worker, function, payload, until, .. } => {
                 let function = function.name.clone();
+                Notes::started(attempt, &worker, &function);
                 links.start(io, now, &worker, Job::Attempt { id: attempt, work: payload, function, until })
             }
             Output::Abort(attempt) => {
--- a/crates/node/src/notes.rs
+++ b/crates/node/src/notes.rs
@@ -3,13 +3,14 @@
 use crate::front::Waiting;
 use crate::links::{Written, WrittenJob};
 use crate::work::Served;
-use basaltward::{Member, MembersKind, Micros, State, WorkerId};
+use basaltward::{FunctionId, Member, MembersKind, Micros, State, WorkerId};
 use basaltward_agreed::{Ledger, Permit, Stored, Subject};
 use basaltward_engine::{Answer, AttemptEnd, AttemptId};
 use basaltward_fleet::{Incarnation, Number};
 use basaltward_net::{Io, monotonic};
 use basaltward_rules::{Recorder, What};
 use std::collections::{BTreeSet, HashMap};
+use std::fmt::Debug;
 use std::net::SocketAddr;
 use tracing::debug;
 
@@ -92,6 +93,18 @@
         }
     }
 
+    /// An attempt is begun: one log line, at debug, beside that of its end.
+    pub fn started(id: AttemptId, worker: &WorkerId, function: &FunctionId) {
+        debug!(
+            target: "basaltward::attempt",
+            request = id.request.0,
+            number = id.number,
+            %worker,
+            %function,
+            "start"
+        );
+    }
+
     pub fn ended(&mut self, now: Micros, id: AttemptId, end: &AttemptEnd<Served>) {
         let code = end.code;
         debug!(
@@ -116,10 +129,10 @@
         answer: &Answer<Served>,
         (attempts, worker): (u32, Option<&WorkerId>),
     ) {
-        let (outcome, status) = match answer {
-            Answer::Served(_) => ("served", 200),
-            Answer::Refused(..) => ("refused", 503),
-            Answer::Failed(_) => ("failed", 500),
+        let (outcome, status, why) = match answer {
+            Answer::Served(_) => ("served", 200, None),
+            Answer::Refused(why, _) => ("refused", 503, Some(why as &dyn Debug)),
+            Answer::Failed(why) => ("failed", 500, Some(why as &dyn Debug)),
         };
         debug!(
             target: "basaltward::call",
@@ -127,6 +140,7 @@
             class = asked.class,
             function = %asked.function,
             outcome,
+            why = why.map(tracing::field::debug),
             attempts,
             worker = worker.map(WorkerId::as_str),
             took_us = now.saturating_sub(asked.came),
