Module: a worker just started carries no more demand than its life holds

A worker on which we placed nothing counted at the fleet's mean demand, over its warmth: three times the others' ratio, though in its first seconds nobody can have placed that much on it.

Change: its demand is taken for at most what its age holds of the demand window. Sends stay under the cold budget as before.

The test finds no load at the new worker without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -145,7 +145,10 @@
         let left = (told - fleet.trust * worker.placed_mb).max(mb).max(told * 0.1) / fleet.memory_mb.max(1.0);
         let own = if worker.placed_mb > 0.0 { worker.demand.get(now, WINDOW_US) } else { fleet.demand };
         let drawn = fleet.demand + fleet.trust * (own - fleet.demand);
-        let placed = drawn / WINDOW_US * f64::from(self.settings.schedulers);
+        // Nobody can have placed more on it than its life holds of the window.
+        let age = now.saturating_sub(worker.member.started) as f64 / WINDOW_US;
+        let lived = if worker.member.started == 0 || age > 5.0 { 1.0 } else { 1.0 - (-age).exp() };
+        let placed = drawn * lived / WINDOW_US * f64::from(self.settings.schedulers);
         (placed + added).max(0.001) * self.evidence(now, worker, class) / (left * fleet.size(worker))
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -906,3 +906,27 @@
     (0..40).for_each(|_| turn(&mut bed));
     assert_eq!(sends(&bed.request(200, "f", S)).len(), 1);
 }
+
+#[test]
+fn a_worker_that_has_just_started_takes_part_of_the_others_functions() {
+    // Others stand at the fleet's mean demand; what has run for a second can't carry that yet, however cold it is.
+    let mut settings = settings(Repeat::Safe);
+    settings.schedulers = 300;
+    let mut bed = Bed::new(settings, 4);
+    let calls = |bed: &mut Bed, rounds: std::ops::Range<u64>| {
+        let mut placed = Vec::new();
+        for round in rounds {
+            let (function, home) = (format!("f{}", round % 8), format!("w{}", round % 4));
+            let asks = bed.request(round, &function, S);
+            bed.answer_asks(&asks, &home, 1);
+            bed.outcome(round, 0, &home, Code::Ok, 50 * MS);
+            placed.extend(loads(&bed.advance(100 * MS)));
+        }
+        placed
+    };
+    calls(&mut bed, 0..40);
+    let members = vec![member("new", State::Active, bed.now)];
+    bed.event(Event::Members { kind: MembersKind::Changes, members });
+    let placed = calls(&mut bed, 40..80);
+    assert!(placed.iter().any(|worker| worker == "new"), "{placed:?}");
+}
