--- a/crates/bench/src/agreed.rs
+++ b/crates/bench/src/agreed.rs
@@ -5,9 +5,9 @@
 use basaltward_agreed::{
     AgreedSettings, Bounds, Denied, Fleet, Most, Seen, Sight, Subject, Told, Want, Wish, worker,
 };
+use basaltward_fellows::ask_agreed;
 use basaltward_fleet::{Link, Micros, Number};
 use basaltward_net::monotonic;
-use basaltward_node::ask_agreed;
 use basaltward_trial::{Bed, BedSpec, Loss};
 use std::error::Error;
 use std::time::Duration;
@@ -18,7 +18,13 @@
 
 fn wide() -> Bounds {
     let most = Most::Percent(100);
-    Bounds { schedulers: most, schedulers_of_zone: most, workers: most, workers_of_zone: most }
+    Bounds {
+        schedulers: most,
+        schedulers_of_zone: most,
+        workers: most,
+        workers_of_zone: most,
+        ..Bounds::default()
+    }
 }
 
 /// Asks through this one until it is permitted; how long that took. What is permitted is written off again.
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 mod agreed;
 mod echo;
 mod fleet;
+mod ground;
 mod jam;
 mod load;
 mod memory;
@@ -11,8 +12,10 @@
 mod overload;
 mod parse;
 mod path;
+mod pending;
 mod processes;
 mod proxy;
+mod shed;
 
 use clap::{Parser, Subcommand};
 use std::error::Error;
@@ -141,12 +144,48 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Overload answered by four sites as one beside each gateway for itself, in virtual time
+    Shed {
+        /// Multiples of the workers' capacity
+        #[arg(long, value_delimiter = ',', default_value = "1,2,5,10")]
+        multiples: Vec<f64>,
+        /// Seeds
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        /// Span of each load in seconds
+        #[arg(long, default_value_t = 20)]
+        seconds: usize,
+    },
+    /// Links between fellows: how soon a frame is there, what one costs, what many cost that are quiet
+    Ground {
+        /// Times that a link is made
+        #[arg(long, default_value_t = 500)]
+        rounds: usize,
+        /// Frames of each size
+        #[arg(long, default_value_t = 500_000)]
+        frames: usize,
+        /// Links that stand
+        #[arg(long, default_value_t = 1_000)]
+        links: u16,
+    },
     /// Memory of an idle connection
     Memory {
         /// Connections
         #[arg(long, default_value_t = 5_000)]
         connections: usize,
     },
+    /// Kept events: bytes on the wire and held, time added, events a second, memory of one
+    Pending {
+        /// Events of each count
+        #[arg(long, default_value_t = 51_200)]
+        events: u64,
+        /// Rounds of what is measured on this host
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+        /// Seeds of what is in virtual time
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
     /// Decode a typical event so many times; for a tool that counts instructions
     Parse {
         /// How many times
@@ -174,8 +213,11 @@
         Command::Agreed { lost, seeds, processes: Some(count), .. } => {
             agreed::processes(count, lost, seeds as usize * 10)
         }
+        Command::Ground { rounds, frames, links } => ground::run(rounds, frames, links),
         Command::Processes { counts, lost, rounds } => processes::run(&counts, lost, rounds),
+        Command::Shed { multiples, seeds, seconds } => shed::run(&multiples, seeds, seconds),
         Command::Memory { connections } => memory::run(connections),
+        Command::Pending { events, rounds, seeds } => pending::run(events, rounds, seeds),
         Command::Parse { times } => parse::run(times),
     }
 }
--- /dev/null
+++ b/crates/fellows/src/event.rs
@@ -0,0 +1,61 @@
+use basaltward_agreed::{Answered, Ledger, Stored};
+use basaltward_fleet::{Incarnation, Number, State};
+use bytes::Bytes;
+
+/// What a program hears of its fellows by datagrams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Something else is believed of a member.
+    Believed {
+        /// Which.
+        of: Number,
+        /// Of which of its lives.
+        incarnation: Incarnation,
+        /// What it is now.
+        state: State,
+    },
+    /// A later life of our name goes on, and the fleet hears nothing of us any more.
+    Superseded,
+    /// Something later is agreed.
+    Agreed(Stored<Ledger>),
+    /// Workers, by name, whose drain has begun or ended: ask of each whether it is held.
+    Held(Vec<String>),
+    /// The answer to a wish of this program itself, by the number that asking gave.
+    Answered {
+        /// The number.
+        tag: u32,
+        /// The answer.
+        answer: Answered,
+    },
+}
+
+/// Whose frames.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[repr(u8)]
+pub enum Channel {
+    /// Journals of kept calls (`crates/pending`).
+    Pending = 1,
+    /// Choice of sites (`crates/route`).
+    Route = 2,
+    /// Shares and budgets (`crates/shed`).
+    Shed = 3,
+}
+
+impl Channel {
+    /// The channel of a frame, where it is one that we know.
+    pub(crate) fn of(byte: u8) -> Option<Self> {
+        [Self::Pending, Self::Route, Self::Shed].into_iter().find(|channel| *channel as u8 == byte)
+    }
+}
+
+/// What links tell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LinkEvent {
+    /// A fellow can be sent to and heard, in this life of it.
+    Up(Number, u64),
+    /// What was sent to it and not answered may be lost: its connection has ended, or could not be made in time. Where
+    /// another still stands, `Up` follows.
+    Down(Number),
+    /// A frame came.
+    Frame(Number, Channel, Bytes),
+}
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -3,3 +3,5 @@
 mod clients;
 mod common;
 mod fleet;
+mod restart;
+mod untold;
--- /dev/null
+++ b/crates/pending/src/seam.rs
@@ -0,0 +1,194 @@
+//! What goes into the machine and comes out of it, and how it is set.
+
+use crate::ends::End;
+use crate::error::{Fault, Unkept};
+use crate::types::{Accepted, Key, Outcome, Step, WallMs};
+use crate::words::Gone;
+use basaltward_agreed::{Ledger, Sight, Subject, Wish};
+use basaltward_fleet::{Micros, Number, Places};
+
+/// How kept events are held.
+#[derive(Clone, Debug)]
+pub struct PendingSettings {
+    /// Which gateway stands at which site.
+    pub places: Places,
+    /// When our life began, as in our incarnation: another than any before it.
+    pub life: u64,
+    /// Gateways of other sites that hold an entry, by class; 0 where a class keeps nothing.
+    pub holders: Vec<u8>,
+    /// Bytes held for all others together, and bytes pending here.
+    pub bytes: usize,
+    /// Longest event with its function's name, and longest answer.
+    pub entry_bytes: usize,
+    /// Nothing is done in our place for so long after a holder last heard of us; a lease is a fifth shorter.
+    pub lease: Micros,
+    /// An entry that is not held after this time counts as not held.
+    pub patience: Micros,
+    /// What is held is kept for so long past its deadline or window: for repeats, and as wall clocks differ.
+    pub remember_ms: WallMs,
+    /// Wall clocks of gateways differ by up to this.
+    pub slack_ms: WallMs,
+    /// Events of lost owners that are out to workers here at once, and that begin in a second, at most.
+    pub heir_most: usize,
+    /// See [`PendingSettings::heir_most`].
+    pub heir_rate: u32,
+    /// What choices that are free follow from.
+    pub seed: u64,
+}
+
+impl PendingSettings {
+    /// As configured where nothing else is said.
+    pub fn new(places: Places, life: u64, holders: Vec<u8>, seed: u64) -> Self {
+        Self {
+            places,
+            life,
+            holders,
+            bytes: 64 << 20,
+            entry_bytes: 64 << 10,
+            lease: 3_000_000,
+            patience: 1_000_000,
+            remember_ms: 30_000,
+            slack_ms: 500,
+            heir_most: 32,
+            heir_rate: 100,
+            seed,
+        }
+    }
+}
+
+/// What the machine is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// By a loop of this gateway: an event was accepted, is about to be sent, has ended. The first two are answered by
+    /// [`Output::Held`] or [`Output::Unheld`], and by [`Output::May`] or [`Output::MayNot`].
+    Step(Step),
+    /// A whole frame of another gateway.
+    Frame {
+        /// Who sent it.
+        from: Number,
+        /// The frame.
+        bytes: Vec<u8>,
+    },
+    /// A connection to a gateway stands, to this life of it. Frames that were on their way may be lost.
+    LinkUp {
+        /// The gateway.
+        of: Number,
+        /// Its life, as it told in the connection's first words.
+        life: u64,
+    },
+    /// No connection to it stands.
+    LinkDown {
+        /// The gateway.
+        of: Number,
+    },
+    /// Who is live by the view, by number.
+    Live(Vec<bool>),
+    /// What the view shows of sites and their gateways (`basaltward_agreed::sites`) and what is agreed: told whenever
+    /// either has changed, and at least once a second while a site or gateway is lost.
+    Seen {
+        /// By the view.
+        sight: Sight,
+        /// Of the council.
+        ledger: Ledger,
+    },
+    /// The answer to [`Wish::Home`]: the permit's number, 0 where there is none.
+    Home {
+        /// Whose.
+        subject: Subject,
+        /// The number.
+        permit: u16,
+    },
+    /// The answer to [`Wish::Done`], or that no such permit stands.
+    Done {
+        /// Whose.
+        subject: Subject,
+    },
+    /// A client repeats an event here, and waits for it.
+    Repeated(Key),
+    /// What the load here allows for events of lost owners.
+    Ration {
+        /// That begin in a second.
+        rate: u32,
+        /// That are out at once.
+        most: usize,
+    },
+}
+
+/// What the machine wants done, or tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// A frame for another gateway, over a kept connection, which is made if there is none.
+    Send {
+        /// To whom.
+        to: Number,
+        /// The frame.
+        bytes: Vec<u8>,
+    },
+    /// As many gateways as its class wants hold that this event was accepted.
+    Held {
+        /// The event.
+        key: Key,
+    },
+    /// It is not kept. After [`Unkept::Late`] it may be known to some holder: an end is written for it here, and until
+    /// that is held a heir could still run it; after any other reason nobody knows of it.
+    Unheld {
+        /// The event.
+        key: Key,
+        /// Why.
+        why: Unkept,
+    },
+    /// The first byte of this attempt may leave before this time of the caller's clock.
+    May {
+        /// The event.
+        key: Key,
+        /// The attempt.
+        attempt: u32,
+        /// The time; unbounded where no lease is needed.
+        until: Micros,
+    },
+    /// It may not leave.
+    MayNot {
+        /// The event.
+        key: Key,
+        /// The attempt.
+        attempt: u32,
+        /// Why.
+        why: Unkept,
+    },
+    /// Something is wrong with a journal or a frame; it is named here and handled.
+    Noted(Fault),
+    /// The council is to be asked: `Out` for the permit to take over, `Home` and `Done` by us who return. It is asked
+    /// again for as long as no answer comes.
+    Ask(Wish),
+    /// From now on this gateway takes kept events: it has learnt what was done in its place before.
+    Takes,
+    /// What was pending here is others' now, as we were taken over while out of reach. No byte of this event may leave
+    /// any more; whether it was done elsewhere is known once [`Output::Takes`] has come.
+    Lost {
+        /// The event.
+        key: Key,
+    },
+    /// An event of a lost owner is to be done here, as if it were accepted here: steps and all. Its loop ends it by
+    /// [`Step::Ended`] in any case.
+    Run {
+        /// The event.
+        pending: Accepted,
+        /// When its first byte left, if it did: a window under its key runs from then.
+        first: Option<WallMs>,
+        /// What is done.
+        end: End,
+    },
+    /// An event of a lost owner ends here and no worker is asked.
+    Told {
+        /// The event.
+        key: Key,
+        /// How.
+        end: End,
+        /// For repeats.
+        outcome: Outcome,
+        /// The answer, where there is one.
+        answer: Vec<u8>,
+    },
+    /// Something of a lost owner's journal is not known.
+    Gone(Gone),
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,17 @@
+//! Which site answers a call: the pressure ratio one floor higher. By told tables of what each site has warm, how long its
+//! queue is and how far it is, each function has a cost at each site; a call is answered where that is least, and a
+//! function's home moves only past a threshold. Free of I/O: counts, frames of other sites and times in, frames and tables
+//! out.
+#![warn(missing_docs)]
+
+mod home;
+mod route;
+mod router;
+mod settings;
+mod types;
+
+pub use home::home_by;
+pub use route::Route;
+pub use router::Router;
+pub use settings::{FunctionTold, RouteError, RouteSettings};
+pub use types::{Counted, Counts, Handed, HandedEnd, Row, Table, WAYS, Way, Where};
