Node: fellows tell one another where copies stand, in place of questions to workers

Change: what a scheduler sees of copies goes to all in datagrams of at most 256 bytes, where the settings allow them (limits.peers) and the configuration has peer_listen and peers_all. crates/node/src/words.rs, free of I/O, keeps and ages what fellows told; a question or order of the module is answered from it as the worker would, further copies come to the module as answers nobody asked for (Input::Stands). Once all have been heard for as long as a copy is kept, silence says that none is in use. Copies that fellows use are not unloaded for ours.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -113,6 +113,10 @@
             Input::Ended(attempt, end) => self.ended(now, attempt, end, out),
             Input::Ordered(order, code, count) => self.ordered(now, order, code, count),
             Input::Probed(order, code, report) => self.probed(now, order, code, report),
+            Input::Stands(worker, function, count) => {
+                let (code, latency) = (Code::Ok, 0);
+                self.events.push_back(Event::Loaded { worker, function, count, code, latency });
+            }
             Input::Members(kind, members) => self.events.push_back(Event::Members { kind, members }),
             Input::Stop => self.stopping = true,
         }
--- a/crates/engine/src/types.rs
+++ b/crates/engine/src/types.rs
@@ -81,6 +81,8 @@
     Ordered(OrderId, Code, u32),
     /// A probe was answered.
     Probed(OrderId, Code, Vec<f64>),
+    /// So many copies of a function stand at a worker, as was heard without asking it.
+    Stands(WorkerId, FunctionId, u32),
     /// News of the list of workers.
     Members(MembersKind, Vec<Member>),
     /// Take no new calls; those in hand go on.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -43,6 +43,7 @@
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
     /// Absent, nothing listens for other schedulers and nothing is sent to them.
     fleet: Option<FleetFile>,
 }
@@ -94,6 +95,17 @@
     sockets: usize,
 }
 
+/// How other schedulers are reached, where the settings allow it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peers {
+    /// Where their datagrams come.
+    pub listen: SocketAddr,
+    /// Where each is reached and comes from, by number, our own included.
+    pub each: Vec<SocketAddr>,
+    /// Where all are reached at once.
+    pub all: SocketAddr,
+}
+
 /// What a scheduler is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NodeConfig {
@@ -111,6 +123,8 @@
     pub known: Known,
     /// The settings.
     pub told: Told,
+    /// Other schedulers, where the settings allow datagrams to them and all are reached at once.
+    pub peers: Option<Peers>,
     /// The fleet's view, where it is switched on.
     pub fleet: Option<FleetConfig>,
 }
@@ -134,6 +148,9 @@
     let told = basaltward_told::parse(file.settings.get())?;
     let unsaid =
         FleetFile { view, name: String::new(), operators: Vec::new(), agreed: None, zones: Vec::new() };
+    let allowed = told.peers && file.peers.len() <= MOST_PEERS;
+    let peers = file.peer_listen.zip(file.peers_all).filter(|_| allowed);
+    let peers = peers.map(|(listen, all)| Peers { listen, each: file.peers.clone(), all });
     let fleet = match Some(file.fleet.unwrap_or(unsaid)).filter(|fleet| fleet.view) {
         None => None,
         Some(FleetFile { name, operators, agreed, zones, .. }) => {
@@ -162,6 +179,7 @@
         bulletin: file.bulletin,
         known: file.known,
         told,
+        peers,
         fleet,
     })
 }
--- /dev/null
+++ b/crates/node/src/hearsay.rs
@@ -0,0 +1,128 @@
+//! What fellows tell of copies, on the loop: between the datagrams, the orders and attempts that are out, and
+//! [`Words`].
+
+use crate::config::NodeConfig;
+use crate::links::Done;
+use crate::words::{News, Words};
+use basaltward::{Code, CopyNote, FunctionId, Member, MembersKind, Micros, WorkerId};
+use basaltward_engine::{AttemptId, OrderId};
+use basaltward_fleet::MOST;
+use basaltward_net::{Io, NetError};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+type At = (WorkerId, FunctionId);
+
+/// What fellows tell, and what is out that will tell us something.
+pub struct Hearsay {
+    words: Words,
+    socket: usize,
+    /// Every fellow is reached there.
+    all: SocketAddr,
+    /// Where they send from.
+    fellows: HashMap<SocketAddr, u32>,
+    attempts: HashMap<AttemptId, At>,
+    orders: HashMap<OrderId, At>,
+}
+
+impl Hearsay {
+    /// Where the settings allow datagrams and the configuration says how all fellows are reached. Not where it asks for
+    /// the fleet's view, which has the only socket for them.
+    ///
+    /// # Errors
+    /// Where the address can't be had.
+    pub fn open(config: &NodeConfig, io: &mut Io, now: Micros) -> Result<Option<Self>, NetError> {
+        let Some(peers) = config.peers.as_ref().filter(|_| config.fleet.is_none()) else { return Ok(None) };
+        let module = &config.told.module;
+        let (socket, _) = io.datagrams(peers.listen)?;
+        let (attempts, orders) = (HashMap::new(), HashMap::new());
+        let others = peers.each.iter().enumerate().filter(|(n, _)| *n != module.self_index as usize);
+        let fellows: HashMap<_, _> = others.map(|(number, at)| (*at, number as u32)).collect();
+        let words = Words::new(now, (module.self_index, fellows.len()), module.family.keep);
+        Ok(Some(Self { words, socket, all: peers.all, fellows, attempts, orders }))
+    }
+
+    pub fn next_due(&self) -> Option<Micros> {
+        self.words.next_due()
+    }
+
+    pub fn members(&mut self, kind: MembersKind, members: &[Member]) {
+        self.words.members(kind, members);
+    }
+
+    /// Takes what waits at the socket.
+    pub fn data(&mut self, io: &mut Io, now: Micros) {
+        let mut bytes = [0; MOST + 1];
+        // Bounded: whoever sends without end does not hold up the loop.
+        for _ in 0..64 {
+            let Some((length, from)) = io.receive(self.socket, &mut bytes) else { return };
+            if let Some(number) = self.fellows.get(&from) {
+                self.words.heard(now, *number, &bytes[..length]);
+            }
+        }
+    }
+
+    /// Tells what is due.
+    pub fn wake(&mut self, io: &mut Io, now: Micros) {
+        while let Some(bytes) = self.words.take(now) {
+            io.send_to(self.socket, self.all, &bytes);
+        }
+    }
+
+    /// What the module is to hear.
+    pub fn take_news(&mut self) -> Vec<News> {
+        self.words.take_news()
+    }
+
+    /// An attempt is begun.
+    pub fn started(&mut self, now: Micros, id: AttemptId, worker: &WorkerId, function: &FunctionId) {
+        self.words.called(now, function);
+        self.attempts.insert(id, (worker.clone(), function.clone()));
+    }
+
+    /// An order or a question is to go to a worker. What fellows have answered does not.
+    pub fn order(
+        &mut self,
+        now: Micros,
+        id: OrderId,
+        (worker, function): (&WorkerId, &FunctionId),
+        count: u32,
+    ) -> Option<Done> {
+        let told = match count {
+            0 => self.words.asked(now, worker, function),
+            _ => self.words.ordered(now, worker, function, count),
+        };
+        if let Some(copies) = told {
+            return Some(Done::Order(id, Code::Ok, copies));
+        }
+        self.orders.insert(id, (worker.clone(), function.clone()));
+        None
+    }
+
+    /// An order is no longer waited for.
+    pub fn forget(&mut self, id: OrderId) {
+        self.orders.remove(&id);
+    }
+
+    /// Whether idle copies that the module wants to go are in use by fellows.
+    pub fn is_shared(&self, now: Micros, worker: &WorkerId, function: &FunctionId) -> bool {
+        self.words.is_shared(now, worker, function)
+    }
+
+    /// Takes what the end of a job tells of copies.
+    pub fn ended(&mut self, now: Micros, done: &Done) {
+        let (at, copies) = match done {
+            Done::Attempt(id, end) => {
+                let stands = end.code == Code::Ok && end.copy != CopyNote::Untold;
+                let none = end.code == Code::Miss || end.copy == CopyNote::LoadFailed;
+                (self.attempts.remove(id), if stands { Some(1) } else { none.then_some(0) })
+            }
+            // An order that was turned away says nothing of copies that stood before.
+            Done::Order(id, code, copies) => (self.orders.remove(id), (*code == Code::Ok).then_some(*copies)),
+            Done::Probe(..) => return,
+        };
+        if let (Some((worker, function)), Some(copies)) = (at, copies) {
+            self.words.saw(now, &worker, &function, copies);
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,10 +7,13 @@
 mod config;
 mod fellows;
 mod front;
+mod hearsay;
 mod links;
 mod members;
 mod node;
 mod notes;
+mod words;
+mod words_wire;
 mod work;
 
 pub use budget::Budget;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,6 +3,7 @@
 use crate::config::{ConfigError, NodeConfig, load, load_as};
 use crate::fellows::Fleet;
 use crate::front::{Front, Step};
+use crate::hearsay::Hearsay;
 use crate::links::{Done, Job, Links, WrittenJob};
 use crate::members::Names;
 use crate::notes::Notes;
@@ -70,6 +71,8 @@
     names: Names,
     /// The fleet's view, where the configuration asks for it.
     fellows: Option<Fleet>,
+    /// What fellows tell of copies, where the settings allow it.
+    hearsay: Option<Hearsay>,
     pace: Pace,
     /// When SIGTERM came.
     term: Option<Micros>,
@@ -151,6 +154,7 @@
             IoLimits { connections: config.budget.clients, input: config.budget.input, linger: 300_000 };
         let mut io = Io::new(limits)?;
         let fellows = Fleet::open(&config, &mut io, monotonic())?;
+        let hearsay = Hearsay::open(&config, &mut io, monotonic())?;
         let longest = config.told.module.classes.iter().map(|class| class.deadline).max();
         let mut node = Self {
             name: config.name.clone(),
@@ -163,6 +167,7 @@
             feeds: HashMap::new(),
             names: Names::new(&config),
             fellows,
+            hearsay,
             pace: Pace::default(),
             term: None,
             closing: longest.unwrap_or(0).min(LONGEST_US) + EXCUSED_US - APART_US,
@@ -248,7 +253,8 @@
         let reread = self.reread.map(|(at, _)| at);
         let fellows = self.fellows.as_ref().map(|fleet| fleet.fellows.next_due());
         let due = [self.engine.next_due(now), self.front.next_due(), self.links.next_due()];
-        let due = due.into_iter().chain([self.follower.next_due(), term, last, reread, fellows]);
+        let told = self.hearsay.as_ref().and_then(Hearsay::next_due);
+        let due = due.into_iter().chain([self.follower.next_due(), term, last, reread, fellows, told]);
         let due = due.flatten().min().unwrap_or(now + 1_000_000);
         if self.oldest().is_some() { 0 } else { due.saturating_sub(now) }
     }
@@ -373,6 +379,11 @@
             Happened::Signal(SIGHUP) => self.want(now, REREAD_NOW),
             Happened::Signal(_) => self.want(now, STOP),
             Happened::Datagrams(_) => {
+                self.hearsay.iter_mut().for_each(|hearsay| hearsay.data(&mut self.io, now));
+                let news = self.hearsay.as_mut().map(Hearsay::take_news).unwrap_or_default();
+                for (worker, function, copies) in news {
+                    self.tell(now, Input::Stands(worker, function, copies));
+                }
                 self.fellows(now, |fellows, io, events| fellows.data(io, now, events));
                 self.drains(now);
             }
@@ -407,6 +418,7 @@
             });
         }
         self.drains(now);
+        self.hearsay.iter_mut().for_each(|hearsay| hearsay.wake(&mut self.io, now));
         loop {
             let mut outputs = std::mem::take(&mut self.outputs);
             self.engine.answer_due(now, &mut outputs);
@@ -458,6 +470,7 @@
 
     /// How a job ended, as the engine is told it.
     fn ended(&mut self, now: Micros, done: Done) -> Input<Work, Served> {
+        self.hearsay.iter_mut().for_each(|hearsay| hearsay.ended(now, &done));
         match done {
             Done::Attempt(id, end) => {
                 self.notes.ended(now, id, &end);
@@ -485,6 +498,13 @@
             let done = self.output(now, output);
             // Before the engine is told anything else: what was written may run.
             self.note_written(now);
+            let news = self.hearsay.as_mut().map(Hearsay::take_news).unwrap_or_default();
+            for (worker, function, copies) in news {
+                let mut more = std::mem::take(&mut self.outputs);
+                self.engine.handle(now, Input::Stands(worker, function, copies), &mut more);
+                queue.extend(more.drain(..));
+                self.outputs = more;
+            }
             if let Some(done) = done {
                 let (input, mut more) = (self.ended(now, done), std::mem::take(&mut self.outputs));
                 self.engine.handle(now, input, &mut more);
@@ -495,7 +515,7 @@
     }
 
     fn output(&mut self, now: Micros, output: Output<Work, Served>) -> Option<Done> {
-        let Self { io, links, front, later, notes, fellows, .. } = self;
+        let Self { io, links, front, later, notes, fellows, hearsay, .. } = self;
         match output {
             Output::Answer { waiter, answer, attempts, worker, .. } => {
                 let asked = front.answer(io, now, waiter, &answer)?;
@@ -511,6 +531,7 @@
             Output::Start { attempt, worker, function, payload, until, .. } => {
                 let function = function.name.clone();
                 Notes::started(attempt, &worker, &function);
+                hearsay.iter_mut().for_each(|h| h.started(now, attempt, &worker, &function));
                 links.start(io, now, &worker, Job::Attempt { id: attempt, work: payload, function, until })
             }
             Output::Abort(attempt) => {
@@ -520,14 +541,22 @@
                 done
             }
             Output::Order { order, worker, function, count } => {
+                let told = hearsay.as_mut().and_then(|h| h.order(now, order, (&worker, &function), count));
+                if told.is_some() {
+                    return told;
+                }
                 links.start(io, now, &worker, Job::Order { id: order, function, count })
             }
             Output::Probe(order, worker) => links.start(io, now, &worker, Job::Probe(order)),
             Output::AbortOrder(order) => {
+                hearsay.iter_mut().for_each(|h| h.forget(order));
                 links.abort_order(io, now, order);
                 None
             }
-            Output::Drop(worker, function) => links.start(io, now, &worker, Job::Release(function)),
+            Output::Drop(worker, function) => {
+                let shared = hearsay.as_ref().is_some_and(|h| h.is_shared(now, &worker, &function));
+                if shared { None } else { links.start(io, now, &worker, Job::Release(function)) }
+            }
             // The bulletin tells every change by itself.
             Output::Watch => None,
         }
@@ -611,6 +640,7 @@
         let addressed: Vec<_> =
             members.iter().cloned().zip(roster.targets.iter().map(|t| t.endpoint)).collect();
         self.notes.told(now, kind, &members);
+        self.hearsay.iter_mut().for_each(|hearsay| hearsay.members(kind, &members));
         let mut done = Vec::new();
         // The links first, which must know whom the module sends to; what they withdraw is told after it, or
         // it would be sent there again.
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -42,11 +42,13 @@
     pub memory_mb: u32,
     pub streams: usize,
     pub deadline_ms: u64,
+    /// Another scheduler, where the settings allow datagrams to it.
+    pub fellow: Option<SocketAddr>,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { sockets: 256, memory_mb: 32, streams: 32, deadline_ms: 8_000 }
+        Self { sockets: 256, memory_mb: 32, streams: 32, deadline_ms: 8_000, fellow: None }
     }
 }
 
@@ -198,13 +200,16 @@
 
 /// A configuration file.
 pub fn text(limits: Limits, bulletin: SocketAddr, targets: &str) -> String {
-    let Limits { sockets, memory_mb, streams, deadline_ms } = limits;
+    let Limits { sockets, memory_mb, streams, deadline_ms, fellow } = limits;
+    let fellows =
+        |at| format!(r#""peer_listen":"127.0.0.1:0","peers":["127.0.0.1:9","{at}"],"peers_all":"{at}","#);
+    let (peers, fellows) = (fellow.is_some(), fellow.map(fellows).unwrap_or_default());
     let deadline = deadline_ms * MS;
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"1","limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
-"bulletin":"{bulletin}","known":{{"no":1,"items":[{{"no":1,"roster":{{"rev":1,"all":true,"targets":[{targets}]}}}}]}},
+{fellows}"bulletin":"{bulletin}","known":{{"no":1,"items":[{{"no":1,"roster":{{"rev":1,"all":true,"targets":[{targets}]}}}}]}},
 "settings":{{"dcs":["east"],"models":["std"],"discovery":"push","familyInfo":{{"loadControl":true,"machineMb":[8000.0],"missMode":"load","orderLimitUs":4000000,"staysLoadedUs":4000000}},
-"limits":{{"cancel":true,"connectTimeoutUs":250000,"idleCloseUs":30000000,"maxRetryAfterUs":1000000,"retryAfter":true,"secondCopies":false,"sendCap":5,"streamsPerConn":{streams}}},
+"limits":{{"cancel":true,"connectTimeoutUs":250000,"idleCloseUs":30000000,"maxRetryAfterUs":1000000,"peers":{peers},"retryAfter":true,"secondCopies":false,"sendCap":5,"streamsPerConn":{streams}}},
 "replicasOfMe":1,"report":{{"names":["backlog"]}},"roundUs":1000,
 "requestClasses":[{{"name":"view","deadlineUs":{deadline},"onTimeUs":2000000,"repeat":"safe"}},{{"name":"extract","deadlineUs":{deadline},"onTimeUs":2000000,"repeat":"unsafe"}}],
 "rules":{{"answerSlackUs":5000,"coldFrom":0.2,"fallUs":1500000,"tipMultiple":4.0,"warmWithinUs":16000000}}}}}}"#
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -5,3 +5,4 @@
 mod fleet;
 mod restart;
 mod untold;
+mod words;
--- a/crates/told/src/lib.rs
+++ b/crates/told/src/lib.rs
@@ -41,6 +41,8 @@
     pub zones: Vec<String>,
     /// For connections to workers.
     pub links: LinkFigures,
+    /// Schedulers may send one another datagrams.
+    pub peers: bool,
 }
 
 /// Figures of connections to workers; 0 where none is told.
@@ -118,6 +120,8 @@
     #[serde(default)]
     cancel: bool,
     #[serde(default)]
+    peers: bool,
+    #[serde(default)]
     probes: bool,
     #[serde(default)]
     retry_after: bool,
@@ -212,6 +216,7 @@
         idle_close: limits.idle_close_us as u64,
         connect_timeout: limits.connect_timeout_us as u64,
     };
+    let peers = limits.peers;
     let names = options.request_classes.iter().map(|c| c.name.clone()).collect();
     let module = Settings {
         classes: options.request_classes.iter().map(class).collect::<Result<_, _>>()?,
@@ -251,5 +256,5 @@
         must_ask: options.discovery == "ask",
     };
     module.check()?;
-    Ok(Told { module, classes: names, kinds: options.models, zones: options.dcs, links })
+    Ok(Told { module, classes: names, kinds: options.models, zones: options.dcs, links, peers })
 }
