Module: a cold worker's budget is guessed by what was served for each worker warm then

Change: each answer counts as its part of the workers that are warm when it comes. The share of the guess used stays at a half.

--- a/src/control.rs
+++ b/src/control.rs
@@ -725,7 +725,7 @@
         if warmth >= 1.0 {
             return f64::INFINITY;
         }
-        let each = self.served.get(now, WINDOW_US) / WINDOW_US / self.fleet.warm.max(1) as f64;
+        let each = self.served.get(now, WINDOW_US) / WINDOW_US;
         let rate = COLD_SHARE * rules.tip_multiple * warmth * each;
         let budget = rate * rules.fall as f64;
         let credit = worker.cold_credit + rate * now.saturating_sub(worker.cold_at) as f64;
@@ -840,7 +840,9 @@
         }
         match told.code {
             Code::Ok => {
-                self.served.add(now, 1.0, WINDOW_US);
+                // By those that were warm then: fewer may be left.
+                let share = if self.fleet.warm > 0 { self.fleet.warm } else { self.fleet.workers };
+                self.served.add(now, 1.0 / share.max(1) as f64, WINDOW_US);
                 if function.queued {
                     function.gaps = function.gaps.saturating_add(1);
                     let gap = now.saturating_sub(function.served_at) as f64;
--- a/src/state.rs
+++ b/src/state.rs
@@ -271,6 +271,7 @@
     /// Usual latency of each class, for functions not yet measured.
     pub(crate) class_usual: Vec<f64>,
     pub(crate) sends: Fading,
+    /// Requests served lately for each worker that was warm then.
     pub(crate) served: Fading,
     pub(crate) hedges: Fading,
     /// Share of attempts that failed or came late; fades.
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -930,3 +930,30 @@
     let placed = calls(&mut bed, 40..80);
     assert!(placed.iter().any(|worker| worker == "new"), "{placed:?}");
 }
+
+#[test]
+fn a_cold_worker_is_not_taken_for_larger_since_most_others_have_left() {
+    // 200 calls a second, 25 for each of eight workers; seven leave at once and a new one starts.
+    let mut settings = settings(Repeat::Safe);
+    settings.family.load_on_miss = true;
+    settings.family.orders = false;
+    let mut bed = Bed::new(settings, 8);
+    let cold = |bed: &mut Bed, ids: std::ops::Range<u64>| {
+        let mut cold = 0;
+        for id in ids {
+            for (sent, worker) in sends(&bed.request(id, &format!("f{}", id % 40), 300 * MS)) {
+                cold += usize::from(worker == "new");
+                bed.outcome(sent, 0, &worker, Code::Ok, 5 * MS);
+            }
+            bed.advance(5 * MS);
+        }
+        cold
+    };
+    cold(&mut bed, 0..2_000);
+    let left = (1..8).map(|i| member(&format!("w{i}"), State::Gone, 0));
+    let members = left.chain([member("new", State::Active, bed.now)]).collect();
+    bed.event(Event::Members { kind: MembersKind::Changes, members });
+    let cold = cold(&mut bed, 2_000..2_400);
+    // Half of 3 x (0.2 rising to 0.31) x 25 a second, over two seconds: 19 at the most.
+    assert!(cold < 25, "{cold} sends to a worker that had just started");
+}
