--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,11 +7,14 @@
 mod config;
 mod fellows;
 mod front;
+mod hearsay;
 mod lately;
 mod links;
 mod members;
 mod node;
 mod notes;
+mod words;
+mod words_wire;
 mod work;
 
 pub use budget::Budget;
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -6,3 +6,4 @@
 mod late;
 mod restart;
 mod untold;
+mod words;
--- a/src/control.rs
+++ b/src/control.rs
@@ -145,7 +145,10 @@
         let left = (told - fleet.trust * worker.placed_mb).max(mb).max(told * 0.1) / fleet.memory_mb.max(1.0);
         let own = if worker.placed_mb > 0.0 { worker.demand.get(now, WINDOW_US) } else { fleet.demand };
         let drawn = fleet.demand + fleet.trust * (own - fleet.demand);
-        let placed = drawn / WINDOW_US * f64::from(self.settings.schedulers);
+        // Nobody can have placed more on it than its life holds of the window.
+        let age = now.saturating_sub(worker.member.started) as f64 / WINDOW_US;
+        let lived = if worker.member.started == 0 || age > 5.0 { 1.0 } else { 1.0 - (-age).exp() };
+        let placed = drawn * lived / WINDOW_US * f64::from(self.settings.schedulers);
         (placed + added).max(0.001) * self.evidence(now, worker, class) / (left * fleet.size(worker))
     }
 
@@ -722,7 +725,7 @@
         if warmth >= 1.0 {
             return f64::INFINITY;
         }
-        let each = self.served.get(now, WINDOW_US) / WINDOW_US / self.fleet.warm.max(1) as f64;
+        let each = self.served.get(now, WINDOW_US) / WINDOW_US;
         let rate = COLD_SHARE * rules.tip_multiple * warmth * each;
         let budget = rate * rules.fall as f64;
         let credit = worker.cold_credit + rate * now.saturating_sub(worker.cold_at) as f64;
@@ -837,7 +840,9 @@
         }
         match told.code {
             Code::Ok => {
-                self.served.add(now, 1.0, WINDOW_US);
+                // By those that were warm then: fewer may be left.
+                let share = if self.fleet.warm > 0 { self.fleet.warm } else { self.fleet.workers };
+                self.served.add(now, 1.0 / share.max(1) as f64, WINDOW_US);
                 if function.queued {
                     function.gaps = function.gaps.saturating_add(1);
                     let gap = now.saturating_sub(function.served_at) as f64;
