--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -44,6 +44,9 @@
     #[serde(default)]
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
+    /// Fellows tell one another where copies stand. Off unless told: it spares questions, and calls are served later.
+    #[serde(default)]
+    words: bool,
     /// Absent, nothing listens for other schedulers and nothing is sent to them.
     fleet: Option<FleetFile>,
 }
@@ -148,7 +151,7 @@
     let told = basaltward_told::parse(file.settings.get())?;
     let unsaid =
         FleetFile { view, name: String::new(), operators: Vec::new(), agreed: None, zones: Vec::new() };
-    let allowed = told.peers && file.peers.len() <= MOST_PEERS;
+    let allowed = file.words && told.peers && file.peers.len() <= MOST_PEERS;
     let peers = file.peer_listen.zip(file.peers_all).filter(|_| allowed);
     let peers = peers.map(|(listen, all)| Peers { listen, each: file.peers.clone(), all });
     let fleet = match Some(file.fleet.unwrap_or(unsaid)).filter(|fleet| fleet.view) {
