--- /dev/null
+++ b/crates/node/tests/sockets/gone.rs
@@ -0,0 +1,1 @@
+//! Clients that have gone: from then on no attempt of theirs begins.
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -2,8 +2,13 @@
 mod answers;
 mod clients;
 mod common;
+mod descriptors;
 mod fleet;
+mod gone;
 mod late;
+mod link;
 mod restart;
+mod shutdown;
 mod untold;
+mod watch;
 mod words;
