Node: tenants and effect keys of other deployments are read and passed on

Front::read dropped both: every call counted as the first tenant's (Identity { tenant: 0 }), and a worker got no key to discard repeats by.

The tenant is found by its name in the settings, the key goes on to each worker as uniq. An unknown tenant, a keyed call without its key and a key that would break a worker's line are refused.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::config::NodeConfig;
 use crate::work::{Served, Work};
-use basaltward::{FunctionId, Micros};
+use basaltward::{Class, FunctionId, Micros, Repeat};
 use basaltward_engine::{Answer, Function, Identity, NewCall, WaiterId};
 use basaltward_net::{ConnId, Io};
 use basaltward_thrift::{Asked, Frames, Kind, Submit, Told, next_frame, read_request, write};
@@ -15,6 +15,8 @@
 const FRAME: usize = 24 << 10;
 /// Most bytes of a body.
 const BODY: usize = 16 << 10;
+/// Most bytes of an effect's key.
+const KEY: usize = 64;
 /// Most requests open on one connection.
 const OPEN: usize = 32;
 /// A connection that has asked nothing whole by then is of no use: whoever comes to no good is owed an end
@@ -82,7 +84,8 @@
 pub struct Front {
     frames: Frames,
     most: usize,
-    classes: Vec<(String, Micros)>,
+    classes: Vec<FrontClass>,
+    tenants: Vec<String>,
     memory_mb: f64,
     source: Arc<str>,
     clients: HashMap<ConnId, Client>,
@@ -102,14 +105,37 @@
     digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
 }
 
+/// An effect's key goes into a line to a worker as it is: nothing in it may end a word or a field there.
+fn usable_key(text: &str) -> Option<&str> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b':');
+    ((1..=KEY).contains(&text.len()) && text.bytes().all(plain)).then_some(text)
+}
+
 fn within(text: &str, most: f64) -> Option<f64> {
     text.parse::<f64>().ok().filter(|x| x.is_finite() && *x > 0.0 && *x <= most)
 }
 
+/// What the front has to know of a class.
+struct FrontClass {
+    name: String,
+    deadline: Micros,
+    /// Its workers discard repeats by a key that comes with each request.
+    keyed: bool,
+}
+
+impl FrontClass {
+    fn new(name: &str, class: &Class) -> Self {
+        let keyed = matches!(class.repeat, Repeat::Keyed { .. });
+        Self { name: name.into(), deadline: class.deadline, keyed }
+    }
+}
+
 /// What the front takes out of a request.
 struct Read {
     request: u64,
+    tenant: usize,
     class: usize,
+    key: Option<String>,
     timeout: Micros,
     function: Function,
 }
@@ -122,7 +148,8 @@
         Self {
             frames: Frames { most: FRAME },
             most: config.budget.clients,
-            classes: classes.map(|(name, class)| (name.clone(), class.deadline)).collect(),
+            classes: classes.map(|(name, class)| FrontClass::new(name, class)).collect(),
+            tenants: config.told.tenants.clone(),
             memory_mb: memory.fold(0.0, f64::max),
             source: "".into(),
             clients: HashMap::new(),
@@ -347,10 +374,10 @@
         let id = format!("{:016x}", read.request);
         let function = Arc::new(read.function);
         let (name, source) = (function.name.clone(), self.source.clone());
-        let identity = Identity { tenant: 0, function: name, source, id: id.as_str().into() };
+        let identity = Identity { tenant: read.tenant, function: name, source, id: id.as_str().into() };
         let used = Mutex::default();
-        let (number, class, body) = (read.request, read.class, submit.owned_body());
-        let payload = Arc::new(Work { id, number, class, body, used });
+        let (number, class, key, body) = (read.request, read.class, read.key, submit.owned_body());
+        let payload = Arc::new(Work { id, number, class, key, body, used });
         Some(Ok(NewCall { waiter, identity, function, deadline: came + read.timeout, payload }))
     }
 
@@ -361,12 +388,22 @@
         }
         let field = |name| submit.fields.iter().find(|(n, _)| *n == name).map(|(_, value)| *value);
         let kind = field("kind")?;
-        let class = self.classes.iter().position(|(name, _)| name == kind)?;
+        let class = self.classes.iter().position(|class| class.name == kind)?;
+        // Of a platform without tenants all calls count as the first one's.
+        let tenant = match self.tenants.is_empty() {
+            true => 0,
+            false => field("owner").and_then(|owner| self.tenants.iter().position(|name| name == owner))?,
+        };
+        // Without its key an effect could happen twice: such a call is not taken.
+        let key = match (field("opkey"), self.classes[class].keyed) {
+            (Some(key), _) => Some(usable_key(key)?.to_owned()),
+            (None, keyed) => (!keyed).then_some(None)?,
+        };
         let request = hex(field("req")?)?;
         let name: FunctionId = field("subject").filter(|s| hex(s).is_some())?.into();
         let timeout = field("timeout")?.parse::<u64>().ok()?;
         // Nobody waits many times as long as the class allows.
-        let most = self.classes[class].1.saturating_mul(10);
+        let most = self.classes[class].deadline.saturating_mul(10);
         let timeout = timeout.checked_mul(1_000).filter(|t| (1..=most).contains(t))?;
         let mut function = Function { name, class, memory_mb: 0.0, lanes: 0, load: None };
         for (name, value) in field("props")?.split(';').filter_map(|prop| prop.split_once(':')) {
@@ -378,7 +415,7 @@
             }
         }
         let usable = function.memory_mb > 0.0 && function.lanes > 0;
-        usable.then_some(Read { request, class, timeout, function })
+        usable.then_some(Read { request, tenant, class, key, timeout, function })
     }
 
     fn take(&mut self, waiter: WaiterId) -> Option<Waiting> {
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -13,7 +13,7 @@
 use basaltward_timers::Timers;
 use basaltward_told::LinkFigures;
 use basaltward_worker_lines as lines;
-use basaltward_worker_lines::{AnswerDecoder, LineLimits, Note, Reply, Word};
+use basaltward_worker_lines::{AnswerDecoder, ExecFields, LineLimits, Note, Reply, Word};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -320,7 +320,8 @@
                 Job::Attempt { id: attempt, work, function, until } => {
                     let queue = self.classes.get(work.class).map_or("", String::as_str);
                     let budget = (until.saturating_sub(now) / 1_000).max(1);
-                    lines::exec(out, &id, queue, function.as_str(), budget, &work.body);
+                    let (path, key) = (function.as_str(), work.key.as_deref());
+                    lines::exec(out, &id, ExecFields { queue, path, budget_ms: budget, key }, &work.body);
                     let what = WrittenJob::Attempt(*attempt, work.clone());
                     self.written.push(Written { conn, worker: link.worker.clone(), what });
                 }
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -14,6 +14,8 @@
     pub number: u64,
     /// Its class, a position in the settings.
     pub class: usize,
+    /// The key of its effect, passed on as it came.
+    pub key: Option<String>,
     /// Its body, passed on as it came.
     pub body: Bytes,
     /// Connections that have carried an attempt of it. Another attempt goes on none of them: a late answer to
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -59,6 +59,16 @@
         limits: Limits,
         workers: usize,
         script: impl Fn(usize, &Exec) -> Vec<Act> + Clone + Send + Sync + 'static,
+    ) -> Self {
+        Self::configured(limits, workers, |text| text, script)
+    }
+
+    /// The same, its configuration file being what `edit` makes of the usual one.
+    pub fn configured(
+        limits: Limits,
+        workers: usize,
+        edit: impl Fn(String) -> String,
+        script: impl Fn(usize, &Exec) -> Vec<Act> + Clone + Send + Sync + 'static,
     ) -> Self {
         let recorder = Recorder::memory();
         let worker = |i: usize| {
@@ -76,7 +86,7 @@
             .enumerate()
             .map(|(i, w)| target(&format!("s-{i}"), w.address(), "Ready"))
             .collect();
-        std::fs::write(&config, text(limits, board.address(), &targets.join(","))).expect("written");
+        std::fs::write(&config, edit(text(limits, board.address(), &targets.join(",")))).expect("written");
         let node = Node::new(config.clone(), None, recorder.clone()).expect("a scheduler");
         let (address, control) = (node.address(), node.control());
         let node = Some(std::thread::spawn(move || node.run().expect("it runs")));
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 mod answers;
 mod clients;
 mod common;
+mod deployments;
 mod descriptors;
 mod fleet;
 mod gone;
--- a/crates/told/src/lib.rs
+++ b/crates/told/src/lib.rs
@@ -35,6 +35,8 @@
     pub module: Settings,
     /// Names of the classes, in the module's order.
     pub classes: Vec<String>,
+    /// Names of the tenants, in the module's order; none where calls belong to none.
+    pub tenants: Vec<String>,
     /// Names of the kinds of workers, in the module's order.
     pub kinds: Vec<String>,
     /// Names of the zones, in the module's order.
@@ -166,6 +168,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Project {
+    #[serde(default)]
+    name: String,
     quota_per_s: f64,
 }
 
@@ -217,7 +221,8 @@
         connect_timeout: limits.connect_timeout_us as u64,
     };
     let peers = limits.peers;
-    let names = options.request_classes.iter().map(|c| c.name.clone()).collect();
+    let classes = options.request_classes.iter().map(|c| c.name.clone()).collect();
+    let tenants = options.projects.iter().map(|p| p.name.clone()).collect();
     let module = Settings {
         classes: options.request_classes.iter().map(class).collect::<Result<_, _>>()?,
         tenant_quotas: options.projects.iter().map(|p| p.quota_per_s).collect(),
@@ -256,5 +261,5 @@
         must_ask: options.discovery == "ask",
     };
     module.check()?;
-    Ok(Told { module, classes: names, kinds: options.models, zones: options.dcs, links, peers })
+    Ok(Told { module, classes, tenants, kinds: options.models, zones: options.dcs, links, peers })
 }
--- a/crates/worker-lines/src/lib.rs
+++ b/crates/worker-lines/src/lib.rs
@@ -7,4 +7,4 @@
 mod write;
 
 pub use decode::{AnswerDecoder, LineLimits, LinesError, Note, Reply, Word};
-pub use write::{drop_request, ensure, exec, health, load, release};
+pub use write::{ExecFields, drop_request, ensure, exec, health, load, release};
--- a/crates/worker-lines/src/write.rs
+++ b/crates/worker-lines/src/write.rs
@@ -6,11 +6,28 @@
     let _ = out.write_fmt(text);
 }
 
-/// A request: its class, its function, how long it is waited for in milliseconds, and its body.
-pub fn exec(out: &mut BytesMut, id: &str, queue: &str, path: &str, budget_ms: u64, body: &[u8]) {
-    out.reserve(body.len() + 128);
-    let length = body.len();
-    put(out, format_args!("exec {id} queue={queue},path={path},budget={budget_ms} {length}\r\n"));
+/// What a request tells a worker beside its id and body.
+#[derive(Clone, Copy, Debug)]
+pub struct ExecFields<'a> {
+    /// The class.
+    pub queue: &'a str,
+    /// The function.
+    pub path: &'a str,
+    /// How long the request is waited for, in milliseconds.
+    pub budget_ms: u64,
+    /// The effect's key, of a class whose workers discard repeats by it.
+    pub key: Option<&'a str>,
+}
+
+/// A request.
+pub fn exec(out: &mut BytesMut, id: &str, fields: ExecFields, body: &[u8]) {
+    let ExecFields { queue, path, budget_ms, key } = fields;
+    out.reserve(body.len() + 192);
+    put(out, format_args!("exec {id} queue={queue},path={path},budget={budget_ms}"));
+    if let Some(key) = key {
+        put(out, format_args!(",uniq={key}"));
+    }
+    put(out, format_args!(" {}\r\n", body.len()));
     out.put_slice(body);
     out.put_slice(b"\r\n");
 }
--- a/crates/worker-lines/tests/answers.rs
+++ b/crates/worker-lines/tests/answers.rs
@@ -23,13 +23,16 @@
 #[test]
 fn commands_have_the_published_form() {
     let mut out = BytesMut::new();
-    exec(&mut out, "9b1f03aa5c7e2d41", "call", "7f3a9c21e0b4d655", 900, b"ab\r\n");
+    let fields = ExecFields { queue: "call", path: "7f3a9c21e0b4d655", budget_ms: 900, key: None };
+    exec(&mut out, "9b1f03aa5c7e2d41", fields, b"ab\r\n");
+    exec(&mut out, "01", ExecFields { key: Some("2bf9a7ea"), ..fields }, b"");
     drop_request(&mut out, "9b1f03aa5c7e2d41");
     health(&mut out, "t1");
     load(&mut out, "t2");
     ensure(&mut out, "t3", "7f3a9c21e0b4d655", 2);
     release(&mut out, "7f3a9c21e0b4d655");
     let expected = "exec 9b1f03aa5c7e2d41 queue=call,path=7f3a9c21e0b4d655,budget=900 4\r\nab\r\n\r\n\
+        exec 01 queue=call,path=7f3a9c21e0b4d655,budget=900,uniq=2bf9a7ea 0\r\n\r\n\
         drop 9b1f03aa5c7e2d41\r\nhealth t1\r\nload t2\r\nensure t3 path=7f3a9c21e0b4d655,slots_up=2\r\n\
         release 7f3a9c21e0b4d655\r\n";
     assert_eq!(out, expected.as_bytes());
