Hand-overs: one order of a function at a time, also when its home is looked at again

Two faults were found, both at one line of `replace`, which asked only whether a hand-over was out: a copy already ordered for a crowd was ordered once more at the same worker to hand the function over, and a hand-over answered with no copy was remembered for good, so that the function was never handed over again. It asks `may_order` now, as every other order does, so that a pause after a failure holds there too.

--- a/src/control.rs
+++ b/src/control.rs
@@ -416,7 +416,7 @@
             // Without an order it can only move to where a copy stands: seldom worth a look at the fleet.
             let standing = function.places.iter().filter(|(_, p)| p.standing);
             let moves = || standing.filter_map(|(id, _)| at(id)).any(|at| gains(&&choice(at)));
-            let orders = has_ration && function.moving.is_none() && self.load_gap == 0;
+            let orders = has_ration && self.may_order(now, function) && self.load_gap == 0;
             if !orders && !moves() {
                 continue;
             }
