--- a/src/control.rs
+++ b/src/control.rs
@@ -416,7 +416,7 @@
             // Without an order it can only move to where a copy stands: seldom worth a look at the fleet.
             let standing = function.places.iter().filter(|(_, p)| p.standing);
             let moves = || standing.filter_map(|(id, _)| at(id)).any(|at| gains(&&choice(at)));
-            let orders = has_ration && function.moving.is_none() && self.load_gap == 0;
+            let orders = has_ration && self.may_order(now, function) && self.load_gap == 0;
             if !orders && !moves() {
                 continue;
             }
@@ -686,7 +686,8 @@
             if started.is_none_or(|s| s < member.started) {
                 let due = self.workers.remove(&id).map_or(BTreeSet::new(), |w| w.due);
                 let mut fresh = Worker::new(member.clone(), now, self.class_usual.len(), due);
-                fresh.cold_credit = unit(rendezvous(self.own_hash ^ member.started, fresh.hash));
+                let (key, fleet) = (rendezvous(member.started, fresh.hash), self.settings.schedulers);
+                fresh.cold_credit = stratum(self.settings.self_index, fleet, key);
                 self.workers.insert(id.clone(), fresh);
                 self.empty(&id);
             }
@@ -717,23 +718,25 @@
     }
 
     /// Sends accrued for us at a started worker, endless once it is warm: our part of the told multiple of
-    /// its present capacity, guessed from what warm workers serve for us. Where our part is under one a
-    /// window, schedulers begin at different fractions of a send, and one left unused is lost again, so that
-    /// not all of them save theirs for the same moment.
+    /// its present capacity, guessed from what the fleet serves for us. Where our part is under one a
+    /// window, schedulers begin at fractions of a send spread evenly by their numbers, so that their sum is
+    /// what all have accrued, and what is left unused past a window's worth is lost in whole sends, so that
+    /// they stay spread: saved and accruing, the fleet's sum in a window is twice our share at the most.
     fn cold_credit(&self, now: Micros, worker: &Worker) -> f64 {
         let (rules, warmth) = (&self.settings.rules, self.warmth(now, worker));
         if warmth >= 1.0 {
             return f64::INFINITY;
         }
         let each = self.served.get(now, WINDOW_US) / WINDOW_US;
-        let rate = COLD_SHARE * rules.tip_multiple * warmth * each;
-        let budget = rate * rules.fall as f64;
-        let credit = worker.cold_credit + rate * now.saturating_sub(worker.cold_at) as f64;
-        let usable = 1.0 + 2.0 * budget;
+        let rate = COLD_SHARE * rules.tip_multiple * each;
+        let budget = rate * warmth * rules.fall as f64;
+        // It warmed evenly since then, and was in the middle what it was on the whole.
+        let since = now.saturating_sub(worker.cold_at);
+        let credit = worker.cold_credit + rate * self.warmth(now - since / 2, worker) * since as f64;
         match budget >= 1.0 {
             true => credit.min((budget / 2.0).max(1.0)),
-            false if credit < usable => credit,
-            false => (credit - 1.0) % usable,
+            false if credit < 1.0 + budget => credit,
+            false => budget + (credit - budget) % 1.0,
         }
     }
 
@@ -840,9 +843,8 @@
         }
         match told.code {
             Code::Ok => {
-                // By those that were warm then: fewer may be left.
-                let share = if self.fleet.warm > 0 { self.fleet.warm } else { self.fleet.workers };
-                self.served.add(now, 1.0 / share.max(1) as f64, WINDOW_US);
+                // By those that served then, each as far as it was warm: fewer may be left.
+                self.served.add(now, 1.0 / self.fleet.warm.max(1.0), WINDOW_US);
                 if function.queued {
                     function.gaps = function.gaps.saturating_add(1);
                     let gap = now.saturating_sub(function.served_at) as f64;
@@ -1024,7 +1026,7 @@
         self.fleet = Fleet {
             room: ((told * USABLE - least) / (most - least).max(1.0)).clamp(0.0, 1.0),
             workers: usable.len(),
-            warm: usable.iter().filter(|w| self.warmth(now, w) >= 1.0).count(),
+            warm: usable.iter().map(|w| self.warmth(now, w)).sum(),
             memory_mb: kinds.iter().sum::<f64>() / kinds.len() as f64,
             hint: mean(&|w| w.hint()),
             demand: mean(&|w| w.demand.get(now, WINDOW_US)),
