Follower: at most two connections, one in the end, and no asking without a pause

Read line by line; each seen in a test first. A configuration that names another bulletin and then the first again (A, B, A), before B spoke, had a second connection to A begun beside the old one, and neither was ever left: `spoke` closed connections to other addresses only. Addresses told in a row left one connection each until 2.2 s had passed. A bulletin that tells one line that can be read and then breaks off, or tells a number ahead, was asked again at once each time: 10,000 connections where the waits allow some 25. A line longer than the bound was taken where it came in one read.

Now the connection begun last closes all others once it speaks, a move closes those that have told nothing, and one is asked at once only after a connection that brought an event or stood for 0.5 s, or the first time; then the waits double. Checked and ruled out: no order of moves and ends leaves the follower without a connection and without a time for the next (30,000 random acts).

--- a/crates/bulletin/src/follower.rs
+++ b/crates/bulletin/src/follower.rs
@@ -8,7 +8,7 @@
 /// Bounds of a follower.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FollowerLimits {
-    /// Most bytes of a line.
+    /// Most bytes of a line, its end included.
     pub line: usize,
     /// A bulletin that says nothing for so long, though it owes a line each second, is left.
     pub silence: Micros,
@@ -47,6 +47,7 @@
 struct Feed {
     id: FeedId,
     address: SocketAddr,
+    begun: Micros,
     /// When patience with it ends.
     until: Micros,
     /// It has told a line that can be read.
@@ -56,6 +57,9 @@
 }
 
 /// Follows one bulletin, and a second one while it moves from one to the other.
+///
+/// At any time there is a connection to the last address told or a time for the next one, and no more than two stand:
+/// one that has told something, and the one begun last.
 pub struct Follower {
     limits: FollowerLimits,
     address: SocketAddr,
@@ -106,7 +110,7 @@
             let id = FeedId(self.given);
             self.given += 1;
             let (address, until) = (self.address, now + self.limits.connect);
-            self.feeds.push(Feed { id, address, until, spoke: false, searched: 0 });
+            self.feeds.push(Feed { id, address, begun: now, until, spoke: false, searched: 0 });
             out.push(Step::Connect(id, address));
         }
     }
@@ -125,14 +129,22 @@
         self.leave(now, id, None, out);
     }
 
-    /// Another bulletin is to be followed. The one before is followed too until the new one speaks or it ends.
-    pub fn moved(&mut self, now: Micros, address: SocketAddr) {
+    /// Another bulletin is to be followed. The one before is followed too until the new one speaks or it ends; one
+    /// that has told nothing yet is not waited for.
+    pub fn moved(&mut self, now: Micros, address: SocketAddr, out: &mut Vec<Step>) {
         if address != self.address {
             self.address = address;
             (self.next, self.wait) = (Some(now), self.limits.again.0);
+            self.keep(|feed| feed.spoke, out);
         }
     }
 
+    /// Closes all connections but those that are kept.
+    fn keep(&mut self, kept: impl Fn(&Feed) -> bool, out: &mut Vec<Step>) {
+        out.extend(self.feeds.iter().filter(|f| !kept(f)).map(|f| Step::Close(f.id)));
+        self.feeds.retain(kept);
+    }
+
     /// Takes the whole lines out of a connection's input.
     pub fn lines(&mut self, now: Micros, id: FeedId, input: &mut BytesMut, out: &mut Vec<Step>) {
         while let Some(feed) = self.feeds.iter_mut().find(|f| f.id == id) {
@@ -146,7 +158,8 @@
                 return;
             };
             feed.searched = 0;
-            let told = parse(&input[..end]);
+            let within = end < self.limits.line;
+            let told = if within { parse(&input[..end]) } else { Err(BulletinError::Endless) };
             input.advance(end + 1);
             if let Err(error) = told.and_then(|line| self.line(line, out)) {
                 out.push(Step::Close(id));
@@ -164,22 +177,21 @@
         }
         if let Some(roster) = line.roster.filter(|_| line.no > self.last) {
             self.last = line.no;
+            self.wait = self.limits.again.0;
             out.push(Step::Roster(roster));
         }
         Ok(())
     }
 
-    /// A line that can be read has come: patience begins anew, and a bulletin followed before is left.
+    /// A line that can be read has come: patience begins anew, and with the connection begun last to the address told
+    /// last, those before it are left.
     fn spoke(&mut self, now: Micros, id: FeedId, out: &mut Vec<Step>) {
-        self.wait = self.limits.again.0;
+        let (address, newest) = (self.address, self.feeds.last().is_some_and(|f| f.id == id));
         let Some(feed) = self.feeds.iter_mut().find(|f| f.id == id) else { return };
         feed.until = now + self.limits.silence;
         feed.spoke = true;
-        if feed.address == self.address {
-            let before = |f: &&Feed| f.id != id && f.address != self.address;
-            out.extend(self.feeds.iter().filter(before).map(|f| Step::Close(f.id)));
-            let address = self.address;
-            self.feeds.retain(|f| f.id == id || f.address == address);
+        if newest && feed.address == address {
+            self.keep(|feed| feed.id == id, out);
         }
     }
 
@@ -190,8 +202,14 @@
         if feed.address != self.address || self.feeds.iter().any(|f| f.address == self.address) {
             return;
         }
-        // At once after one that spoke; else ever later, up to the bound.
-        self.next = Some(if feed.spoke { now } else { now + self.wait });
-        self.wait = if feed.spoke { self.limits.again.0 } else { (self.wait * 2).min(self.limits.again.1) };
+        // At once after one that was of use: it brought an event, or stood for longer than any wait. One that speaks
+        // and breaks each time would be asked without a pause. Else ever later, up to the bound.
+        let (shortest, longest) = self.limits.again;
+        if feed.spoke && now.saturating_sub(feed.begun) >= longest {
+            self.wait = shortest;
+        }
+        let at_once = feed.spoke && self.wait == shortest;
+        self.next = Some(if at_once { now } else { now + self.wait });
+        self.wait = (self.wait * 2).min(longest);
     }
 }
--- a/crates/bulletin/tests/histories.rs
+++ b/crates/bulletin/tests/histories.rs
@@ -77,6 +77,12 @@
         self.inputs[at].1 = input;
     }
 
+    /// A configuration names the bulletin at this port.
+    fn moves(&mut self, port: u16) {
+        self.with(|f, now, out| f.moved(now, address(port), out));
+        self.advance(0);
+    }
+
     fn breaks(&mut self, id: FeedId) {
         self.open.retain(|(open, _)| *open != id);
         self.with(|f, now, out| f.ended(now, id, out));
@@ -146,11 +152,9 @@
     let mut bed = Bed::new(1);
     let old = bed.stand();
     bed.says(old, &event(2));
-    let now = bed.now;
-    bed.follower.moved(now, address(2));
-    bed.follower.moved(now, address(2));
-    bed.advance(0);
-    assert_eq!(bed.open.iter().map(|(_, to)| *to).collect::<Vec<_>>(), [address(1), address(2)]);
+    bed.moves(2);
+    bed.moves(2);
+    assert_eq!(addresses(&bed), [address(1), address(2)]);
     bed.says(old, &event(3));
     let new = bed.stand();
     assert_eq!(bed.asked.last().unwrap(), "after 3\n");
@@ -190,3 +194,251 @@
         assert_eq!(run(&[&bytes]), run(&[&bytes[..cut], &bytes[cut..]]));
     }
 }
+
+/// Addresses of the connections that stand.
+fn addresses(bed: &Bed) -> Vec<SocketAddr> {
+    bed.open.iter().map(|(_, to)| *to).collect()
+}
+
+#[test]
+fn moved_there_and_back_before_the_new_one_spoke_ends_with_one_connection() {
+    for old_stands in [true, false] {
+        let mut bed = Bed::new(1);
+        let old = bed.stand();
+        bed.says(old, &event(2));
+        bed.moves(2);
+        bed.stand();
+        bed.moves(1);
+        let again = bed.stand();
+        assert_ne!(again, old);
+        // The one that goes back is asked anew, and the old connection is kept until that is told something.
+        assert_eq!(addresses(&bed), [address(1), address(1)]);
+        bed.says(old, &event(3));
+        assert_eq!(addresses(&bed), [address(1), address(1)]);
+        if old_stands {
+            bed.says(again, &(event(3) + &event(4)));
+        } else {
+            bed.breaks(old);
+            bed.says(again, &event(3));
+            bed.says(again, &event(4));
+        }
+        assert_eq!((&bed.open[..], bed.told.len()), (&[(again, address(1))][..], 3));
+        // Nothing is left that begins a second one.
+        bed.says(again, "4\n");
+        assert_eq!(bed.open, [(again, address(1))]);
+        bed.advance(S);
+        bed.says(again, "4\n");
+        bed.advance(S);
+        assert_eq!(bed.open, [(again, address(1))]);
+    }
+}
+
+#[test]
+fn back_at_an_address_that_refuses_the_connection_that_stands_there_goes_on() {
+    let mut bed = Bed::new(1);
+    let old = bed.stand();
+    bed.says(old, "1\n");
+    bed.moves(2);
+    bed.moves(1);
+    let again = bed.open.last().expect("begun").0;
+    bed.breaks(again);
+    bed.says(old, &event(2));
+    bed.advance(S);
+    assert_eq!((&bed.open[..], bed.told.len()), (&[(old, address(1))][..], 1));
+    bed.breaks(old);
+    bed.advance(0);
+    bed.stand();
+    assert_eq!(bed.asked.last().unwrap(), "after 2\n");
+}
+
+#[test]
+fn moved_often_no_more_than_two_connections_stand_and_the_last_address_is_asked() {
+    let mut bed = Bed::new(1);
+    let old = bed.stand();
+    bed.says(old, "1\n");
+    for to in [2, 3, 2, 1, 4, 1, 3, 2, 5] {
+        bed.moves(to);
+        bed.stand();
+        let open = addresses(&bed);
+        assert!(open.len() <= 2 && open[0] == address(1) && open.last() == Some(&address(to)), "{open:?}");
+    }
+    let new = bed.open[1].0;
+    bed.says(new, &event(2));
+    assert_eq!(bed.open, [(new, address(5))]);
+}
+
+/// Moves, connections that stand, speak, err, break or fall silent, in every order that a draw gives: at any moment
+/// there is a connection to the last address or a time for the next, and two connections at most.
+#[test]
+fn in_every_order_of_moves_and_ends_the_last_address_is_followed() {
+    let mut state = 7u64;
+    let mut draw = |below: usize| {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 33) as usize % below
+    };
+    for _ in 0..500 {
+        let (mut bed, mut at) = (Bed::new(1), 1);
+        let mut history = Vec::new();
+        for _ in 0..60 {
+            let act = draw(8);
+            let feed = (!bed.open.is_empty()).then(|| bed.open[draw(bed.open.len())].0);
+            history.push((act, feed));
+            let next = bed.follower.last() + 1;
+            match (act, feed) {
+                (0, _) => {
+                    at = draw(3) as u16 + 1;
+                    bed.moves(at);
+                }
+                (1 | 2, Some(feed)) => bed.with(|f, now, out| f.connected(now, feed, out)),
+                (3, Some(feed)) => bed.says(feed, &event(next)),
+                (4, Some(feed)) => bed.says(feed, &event(next + 3)),
+                (5, Some(feed)) => bed.says(feed, &format!("{}\n", next - 1)),
+                (6, Some(feed)) => bed.breaks(feed),
+                _ => bed.advance([S / 100, S / 2, 3 * S][draw(3)]),
+            }
+            let open = addresses(&bed);
+            let due = bed.follower.next_due().is_some_and(|due| due <= bed.now + 2 * S);
+            assert!(open.len() <= 2 && due, "{open:?} {history:?}");
+        }
+        // Whatever came before: the last address is asked within a second, and once it answers it is followed alone.
+        let waited = (0..10).find(|_| {
+            bed.advance(S / 10);
+            addresses(&bed).last() == Some(&address(at))
+        });
+        assert!(waited.is_some(), "{history:?}");
+        let feed = bed.stand();
+        let last = bed.follower.last();
+        bed.says(feed, &event(last + 1));
+        assert_eq!(
+            (&bed.open[..], bed.follower.last()),
+            (&[(feed, address(at))][..], last + 1),
+            "{history:?}"
+        );
+    }
+}
+
+/// Connections that a bulletin is asked on within 10 s, where each does what this does.
+fn asked_in_ten_seconds(mut act: impl FnMut(&mut Bed, FeedId)) -> usize {
+    let mut bed = Bed::new(3);
+    let (until, mut tries) = (bed.now + 10 * S, 0);
+    while bed.now < until && tries < 10_000 {
+        if bed.open.is_empty() {
+            let due = bed.follower.next_due().expect("it is asked again");
+            bed.advance(due.saturating_sub(bed.now));
+            continue;
+        }
+        let feed = bed.stand();
+        tries += 1;
+        act(&mut bed, feed);
+    }
+    tries
+}
+
+#[test]
+fn one_that_speaks_and_breaks_each_time_is_asked_again_with_ever_longer_waits() {
+    let told_and_broken = |said: &'static str| {
+        move |bed: &mut Bed, feed: FeedId| {
+            bed.says(feed, said);
+            bed.breaks(feed);
+        }
+    };
+    // The last number alone; an event that is held; a number ahead after one that can be read; nothing at all.
+    for said in ["3\n", "{\"no\":2,\"roster\":{\"targets\":[]}}\n", "3\n9\n", "3\nx\n", ""] {
+        let tries = asked_in_ten_seconds(told_and_broken(said));
+        assert!((15..=30).contains(&tries), "{said:?}: {tries}");
+    }
+}
+
+#[test]
+fn one_that_brings_an_event_before_each_break_or_stood_for_long_is_asked_at_once() {
+    let mut bed = Bed::new(3);
+    for no in 4..20 {
+        let feed = bed.stand();
+        bed.says(feed, &(event(no) + &event(no + 1)[..30]));
+        bed.breaks(feed);
+        bed.advance(0);
+        assert_eq!(bed.open.len(), 1, "after event {no}");
+    }
+    for _ in 0..5 {
+        let feed = bed.stand();
+        bed.says(feed, "19\n");
+        bed.advance(S);
+        bed.says(feed, "19\n");
+        bed.breaks(feed);
+        bed.advance(0);
+        assert_eq!(bed.open.len(), 1, "after a second that it stood");
+    }
+}
+
+#[test]
+fn a_late_answer_of_the_old_one_and_its_last_words_change_nothing() {
+    let mut bed = Bed::new(3);
+    let old = bed.stand();
+    bed.says(old, &event(4));
+    bed.moves(2);
+    // The old one tells once more before the new one speaks; the new one was asked after 4.
+    let new = bed.stand();
+    bed.says(old, &event(5));
+    bed.says(new, &(event(5) + &event(6)));
+    assert_eq!(bed.told, ["s-4", "s-5", "s-6"]);
+    // Whatever the old one tells now: not one line of it is read.
+    for late in [event(5), event(7), event(12), "{\"no\":9}\n".into(), "x\n".into()] {
+        bed.says(old, &late);
+        bed.breaks(old);
+    }
+    bed.advance(0);
+    assert_eq!((bed.told.len(), &bed.open[..], bed.faults.len()), (3, &[(new, address(2))][..], 0));
+    bed.says(new, &event(7));
+    assert_eq!(bed.told.last().unwrap(), "s-7");
+}
+
+#[test]
+fn an_old_one_ahead_of_the_list_is_left_and_the_new_one_is_followed() {
+    let mut bed = Bed::new(3);
+    let old = bed.stand();
+    bed.says(old, "3\n");
+    bed.moves(2);
+    bed.says(old, &event(5));
+    assert_eq!(
+        (addresses(&bed), bed.faults.as_slice()),
+        (vec![address(2)], &["event 5 after 3".to_owned()][..])
+    );
+    let new = bed.stand();
+    bed.says(new, &(event(4) + &event(5)));
+    bed.advance(0);
+    assert_eq!((bed.told.len(), addresses(&bed)), (2, vec![address(2)]));
+}
+
+#[test]
+fn lower_numbers_than_held_change_nothing_and_the_list_goes_on_where_they_meet_it() {
+    let mut bed = Bed::new(3);
+    let feed = bed.stand();
+    bed.says(feed, &(event(1) + &event(2) + "{\"no\":2}\n1\n" + &event(3) + "0\n"));
+    assert_eq!((bed.told.len(), bed.follower.last(), bed.faults.len()), (0, 3, 0));
+    bed.says(feed, &event(4));
+    assert_eq!((bed.told.as_slice(), bed.open.len()), (&["s-4".to_owned()][..], 1));
+}
+
+#[test]
+fn a_line_may_be_as_long_as_the_bound_and_no_longer() {
+    let line = |length: usize| {
+        let mut text = event(4);
+        text.insert_str(text.len() - 2, &" ".repeat(length - text.len()));
+        text
+    };
+    for pieces in [1, 7] {
+        for (length, taken) in [(LIMITS.line - 1, true), (LIMITS.line, true), (LIMITS.line + 1, false)] {
+            let mut bed = Bed::new(3);
+            let feed = bed.stand();
+            let text = line(length);
+            for piece in text.as_bytes().chunks(length.div_ceil(pieces)) {
+                bed.says(feed, std::str::from_utf8(piece).unwrap());
+            }
+            assert_eq!(
+                (bed.told.len(), bed.faults.is_empty()),
+                (usize::from(taken), taken),
+                "{length} {pieces}"
+            );
+        }
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -657,8 +657,10 @@
             Ok(config) => {
                 info!(name = self.name, bulletin = %config.bulletin, "configuration read");
                 self.fellows.iter_mut().for_each(|fleet| fleet.reread(&config));
-                self.follower.moved(now, config.bulletin);
-                self.follow(now, |follower, out| follower.wake(now, out));
+                self.follow(now, |follower, out| {
+                    follower.moved(now, config.bulletin, out);
+                    follower.wake(now, out);
+                });
             }
             Err(why) => {
                 warn!(name = self.name, %why, "configuration not taken, the one before stands");
