Watch: crossings of the list of workers, forced over loopback sockets

The stand-in bulletin breaks off in mid-event, tells several events in one write, answers late, and says how many connections its scheduler has not ended.

--- a/crates/bulletin/src/follower.rs
+++ b/crates/bulletin/src/follower.rs
@@ -59,7 +59,7 @@
 /// Follows one bulletin, and a second one while it moves from one to the other.
 ///
 /// At any time there is a connection to the last address told or a time for the next one, and no more than two stand:
-/// one that has told something, and the one begun last.
+/// the one followed so far, and the one begun last.
 pub struct Follower {
     limits: FollowerLimits,
     address: SocketAddr,
@@ -130,12 +130,13 @@
     }
 
     /// Another bulletin is to be followed. The one before is followed too until the new one speaks or it ends; one
-    /// that has told nothing yet is not waited for.
+    /// that was to take its place and has told nothing yet is not waited for.
     pub fn moved(&mut self, now: Micros, address: SocketAddr, out: &mut Vec<Step>) {
         if address != self.address {
             self.address = address;
             (self.next, self.wait) = (Some(now), self.limits.again.0);
-            self.keep(|feed| feed.spoke, out);
+            let oldest = self.feeds.first().map(|feed| feed.id);
+            self.keep(|feed| Some(feed.id) == oldest, out);
         }
     }
 
--- a/crates/bulletin/tests/histories.rs
+++ b/crates/bulletin/tests/histories.rs
@@ -442,3 +442,15 @@
         }
     }
 }
+
+#[test]
+fn one_that_has_said_nothing_yet_is_followed_until_the_new_one_speaks() {
+    let mut bed = Bed::new(1);
+    let old = bed.stand();
+    bed.moves(2);
+    let new = bed.stand();
+    bed.says(old, &event(2));
+    assert_eq!((bed.told.len(), addresses(&bed)), (1, vec![address(1), address(2)]));
+    bed.says(new, "1\n");
+    assert_eq!(addresses(&bed), [address(2)]);
+}
--- a/crates/standins/src/board.rs
+++ b/crates/standins/src/board.rs
@@ -27,6 +27,15 @@
         self.first + self.events.len() as u64 - 1
     }
 
+    /// Keeps one more event; gives its line.
+    fn hold(&mut self, targets: &str) -> String {
+        let no = self.last() + 1;
+        let event =
+            format!("{{\"no\":{no},\"roster\":{{\"rev\":{no},\"all\":false,\"targets\":[{targets}]}}}}\n");
+        self.events.push(event.clone());
+        event
+    }
+
     fn say(&mut self, text: &str) {
         if !self.silent {
             self.open.retain_mut(|stream| stream.write_all(text.as_bytes()).is_ok());
@@ -75,13 +84,44 @@
     /// Tells one more event; `targets` are its entries, as JSON.
     pub fn tell(&self, targets: &str) {
         let mut state = lock(&self.state);
-        let no = state.last() + 1;
-        let event =
-            format!("{{\"no\":{no},\"roster\":{{\"rev\":{no},\"all\":false,\"targets\":[{targets}]}}}}\n");
-        state.events.push(event.clone());
+        let event = state.hold(targets);
         state.say(&event);
     }
 
+    /// Tells several events in one write.
+    pub fn tell_together(&self, events: &[&str]) {
+        let mut state = lock(&self.state);
+        let text: String = events.iter().map(|targets| state.hold(targets)).collect();
+        state.say(&text);
+    }
+
+    /// Holds one more event, tells the first half of its line and ends every connection, by a reset where told so.
+    pub fn break_off(&self, targets: &str, reset: bool) {
+        let mut state = lock(&self.state);
+        let event = state.hold(targets);
+        state.say(&event[..event.len() / 2]);
+        for stream in state.open.drain(..) {
+            if reset {
+                let _ = rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO));
+            }
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Speaks again after [`Board::silence`]: tells all events on every connection that stands, so late.
+    pub fn speak(&self) {
+        let mut state = lock(&self.state);
+        state.silent = false;
+        let text = state.events.concat();
+        state.say(&text);
+    }
+
+    /// Connections that have asked and that their scheduler has not ended.
+    pub fn standing(&self) -> usize {
+        let state = lock(&self.state);
+        state.open.iter().chain(&state.hushed).filter(|stream| stands(stream)).count()
+    }
+
     /// Writes these bytes to whoever listens.
     pub fn garble(&self, text: &str) {
         lock(&self.state).say(text);
@@ -134,6 +174,12 @@
     }
 }
 
+/// Whether the other end has not ended a connection on which it has nothing more to say.
+fn stands(stream: &TcpStream) -> bool {
+    let flags = rustix::net::RecvFlags::PEEK | rustix::net::RecvFlags::DONTWAIT;
+    matches!(rustix::net::recv(stream, &mut [0u8][..], flags), Err(rustix::io::Errno::AGAIN))
+}
+
 fn accept(state: Arc<(Mutex<State>, Condvar)>, listener: TcpListener) -> JoinHandle<()> {
     std::thread::spawn(move || {
         for stream in listener.incoming() {
