Configuration at a signal: one log line, fields of settings named, kept fields named

Each seen in a test first. A field of the wrong form within `settings` was told by line and column only, not by name. A file whose object is followed by more (a shorter one written over a longer one) was taken. Settings, limits, names and addresses that differ were kept as they were without a word.

Now one line for each signal; the settings object is read with the path of its fields, as the file itself is; what follows the end is an error; and what differs and takes a restart is named in one line. The configuration at a signal is read by the same rule for the fleet's view as at the start.

Ruled out by tests that passed at once: a signal while a bad configuration waits, and a fleet that starts while its bulletins refuse, keep silent or are out of reach (ready and serving).

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -8,9 +8,11 @@
 use common::{Limits, PATIENCE, target, text};
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{self, Receiver};
+use std::time::{Duration, Instant};
 
 fn program(config: &PathBuf) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_basaltward"));
@@ -27,12 +29,47 @@
 
 /// Starts it and reads where it listens out of its first log line; the rest is read away.
 fn start(config: &PathBuf) -> (Child, SocketAddr) {
+    let (child, address, _) = start_heard(config);
+    (child, address)
+}
+
+/// As [`start`]; gives the further log lines as they come.
+fn start_heard(config: &PathBuf) -> (Child, SocketAddr, Receiver<String>) {
     let mut child = program(config).spawn().expect("started");
     let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
     let line = lines.next().expect("a line").expect("text");
     let address = line.rsplit_once("address=").expect("it says where").1.parse().expect("an address");
-    std::thread::spawn(move || lines.for_each(drop));
-    (child, address)
+    let (heard, hears) = mpsc::channel();
+    std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| drop(heard.send(line))));
+    (child, address, hears)
+}
+
+/// Waits for a log line that holds this.
+fn said(lines: &Receiver<String>, what: &str) -> String {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let line = lines.recv_timeout(left).unwrap_or_else(|_| panic!("never said: {what}"));
+        if line.contains(what) {
+            return line;
+        }
+    }
+}
+
+/// Whether no log line within so long holds this. Reading again goes by the clock: it has to pass.
+fn never_said(lines: &Receiver<String>, what: &str, within: Duration) -> bool {
+    let until = Instant::now() + within;
+    while let Ok(line) = lines.recv_timeout(until.saturating_duration_since(Instant::now())) {
+        if line.contains(what) {
+            return false;
+        }
+    }
+    true
+}
+
+fn stop(mut child: Child) {
+    signal(&child, Signal::TERM);
+    assert!(child.wait().expect("ended").success());
 }
 
 fn signal(child: &Child, signal: Signal) {
@@ -125,3 +162,181 @@
     assert!(child.wait().expect("ended").success());
     std::fs::remove_file(config).expect("removed");
 }
+
+/// What a configuration that can't be used holds in place of what, and the field that its log line has to name.
+const WRONG: [(&str, &str, &str); 11] = [
+    ("\"sockets\":256", "\"sockets\":\"many\"", "limits.sockets"),
+    ("\"seed\":\"1\"", "\"seed\":\"x\"", "seed"),
+    ("\"seed\":\"1\",", "", "seed"),
+    ("\"name\":\"n0\",", "", "name"),
+    ("\"bulletin\":", "\"bulletins\":", "bulletin"),
+    ("\"bulletin\":\"127.0.0.1:", "\"bulletin\":\"127.0.0.1:9", "bulletin"),
+    ("\"state\":\"Ready\"", "\"state\":\"Resting\"", "known.items[0].roster.targets[0].state"),
+    ("\"sendCap\":5", "\"sendCap\":\"five\"", "settings: limits.sendCap"),
+    ("\"repeat\":\"unsafe\"", "\"repeat\":\"never\"", "settings: repeat"),
+    ("\"onTimeUs\":2000000", "\"onTimeUs\":0", "settings: class 0"),
+    ("\"coldFrom\":0.2", "\"coldFrom\":null", "settings: rules.coldFrom"),
+];
+
+#[test]
+fn whatever_is_wrong_at_the_start_ends_with_2_and_one_line_that_names_the_field() {
+    let at = ([127, 0, 0, 1], 12_345).into();
+    let good = text(Limits::default(), at, &target("s-0", at, "Ready"));
+    let mut wrong: Vec<_> = WRONG.map(|(from, to, named)| (good.replace(from, to), named)).to_vec();
+    wrong.push((good[..good.len() / 2].to_owned(), "configuration"));
+    wrong.push((good.clone() + "}", "configuration, behind its end"));
+    wrong.push((String::new(), "configuration"));
+    for (wrong, named) in wrong {
+        let config = file("start", &wrong);
+        let done = program(&config).output().expect("ran");
+        let said = String::from_utf8_lossy(&done.stderr).into_owned();
+        assert_eq!((done.status.code(), said.lines().count()), (Some(2), 1), "{named}: {said}");
+        assert!(said.contains(named), "{named}: {said}");
+        std::fs::remove_file(config).expect("removed");
+    }
+    let done = program(&PathBuf::from("/nowhere/at/all.json")).output().expect("ran");
+    assert_eq!((done.status.code(), String::from_utf8_lossy(&done.stderr).lines().count()), (Some(2), 1));
+}
+
+#[test]
+fn a_bad_configuration_at_a_signal_changes_nothing_and_is_named_in_one_line() {
+    let worker = LineWorker::start("s-0", Recorder::none(), |exec| exec.serve()).expect("a worker");
+    let (old, new) = (Board::start(2).expect("a bulletin"), Board::start(2).expect("a bulletin"));
+    let targets = target("s-0", worker.address(), "Ready");
+    let first = text(Limits::default(), old.address(), &targets);
+    let config = file("again", &first);
+    let (child, to, lines) = start_heard(&config);
+    let good = first.replace(&old.address().to_string(), &new.address().to_string());
+    let mut wrong: Vec<_> = WRONG.map(|(from, to, named)| (Some(good.replace(from, to)), named)).to_vec();
+    wrong.push((Some(good[..good.len() / 2].to_owned()), "configuration"));
+    wrong.push((Some(good.clone() + "}"), "configuration, behind its end"));
+    wrong.push((None, "configuration can't be read"));
+    for (number, (wrong, named)) in wrong.into_iter().enumerate() {
+        match wrong {
+            Some(text) => std::fs::write(&config, text).expect("written"),
+            None => std::fs::remove_file(&config).expect("removed"),
+        }
+        signal(&child, Signal::HUP);
+        let line = said(&lines, "not taken");
+        assert!(line.contains(named), "{named}: {line}");
+        assert!(matches!(call(to, number as u64), FrontReply::Served(_)));
+        // It is read again every 0.1 s meanwhile.
+        assert!(never_said(&lines, "configuration", Duration::from_millis(350)), "{named}: said twice");
+    }
+    assert_eq!((new.asked().len(), old.standing()), (0, 1));
+    // The good one that follows is taken without a further signal, and it is the last word.
+    std::fs::write(&config, &good).expect("written");
+    assert!(said(&lines, "configuration read").contains(&new.address().to_string()));
+    new.tell(&target("s-9", worker.address(), "Gone"));
+    let until = Instant::now() + PATIENCE;
+    while (old.standing(), new.standing()) != (0, 1) {
+        assert!(Instant::now() < until, "the new one is never followed alone");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(never_said(&lines, "configuration", Duration::from_millis(350)), "it was read again");
+    assert!(matches!(call(to, 99), FrontReply::Served(_)));
+    stop(child);
+    std::fs::remove_file(config).expect("removed");
+}
+
+#[test]
+fn a_good_signal_while_a_bad_configuration_waits_is_taken_at_once() {
+    let worker = LineWorker::start("s-0", Recorder::none(), |exec| exec.serve()).expect("a worker");
+    let (old, new) = (Board::start(2).expect("a bulletin"), Board::start(2).expect("a bulletin"));
+    let first = text(Limits::default(), old.address(), &target("s-0", worker.address(), "Ready"));
+    let good = first.replace(&old.address().to_string(), &new.address().to_string());
+    let config = file("twice", &first);
+    let (child, to, lines) = start_heard(&config);
+    for nth in 0..5 {
+        let (from, wanted) = if nth % 2 == 0 { (&first, &good) } else { (&good, &first) };
+        std::fs::write(&config, &from[..from.len() / 3]).expect("written");
+        signal(&child, Signal::HUP);
+        said(&lines, "not taken");
+        // Replaced whole, as an operator does, while it waits; the signal comes behind it.
+        let beside = config.with_extension("new");
+        std::fs::write(&beside, wanted).expect("written");
+        std::fs::rename(&beside, &config).expect("renamed");
+        signal(&child, Signal::HUP);
+        let at = if nth % 2 == 0 { new.address() } else { old.address() };
+        assert!(said(&lines, "configuration read").contains(&at.to_string()));
+        assert!(matches!(call(to, nth), FrontReply::Served(_)));
+    }
+    stop(child);
+    std::fs::remove_file(config).expect("removed");
+}
+
+#[test]
+fn other_settings_at_a_signal_leave_those_in_force_and_are_named() {
+    let worker = LineWorker::start("s-0", Recorder::none(), |exec| exec.serve()).expect("a worker");
+    let (old, new) = (Board::start(2).expect("a bulletin"), Board::start(2).expect("a bulletin"));
+    let first = text(Limits::default(), old.address(), &target("s-0", worker.address(), "Ready"));
+    let config = file("other", &first);
+    let (child, to, lines) = start_heard(&config);
+    let other = first.replace(&old.address().to_string(), &new.address().to_string());
+    let other =
+        other.replace("\"name\":\"view\"", "\"name\":\"look\"").replace("\"seed\":\"1\"", "\"seed\":\"2\"");
+    std::fs::write(&config, other).expect("written");
+    signal(&child, Signal::HUP);
+    let line = said(&lines, "restart");
+    assert!(line.contains("seed, settings") && !line.contains("listen"), "{line}");
+    // The bulletin is taken, the classes are those of the start.
+    let until = Instant::now() + PATIENCE;
+    while new.standing() != 1 {
+        assert!(Instant::now() < until, "the new one is never followed");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(matches!(call(to, 1), FrontReply::Served(_)));
+    stop(child);
+    std::fs::remove_file(config).expect("removed");
+}
+
+/// Processor time of a process, in ticks of 10 ms.
+fn ticks(child: &Child) -> u64 {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).expect("it runs");
+    let fields = stat.rsplit_once(") ").expect("its name").1.split(' ').skip(11).take(2);
+    fields.map(|ticks| ticks.parse::<u64>().expect("a number")).sum()
+}
+
+#[test]
+fn a_fleet_that_starts_while_discovery_is_down_is_ready_and_serves() {
+    // The page's bound is 10 s for nine in ten, 30 s for all.
+    const READY: Duration = Duration::from_secs(4);
+    let worker = LineWorker::start("s-0", Recorder::none(), |exec| exec.serve()).expect("a worker");
+    let targets = target("s-0", worker.address(), "Ready");
+    // One that refuses, one that accepts and never speaks, one behind an address that never answers.
+    let refuses = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let mute = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let bulletins = [refuses, mute.local_addr().expect("an address"), ([192, 0, 2, 1], 9).into()];
+    let fleet: Vec<_> = (0..12)
+        .map(|nth| {
+            let config =
+                file(&format!("fleet-{nth}"), &text(Limits::default(), bulletins[nth % 3], &targets));
+            std::thread::spawn(move || {
+                let began = Instant::now();
+                let (child, to) = start(&config);
+                let mut client = FrontClient::connect(to, PATIENCE).expect("connected");
+                client.heartbeat().expect("sent");
+                let reply = client.read().expect("a reply").expect("an answer").1;
+                let took = began.elapsed();
+                assert!(matches!(reply, FrontReply::Served(_)), "{reply:?}");
+                (child, to, config, took)
+            })
+        })
+        .collect();
+    let fleet: Vec<_> = fleet.into_iter().map(|one| one.join().expect("it is ready")).collect();
+    let times: Vec<_> = fleet.iter().map(|(.., took)| *took).collect();
+    println!("ready after {times:?}");
+    assert!(times.iter().all(|took| *took < READY), "{times:?}");
+    let before: Vec<_> = fleet.iter().map(|(child, ..)| ticks(child)).collect();
+    // Two seconds in which bulletins are asked again as often as they are.
+    std::thread::sleep(Duration::from_secs(2));
+    for ((child, to, ..), before) in fleet.iter().zip(before) {
+        let spent = ticks(child) - before;
+        assert!(spent < 20, "{spent} ticks of processor time in two seconds");
+        assert!(matches!(call(*to, u64::from(child.id())), FrontReply::Served(_)));
+    }
+    for (child, _, config, _) in fleet {
+        stop(child);
+        std::fs::remove_file(config).expect("removed");
+    }
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -20,6 +20,9 @@
     /// A field is missing or of the wrong form.
     #[error("configuration, at {0}")]
     Field(#[from] serde_path_to_error::Error<serde_json::Error>),
+    /// More follows where it should end: it is being written over a longer one.
+    #[error("configuration, behind its end: {0}")]
+    Tail(serde_json::Error),
     /// The settings object can't be used.
     #[error("configuration, at settings: {0}")]
     Settings(#[from] ToldError),
@@ -132,6 +135,22 @@
     pub fleet: Option<FleetConfig>,
 }
 
+impl NodeConfig {
+    /// The fields in which another configuration differs and that a running scheduler keeps: they take a restart.
+    pub fn kept_against(&self, other: &Self) -> Vec<&'static str> {
+        let fields = [
+            ("name", self.name == other.name),
+            ("listen", self.listen == other.listen),
+            ("seed", self.seed == other.seed),
+            ("limits", self.budget == other.budget),
+            ("settings", self.told == other.told),
+            ("peers", self.peers == other.peers),
+            ("fleet", self.fleet.is_some() == other.fleet.is_some()),
+        ];
+        fields.into_iter().filter(|(_, same)| !same).map(|(field, _)| field).collect()
+    }
+}
+
 /// Reads a configuration, whole or not at all.
 ///
 /// # Errors
@@ -146,7 +165,9 @@
 }
 
 fn parse(bytes: &[u8], view: bool) -> Result<NodeConfig, ConfigError> {
-    let file: File = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(bytes))?;
+    let mut json = serde_json::Deserializer::from_slice(bytes);
+    let file: File = serde_path_to_error::deserialize(&mut json)?;
+    json.end().map_err(ConfigError::Tail)?;
     let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?;
     let told = basaltward_told::parse(file.settings.get())?;
     let unsaid =
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,6 @@
 //! The loop: clients, engine, workers and bulletin joined. It carries bytes and messages between them.
 
-use crate::config::{ConfigError, NodeConfig, load, load_as};
+use crate::config::{ConfigError, NodeConfig, load_as};
 use crate::fellows::Fleet;
 use crate::front::{Front, Step};
 use crate::hearsay::Hearsay;
@@ -61,6 +61,8 @@
 pub struct Node {
     name: String,
     path: PathBuf,
+    /// The configuration of the start, without the events that it held.
+    config: NodeConfig,
     address: SocketAddr,
     io: Io,
     engine: Engine<Work, Served>,
@@ -149,12 +151,13 @@
         recorder: Recorder,
         view: bool,
     ) -> Result<Self, NodeError> {
-        let config = load_as(&path, view)?;
+        let mut config = load_as(&path, view)?;
         let limits =
             IoLimits { connections: config.budget.clients, input: config.budget.input, linger: 300_000 };
         let mut io = Io::new(limits)?;
         let fellows = Fleet::open(&config, &mut io, monotonic())?;
         let hearsay = Hearsay::open(&config, &mut io, monotonic())?;
+        let known = std::mem::take(&mut config.known);
         let longest = config.told.module.classes.iter().map(|class| class.deadline).max();
         let mut node = Self {
             name: config.name.clone(),
@@ -163,7 +166,7 @@
             engine: Engine::new(engine_settings(&config), config.seed)?,
             front: Front::new(&config),
             links: Links::new(&config),
-            follower: Follower::new(FollowerLimits::default(), config.bulletin, config.known.no),
+            follower: Follower::new(FollowerLimits::default(), config.bulletin, known.no),
             feeds: HashMap::new(),
             names: Names::new(&config),
             fellows,
@@ -179,13 +182,14 @@
             notes: Notes::new(&config.name, recorder),
             wanted: Arc::default(),
             io,
+            config,
         };
         let now = monotonic();
-        for item in &config.known.items {
+        for item in &known.items {
             node.roster(now, &item.roster);
         }
         // Whoever connects finds a scheduler that knows its workers.
-        let (_, address) = node.io.listen(bind(listen.unwrap_or(config.listen), false)?)?;
+        let (_, address) = node.io.listen(bind(listen.unwrap_or(node.address), false)?)?;
         node.address = address;
         node.notes.up(now, address);
         Ok(node)
@@ -653,9 +657,14 @@
     /// a running scheduler is where the bulletin is, and who is in the fleet.
     fn reread(&mut self, now: Micros) {
         let Some((_, left)) = self.reread.take() else { return };
-        match load(&self.path) {
+        match load_as(&self.path, self.config.fleet.is_some()) {
             Ok(config) => {
                 info!(name = self.name, bulletin = %config.bulletin, "configuration read");
+                let kept = self.config.kept_against(&config);
+                if !kept.is_empty() {
+                    let kept = kept.join(", ");
+                    warn!(name = self.name, kept, "fields that differ and take a restart stay as they were");
+                }
                 self.fellows.iter_mut().for_each(|fleet| fleet.reread(&config));
                 self.follow(now, |follower, out| {
                     follower.moved(now, config.bulletin, out);
@@ -663,7 +672,10 @@
                 });
             }
             Err(why) => {
-                warn!(name = self.name, %why, "configuration not taken, the one before stands");
+                // One line for a signal, however often it is read.
+                if left == REREAD.1 {
+                    warn!(name = self.name, %why, "configuration not taken, the one before stands");
+                }
                 self.reread = (left > 0).then_some((now + REREAD.0, left - 1));
             }
         }
--- a/crates/told/src/lib.rs
+++ b/crates/told/src/lib.rs
@@ -10,9 +10,9 @@
 /// Why a settings object can't be used.
 #[derive(Debug, Error)]
 pub enum ToldError {
-    /// It is not the JSON that is expected.
+    /// A field is missing or of the wrong form.
     #[error("{0}")]
-    Json(#[from] serde_json::Error),
+    Field(#[from] serde_path_to_error::Error<serde_json::Error>),
     /// A word stands where another is expected.
     #[error("{field} {told:?} is none of {expected}")]
     Word {
@@ -209,7 +209,7 @@
 /// # Errors
 /// Where it is not JSON of this form, or the module could not decide by it.
 pub fn parse(text: &str) -> Result<Told, ToldError> {
-    let options: Options = serde_json::from_str(text)?;
+    let options: Options = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))?;
     let (family, limits, rules) = (options.family_info, options.limits, options.rules);
     let links = LinkFigures {
         streams: limits.streams_per_conn,
