Links: take back what a socket has nothing of; write on after a full flush

Two faults, each first shown by a test over loopback sockets.

A request given to a connection's own output (up to 64 KiB more than its socket took) went out however long after its client had gone or its deadline had passed, with a `drop` behind it; to a worker told as draining, too, where only the queue was withdrawn. Now a request of which the socket has no byte is taken out again and never ran; one of which some bytes have left goes on, and `drop` follows it. The spans of what stands behind close up (given.rs).

The system's own buffer took megabytes for a worker that did not read (on loopback 2.5 MB from the start), none of which can be taken back: it is bounded to as much as the output holds.

With more waiting than is given at a time and a socket that took all of that at once, the rest stayed in the queue until the next request: `Drained` was told only after some output had to wait. Seen: 16 calls of 16 KiB that waited for a connection: four were served.

job.rs: what links are used for and how that ends, moved as it was.

--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -59,7 +59,7 @@
     Connected(ConnId),
     /// Bytes were added to the input.
     Data(ConnId),
-    /// All output has been written, after some of it had to wait.
+    /// All output has been written, after some of it had to wait or [`Io::await_drained`] was called.
     Drained(ConnId),
     /// The connection is gone, its id void once this has been handled; the input may still hold bytes.
     Ended(ConnId, End),
@@ -98,6 +98,8 @@
     connecting: bool,
     /// Output waits for the peer.
     stuck: bool,
+    /// The owner has more to send once the output is written.
+    awaited: bool,
     dirty: bool,
     /// Closed by the owner: what comes in is thrown away.
     closing: bool,
@@ -273,6 +275,7 @@
             interest,
             connecting: false,
             stuck: false,
+            awaited: false,
             dirty: false,
             closing: false,
             accepted,
@@ -344,6 +347,21 @@
         self.get(id).map_or(0, |c| c.output.len())
     }
 
+    /// Bounds what the system holds of a connection's output: what it has can't be taken back, and left to itself it
+    /// takes megabytes for a peer that does not read.
+    pub fn bound_system(&mut self, id: ConnId, bytes: usize) {
+        if let Some(conn) = self.get(id) {
+            let _ = sockopt::set_socket_send_buffer_size(&conn.stream, bytes);
+        }
+    }
+
+    /// Has [`Happened::Drained`] told once all output given so far is written, also where none of it has to wait.
+    pub fn await_drained(&mut self, id: ConnId) {
+        if let Some(conn) = self.get(id) {
+            conn.awaited = true;
+        }
+    }
+
     /// Whether no connection still has output to write or an orderly end to reach.
     pub fn is_settled(&self) -> bool {
         self.dirty.is_empty() && self.conns.iter().all(|(_, c)| c.output.is_empty() && !c.closing)
@@ -598,9 +616,12 @@
             }
         }
         conn.output = BytesMut::new();
-        if std::mem::take(&mut conn.stuck) {
+        let (stuck, awaited) = (std::mem::take(&mut conn.stuck), std::mem::take(&mut conn.awaited));
+        if stuck {
             let wanted = conn.interest - epoll::EventFlags::OUT;
             set_interest(epoll, conn, slot, wanted);
+        }
+        if stuck || awaited {
             out.push(Happened::Drained(id));
         }
         if conn.closing {
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -5,15 +5,18 @@
 //! else, once its last byte is with the socket, may have run.
 
 use crate::Budget;
+use crate::given::{Given, Part, Span};
+pub use crate::job::{Done, Job};
+use crate::job::{Name, answered, cut, name, wire_id};
 use crate::lately::Lately;
-use crate::work::{Served, Work};
-use basaltward::{Code, CopyNote, FunctionId, Member, MembersKind, Micros, State, WorkerId};
-use basaltward_engine::{AttemptEnd, AttemptId, OrderId};
+use crate::work::Work;
+use basaltward::{Code, FunctionId, Member, MembersKind, Micros, State, WorkerId};
+use basaltward_engine::{AttemptId, OrderId};
 use basaltward_net::{ConnId, End, Io};
 use basaltward_timers::Timers;
 use basaltward_told::LinkFigures;
 use basaltward_worker_lines as lines;
-use basaltward_worker_lines::{AnswerDecoder, LineLimits, Note, Reply, Word};
+use basaltward_worker_lines::{AnswerDecoder, LineLimits};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,7 +24,8 @@
 
 /// Bounds of a worker's answer.
 const ANSWER: LineLimits = LineLimits { line: 2 << 10, body: 64 << 10 };
-/// Bytes given to a connection and not yet with its socket, past which requests wait outside.
+/// Bytes given to a connection and not yet with its socket, past which requests wait outside; and so many its socket
+/// holds that its worker has not taken.
 const UNSENT: usize = 64 << 10;
 
 /// Requests that have ended lately, kept for each that may be in hand.
@@ -30,35 +34,6 @@
 /// Things due that are done at once.
 const BATCH: usize = 32;
 
-/// What a connection is used for.
-#[derive(Clone)]
-pub enum Job {
-    /// A call.
-    Attempt { id: AttemptId, work: Arc<Work>, function: FunctionId, until: Micros },
-    /// An order, or a question where `count` is 0.
-    Order { id: OrderId, function: FunctionId, count: u32 },
-    /// A probe.
-    Probe(OrderId),
-    /// Idle copies are to go; nobody waits for an answer.
-    Release(FunctionId),
-}
-
-/// How a job ended.
-pub enum Done {
-    /// An attempt.
-    Attempt(AttemptId, AttemptEnd<Served>),
-    /// An order or a question: copies standing.
-    Order(OrderId, Code, u32),
-    /// A probe.
-    Probe(OrderId, Code, Vec<f64>),
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-enum Name {
-    Attempt(AttemptId),
-    Order(OrderId),
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Conn(ConnId),
@@ -68,8 +43,8 @@
 /// A job whose bytes were given to the connection.
 struct Open {
     job: Job,
-    /// Bytes given to the connection up to its last one.
-    end: u64,
+    /// Its bytes among those given to the connection.
+    span: Span,
     since: Micros,
 }
 
@@ -82,7 +57,7 @@
     queue: VecDeque<Job>,
     /// By the id on the wire.
     open: HashMap<String, Open>,
-    given: u64,
+    given: Given,
     heard: Micros,
     used: Micros,
     /// Its timer is set: one for each connection, set anew where it comes too early.
@@ -93,6 +68,25 @@
     fn load(&self) -> usize {
         self.open.len() + self.queue.len()
     }
+
+    /// Takes a request out again of which the socket has nothing.
+    fn take_back(&mut self, io: &mut Io, conn: ConnId, id: &str) -> Option<Open> {
+        let open = self.open.remove(id)?;
+        let others = self.open.values_mut().map(|other| &mut other.span);
+        if self.given.take_back(io, conn, open.span, others) {
+            return Some(open);
+        }
+        self.open.insert(id.to_owned(), open);
+        None
+    }
+
+    /// Takes out again all that waits, and all of which the socket has nothing.
+    fn take_all_back(&mut self, io: &mut Io, conn: ConnId) -> Vec<Job> {
+        let ids: Vec<_> = self.open.keys().cloned().collect();
+        let mut jobs: Vec<_> = ids.iter().filter_map(|id| self.take_back(io, conn, id)).collect();
+        jobs.sort_by_key(|open| open.span);
+        jobs.into_iter().map(|open| open.job).chain(std::mem::take(&mut self.queue)).collect()
+    }
 }
 
 struct Worker {
@@ -129,34 +123,6 @@
     Order(FunctionId, u32),
 }
 
-fn name(job: &Job) -> Option<Name> {
-    match job {
-        Job::Attempt { id, .. } => Some(Name::Attempt(*id)),
-        Job::Order { id, .. } | Job::Probe(id) => Some(Name::Order(*id)),
-        Job::Release(_) => None,
-    }
-}
-
-/// The id of a job on the wire. Those of calls are hex digits alone, so no tag can be taken for one.
-fn wire_id(job: &Job) -> String {
-    match job {
-        Job::Attempt { work, .. } => work.id.clone(),
-        Job::Order { id, .. } => format!("order-{}", id.0),
-        Job::Probe(id) => format!("probe-{}", id.0),
-        Job::Release(_) => String::new(),
-    }
-}
-
-/// The end of a job that got no whole answer.
-fn cut(job: &Job, code: Code) -> Option<Done> {
-    match job {
-        Job::Attempt { id, .. } => Some(Done::Attempt(*id, AttemptEnd::bare(code))),
-        Job::Order { id, .. } => Some(Done::Order(*id, code, 0)),
-        Job::Probe(id) => Some(Done::Probe(*id, code, Vec::new())),
-        Job::Release(_) => None,
-    }
-}
-
 impl Links {
     /// Links without connections.
     pub fn new(config: &crate::NodeConfig) -> Self {
@@ -186,7 +152,7 @@
 
     // ---- workers -----------------------------------------------------------------------------------------
 
-    /// Takes a list of workers. What waits unwritten for one that is draining or gone is withdrawn.
+    /// Takes a list of workers. What has not begun to leave for one that is draining or gone is withdrawn.
     pub fn members(
         &mut self,
         io: &mut Io,
@@ -218,7 +184,7 @@
         }
         for conn in known.conns.clone() {
             let Some(link) = self.conns.get_mut(&conn) else { continue };
-            for job in std::mem::take(&mut link.queue) {
+            for job in link.take_all_back(io, conn) {
                 name(&job).map(|name| self.jobs.remove(&name));
                 done.extend(cut(&job, Code::Moot));
             }
@@ -298,10 +264,11 @@
     fn connect(&mut self, io: &mut Io, now: Micros, worker: &WorkerId) -> Option<ConnId> {
         let known = self.workers.get_mut(worker)?;
         let conn = io.connect(known.address).ok()?;
+        io.bound_system(conn, UNSENT);
         known.conns.push(conn);
         let (worker, decoder) = (worker.clone(), AnswerDecoder::new(ANSWER));
         let (standing, retired, queue, open) = (false, false, VecDeque::new(), HashMap::new());
-        let (given, heard, used, armed) = (0, now, now, true);
+        let (given, heard, used, armed) = (Given::default(), now, now, true);
         let link = LinkConn { worker, decoder, standing, retired, queue, open, given, heard, used, armed };
         self.conns.insert(conn, link);
         self.due.set(now + self.figures.connect_timeout.max(1), Due::Conn(conn));
@@ -314,32 +281,34 @@
         while io.unsent(conn) < UNSENT
             && let Some(job) = link.queue.pop_front()
         {
-            let Some(out) = io.output(conn) else { return link.queue.push_front(job) };
-            let (before, id) = (out.len(), wire_id(&job));
-            match &job {
-                Job::Attempt { id: attempt, work, function, until } => {
+            let id = wire_id(&job);
+            let span = link.given.write(io, conn, |out| match &job {
+                Job::Attempt { work, function, until, .. } => {
                     let queue = self.classes.get(work.class).map_or("", String::as_str);
                     let budget = (until.saturating_sub(now) / 1_000).max(1);
                     lines::exec(out, &id, queue, function.as_str(), budget, &work.body);
-                    let what = WrittenJob::Attempt(*attempt, work.clone());
-                    self.written.push(Written { conn, worker: link.worker.clone(), what });
-                }
-                Job::Order { function, count, .. } => {
-                    lines::ensure(out, &id, function.as_str(), *count);
-                    let what = WrittenJob::Order(function.clone(), *count);
-                    self.written.push(Written { conn, worker: link.worker.clone(), what });
                 }
+                Job::Order { function, count, .. } => lines::ensure(out, &id, function.as_str(), *count),
                 Job::Probe(_) => lines::load(out, &id),
                 Job::Release(function) => lines::release(out, function.as_str()),
-            }
-            link.given += (out.len() - before) as u64;
+            });
+            let Some(span) = span else { return link.queue.push_front(job) };
+            let what = match &job {
+                Job::Attempt { id, work, .. } => Some(WrittenJob::Attempt(*id, work.clone())),
+                Job::Order { function, count, .. } => Some(WrittenJob::Order(function.clone(), *count)),
+                Job::Probe(_) | Job::Release(_) => None,
+            };
+            self.written.extend(what.map(|what| Written { conn, worker: link.worker.clone(), what }));
             if !matches!(job, Job::Release(_)) {
-                link.open.insert(id, Open { job, end: link.given, since: now });
+                link.open.insert(id, Open { job, span, since: now });
             }
         }
+        if !link.queue.is_empty() {
+            io.await_drained(conn);
+        }
     }
 
-    /// Calls an attempt off: what is not written is withdrawn and never ran, else the worker is told.
+    /// Calls an attempt off: one of which the socket has nothing is withdrawn and never ran, else the worker is told.
     pub fn abort_attempt(&mut self, io: &mut Io, now: Micros, id: AttemptId) -> Option<Done> {
         self.give_up(io, now, Name::Attempt(id), Code::Cancelled)
     }
@@ -352,22 +321,27 @@
     fn give_up(&mut self, io: &mut Io, now: Micros, of: Name, code: Code) -> Option<Done> {
         let (conn, id) = self.jobs.remove(&of)?;
         let link = self.conns.get_mut(&conn)?;
-        if let Some(at) = link.queue.iter().position(|job| name(job) == Some(of)) {
-            let job = link.queue.remove(at)?;
-            return cut(&job, Code::Moot);
-        }
-        let Open { job, since, .. } = link.open.remove(&id)?;
-        if let Job::Attempt { work, .. } = &job {
-            self.lately.note(now, conn, work.number);
-        }
-        if let (Job::Attempt { .. }, Some(out)) = (&job, io.output(conn)) {
-            let before = out.len();
-            lines::drop_request(out, &id);
-            link.given += (out.len() - before) as u64;
-        }
-        // Nothing has come on it since the request went out, for as long as it may take to connect anew: the
-        // machine behind it may be gone, and new requests would only vanish there too.
-        let silent = link.heard < since && now >= since + self.figures.connect_timeout;
+        let (mut code, mut silent) = (code, false);
+        let job = if let Some(at) = link.queue.iter().position(|job| name(job) == Some(of)) {
+            code = Code::Moot;
+            link.queue.remove(at)?
+        } else {
+            // Nothing has come on it since the request went out, for as long as it may take to connect anew: the
+            // machine behind it may be gone, and new requests would only vanish there too.
+            let since = link.open.get(&id)?.since;
+            silent = link.heard < since && now >= since + self.figures.connect_timeout;
+            if let Some(open) = link.take_back(io, conn, &id) {
+                code = Code::Moot;
+                open.job
+            } else {
+                let job = link.open.remove(&id)?.job;
+                if let Job::Attempt { work, .. } = &job {
+                    self.lately.note(now, conn, work.number);
+                    link.given.write(io, conn, |out| lines::drop_request(out, &id));
+                }
+                job
+            }
+        };
         if silent && matches!(job, Job::Attempt { .. }) {
             self.retire(io, conn);
         } else if let Some(link) = self.conns.get_mut(&conn) {
@@ -438,7 +412,7 @@
                         let stand = reply.slots_up;
                         debug!(target: "basaltward::load", %worker, %function, count, ?code, stand, took_us, "load");
                     }
-                    done.extend(self.end(&open.job, reply));
+                    done.extend(answered(&open.job, reply, &self.report));
                     self.idle(io, now, conn);
                 }
                 Ok(None) => {
@@ -453,45 +427,6 @@
         }
     }
 
-    fn end(&self, job: &Job, reply: Reply) -> Option<Done> {
-        let code = match reply.word {
-            Word::Ok | Word::Up => Code::Ok,
-            Word::Miss => Code::Miss,
-            Word::Busy => Code::Full,
-            Word::Err | Word::Down => Code::Error,
-            Word::Void => Code::Moot,
-        };
-        Some(match job {
-            // Not an answer to a call: what became of it is not known.
-            Job::Attempt { id, .. } if matches!(reply.word, Word::Up | Word::Down) => {
-                Done::Attempt(*id, AttemptEnd::bare(Code::Unknown))
-            }
-            Job::Attempt { id, .. } => {
-                let copy = match (code, reply.note) {
-                    (Code::Ok, Some(Note::Up)) => CopyNote::Stood,
-                    (Code::Ok, Some(Note::Fresh)) => CopyNote::Began,
-                    (Code::Ok, Some(Note::Behind)) => CopyNote::Waited,
-                    (Code::Miss | Code::Error, Some(Note::Crashed)) => CopyNote::LoadFailed,
-                    _ => CopyNote::Untold,
-                };
-                let crowd = matches!(code, Code::Ok | Code::Full).then_some(reply.company);
-                let report = self.reported(&reply);
-                let body = (code == Code::Ok).then_some(Served(reply.body));
-                Done::Attempt(*id, AttemptEnd { code, reply: body, copy, crowd, report })
-            }
-            Job::Order { id, .. } => Done::Order(*id, code, reply.slots_up.unwrap_or(0)),
-            Job::Probe(id) => Done::Probe(*id, code, self.reported(&reply)),
-            Job::Release(_) => return None,
-        })
-    }
-
-    fn reported(&self, reply: &Reply) -> Vec<f64> {
-        if reply.report.is_empty() {
-            return Vec::new();
-        }
-        self.report.iter().map(|name| reply.reported(name).unwrap_or(f64::NAN)).collect()
-    }
-
     /// A connection has ended, by the worker or on the way.
     pub fn ended(&mut self, io: &mut Io, conn: ConnId, how: End, done: &mut Vec<Done>) {
         let code = if how == End::ConnectFailed { Code::ConnectFailed } else { Code::Reset };
@@ -500,15 +435,14 @@
 
     /// Ends a connection and all that is on it: what was not written whole never ran.
     fn break_off(&mut self, io: &mut Io, conn: ConnId, code: Code, done: &mut Vec<Done>) {
-        let unsent = io.unsent(conn) as u64;
         let Some(link) = self.forget(conn) else { return };
-        io.abort(conn);
-        let whole = link.given - unsent;
         let never = if code == Code::ConnectFailed { code } else { Code::Moot };
         let mut open: Vec<_> = link.open.into_values().collect();
-        open.sort_by_key(|open| open.end);
-        let ends = open.into_iter().map(|o| (o.job, if o.end <= whole { code } else { never }));
-        for (job, code) in ends.chain(link.queue.into_iter().map(|job| (job, never))) {
+        open.sort_by_key(|open| open.span);
+        let mut how = |of| if link.given.part(io, conn, of) == Part::Whole { code } else { never };
+        let ends: Vec<_> = open.into_iter().map(|open| (how(open.span), open.job)).collect();
+        io.abort(conn);
+        for (code, job) in ends.into_iter().chain(link.queue.into_iter().map(|job| (never, job))) {
             name(&job).map(|name| self.jobs.remove(&name));
             done.extend(cut(&job, code));
         }
--- a/crates/standins/src/line_worker.rs
+++ b/crates/standins/src/line_worker.rs
@@ -161,6 +161,15 @@
         stream.write_all(bytes)
     }
 
+    /// Connections that come from now on hold few bytes that were not read: while the script of a request waits, the
+    /// caller's socket is soon full.
+    ///
+    /// # Errors
+    /// Where the system refuses it.
+    pub fn narrow(&self) -> io::Result<()> {
+        Ok(rustix::net::sockopt::set_socket_recv_buffer_size(&self.listener, 4 << 10)?)
+    }
+
     /// From now on new connections do not come up: the system drops their first packets. Those begun meanwhile come
     /// up a second after their beginning or later, as the caller's system tries again, once [`LineWorker::unplug`] is
     /// called.
