Links: ask a socket whether its worker has closed before it is picked

A worker that ends an idle connection while the scheduler is in a turn was seen only by the next one. A call of that turn went out behind the close; an unsafe one then counted as run and failed. Seen by a test that holds the scheduler still between reading a call and sending it on, while the worker closes or resets: `Crashed` in the first round of both.

--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -381,9 +381,21 @@
     /// Whether the peer has ended an idle connection, or sent what nobody asked for, without this having
     /// been told yet: asks the socket itself.
     pub fn is_stale(&mut self, id: ConnId) -> bool {
-        let Some(conn) = self.get(id).filter(|c| !c.ended && !c.closing) else { return true };
-        let mut byte = [0];
-        !matches!(conn.stream.peek(&mut byte), Err(error) if error.kind() == ErrorKind::WouldBlock)
+        !matches!(self.peek(id), Some(Err(error)) if error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Whether the peer has ended a connection without this having been told yet: asks the socket itself.
+    pub fn has_ended(&mut self, id: ConnId) -> bool {
+        match self.peek(id) {
+            Some(Ok(waiting)) => waiting == 0,
+            Some(Err(error)) => error.kind() != ErrorKind::WouldBlock,
+            None => true,
+        }
+    }
+
+    fn peek(&mut self, id: ConnId) -> Option<io::Result<usize>> {
+        let conn = self.get(id).filter(|c| !c.ended && !c.closing)?;
+        Some(conn.stream.peek(&mut [0]))
     }
 
     /// Writes what is left, then ends the connection, waiting a bounded time for the peer to read it.
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -219,32 +219,23 @@
 
     /// Begins a job. Gives its end at once where no byte can leave.
     pub fn start(&mut self, io: &mut Io, now: Micros, worker: &WorkerId, job: Job) -> Option<Done> {
-        let each = self.budget.links_each(self.workers.len());
-        let streams = self.figures.streams.max(1);
-        let Some(known) = self.workers.get(worker).filter(|w| w.state == State::Active) else {
+        if !self.workers.get(worker).is_some_and(|w| w.state == State::Active) {
             return cut(&job, Code::Moot);
-        };
+        }
         self.lately.forget(now);
-        let again = |work: &Work, conn| work.went_on(conn) || self.lately.holds(conn, work.number);
-        let fresh = |conn: &ConnId| !matches!(&job, Job::Attempt { work, .. } if again(work, *conn));
-        let link = |conn: &ConnId| self.conns.get(conn).filter(|l| !l.retired && l.load() < streams);
-        let open = known.conns.iter().filter(|conn| fresh(conn)).filter_map(|c| Some((c, link(c)?)));
-        // Of those as free as one another the one used last: the others may go.
-        let best = open.min_by_key(|(_, l)| (l.load(), !l.standing, std::cmp::Reverse(l.used)));
-        // A request has a connection to itself where there are enough: what breaks one breaks all on it.
-        let alone = matches!(job, Job::Attempt { .. });
-        let room = known.conns.len() < each && self.conns.len() < self.budget.links;
-        let take = best.filter(|(_, l)| l.load() == 0 || !alone || !room).map(|(conn, _)| *conn);
-        let conn = match take {
-            Some(conn) => conn,
-            None if !room => return cut(&job, Code::Full),
-            None => match self.connect(io, now, worker) {
-                Some(conn) => {
-                    debug!(target: "basaltward::link", %worker, held = self.conns.len(), alone, "connect");
-                    conn
-                }
-                None => return cut(&job, Code::ConnectFailed),
-            },
+        let conn = loop {
+            let (take, room) = self.choose(worker, &job);
+            match take {
+                // The worker's close may have come with what this turn has not read: what is written behind it never
+                // runs, and nobody could tell.
+                Some(conn) if self.stands(conn) && io.has_ended(conn) => self.retire(io, conn),
+                Some(conn) => break conn,
+                None if !room => return cut(&job, Code::Full),
+                None => match self.connect(io, now, worker) {
+                    Some(conn) => break conn,
+                    None => return cut(&job, Code::ConnectFailed),
+                },
+            }
         };
         if let Job::Attempt { id, work, until, .. } = &job {
             work.goes_on(conn);
@@ -261,6 +252,28 @@
         None
     }
 
+    fn stands(&self, conn: ConnId) -> bool {
+        self.conns.get(&conn).is_some_and(|link| link.standing)
+    }
+
+    /// The connection for a job, where there is one, and whether there may be one more.
+    fn choose(&self, worker: &WorkerId, job: &Job) -> (Option<ConnId>, bool) {
+        let held = self.workers.get(worker).map(|known| known.conns.as_slice()).unwrap_or_default();
+        let streams = self.figures.streams.max(1);
+        let again = |work: &Work, conn| work.went_on(conn) || self.lately.holds(conn, work.number);
+        let fresh = |conn: &ConnId| !matches!(job, Job::Attempt { work, .. } if again(work, *conn));
+        let link = |conn: &ConnId| self.conns.get(conn).filter(|l| !l.retired && l.load() < streams);
+        let open = held.iter().filter(|conn| fresh(conn)).filter_map(|c| Some((*c, link(c)?)));
+        // Of those as free as one another the one used last: the others may go.
+        let best = open.min_by_key(|(_, l)| (l.load(), !l.standing, std::cmp::Reverse(l.used)));
+        // A request has a connection to itself where there are enough: what breaks one breaks all on it.
+        let alone = matches!(job, Job::Attempt { .. });
+        let each = self.budget.links_each(self.workers.len());
+        let room = held.len() < each && self.conns.len() < self.budget.links;
+        let take = best.filter(|(_, l)| l.load() == 0 || !alone || !room).map(|(conn, _)| conn);
+        (take, room)
+    }
+
     fn connect(&mut self, io: &mut Io, now: Micros, worker: &WorkerId) -> Option<ConnId> {
         let known = self.workers.get_mut(worker)?;
         let conn = io.connect(known.address).ok()?;
@@ -270,6 +283,7 @@
         let (standing, retired, queue, open) = (false, false, VecDeque::new(), HashMap::new());
         let (given, heard, used, armed) = (Given::default(), now, now, true);
         let link = LinkConn { worker, decoder, standing, retired, queue, open, given, heard, used, armed };
+        debug!(target: "basaltward::link", worker = %link.worker, held = self.conns.len() + 1, "connect");
         self.conns.insert(conn, link);
         self.due.set(now + self.figures.connect_timeout.max(1), Due::Conn(conn));
         Some(conn)
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -104,16 +104,7 @@
                 deadline: now + (call.timeout_ms + 50) * MS,
             },
         );
-        let timeout = call.timeout_ms.to_string();
-        let fields = [
-            ("kind", call.class),
-            ("req", call.id.as_str()),
-            ("timeout", timeout.as_str()),
-            ("subject", call.function.as_str()),
-            ("props", "memory_mb:64;lanes:8;load_ms:20"),
-        ];
-        let seqid = client.submit(&fields, &call.body).expect("sent");
-        Asked { seqid, tried: self.tried }
+        Asked { seqid: send(client, call), tried: self.tried }
     }
 
     /// Reads one reply and records it for the request it answers.
@@ -162,6 +153,19 @@
     }
 }
 
+/// Sends a call; gives its number.
+pub fn send(client: &mut FrontClient, call: &Call) -> i32 {
+    let timeout = call.timeout_ms.to_string();
+    let fields = [
+        ("kind", call.class),
+        ("req", call.id.as_str()),
+        ("timeout", timeout.as_str()),
+        ("subject", call.function.as_str()),
+        ("props", "memory_mb:64;lanes:8;load_ms:20"),
+    ];
+    client.submit(&fields, &call.body).expect("sent")
+}
+
 pub struct Asked {
     pub seqid: i32,
     pub tried: u64,
--- a/crates/node/tests/sockets/link.rs
+++ b/crates/node/tests/sockets/link.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What fills a connection.
 const CALLS: u64 = 40;
@@ -284,3 +284,77 @@
     }
     assert_eq!(bed.judge(), []);
 }
+
+/// What the system knows of one end of a connection: its state, the bytes that the other end's system has not taken,
+/// and those that were not read.
+fn socket(local: u16, remote: u16) -> Option<(u8, usize, usize)> {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+    let hex = |word: &str| usize::from_str_radix(word, 16).ok();
+    let port = |at: &str| at.split_once(':').and_then(|(_, port)| hex(port));
+    table.lines().skip(1).find_map(|line| {
+        let words: Vec<_> = line.split_whitespace().collect();
+        let ends = (port(words[1]), port(words[2]));
+        let (unsent, unread) = words[4].split_once(':')?;
+        let found = (hex(words[3])? as u8, hex(unsent)?, hex(unread)?);
+        (ends == (Some(local.into()), Some(remote.into()))).then_some(found)
+    })
+}
+
+const ESTABLISHED: u8 = 1;
+
+fn until(mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "never");
+        std::thread::yield_now();
+    }
+}
+
+/// The port from which a request came to its worker.
+fn port_of(bed: &Bed, id: &str) -> u16 {
+    let mut port = 0;
+    let came = |record: &Record| match &record.what {
+        What::Arrived { event, attempt, .. } if event == id => attempt.rsplit_once('@')?.1.parse().ok(),
+        _ => None,
+    };
+    assert!(bed.recorder.wait(PATIENCE, |all| {
+        port = all.iter().find_map(came).unwrap_or_default();
+        port > 0
+    }));
+    port
+}
+
+/// A call comes, and before it is sent on its worker ends the one connection that stands, by `end`.
+fn ended_as_it_is_picked(end: impl Fn(&LineWorker)) {
+    let mut bed = Bed::new(Limits::default(), 1, |_, exec| exec.serve());
+    for round in 0..5 {
+        let warm = call(2 * round, "extract");
+        assert_eq!(bed.call(&warm), served(&warm));
+        let (port, to) = (port_of(&bed, &warm.id), bed.workers[0].address().port());
+        let (mut client, front) = (bed.client(), bed.address.port());
+        client.heartbeat().and_then(|_| client.read()).expect("accepted");
+        let from = client.port();
+        let one = call(2 * round + 1, "extract");
+        let mut seqid = 0;
+        // The scheduler stands still at its next record, that the call was taken, for as long as this looks.
+        bed.recorder.wait(PATIENCE, |_| {
+            seqid = send(&mut client, &one);
+            until(|| socket(from, front).is_some_and(|(_, unsent, _)| unsent == 0));
+            until(|| socket(front, from).is_some_and(|(.., unread)| unread == 0));
+            end(&bed.workers[0]);
+            until(|| socket(port, to).is_none_or(|(state, ..)| state != ESTABLISHED));
+            true
+        });
+        assert_eq!(client.read().expect("a reply"), Some((seqid, served(&one))));
+    }
+}
+
+#[test]
+fn a_call_is_served_though_its_worker_closes_the_connection_as_it_is_picked() {
+    ended_as_it_is_picked(LineWorker::close_all);
+}
+
+#[test]
+fn a_call_is_served_though_its_worker_resets_the_connection_as_it_is_picked() {
+    ended_as_it_is_picked(LineWorker::reset_all);
+}
--- a/crates/standins/src/front_client.rs
+++ b/crates/standins/src/front_client.rs
@@ -38,6 +38,11 @@
         Ok(Self { stream, input: BytesMut::new(), seqid: 0 })
     }
 
+    /// The port that it comes from; 0 where its connection is over.
+    pub fn port(&self) -> u16 {
+        self.stream.local_addr().map_or(0, |at| at.port())
+    }
+
     fn send(&mut self, write: impl FnOnce(&mut BytesMut, i32)) -> io::Result<i32> {
         self.seqid += 1;
         let mut out = BytesMut::new();
--- a/crates/standins/src/line_worker.rs
+++ b/crates/standins/src/line_worker.rs
@@ -194,6 +194,13 @@
         self.shared.gate.1.notify_all();
     }
 
+    /// Ends every connection that stands, as one that was idle for too long.
+    pub fn close_all(&self) {
+        for stream in lock(&self.shared.open).drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Breaks every connection that stands.
     pub fn reset_all(&self) {
         for stream in lock(&self.shared.open).drain(..) {
@@ -205,9 +212,7 @@
 impl Drop for LineWorker {
     fn drop(&mut self) {
         self.unplug();
-        for stream in lock(&self.shared.open).drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        self.close_all();
         // Wakes the thread that accepts, which then finds nobody left.
         let _ = TcpStream::connect(self.address);
     }
