--- a/crates/standins/src/line_worker.rs
+++ b/crates/standins/src/line_worker.rs
@@ -161,6 +161,15 @@
         stream.write_all(bytes)
     }
 
+    /// Connections that come from now on hold few bytes that were not read: while the script of a request waits, the
+    /// caller's socket is soon full.
+    ///
+    /// # Errors
+    /// Where the system refuses it.
+    pub fn narrow(&self) -> io::Result<()> {
+        Ok(rustix::net::sockopt::set_socket_recv_buffer_size(&self.listener, 4 << 10)?)
+    }
+
     /// From now on new connections do not come up: the system drops their first packets. Those begun meanwhile come
     /// up a second after their beginning or later, as the caller's system tries again, once [`LineWorker::unplug`] is
     /// called.
@@ -185,6 +194,13 @@
         self.shared.gate.1.notify_all();
     }
 
+    /// Ends every connection that stands, as one that was idle for too long.
+    pub fn close_all(&self) {
+        for stream in lock(&self.shared.open).drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Breaks every connection that stands.
     pub fn reset_all(&self) {
         for stream in lock(&self.shared.open).drain(..) {
@@ -196,9 +212,7 @@
 impl Drop for LineWorker {
     fn drop(&mut self) {
         self.unplug();
-        for stream in lock(&self.shared.open).drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        self.close_all();
         // Wakes the thread that accepts, which then finds nobody left.
         let _ = TcpStream::connect(self.address);
     }
