Who has left goes before what is sent: turn's order, ends seen at once, unread calls

Seen: with `cancel` off an attempt that waited for a connection went out after its client had left (Engine::abandon told the controller alone). After a stall a connection that came up, and requests whose revoke or end stood behind them, were sent on before the client's input was read (Node::turn read the front last); a request that had been read was thrown away where its connection made room for a new one accepted in front of it in the same turn (Front::spare before Front::came).

Now clients' events come first in a turn, those who come in last of them; a call is begun only once what its client sent behind it has been looked at; an accepted connection whose peer has ended its side ends at once, also while it is not read (IoLimits::ends_at_once); a client that does not read its answers is read on, its new requests turned away.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -2,42 +2,15 @@
 #[path = "../../node/tests/sockets/common.rs"]
 #[allow(dead_code)]
 mod common;
+mod process;
 
 use basaltward_rules::Recorder;
 use basaltward_standins::{Board, FrontClient, FrontReply, LineWorker};
 use common::{Limits, PATIENCE, target, text};
-use rustix::process::{Pid, Signal, kill_process};
-use std::io::{BufRead, BufReader};
+use process::{file, program, signal, start};
+use rustix::process::Signal;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-
-fn program(config: &PathBuf) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_basaltward"));
-    command.args(["node", "--log", "info"]).env("NODE_CONFIG", config).env_remove("NODE_LISTEN");
-    command.stdout(Stdio::null()).stderr(Stdio::piped());
-    command
-}
-
-fn file(name: &str, text: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("basaltward-program-{name}-{}.json", std::process::id()));
-    std::fs::write(&path, text).expect("written");
-    path
-}
-
-/// Starts it and reads where it listens out of its first log line; the rest is read away.
-fn start(config: &PathBuf) -> (Child, SocketAddr) {
-    let mut child = program(config).spawn().expect("started");
-    let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
-    let line = lines.next().expect("a line").expect("text");
-    let address = line.rsplit_once("address=").expect("it says where").1.parse().expect("an address");
-    std::thread::spawn(move || lines.for_each(drop));
-    (child, address)
-}
-
-fn signal(child: &Child, signal: Signal) {
-    kill_process(Pid::from_raw(child.id() as i32).expect("a process"), signal).expect("signalled");
-}
+use std::process::Child;
 
 /// Memory that the process holds, in KiB.
 fn resident(child: &Child) -> u64 {
--- /dev/null
+++ b/crates/cli/tests/stalls.rs
@@ -0,0 +1,263 @@
+//! The process stands still, and what happens meanwhile lies in its sockets in an order that is of no help.
+#[path = "../../node/tests/sockets/common.rs"]
+#[allow(dead_code)]
+mod common;
+mod process;
+
+use basaltward_net::monotonic;
+use basaltward_rules::{Recorder, What};
+use basaltward_standins::{Board, Exec, FrontClient, FrontReply, LineWorker, answer};
+use common::{Call, Limits, PATIENCE, call, target, text};
+use process::{file, freeze, signal, start, thaw};
+use rustix::net::sockopt::set_socket_linger;
+use rustix::process::Signal;
+use std::net::{Shutdown, SocketAddr};
+use std::path::PathBuf;
+use std::process::Child;
+use std::time::{Duration, Instant};
+
+/// A scheduler in a process, with workers that hold calls of ids that begin with `f` unanswered.
+struct Bed {
+    child: Child,
+    to: SocketAddr,
+    workers: Vec<LineWorker>,
+    config: PathBuf,
+    recorder: Recorder,
+    _board: Board,
+}
+
+impl Bed {
+    fn new(name: &str, limits: Limits, workers: usize) -> Self {
+        let recorder = Recorder::memory();
+        let held = |exec: &Exec| if exec.id.starts_with('f') { Vec::new() } else { exec.serve() };
+        let start_one = |n| LineWorker::start(&format!("s-{n}"), recorder.clone(), held).expect("a worker");
+        let workers: Vec<_> = (0..workers).map(start_one).collect();
+        let board = Board::start(2).expect("a bulletin");
+        let one = |(n, w): (usize, &LineWorker)| target(&format!("s-{n}"), w.address(), "Ready");
+        let targets = workers.iter().enumerate().map(one).collect::<Vec<_>>().join(",");
+        let config = file(name, &text(limits, board.address(), &targets));
+        let (child, to) = start(&config);
+        Self { child, to, workers, config, recorder, _board: board }
+    }
+
+    fn client(&self) -> FrontClient {
+        FrontClient::connect(self.to, PATIENCE).expect("connected")
+    }
+
+    /// One call of a client of its own, served: the scheduler has come to what lay in its sockets before.
+    fn passes(&self, number: u64) {
+        let mut client = self.client();
+        let asked = submit(&mut client, &call(number, "view"));
+        let told = client.read().expect("a reply");
+        assert!(matches!(&told, Some((seqid, FrontReply::Served(_))) if *seqid == asked), "{told:?}");
+    }
+
+    /// Which worker has a call, and from which port it came.
+    fn holder(&self, id: &str) -> (&LineWorker, u16) {
+        let mut found = None;
+        let came = self.recorder.wait(PATIENCE, |all| {
+            found = all.iter().find_map(|record| match &record.what {
+                What::Arrived { event, attempt, .. } if event == id => {
+                    let at = usize::from(record.by == "s-1");
+                    Some((&self.workers[at], attempt.rsplit_once('@')?.1.parse().ok()?))
+                }
+                _ => None,
+            });
+            found.is_some()
+        });
+        assert!(came, "{id} never came");
+        found.expect("it came")
+    }
+
+    fn lines(&self) -> Vec<String> {
+        self.workers.iter().flat_map(LineWorker::lines).collect()
+    }
+
+    fn execs(&self, id: &str) -> usize {
+        let of = format!("exec {id}");
+        self.lines().iter().filter(|line| line.starts_with(&of)).count()
+    }
+}
+
+impl Drop for Bed {
+    fn drop(&mut self) {
+        thaw(&self.child);
+        signal(&self.child, Signal::KILL);
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn submit(client: &mut FrontClient, call: &Call) -> i32 {
+    let timeout = call.timeout_ms.to_string();
+    let fields = [
+        ("kind", call.class),
+        ("req", call.id.as_str()),
+        ("timeout", timeout.as_str()),
+        ("subject", call.function.as_str()),
+        ("props", "memory_mb:64;lanes:8;load_ms:20"),
+    ];
+    client.submit(&fields, &call.body).expect("sent")
+}
+
+/// A call that the worker holds.
+fn held(number: u64, class: &'static str) -> Call {
+    Call { id: format!("f{number:015x}"), ..call(number, class) }
+}
+
+/// How a client stops waiting for a call.
+const WAYS: [&str; 3] = ["revoke", "end", "reset"];
+
+/// Waits until all that a client sent, and its end, has come to the other end's socket, by the system's table.
+fn delivered(client: SocketAddr, server: SocketAddr, way: &str) {
+    let until = Instant::now() + PATIENCE;
+    let port = |of: &str| of.rsplit_once(':').and_then(|(_, port)| u16::from_str_radix(port, 16).ok());
+    let holds = || {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+        let rows = table.lines().skip(1).map(|row| row.split_whitespace().collect::<Vec<_>>());
+        let ends = |row: &Vec<&str>| (port(row[1]).unwrap_or(0), port(row[2]).unwrap_or(0));
+        let rows: Vec<_> = rows.map(|row| (ends(&row), row[3].to_owned(), row[4].to_owned())).collect();
+        let ours = rows.iter().find(|(ends, ..)| *ends == (client.port(), server.port()));
+        let theirs = rows.iter().any(|(ends, ..)| *ends == (server.port(), client.port()));
+        match way {
+            // Nothing unacknowledged; with its end acknowledged it is in the state 05, and one reset is gone.
+            "revoke" => ours.is_some_and(|(_, _, queues)| queues.starts_with("00000000:")),
+            "end" => ours.is_some_and(|(_, state, _)| state == "05"),
+            _ => !theirs,
+        }
+    };
+    while !holds() {
+        assert!(Instant::now() < until, "never delivered");
+        std::thread::yield_now();
+    }
+}
+
+/// The client leaves; once this returns the scheduler's socket has it.
+fn leave(client: &mut FrontClient, asked: &[i32], way: &str) {
+    let ends = |client: &FrontClient| {
+        let stream = client.stream();
+        (stream.local_addr().expect("it stands"), stream.peer_addr().expect("it stands"))
+    };
+    let (from, to) = ends(client);
+    match way {
+        "revoke" => asked.iter().for_each(|seqid| client.revoke(*seqid).expect("sent")),
+        "end" => client.stream().shutdown(Shutdown::Write).expect("it stands"),
+        _ => {
+            set_socket_linger(client.stream(), Some(Duration::ZERO)).expect("it stands");
+            *client = FrontClient::connect(to, PATIENCE).expect("connected");
+        }
+    }
+    delivered(from, to, way);
+}
+
+#[test]
+fn who_left_in_a_stall_goes_before_an_answer_that_would_have_the_call_sent_again() {
+    let bed = Bed::new("left-answer", Limits::default(), 2);
+    bed.passes(1);
+    for (number, way) in WAYS.into_iter().enumerate() {
+        let mut client = bed.client();
+        let one = held(number as u64, "extract");
+        let seqid = submit(&mut client, &one);
+        let (worker, port) = bed.holder(&one.id);
+        freeze(&bed.child);
+        // The worker's word first: its event is the first that the scheduler sees.
+        worker.say(port, &answer(&one.id, "VOID", "-", b"")).expect("it stands");
+        leave(&mut client, &[seqid], way);
+        thaw(&bed.child);
+        (10..13).for_each(|n| bed.passes(100 * (number as u64 + 1) + n));
+        assert_eq!(bed.execs(&one.id), 1, "{way}: {:?}", bed.lines());
+    }
+}
+
+#[test]
+fn who_left_in_a_stall_goes_before_a_connection_that_comes_up() {
+    for (number, way) in WAYS.into_iter().enumerate() {
+        let limits = Limits { connect_ms: 3_000, ..Limits::default() };
+        let bed = Bed::new(&format!("left-connection-{way}"), limits, 1);
+        bed.passes(1);
+        bed.workers.iter().for_each(|w| w.plug().expect("plugged"));
+        bed.workers.iter().for_each(LineWorker::reset_all);
+        let mut client = bed.client();
+        let one = held(number as u64, "extract");
+        let seqid = submit(&mut client, &one);
+        // It has been taken once another question on its connection is answered, and begun a turn later.
+        for _ in 0..2 {
+            client.heartbeat().and_then(|_| client.read()).expect("alive");
+        }
+        freeze(&bed.child);
+        bed.workers.iter().for_each(LineWorker::unplug);
+        // The system tries again a second after the first packet.
+        std::thread::sleep(Duration::from_millis(1_300));
+        leave(&mut client, &[seqid], way);
+        thaw(&bed.child);
+        (10..13).for_each(|n| bed.passes(100 * (number as u64 + 1) + n));
+        assert_eq!(bed.execs(&one.id), 0, "{way}: {:?}", bed.lines());
+    }
+}
+
+#[test]
+fn who_left_in_a_stall_goes_before_what_it_asked_in_the_same_breath() {
+    let bed = Bed::new("left-breath", Limits::default(), 2);
+    bed.passes(1);
+    for (number, way) in WAYS.into_iter().enumerate() {
+        let mut client = bed.client();
+        client.heartbeat().and_then(|_| client.read()).expect("alive");
+        freeze(&bed.child);
+        let calls: Vec<_> = (0..20).map(|n| held((number as u64 + 1) * 100 + n, "view")).collect();
+        let asked: Vec<_> = calls.iter().map(|one| submit(&mut client, one)).collect();
+        leave(&mut client, &asked, way);
+        thaw(&bed.child);
+        (10..13).for_each(|n| bed.passes(100 * (number as u64 + 1) + n));
+        let sent: usize = calls.iter().map(|one| bed.execs(&one.id)).sum();
+        assert_eq!(sent, 0, "{way}: {:?}", bed.lines());
+    }
+}
+
+#[test]
+fn a_connection_that_makes_room_for_a_new_one_has_brought_nothing() {
+    let bed = Bed::new("room", Limits { sockets: 64, ..Limits::default() }, 1);
+    // As many as are held before room is made, each of them used, and idle for longer than it is spared.
+    let mut clients: Vec<_> = (0..24).map(|_| bed.client()).collect();
+    for client in &mut clients {
+        client.heartbeat().and_then(|_| client.read()).expect("alive");
+    }
+    std::thread::sleep(Duration::from_millis(400));
+    freeze(&bed.child);
+    // The new one first: its event is the first that the scheduler sees. The one idle longest asks behind it.
+    let newer = bed.client();
+    let asked = submit(&mut clients[0], &call(1, "view"));
+    let stream = clients[0].stream();
+    delivered(stream.local_addr().expect("it stands"), stream.peer_addr().expect("it stands"), "revoke");
+    thaw(&bed.child);
+    let told = clients[0].read().expect("told");
+    assert!(matches!(&told, Some((seqid, FrontReply::Served(_))) if *seqid == asked), "{told:?}");
+    drop(newer);
+}
+
+#[test]
+fn calls_whose_time_ran_out_in_a_stall_are_told_so_and_not_sent() {
+    let bed = Bed::new("late", Limits::default(), 2);
+    bed.passes(1);
+    let mut client = bed.client();
+    let mut one = held(1, "extract");
+    one.timeout_ms = 400;
+    submit(&mut client, &one);
+    let (worker, port) = bed.holder(&one.id);
+    freeze(&bed.child);
+    let (mut unread, mut late) = (bed.client(), held(2, "view"));
+    late.timeout_ms = 400;
+    submit(&mut unread, &late);
+    worker.say(port, &answer(&one.id, "MISS", "-", b"")).expect("it stands");
+    let began = monotonic();
+    // What stands still has no event to wait for.
+    std::thread::sleep(Duration::from_millis(1_000));
+    thaw(&bed.child);
+    let told = client.read().expect("told").expect("an answer").1;
+    assert!(matches!(told, FrontReply::Crashed | FrontReply::Rejected(_)), "{told:?}");
+    assert_eq!(bed.execs(&one.id), 1, "{:?}", bed.lines());
+    // What has come meanwhile has its time from when it is read: nobody tells when its bytes came.
+    let told = unread.read().expect("told").expect("an answer").1;
+    assert!(matches!(told, FrontReply::Crashed | FrontReply::Rejected(_)), "{told:?}");
+    assert!(monotonic() - began < 2_000_000, "it was told too late");
+    bed.passes(2);
+}
--- a/crates/engine/src/arrivals.rs
+++ b/crates/engine/src/arrivals.rs
@@ -42,6 +42,11 @@
         self.queue.front().map(|a| a.came)
     }
 
+    /// The call that has waited longest.
+    pub fn next(&self) -> Option<CallId> {
+        self.queue.front().map(|a| a.call)
+    }
+
     /// Takes the call that has waited longest, to be begun now.
     pub fn pop(&mut self, now: Micros) -> Option<Arrival> {
         let arrival = self.queue.pop_front()?;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -109,7 +109,7 @@
                 while self.begin_next(now, out) {}
             }
             Input::Arrived(call) => self.call(now, call, out),
-            Input::Left(waiter) => self.left(now, waiter),
+            Input::Left(waiter) => self.left(now, waiter, out),
             Input::Ended(attempt, end) => self.ended(now, attempt, end, out),
             Input::Ordered(order, code, count) => self.ordered(now, order, code, count),
             Input::Probed(order, code, report) => self.probed(now, order, code, report),
@@ -128,6 +128,11 @@
         self.arrivals.oldest()
     }
 
+    /// Who waits for the call that [`Engine::begin_next`] would begin; none where its clients have left.
+    pub fn next_waiter(&self) -> Option<WaiterId> {
+        self.calls.get(&self.arrivals.next()?)?.waiters.first().copied()
+    }
+
     /// Begins the call that has waited longest since [`Input::Arrived`]: the controller is told of it, or it
     /// is turned away if its aim is past. False where none waits.
     pub fn begin_next(&mut self, now: Micros, out: &mut Out<P, R>) -> bool {
@@ -205,7 +210,7 @@
             self.margin.woke(now, at);
             match due {
                 Due::Module(token) => self.events.push_back(Event::Timer { token }),
-                Due::Linger(call) => self.abandon(now, call),
+                Due::Linger(call) => self.abandon(now, call, out),
                 Due::Order(order) => self.overdue(now, order, out),
             }
             self.settle(now, out);
@@ -331,12 +336,9 @@
             false => Answer::Failed(Failure::Deadline),
         };
         out.push(Output::Answer { waiter: id, answer, attempts, worker, path: waiter.path });
-        if let Some(request) = request.filter(|_| over) {
-            self.call_off_unwritten(request, out);
-        }
         match over {
-            true => self.abandon(now, waiter.call),
-            false => self.linger(now, waiter.call),
+            true => self.abandon(now, waiter.call, out),
+            false => self.linger(now, waiter.call, out),
         }
     }
 
@@ -347,33 +349,35 @@
         self.calls.get(&open.call).is_none_or(|c| c.earlier) || open.may_have_run().is_some()
     }
 
-    fn left(&mut self, now: Micros, id: WaiterId) {
+    fn left(&mut self, now: Micros, id: WaiterId, out: &mut Out<P, R>) {
         let Some(waiter) = self.waiters.remove(&id) else { return };
         if let Some(call) = self.calls.get_mut(&waiter.call) {
             call.waiters.retain(|w| *w != id);
-            self.linger(now, waiter.call);
+            self.linger(now, waiter.call, out);
         }
     }
 
     /// Nobody waits any more: the call goes on for a while, as clients that leave early repeat. Wasted where
     /// the client is gone for good; without it a crowd of early leavers would have each try begun and none
     /// finished.
-    fn linger(&mut self, now: Micros, id: CallId) {
+    fn linger(&mut self, now: Micros, id: CallId, out: &mut Out<P, R>) {
         if !self.calls.get(&id).is_some_and(|c| c.waiters.is_empty()) {
             return;
         }
         // Where clients repeat under new names nobody can come back for it.
         if self.settings.linger == 0 {
-            self.abandon(now, id);
+            self.abandon(now, id, out);
         } else {
             self.due.set(now + self.settings.linger, Due::Linger(id));
         }
     }
 
-    /// Nobody came back for the call.
-    fn abandon(&mut self, now: Micros, id: CallId) {
+    /// Nobody waits for the call or came back for it. Whatever the settings say of calling off what runs, what
+    /// waits for a connection still must not begin.
+    fn abandon(&mut self, now: Micros, id: CallId, out: &mut Out<P, R>) {
         let Some(call) = self.calls.get(&id).filter(|c| c.waiters.is_empty()) else { return };
         let Some(request) = call.current else { return drop(self.withdraw(now, id)) };
+        self.call_off_unwritten(request, out);
         self.events.push_back(Event::Gone { id: request });
         self.close(now, request, None);
     }
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -48,17 +48,7 @@
     }
 
     fn call(&mut self, waiter: u64, id: &str, patience: Micros) {
-        let function = Function { name: "f".into(), class: 0, memory_mb: 100.0, lanes: 8, load: None };
-        let identity =
-            Identity { tenant: 0, function: function.name.clone(), source: "s".into(), id: id.into() };
-        let deadline = self.now + patience;
-        self.tell(Input::Call(NewCall {
-            waiter: WaiterId(waiter),
-            identity,
-            function: Arc::new(function),
-            deadline,
-            payload: Arc::new(()),
-        }));
+        self.tell(Input::Call(new_call(self.now, waiter, id, Arc::new(function()), patience)));
     }
 
     /// Moves the clock on, waking the engine when it wants to be.
@@ -99,6 +89,17 @@
     }
 }
 
+fn function() -> Function {
+    Function { name: "f".into(), class: 0, memory_mb: 100.0, lanes: 8, load: None }
+}
+
+fn new_call(now: Micros, waiter: u64, id: &str, function: Arc<Function>, patience: Micros) -> NewCall<()> {
+    let (name, source, id) = (function.name.clone(), "s".into(), id.into());
+    let identity = Identity { tenant: 0, function: name, source, id };
+    let (waiter, deadline, payload) = (WaiterId(waiter), now + patience, Arc::new(()));
+    NewCall { waiter, identity, function, deadline, payload }
+}
+
 /// Worker w0, w1, ..., long started.
 fn member(number: usize) -> Member {
     Member::active(&format!("w{number}"))
@@ -171,6 +172,41 @@
     assert!(bed.out.iter().any(|o| matches!(o, Output::Abort(_))));
 }
 
+#[test]
+fn a_client_that_left_has_nothing_begun_whether_settings_let_attempts_be_called_off_or_not() {
+    for cancel in [true, false] {
+        let mut bed = Bed::new(Repeat::Safe, 1, |s| {
+            (s.linger, s.module.limits.cancel) = (0, cancel);
+        });
+        // Its attempt waits for a connection: told to the links, and no byte of it given to a socket.
+        bed.call(1, "waits", 2 * S);
+        let waits = bed.out.iter().find_map(|o| match o {
+            Output::Start { attempt, .. } => Some(*attempt),
+            _ => None,
+        });
+        bed.out.clear();
+        bed.tell(Input::Left(WaiterId(1)));
+        let off = |o: &Output<(), Text>| matches!(o, Output::Abort(id) if Some(*id) == waits);
+        assert!(bed.out.iter().any(off), "cancel {cancel}: {:?}", bed.out);
+        bed.out.clear();
+        bed.ended(waits.expect("one attempt"), Code::Moot, None);
+        assert!(bed.started().is_empty() && bed.engine.in_hand() == 0);
+        // One that never ran is sent again, and its client leaves meanwhile.
+        bed.call(2, "again", 2 * S);
+        let again = bed.started()[0];
+        bed.tell(Input::Left(WaiterId(2)));
+        bed.ended(again, Code::Miss, None);
+        bed.advance(3 * S);
+        assert_eq!((bed.started(), bed.answers()), (vec![], vec![]), "cancel {cancel}");
+        // One that has come, and whose client leaves before it is begun.
+        let (now, function) = (bed.now, Arc::new(function()));
+        bed.tell(Input::Arrived(new_call(now, 3, "unbegun", function, 2 * S)));
+        bed.tell(Input::Left(WaiterId(3)));
+        assert!(!bed.engine.begin_next(bed.now, &mut bed.out));
+        assert_eq!((bed.started(), bed.answers(), bed.engine.in_hand()), (vec![], vec![], 0));
+    }
+}
+
 #[test]
 fn every_bound_refuses_and_only_what_never_ran() {
     let mut bed = Bed::new(Repeat::Unsafe, 1, |s| s.repeats.guards = 12);
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -80,11 +80,14 @@
     pub input: usize,
     /// How long a connection that was closed here may take to end, in microseconds.
     pub linger: Micros,
+    /// Who has ended its side of a connection that was accepted is gone at once: what it sent before and was not
+    /// read is not. Else that is read first.
+    pub ends_at_once: bool,
 }
 
 impl Default for IoLimits {
     fn default() -> Self {
-        Self { connections: 10_000, input: 256 << 10, linger: 1_000_000 }
+        Self { connections: 10_000, input: 256 << 10, linger: 1_000_000, ends_at_once: false }
     }
 }
 
@@ -349,13 +352,16 @@
         self.dirty.is_empty() && self.conns.iter().all(|(_, c)| c.output.is_empty() && !c.closing)
     }
 
-    /// Stops or resumes reading: with it stopped the peer soon can't send on.
+    /// Stops or resumes reading: with it stopped the peer soon can't send on. Its end is seen all the same where
+    /// that ends the connection at once.
     pub fn pause(&mut self, id: ConnId, paused: bool) {
         let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
-        let epoll = self.epoll.as_fd();
+        let (epoll, ends) = (self.epoll.as_fd(), self.limits.ends_at_once);
         let Some(conn) = self.conns.get_mut(id.slot as usize) else { return };
         if conn.generation == id.generation && !conn.connecting && !conn.ended {
-            let wanted = if paused { conn.interest - read } else { conn.interest | read };
+            // Told at each turn, an end that is only noted would have the loop spin.
+            let stops = if ends && conn.accepted { epoll::EventFlags::IN } else { read };
+            let wanted = if paused { conn.interest - stops } else { conn.interest | read };
             set_interest(epoll, conn, id.slot, wanted);
         }
     }
@@ -515,6 +521,7 @@
     }
 
     fn ready(&mut self, id: ConnId, flags: epoll::EventFlags, out: &mut Vec<Happened>) {
+        let ends = self.limits.ends_at_once;
         let Some(conn) = self.get(id).filter(|c| !c.ended) else { return };
         if conn.connecting {
             let failed = flags.intersects(epoll::EventFlags::ERR | epoll::EventFlags::HUP)
@@ -528,11 +535,17 @@
             out.push(Happened::Connected(id));
             return;
         }
+        let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
+        let broken = epoll::EventFlags::ERR | epoll::EventFlags::HUP;
+        let gone = flags.intersects(epoll::EventFlags::RDHUP | broken);
+        // One that was closed here reads our last bytes yet.
+        if gone && ends && conn.accepted && !conn.closing {
+            let how = if flags.intersects(broken) { End::Reset } else { End::Closed };
+            return self.end(id, how, out);
+        }
         if flags.contains(epoll::EventFlags::OUT) && self.write(id.slot, out) {
             return;
         }
-        let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
-        let broken = epoll::EventFlags::ERR | epoll::EventFlags::HUP;
         if flags.intersects(read | broken) {
             self.read(id, out);
         }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -4,7 +4,7 @@
 use crate::work::{Served, Work};
 use basaltward::{FunctionId, Micros};
 use basaltward_engine::{Answer, Function, Identity, NewCall, WaiterId};
-use basaltward_net::{ConnId, Io};
+use basaltward_net::{ConnId, Happened, Io};
 use basaltward_thrift::{Asked, Frames, Kind, Submit, Told, next_frame, read_request, write};
 use basaltward_timers::Timers;
 use slab::Slab;
@@ -26,12 +26,15 @@
 const SPARE_US: Micros = 300_000;
 /// Connections looked at for one that may go.
 const SPARES: usize = 64;
-/// Answers that a client does not read, held for it.
+/// Answers that a client does not read, held for it. Past it new requests are turned away: an answer would stand
+/// behind these. They are read still, for what the client withdraws among them.
 const UNSENT: usize = 64 << 10;
 /// Requests that can't be used, taken from one connection; a usual client sends none.
 const UNUSABLE: u32 = 4;
 /// Frames taken from one connection before others get their turn.
 const TURN: usize = 8;
+/// Frames looked at behind a request before it is begun: as many as may be open, and as many that withdraw them.
+const BEHIND: usize = 2 * OPEN;
 /// No figure of a function or a request is above this.
 const LANES: f64 = 4_096.0;
 const SPAN_MS: f64 = 600_000.0;
@@ -52,6 +55,8 @@
     /// The highest number used.
     last: i32,
     unusable: u32,
+    /// Requests turned away in a row because it does not read its answers.
+    unread: usize,
     /// A whole request has come on it.
     asked: bool,
     ready: bool,
@@ -106,6 +111,11 @@
     text.parse::<f64>().ok().filter(|x| x.is_finite() && *x > 0.0 && *x <= most)
 }
 
+/// Where an open request is kept, by the number of who waits for it.
+fn slot(waiter: WaiterId) -> usize {
+    (waiter.0 & 0xf_ffff) as usize
+}
+
 /// What the front takes out of a request.
 struct Read {
     request: u64,
@@ -150,8 +160,8 @@
         }
         let until = now + FIRST_US;
         let (open, used, armed) = (Vec::new(), now, Micros::MAX);
-        let (last, unusable, asked, ready, began) = (i32::MIN, 0, false, false, None);
-        let client = Client { open, last, unusable, asked, ready, began, used, until, armed };
+        let (last, unusable, unread, asked, ready, began) = (i32::MIN, 0, 0, false, false, None);
+        let client = Client { open, last, unusable, unread, asked, ready, began, used, until, armed };
         self.clients.insert(conn, client);
         self.idle.insert((now, conn));
         self.arm(conn, until);
@@ -209,40 +219,72 @@
         self.ready.front().map(|(came, _)| *came)
     }
 
-    /// Looks at the connection that has waited longest; adds what its requests lead to.
-    pub fn look(&mut self, io: &mut Io, now: Micros, steps: &mut Vec<Step>) {
-        let Some((came, conn)) = self.ready.pop_front() else { return };
-        let Some(client) = self.clients.get_mut(&conn) else { return };
-        client.ready = false;
-        for _ in 0..TURN {
-            // A client that does not read its answers is not read either.
-            if io.unsent(conn) > UNSENT {
-                return;
+    /// Whether this is about a client that is known.
+    pub fn concerns(&self, happened: &Happened) -> bool {
+        match happened {
+            Happened::Data(conn) | Happened::Drained(conn) | Happened::Ended(conn, _) => {
+                self.clients.contains_key(conn)
             }
-            let Some(input) = io.input(conn) else { return };
-            match next_frame(self.frames, input) {
-                Ok(Some(frame)) => match self.frame(io, now, (came, conn), &frame) {
-                    Some(step) => steps.push(step),
-                    None => return steps.push(self.break_off(io, conn)),
-                },
+            _ => false,
+        }
+    }
+
+    /// Looks at the connection that has waited longest; gives when its bytes were there, and what its requests
+    /// lead to.
+    pub fn look(&mut self, io: &mut Io, now: Micros) -> (Micros, Vec<Step>) {
+        let Some((came, conn)) = self.ready.pop_front() else { return (now, Vec::new()) };
+        (came, self.look_at(io, now, (came, conn), TURN))
+    }
+
+    /// Looks on where the client who waits for this has sent more, of which not all was looked at.
+    pub fn look_behind(&mut self, io: &mut Io, now: Micros, waiter: WaiterId) -> Option<(Micros, Vec<Step>)> {
+        let conn = self.waiting.get(slot(waiter)).filter(|w| w.id == waiter)?.conn;
+        self.clients.get(&conn).filter(|c| c.ready)?;
+        let at = self.ready.iter().position(|(_, ready)| *ready == conn)?;
+        let (came, _) = self.ready.remove(at)?;
+        Some((came, self.look_at(io, now, (came, conn), BEHIND)))
+    }
+
+    fn look_at(
+        &mut self,
+        io: &mut Io,
+        now: Micros,
+        (came, conn): (Micros, ConnId),
+        most: usize,
+    ) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let Some(client) = self.clients.get_mut(&conn) else { return steps };
+        client.ready = false;
+        for _ in 0..most {
+            let Some(input) = io.input(conn) else { return steps };
+            let step = match next_frame(self.frames, input) {
+                Ok(Some(frame)) => self.frame(io, now, (came, conn), &frame),
                 Ok(None) => {
                     let part = !input.is_empty();
                     io.release_input(conn);
                     io.pause(conn, false);
-                    let Some(client) = self.clients.get_mut(&conn) else { return };
+                    let Some(client) = self.clients.get_mut(&conn) else { return steps };
                     if !part {
                         client.began = None;
                     } else if client.asked {
                         let until = *client.began.get_or_insert(now) + FIRST_US;
                         self.arm(conn, until);
                     }
-                    return;
+                    return steps;
+                }
+                Err(_) => None,
+            };
+            match step {
+                Some(step) => steps.push(step),
+                None => {
+                    steps.push(self.break_off(io, conn));
+                    return steps;
                 }
-                Err(_) => return steps.push(self.break_off(io, conn)),
             }
         }
         // More may be there: at the end of the queue, as old as it is.
         self.came(came, conn);
+        steps
     }
 
     /// What is sent on a connection is not by the protocol: it ends, with all that is open on it.
@@ -264,7 +306,7 @@
         let (name, seqid) = (head.name, head.seqid);
         let oneway = head.kind == Kind::Oneway;
         let told = match asked {
-            Asked::Submit(submit) if !oneway => match self.submit((came, conn), seqid, &submit)? {
+            Asked::Submit(submit) if !oneway => match self.submit(io, (came, conn), seqid, &submit)? {
                 Ok(call) => {
                     self.touch(now, conn);
                     return Some(Step::Call(call));
@@ -281,7 +323,10 @@
                 self.touch(now, conn);
                 return Some(Step::Left(waiter.into_iter().collect()));
             }
-            Asked::Heartbeat if !oneway => Told::Answer(b"", true),
+            Asked::Heartbeat if !oneway => {
+                self.is_read(io, conn)?;
+                Told::Answer(b"", true)
+            }
             Asked::Unknown if !oneway => {
                 self.unusable(conn)?;
                 Told::UnknownMethod
@@ -294,6 +339,14 @@
         Some(Step::Done)
     }
 
+    /// Whether a client reads its answers; `None` where it goes on asking for too long without.
+    fn is_read(&mut self, io: &mut Io, conn: ConnId) -> Option<bool> {
+        let is_read = io.unsent(conn) <= UNSENT;
+        let client = self.clients.get_mut(&conn)?;
+        client.unread = if is_read { 0 } else { client.unread + 1 };
+        (client.unread <= OPEN).then_some(is_read)
+    }
+
     /// One more that can't be used; `None` where it is too many.
     fn unusable(&mut self, conn: ConnId) -> Option<()> {
         let client = self.clients.get_mut(&conn)?;
@@ -319,6 +372,7 @@
     /// can't be trusted any more.
     fn submit(
         &mut self,
+        io: &mut Io,
         (came, conn): (Micros, ConnId),
         seqid: i32,
         submit: &Submit,
@@ -329,6 +383,9 @@
             return None;
         }
         client.last = seqid;
+        if !self.is_read(io, conn)? {
+            return Some(Err(Told::Rejected(None)));
+        }
         let Some(read) = self.read(submit) else {
             self.unusable(conn)?;
             return Some(Err(Told::Rejected(None)));
@@ -382,9 +439,8 @@
     }
 
     fn take(&mut self, waiter: WaiterId) -> Option<Waiting> {
-        let slot = (waiter.0 & 0xf_ffff) as usize;
-        self.waiting.get(slot).filter(|w| w.id == waiter)?;
-        let waiting = self.waiting.try_remove(slot)?;
+        self.waiting.get(slot(waiter)).filter(|w| w.id == waiter)?;
+        let waiting = self.waiting.try_remove(slot(waiter))?;
         self.ids.remove(&waiting.request);
         Some(waiting)
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -150,8 +150,8 @@
         view: bool,
     ) -> Result<Self, NodeError> {
         let config = load_as(&path, view)?;
-        let limits =
-            IoLimits { connections: config.budget.clients, input: config.budget.input, linger: 300_000 };
+        let (connections, input) = (config.budget.clients, config.budget.input);
+        let limits = IoLimits { connections, input, linger: 300_000, ends_at_once: true };
         let mut io = Io::new(limits)?;
         let fellows = Fleet::open(&config, &mut io, monotonic())?;
         let hearsay = Hearsay::open(&config, &mut io, monotonic())?;
@@ -272,14 +272,29 @@
         self.engine.in_hand() == 0 && (settled || term + TERM_US + LAST_US <= now)
     }
 
-    /// One turn: what has ended and what is due, then what has come, then what it leads to, each as far as its
-    /// time goes. What has come is read before any of it is begun: its time runs, and a loop that has fallen
-    /// behind has to know of it to answer in time.
+    /// One turn: clients first, who may withdraw what else would be sent, then what else has come and what is
+    /// due, then what the clients' requests lead to, each as far as its time goes. What has come is read before
+    /// any of it is begun: its time runs, and a loop that has fallen behind has to know of it to answer in time.
     fn turn(&mut self, (since, due): (Micros, Micros), happened: &mut Vec<Happened>) {
         let mut now = monotonic();
         let began = now;
         self.pace.begin(since, due, now);
         self.accepted = false;
+        // Those who come in last: whoever makes room for them must have brought nothing.
+        let (front, from) = (&self.front, |h: &Happened| matches!(h, Happened::Accepted { .. }));
+        happened.sort_by_key(|h| if front.concerns(h) { 0 } else { 1 + u8::from(!from(h)) });
+        let others = happened.partition_point(|h| front.concerns(h) || from(h));
+        for happened in happened.drain(..others) {
+            self.take(began, now, happened);
+        }
+        while let Some(came) = self.front.oldest() {
+            now = monotonic();
+            if !self.pace.may_read(now, came) {
+                break;
+            }
+            let looked = self.front.look(&mut self.io, now);
+            self.asked(now, looked);
+        }
         for happened in happened.drain(..) {
             self.take(began, now, happened);
             now = monotonic();
@@ -290,32 +305,17 @@
         }
         self.wake(now);
         self.flush();
-        let mut steps = Vec::new();
-        while let Some(came) = self.front.oldest() {
-            now = monotonic();
-            if !self.pace.may_read(now, came) {
-                break;
-            }
-            self.front.look(&mut self.io, now, &mut steps);
-            for step in steps.drain(..) {
-                match step {
-                    Step::Call(mut call) => {
-                        if let Some(term) = self.term.filter(|term| came + APART_US > term + EXCUSED_US) {
-                            call.deadline = call.deadline.min(term + self.closing);
-                        }
-                        self.notes.taken(now, &call.payload.id);
-                        self.tell(now, Input::Arrived(call));
-                    }
-                    Step::Left(waiters) => waiters.into_iter().for_each(|w| self.tell(now, Input::Left(w))),
-                    Step::Done => {}
-                }
-            }
-        }
         while let Some(came) = self.engine.oldest_arrival() {
             now = monotonic();
             if !self.pace.may_begin(now, came) {
                 break;
             }
+            // Its client may have withdrawn it in what it sent behind.
+            if let Some(looked) =
+                self.engine.next_waiter().and_then(|w| self.front.look_behind(&mut self.io, now, w))
+            {
+                self.asked(now, looked);
+            }
             let mut outputs = std::mem::take(&mut self.outputs);
             self.engine.begin_next(now, &mut outputs);
             self.carry_out(now, outputs);
@@ -335,6 +335,23 @@
         }
     }
 
+    /// Tells the engine what clients' frames lead to.
+    fn asked(&mut self, now: Micros, (came, steps): (Micros, Vec<Step>)) {
+        for step in steps {
+            match step {
+                Step::Call(mut call) => {
+                    if let Some(term) = self.term.filter(|term| came + APART_US > term + EXCUSED_US) {
+                        call.deadline = call.deadline.min(term + self.closing);
+                    }
+                    self.notes.taken(now, &call.payload.id);
+                    self.tell(now, Input::Arrived(call));
+                }
+                Step::Left(waiters) => waiters.into_iter().for_each(|w| self.tell(now, Input::Left(w))),
+                Step::Done => {}
+            }
+        }
+    }
+
     /// Writes what there is to write. An answer counts as given once its bytes are with the system.
     fn flush(&mut self) {
         self.io.flush(&mut self.later);
@@ -365,7 +382,8 @@
                 self.links.data(&mut self.io, now, conn, &mut done);
             }
             Happened::Data(conn) if self.feeds.contains_key(&conn) => self.news(now, conn),
-            Happened::Data(conn) | Happened::Drained(conn) => self.front.came(began, conn),
+            Happened::Data(conn) => self.front.came(began, conn),
+            Happened::Drained(_) => {}
             Happened::Ended(conn, how) if self.links.owns(conn) => {
                 self.links.ended(&mut self.io, conn, how, &mut done);
             }
--- a/crates/standins/src/front_client.rs
+++ b/crates/standins/src/front_client.rs
@@ -38,6 +38,11 @@
         Ok(Self { stream, input: BytesMut::new(), seqid: 0 })
     }
 
+    /// Its socket, for tests that end or slow it in ways of their own.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
     fn send(&mut self, write: impl FnOnce(&mut BytesMut, i32)) -> io::Result<i32> {
         self.seqid += 1;
         let mut out = BytesMut::new();
