--- a/crates/node/tests/sockets/gone.rs
+++ b/crates/node/tests/sockets/gone.rs
@@ -1,1 +1,215 @@
-//! Clients that have gone: from then on no attempt of theirs begins.
+//! Clients that have gone, by a revoke or by the end of their connection: nothing of theirs begins any more, and what is
+//! out is given up. What a stall of the process does to their order is in the program's own tests.
+
+use crate::common::*;
+use basaltward_rules::What;
+use basaltward_standins::{Act, Exec, FrontClient, FrontReply, LineWorker, answer};
+use rustix::net::sockopt::{set_socket_linger, set_socket_recv_buffer_size};
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
+
+const WAYS: [&str; 3] = ["revoke", "end", "reset"];
+
+/// Gives the connection, or what is left of it.
+fn leave(mut client: FrontClient, asked: &[i32], way: &str) -> Option<FrontClient> {
+    match way {
+        "revoke" => asked.iter().for_each(|seqid| client.revoke(*seqid).expect("sent")),
+        "end" => client.stream().shutdown(Shutdown::Write).expect("it stands"),
+        _ => {
+            set_socket_linger(client.stream(), Some(Duration::ZERO)).expect("it stands");
+            return None;
+        }
+    }
+    Some(client)
+}
+
+/// A call that workers do not answer.
+fn held(number: u64, class: &'static str) -> Call {
+    Call { id: format!("f{number:015x}"), ..call(number, class) }
+}
+
+fn holds(_: usize, exec: &Exec) -> Vec<Act> {
+    if exec.id.starts_with('f') { vec![Act::Run] } else { exec.serve() }
+}
+
+fn ran(bed: &Bed, call: &Call) {
+    bed.wait(|what| matches!(what, What::Ran { event, .. } if *event == call.id));
+}
+
+fn execs(bed: &Bed, call: &Call) -> usize {
+    let of = format!("exec {}", call.id);
+    bed.workers.iter().flat_map(LineWorker::lines).filter(|line| line.starts_with(&of)).count()
+}
+
+/// Waits for a line that came to the first worker.
+fn line(bed: &Bed, found: impl Fn(&str) -> bool) -> String {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if let Some(line) = bed.workers[0].lines().into_iter().find(|line| found(line)) {
+            return line;
+        }
+        assert!(Instant::now() < until, "never came: {:?}", bed.workers[0].lines());
+        std::thread::yield_now();
+    }
+}
+
+fn dropped(bed: &Bed, call: &Call) {
+    line(bed, |line| line == format!("drop {}", call.id));
+}
+
+#[test]
+fn with_as_many_open_as_may_be_a_revoke_is_seen_and_makes_room() {
+    for way in WAYS {
+        let mut bed = Bed::new(Limits::default(), 1, holds);
+        let mut client = bed.client();
+        let calls: Vec<_> = (0..32).map(|n| held(n, "extract")).collect();
+        let asked: Vec<_> = calls.iter().map(|one| bed.submit(&mut client, one).seqid).collect();
+        ran(&bed, &calls[0]);
+        bed.wait(|what| matches!(what, What::Taken { event } if *event == calls[31].id));
+        let left = leave(client, &asked[..1], way);
+        dropped(&bed, &calls[0]);
+        if let Some(mut client) = left.filter(|_| way == "revoke") {
+            // One more than may be open would end the connection.
+            let next = held(100, "extract");
+            bed.submit(&mut client, &next);
+            bed.wait(|what| matches!(what, What::Taken { event } if *event == next.id));
+        }
+        bed.control.stop();
+    }
+}
+
+/// Has calls served on a connection and reads none of the answers, until the scheduler takes no more.
+fn fill(bed: &mut Bed, client: &mut FrontClient) {
+    set_socket_recv_buffer_size(client.stream(), 4 << 10).expect("it stands");
+    for number in 1_000..3_000 {
+        let one = Call { body: vec![b'x'; 16 << 10], ..call(number, "view") };
+        bed.submit(client, &one);
+        let ran = |what: &What| matches!(what, What::Ran { event, .. } if *event == one.id);
+        if !bed.recorder.wait(Duration::from_millis(500), |all| all.iter().any(|r| ran(&r.what))) {
+            return;
+        }
+    }
+    panic!("its output was never full");
+}
+
+#[test]
+fn who_does_not_read_its_answers_is_heard_all_the_same() {
+    for way in WAYS {
+        let mut bed = Bed::new(Limits::default(), 1, holds);
+        let mut client = bed.client();
+        let one = held(1, "extract");
+        let one = Call { timeout_ms: 60_000, ..one };
+        let asked = bed.submit(&mut client, &one).seqid;
+        ran(&bed, &one);
+        fill(&mut bed, &mut client);
+        // More than is read ahead of a client, in front of the word that it leaves.
+        for number in 5_000..5_004 {
+            bed.submit(&mut client, &Call { body: vec![b'x'; 16 << 10], ..call(number, "view") });
+        }
+        let began = Instant::now();
+        let left = leave(client, &[asked], way);
+        dropped(&bed, &one);
+        assert!(began.elapsed() < Duration::from_secs(2), "{way} {:?}", began.elapsed());
+        drop(left);
+        bed.control.stop();
+    }
+}
+
+#[test]
+fn who_asks_on_without_reading_is_cut_off() {
+    let mut bed = Bed::new(Limits::default(), 1, holds);
+    let mut client = bed.client();
+    let one = Call { timeout_ms: 60_000, ..held(1, "extract") };
+    bed.submit(&mut client, &one);
+    ran(&bed, &one);
+    fill(&mut bed, &mut client);
+    for _ in 0..40 {
+        // It may have been ended already.
+        let _ = client.heartbeat();
+    }
+    dropped(&bed, &one);
+    let other = call(1, "view");
+    assert!(matches!(bed.call(&other), FrontReply::Served(_)));
+    bed.control.stop();
+}
+
+#[test]
+fn a_call_that_waits_for_a_load_is_not_begun_for_who_has_left() {
+    for way in WAYS {
+        let miss = |_: usize, exec: &Exec| match exec.id.starts_with('f') {
+            true => vec![Act::Write(answer(&exec.id, "MISS", "-", b""))],
+            false => exec.serve(),
+        };
+        let mut bed = Bed::new(Limits::default(), 1, miss);
+        assert!(matches!(bed.call(&call(1, "view")), FrontReply::Served(_)));
+        bed.workers[0].hold_orders();
+        let mut client = bed.client();
+        let one = Call { function: "00000000000000f0".into(), ..held(1, "extract") };
+        let asked = bed.submit(&mut client, &one);
+        line(&bed, |line| line.starts_with("ensure") && line.contains(&one.function));
+        let before = execs(&bed, &one);
+        let left = leave(client, &[asked.seqid], way);
+        // Its leaving has been read once another one's call is through, a turn or two later.
+        (10..13).for_each(|n| assert!(matches!(bed.call(&call(n, "view")), FrontReply::Served(_))));
+        for order in bed.workers[0].lines().iter().filter(|line| line.contains(&one.function)) {
+            let Some((words, port)) = order.split_once(" from=") else { continue };
+            let tag = words.split(' ').nth(1).expect("a tag");
+            let stands = answer(tag, "OK", "slots_up=1", b"");
+            bed.workers[0].say(port.parse().expect("a port"), &stands).expect("it stands");
+        }
+        (20..25).for_each(|n| assert!(matches!(bed.call(&call(n, "view")), FrontReply::Served(_))));
+        assert_eq!(execs(&bed, &one), before, "{way}: {:?}", bed.workers[0].lines());
+        drop(left);
+        bed.control.stop();
+    }
+}
+
+#[test]
+fn a_call_that_waits_for_a_connection_is_not_begun_for_who_has_left() {
+    for way in WAYS {
+        let limits = Limits { connect_ms: 3_000, ..Limits::default() };
+        let mut bed = Bed::new(limits, 1, holds);
+        assert!(matches!(bed.call(&call(1, "view")), FrontReply::Served(_)));
+        bed.workers[0].plug().expect("plugged");
+        bed.workers[0].reset_all();
+        let (mut client, mut other) = (bed.client(), bed.client());
+        let (one, stays) = (held(1, "extract"), call(2, "extract"));
+        let asked = bed.submit(&mut client, &one);
+        let waits = bed.submit(&mut other, &stays);
+        bed.wait(|what| matches!(what, What::Taken { event } if *event == stays.id));
+        let left = leave(client, &[asked.seqid], way);
+        other.heartbeat().and_then(|_| other.read()).expect("alive");
+        bed.workers[0].unplug();
+        // The other one's call goes out on what has come up.
+        assert!(matches!(bed.read(&mut other, &[&waits]), Some((_, FrontReply::Served(_)))));
+        assert_eq!(execs(&bed, &one), 0, "{way}: {:?}", bed.workers[0].lines());
+        drop(left);
+        bed.control.stop();
+    }
+}
+
+#[test]
+fn a_call_that_waits_for_its_next_attempt_is_not_begun_for_who_has_left() {
+    for way in WAYS {
+        let busy = |_: usize, exec: &Exec| match exec.id.starts_with('f') {
+            true => vec![Act::Write(answer(&exec.id, "BUSY", "company=3", b""))],
+            false => exec.serve(),
+        };
+        let mut bed = Bed::new(Limits::default(), 1, busy);
+        let mut client = bed.client();
+        let calls: Vec<_> = (0..8).map(|n| held(n, "view")).collect();
+        let asked: Vec<_> = calls.iter().map(|one| bed.submit(&mut client, one).seqid).collect();
+        line(&bed, |line| line.contains(&calls[7].id));
+        let left = leave(client, &asked, way);
+        let mut other = bed.client();
+        for _ in 0..3 {
+            other.heartbeat().and_then(|_| other.read()).expect("alive");
+        }
+        let before: usize = calls.iter().map(|one| execs(&bed, one)).sum();
+        // As long as the scheduler would go on trying: its own wait has to pass.
+        std::thread::sleep(Duration::from_millis(300));
+        assert_eq!(calls.iter().map(|one| execs(&bed, one)).sum::<usize>(), before, "{way}");
+        drop(left);
+        bed.control.stop();
+    }
+}
--- a/crates/standins/src/line_worker.rs
+++ b/crates/standins/src/line_worker.rs
@@ -4,7 +4,7 @@
 use basaltward_rules::{Recorder, What};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -81,6 +81,8 @@
     lines: Mutex<Vec<String>>,
     open: Mutex<Vec<TcpStream>>,
     gate: (Mutex<Gate>, Condvar),
+    /// Orders get no answer but by [`LineWorker::say`].
+    holds_orders: AtomicBool,
 }
 
 /// A stand-in worker. Its threads end with their connections, which end when it is dropped.
@@ -125,6 +127,7 @@
             lines: Mutex::default(),
             open: Mutex::default(),
             gate: (Mutex::new(Gate::Open), Condvar::new()),
+            holds_orders: AtomicBool::new(false),
         });
         let (weak, kept) = (Arc::downgrade(&shared), listener.try_clone()?);
         std::thread::spawn(move || {
@@ -161,6 +164,12 @@
         stream.write_all(bytes)
     }
 
+    /// From now on orders get no answer but by [`LineWorker::say`]. Its line is recorded with the port that it came
+    /// from, as in `ensure TAG path=F,slots_up=1 from=40000`.
+    pub fn hold_orders(&self) {
+        self.shared.holds_orders.store(true, Ordering::SeqCst);
+    }
+
     /// From now on new connections do not come up: the system drops their first packets. Those begun meanwhile come
     /// up a second after their beginning or later, as the caller's system tries again, once [`LineWorker::unplug`] is
     /// called.
@@ -241,7 +250,9 @@
                 return Ok(());
             }
             let told = line.trim_end().to_owned();
-            lock(&self.lines).push(told.clone());
+            let held = self.holds_orders.load(Ordering::SeqCst) && told.starts_with("ensure ");
+            let noted = if held { format!("{told} from={}", from.port()) } else { told.clone() };
+            lock(&self.lines).push(noted);
             let words: Vec<&str> = told.split(' ').collect();
             match words[..] {
                 ["exec", id, fields, length] => {
@@ -257,6 +268,7 @@
                     }
                 }
                 ["health" | "load", tag] => out.write_all(&answer(tag, "UP", "-", b""))?,
+                ["ensure", ..] if held => {}
                 ["ensure", tag, fields] => {
                     let count = fields.rsplit_once("slots_up=").and_then(|(_, n)| n.parse().ok());
                     let stand = format!("slots_up={}", count.unwrap_or(0u32).max(1));
