--- a/crates/cli/tests/stalls.rs
+++ b/crates/cli/tests/stalls.rs
@@ -7,11 +7,10 @@
 use basaltward_net::monotonic;
 use basaltward_rules::{Recorder, What};
 use basaltward_standins::{Board, Exec, FrontClient, FrontReply, LineWorker, answer};
-use common::{Call, Limits, PATIENCE, call, target, text};
+use common::{Call, Limits, PATIENCE, WAYS, call, delivered, leave, target, text};
 use process::{file, freeze, signal, start, thaw};
-use rustix::net::sockopt::set_socket_linger;
 use rustix::process::Signal;
-use std::net::{Shutdown, SocketAddr};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Child;
 use std::time::{Duration, Instant};
@@ -105,67 +104,34 @@
     Call { id: format!("f{number:015x}"), ..call(number, class) }
 }
 
-/// How a client stops waiting for a call.
-const WAYS: [&str; 3] = ["revoke", "end", "reset"];
-
-/// Waits until all that a client sent, and its end, has come to the other end's socket, by the system's table.
-fn delivered(client: SocketAddr, server: SocketAddr, way: &str) {
-    let until = Instant::now() + PATIENCE;
-    let port = |of: &str| of.rsplit_once(':').and_then(|(_, port)| u16::from_str_radix(port, 16).ok());
-    let holds = || {
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
-        let rows = table.lines().skip(1).map(|row| row.split_whitespace().collect::<Vec<_>>());
-        let ends = |row: &Vec<&str>| (port(row[1]).unwrap_or(0), port(row[2]).unwrap_or(0));
-        let rows: Vec<_> = rows.map(|row| (ends(&row), row[3].to_owned(), row[4].to_owned())).collect();
-        let ours = rows.iter().find(|(ends, ..)| *ends == (client.port(), server.port()));
-        let theirs = rows.iter().any(|(ends, ..)| *ends == (server.port(), client.port()));
-        match way {
-            // Nothing unacknowledged; with its end acknowledged it is in the state 05, and one reset is gone.
-            "revoke" => ours.is_some_and(|(_, _, queues)| queues.starts_with("00000000:")),
-            "end" => ours.is_some_and(|(_, state, _)| state == "05"),
-            _ => !theirs,
-        }
-    };
-    while !holds() {
-        assert!(Instant::now() < until, "never delivered");
-        std::thread::yield_now();
-    }
-}
-
-/// The client leaves; once this returns the scheduler's socket has it.
-fn leave(client: &mut FrontClient, asked: &[i32], way: &str) {
-    let ends = |client: &FrontClient| {
-        let stream = client.stream();
-        (stream.local_addr().expect("it stands"), stream.peer_addr().expect("it stands"))
-    };
-    let (from, to) = ends(client);
-    match way {
-        "revoke" => asked.iter().for_each(|seqid| client.revoke(*seqid).expect("sent")),
-        "end" => client.stream().shutdown(Shutdown::Write).expect("it stands"),
-        _ => {
-            set_socket_linger(client.stream(), Some(Duration::ZERO)).expect("it stands");
-            *client = FrontClient::connect(to, PATIENCE).expect("connected");
-        }
-    }
-    delivered(from, to, way);
-}
-
 #[test]
-fn who_left_in_a_stall_goes_before_an_answer_that_would_have_the_call_sent_again() {
-    let bed = Bed::new("left-answer", Limits::default(), 2);
-    bed.passes(1);
-    for (number, way) in WAYS.into_iter().enumerate() {
+fn who_left_in_a_stall_goes_before_an_answer_that_would_have_the_call_sent() {
+    for way in WAYS {
+        let bed = Bed::new(&format!("left-answer-{way}"), Limits::default(), 1);
+        bed.passes(1);
+        bed.workers[0].hold_orders();
         let mut client = bed.client();
-        let one = held(number as u64, "extract");
+        let one = Call { function: "00000000000000f0".into(), ..held(2, "extract") };
         let seqid = submit(&mut client, &one);
-        let (worker, port) = bed.holder(&one.id);
+        // The worker is asked whether it has a copy.
+        let until = Instant::now() + PATIENCE;
+        let asked = || bed.lines().into_iter().find(|line| line.contains(&one.function));
+        while asked().is_none() {
+            assert!(Instant::now() < until, "never asked: {:?}", bed.lines());
+            std::thread::yield_now();
+        }
         freeze(&bed.child);
         // The worker's word first: its event is the first that the scheduler sees.
-        worker.say(port, &answer(&one.id, "VOID", "-", b"")).expect("it stands");
-        leave(&mut client, &[seqid], way);
+        let line = asked().expect("it was asked");
+        let (words, port) = line.split_once(" from=").expect("a port");
+        let tag = words.split(' ').nth(1).expect("a tag");
+        let stands = answer(tag, "OK", "slots_up=1", b"");
+        bed.workers[0].say(port.parse().expect("a port"), &stands).expect("it stands");
+        let left = leave(client, &[seqid], way);
         thaw(&bed.child);
-        (10..13).for_each(|n| bed.passes(100 * (number as u64 + 1) + n));
-        assert_eq!(bed.execs(&one.id), 1, "{way}: {:?}", bed.lines());
+        (10..13).for_each(|n| bed.passes(n));
+        assert_eq!(bed.execs(&one.id), 0, "{way}: {:?}", bed.lines());
+        drop(left);
     }
 }
 
@@ -188,10 +154,11 @@
         bed.workers.iter().for_each(LineWorker::unplug);
         // The system tries again a second after the first packet.
         std::thread::sleep(Duration::from_millis(1_300));
-        leave(&mut client, &[seqid], way);
+        let left = leave(client, &[seqid], way);
         thaw(&bed.child);
         (10..13).for_each(|n| bed.passes(100 * (number as u64 + 1) + n));
         assert_eq!(bed.execs(&one.id), 0, "{way}: {:?}", bed.lines());
+        drop(left);
     }
 }
 
@@ -205,11 +172,12 @@
         freeze(&bed.child);
         let calls: Vec<_> = (0..20).map(|n| held((number as u64 + 1) * 100 + n, "view")).collect();
         let asked: Vec<_> = calls.iter().map(|one| submit(&mut client, one)).collect();
-        leave(&mut client, &asked, way);
+        let left = leave(client, &asked, way);
         thaw(&bed.child);
         (10..13).for_each(|n| bed.passes(100 * (number as u64 + 1) + n));
         let sent: usize = calls.iter().map(|one| bed.execs(&one.id)).sum();
         assert_eq!(sent, 0, "{way}: {:?}", bed.lines());
+        drop(left);
     }
 }
 
@@ -227,7 +195,7 @@
     let newer = bed.client();
     let asked = submit(&mut clients[0], &call(1, "view"));
     let stream = clients[0].stream();
-    delivered(stream.local_addr().expect("it stands"), stream.peer_addr().expect("it stands"), "revoke");
+    delivered(stream.local_addr().expect("it stands"), bed.to, "revoke");
     thaw(&bed.child);
     let told = clients[0].read().expect("told");
     assert!(matches!(&told, Some((seqid, FrontReply::Served(_))) if *seqid == asked), "{told:?}");
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -4,12 +4,13 @@
 use basaltward_node::{Control, Node};
 use basaltward_rules::{Breach, ClassRule, Final, Record, Recorder, RepeatRule, RuleSettings, What, check};
 use basaltward_standins::{Act, Board, Exec, FrontClient, FrontReply, LineWorker};
+use rustix::net::sockopt::set_socket_linger;
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longer than anything here takes, also on a loaded machine.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -225,3 +226,52 @@
     let open: Vec<_> = asked.iter().collect();
     (0..asked.len()).filter_map(|_| bed.read(client, &open)).collect()
 }
+
+/// How a client stops waiting for a call.
+pub const WAYS: [&str; 3] = ["revoke", "end", "reset"];
+
+/// The client leaves; once this returns the scheduler's socket has it. Gives what is left of its connection.
+pub fn leave(mut client: FrontClient, asked: &[i32], way: &str) -> Option<FrontClient> {
+    let ends = (client.stream().local_addr(), client.stream().peer_addr());
+    let left = match way {
+        "revoke" => {
+            asked.iter().for_each(|seqid| client.revoke(*seqid).expect("sent"));
+            Some(client)
+        }
+        "end" => {
+            client.stream().shutdown(Shutdown::Write).expect("it stands");
+            Some(client)
+        }
+        _ => {
+            set_socket_linger(client.stream(), Some(Duration::ZERO)).expect("it stands");
+            drop(client);
+            None
+        }
+    };
+    delivered(ends.0.expect("an address"), ends.1.expect("an address"), way);
+    left
+}
+
+/// Waits until all that a client sent, and its end, has come to the other end's socket, by the system's table.
+pub fn delivered(client: SocketAddr, server: SocketAddr, way: &str) {
+    let until = Instant::now() + PATIENCE;
+    let port = |of: &str| of.rsplit_once(':').and_then(|(_, port)| u16::from_str_radix(port, 16).ok());
+    let holds = || {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+        let rows = table.lines().skip(1).map(|row| row.split_whitespace().collect::<Vec<_>>());
+        let ends = |row: &Vec<&str>| (port(row[1]).unwrap_or(0), port(row[2]).unwrap_or(0));
+        let rows: Vec<_> = rows.map(|row| (ends(&row), row[3].to_owned(), row[4].to_owned())).collect();
+        let ours = rows.iter().find(|(ends, ..)| *ends == (client.port(), server.port()));
+        let theirs = rows.iter().any(|(ends, ..)| *ends == (server.port(), client.port()));
+        match way {
+            // Nothing unacknowledged; an end is in the state 04 until it is; one reset is gone.
+            "revoke" => ours.is_none_or(|(_, _, queues)| queues.starts_with("00000000:")),
+            "end" => ours.is_none_or(|(_, state, _)| state != "04"),
+            _ => !theirs,
+        }
+    };
+    while !holds() {
+        assert!(Instant::now() < until, "never delivered");
+        std::thread::yield_now();
+    }
+}
--- a/crates/node/tests/sockets/gone.rs
+++ b/crates/node/tests/sockets/gone.rs
@@ -4,28 +4,12 @@
 use crate::common::*;
 use basaltward_rules::What;
 use basaltward_standins::{Act, Exec, FrontClient, FrontReply, LineWorker, answer};
-use rustix::net::sockopt::{set_socket_linger, set_socket_recv_buffer_size};
-use std::net::Shutdown;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use std::time::{Duration, Instant};
 
-const WAYS: [&str; 3] = ["revoke", "end", "reset"];
-
-/// Gives the connection, or what is left of it.
-fn leave(mut client: FrontClient, asked: &[i32], way: &str) -> Option<FrontClient> {
-    match way {
-        "revoke" => asked.iter().for_each(|seqid| client.revoke(*seqid).expect("sent")),
-        "end" => client.stream().shutdown(Shutdown::Write).expect("it stands"),
-        _ => {
-            set_socket_linger(client.stream(), Some(Duration::ZERO)).expect("it stands");
-            return None;
-        }
-    }
-    Some(client)
-}
-
-/// A call that workers do not answer.
+/// A call that workers do not answer, with a client that waits for longer than a test.
 fn held(number: u64, class: &'static str) -> Call {
-    Call { id: format!("f{number:015x}"), ..call(number, class) }
+    Call { id: format!("f{number:015x}"), timeout_ms: 60_000, ..call(number, class) }
 }
 
 fn holds(_: usize, exec: &Exec) -> Vec<Act> {
@@ -98,7 +82,6 @@
         let mut bed = Bed::new(Limits::default(), 1, holds);
         let mut client = bed.client();
         let one = held(1, "extract");
-        let one = Call { timeout_ms: 60_000, ..one };
         let asked = bed.submit(&mut client, &one).seqid;
         ran(&bed, &one);
         fill(&mut bed, &mut client);
@@ -119,7 +102,7 @@
 fn who_asks_on_without_reading_is_cut_off() {
     let mut bed = Bed::new(Limits::default(), 1, holds);
     let mut client = bed.client();
-    let one = Call { timeout_ms: 60_000, ..held(1, "extract") };
+    let one = held(1, "extract");
     bed.submit(&mut client, &one);
     ran(&bed, &one);
     fill(&mut bed, &mut client);
@@ -191,24 +174,38 @@
 #[test]
 fn a_call_that_waits_for_its_next_attempt_is_not_begun_for_who_has_left() {
     for way in WAYS {
-        let busy = |_: usize, exec: &Exec| match exec.id.starts_with('f') {
-            true => vec![Act::Write(answer(&exec.id, "BUSY", "company=3", b""))],
+        let void = |_: usize, exec: &Exec| match exec.id.starts_with('f') {
+            true => vec![Act::Write(answer(&exec.id, "VOID", "-", b""))],
             false => exec.serve(),
         };
-        let mut bed = Bed::new(Limits::default(), 1, busy);
-        let mut client = bed.client();
-        let calls: Vec<_> = (0..8).map(|n| held(n, "view")).collect();
-        let asked: Vec<_> = calls.iter().map(|one| bed.submit(&mut client, one).seqid).collect();
-        line(&bed, |line| line.contains(&calls[7].id));
-        let left = leave(client, &asked, way);
-        let mut other = bed.client();
-        for _ in 0..3 {
-            other.heartbeat().and_then(|_| other.read()).expect("alive");
+        let mut bed = Bed::new(Limits::default(), 1, void);
+        let client = &mut bed.client();
+        let one = held(1, "view");
+        let asked = bed.submit(client, &one).seqid;
+        line(&bed, |line| line.starts_with("exec"));
+        // Turned down by the only worker it waits for another, and the scheduler looks for room meanwhile.
+        let sent = |line: &str| line.starts_with("exec");
+        let looks = || bed.workers[0].lines().iter().skip_while(|line| !sent(line)).count() > 1;
+        let until = Instant::now() + PATIENCE;
+        while !looks() {
+            assert!(Instant::now() < until, "{:?}", bed.workers[0].lines());
+            std::thread::yield_now();
+        }
+        let left = leave(std::mem::replace(client, bed.client()), &[asked], way);
+        client.heartbeat().and_then(|_| client.read()).expect("alive");
+        let other = LineWorker::start("s-1", bed.recorder.clone(), Exec::serve).expect("a worker");
+        bed.board.tell(&target("s-1", other.address(), "Ready"));
+        let until = Instant::now() + PATIENCE;
+        for number in 100.. {
+            let next = Call { function: format!("{number:016x}"), ..call(number, "view") };
+            assert!(matches!(bed.call(&next), FrontReply::Served(_)));
+            if other.lines().iter().filter(|line| sent(line)).count() > 2 {
+                break;
+            }
+            assert!(Instant::now() < until, "the new one was never used");
         }
-        let before: usize = calls.iter().map(|one| execs(&bed, one)).sum();
-        // As long as the scheduler would go on trying: its own wait has to pass.
-        std::thread::sleep(Duration::from_millis(300));
-        assert_eq!(calls.iter().map(|one| execs(&bed, one)).sum::<usize>(), before, "{way}");
+        assert_eq!(execs(&bed, &one), 1, "{way}: {:?}", bed.workers[0].lines());
+        assert!(!other.lines().iter().any(|line| line.contains(&one.id)), "{way}: {:?}", other.lines());
         drop(left);
         bed.control.stop();
     }
