No descriptor left: accepting waits, closed links make room for new ones

Seen: with no descriptor for a waiting connection the level-triggered loop turned 79,056 times in 0.4 s (Io::accept returned on any error). Links that were closed and linger for 300 ms held descriptors that no bound counted.

Now accepting pauses for 20 ms after such an error, and at the bound of all connections a closed link that lingers goes for one that is begun.

--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -83,11 +83,20 @@
     /// Who has ended its side of a connection that was accepted is gone at once: what it sent before and was not
     /// read is not. Else that is read first.
     pub ends_at_once: bool,
+    /// Most connections of all kinds, those that were closed here and have not ended yet among them. Beyond it
+    /// one of these goes at once for a new one that is begun here, or none is begun.
+    pub all: usize,
 }
 
 impl Default for IoLimits {
     fn default() -> Self {
-        Self { connections: 10_000, input: 256 << 10, linger: 1_000_000, ends_at_once: false }
+        Self {
+            connections: 10_000,
+            input: 256 << 10,
+            linger: 1_000_000,
+            ends_at_once: false,
+            all: usize::MAX,
+        }
     }
 }
 
@@ -120,6 +129,8 @@
 const EVENTS: usize = 256;
 /// Connections accepted from one listener before others get their turn.
 const ACCEPT_BATCH: usize = 64;
+/// Without a descriptor for it a connection waits in the system's queue, where it is told at every turn.
+const SHORT_US: Micros = 20_000;
 
 /// The loop.
 ///
@@ -133,6 +144,8 @@
     listeners: Vec<Option<TcpListener>>,
     pub(crate) sockets: Vec<UdpSocket>,
     accepting: bool,
+    /// The system had no descriptor for a new connection: it is not asked again before this.
+    short_until: Micros,
     /// The owner wants no new connections for now.
     held: bool,
     accepted: usize,
@@ -166,6 +179,7 @@
             listeners: Vec::new(),
             sockets: Vec::new(),
             accepting: true,
+            short_until: 0,
             held: false,
             accepted: 0,
             signals: Vec::new(),
@@ -237,6 +251,9 @@
     /// # Errors
     /// Where no socket can be had, or not this address.
     pub fn connect_from(&mut self, from: Option<SocketAddr>, to: SocketAddr) -> Result<ConnId, NetError> {
+        if self.conns.len() >= self.limits.all && !self.make_room() {
+            return Err(rustix::io::Errno::MFILE.into());
+        }
         let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
         let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
@@ -257,6 +274,18 @@
         Ok(conn)
     }
 
+    /// Ends one connection that was closed here before its patience is over: of those begun here, to whose peer
+    /// no answer is owed. False where there is none.
+    fn make_room(&mut self) -> bool {
+        let begun = |conns: &Slab<Conn>, id: &ConnId| {
+            conns.get(id.slot as usize).is_some_and(|c| c.generation == id.generation && !c.accepted)
+        };
+        let Some(at) = self.closing.iter().position(|(_, id)| begun(&self.conns, id)) else { return false };
+        let closed = self.closing.remove(at);
+        closed.into_iter().for_each(|(_, id)| self.abort(id));
+        true
+    }
+
     fn add(
         &mut self,
         stream: TcpStream,
@@ -422,7 +451,12 @@
             (None, Some(_)) => Some(self.limits.linger),
             (wait, None) => wait,
         };
-        self.watch_listeners();
+        let now = monotonic();
+        self.watch_listeners(now);
+        let wait = match self.short_until.saturating_sub(now) {
+            0 => wait,
+            short => Some(wait.map_or(short, |wait| wait.min(short))),
+        };
         let wait = wait
             .map(|w| Timespec { tv_sec: (w / 1_000_000) as i64, tv_nsec: (w % 1_000_000 * 1_000) as i64 });
         let mut space = [MaybeUninit::<epoll::Event>::uninit(); EVENTS];
@@ -487,8 +521,9 @@
     }
 
     /// Connections at the limit are not accepted: they wait in the system's queue.
-    fn watch_listeners(&mut self) {
-        let wanted = !self.held && self.accepted < self.limits.connections;
+    fn watch_listeners(&mut self, now: Micros) {
+        let short = now < self.short_until;
+        let wanted = !self.held && !short && self.accepted < self.limits.connections;
         if wanted != self.accepting {
             self.accepting = wanted;
             let flags = if wanted { epoll::EventFlags::IN } else { epoll::EventFlags::empty() };
@@ -514,8 +549,15 @@
                         out.push(Happened::Accepted { conn, listener: number });
                     }
                 }
-                // No more waiting, or no descriptors left: level-triggered, so this comes again.
-                Err(_) => return,
+                // No more waiting.
+                Err(rustix::io::Errno::WOULDBLOCK) => return,
+                // One that had gone before it was accepted.
+                Err(rustix::io::Errno::CONNABORTED | rustix::io::Errno::INTR) => {}
+                // No descriptor or memory left for one: level-triggered, this would come again at once.
+                Err(_) => {
+                    self.short_until = monotonic() + SHORT_US;
+                    return;
+                }
             }
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,5 +1,6 @@
 //! The loop: clients, engine, workers and bulletin joined. It carries bytes and messages between them.
 
+use crate::Budget;
 use crate::config::{ConfigError, NodeConfig, load, load_as};
 use crate::fellows::Fleet;
 use crate::front::{Front, Step};
@@ -150,8 +151,8 @@
         view: bool,
     ) -> Result<Self, NodeError> {
         let config = load_as(&path, view)?;
-        let (connections, input) = (config.budget.clients, config.budget.input);
-        let limits = IoLimits { connections, input, linger: 300_000, ends_at_once: true };
+        let Budget { clients: connections, input, all, .. } = config.budget;
+        let limits = IoLimits { connections, input, linger: 300_000, ends_at_once: true, all };
         let mut io = Io::new(limits)?;
         let fellows = Fleet::open(&config, &mut io, monotonic())?;
         let hearsay = Hearsay::open(&config, &mut io, monotonic())?;
