--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -2,48 +2,19 @@
 #[path = "../../node/tests/sockets/common.rs"]
 #[allow(dead_code)]
 mod common;
+mod process;
 
 use basaltward_rules::Recorder;
 use basaltward_standins::{Board, FrontClient, FrontReply, LineWorker};
 use common::{Limits, PATIENCE, target, text};
-use rustix::process::{Pid, Signal, kill_process};
-use std::io::{BufRead, BufReader};
+use process::{file, program, signal, start, start_heard};
+use rustix::process::Signal;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{self, Receiver};
+use std::process::Child;
+use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
-fn program(config: &PathBuf) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_basaltward"));
-    command.args(["node", "--log", "info"]).env("NODE_CONFIG", config).env_remove("NODE_LISTEN");
-    command.stdout(Stdio::null()).stderr(Stdio::piped());
-    command
-}
-
-fn file(name: &str, text: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("basaltward-program-{name}-{}.json", std::process::id()));
-    std::fs::write(&path, text).expect("written");
-    path
-}
-
-/// Starts it and reads where it listens out of its first log line; the rest is read away.
-fn start(config: &PathBuf) -> (Child, SocketAddr) {
-    let (child, address, _) = start_heard(config);
-    (child, address)
-}
-
-/// As [`start`]; gives the further log lines as they come.
-fn start_heard(config: &PathBuf) -> (Child, SocketAddr, Receiver<String>) {
-    let mut child = program(config).spawn().expect("started");
-    let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
-    let line = lines.next().expect("a line").expect("text");
-    let address = line.rsplit_once("address=").expect("it says where").1.parse().expect("an address");
-    let (heard, hears) = mpsc::channel();
-    std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| drop(heard.send(line))));
-    (child, address, hears)
-}
-
 /// Waits for a log line that holds this.
 fn said(lines: &Receiver<String>, what: &str) -> String {
     let until = Instant::now() + PATIENCE;
@@ -72,10 +43,6 @@
     assert!(child.wait().expect("ended").success());
 }
 
-fn signal(child: &Child, signal: Signal) {
-    kill_process(Pid::from_raw(child.id() as i32).expect("a process"), signal).expect("signalled");
-}
-
 /// Memory that the process holds, in KiB.
 fn resident(child: &Child) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).expect("it runs");
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -80,11 +80,23 @@
     pub input: usize,
     /// How long a connection that was closed here may take to end, in microseconds.
     pub linger: Micros,
+    /// Who has ended its side of a connection that was accepted is gone at once: what it sent before and was not
+    /// read is not. Else that is read first.
+    pub ends_at_once: bool,
+    /// Most connections of all kinds, those that were closed here and have not ended yet among them. Beyond it
+    /// one of these goes at once for a new one that is begun here, or none is begun.
+    pub all: usize,
 }
 
 impl Default for IoLimits {
     fn default() -> Self {
-        Self { connections: 10_000, input: 256 << 10, linger: 1_000_000 }
+        Self {
+            connections: 10_000,
+            input: 256 << 10,
+            linger: 1_000_000,
+            ends_at_once: false,
+            all: usize::MAX,
+        }
     }
 }
 
@@ -119,6 +131,8 @@
 const EVENTS: usize = 256;
 /// Connections accepted from one listener before others get their turn.
 const ACCEPT_BATCH: usize = 64;
+/// Without a descriptor for it a connection waits in the system's queue, where it is told at every turn.
+const SHORT_US: Micros = 20_000;
 
 /// The loop.
 ///
@@ -132,6 +146,8 @@
     listeners: Vec<Option<TcpListener>>,
     pub(crate) sockets: Vec<UdpSocket>,
     accepting: bool,
+    /// The system had no descriptor for a new connection: it is not asked again before this.
+    short_until: Micros,
     /// The owner wants no new connections for now.
     held: bool,
     accepted: usize,
@@ -165,6 +181,7 @@
             listeners: Vec::new(),
             sockets: Vec::new(),
             accepting: true,
+            short_until: 0,
             held: false,
             accepted: 0,
             signals: Vec::new(),
@@ -236,6 +253,9 @@
     /// # Errors
     /// Where no socket can be had, or not this address.
     pub fn connect_from(&mut self, from: Option<SocketAddr>, to: SocketAddr) -> Result<ConnId, NetError> {
+        if self.conns.len() >= self.limits.all && !self.make_room() {
+            return Err(rustix::io::Errno::MFILE.into());
+        }
         let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
         let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
@@ -256,6 +276,18 @@
         Ok(conn)
     }
 
+    /// Ends one connection that was closed here before its patience is over: of those begun here, to whose peer
+    /// no answer is owed. False where there is none.
+    fn make_room(&mut self) -> bool {
+        let begun = |conns: &Slab<Conn>, id: &ConnId| {
+            conns.get(id.slot as usize).is_some_and(|c| c.generation == id.generation && !c.accepted)
+        };
+        let Some(at) = self.closing.iter().position(|(_, id)| begun(&self.conns, id)) else { return false };
+        let closed = self.closing.remove(at);
+        closed.into_iter().for_each(|(_, id)| self.abort(id));
+        true
+    }
+
     fn add(
         &mut self,
         stream: TcpStream,
@@ -367,13 +399,16 @@
         self.dirty.is_empty() && self.conns.iter().all(|(_, c)| c.output.is_empty() && !c.closing)
     }
 
-    /// Stops or resumes reading: with it stopped the peer soon can't send on.
+    /// Stops or resumes reading: with it stopped the peer soon can't send on. Its end is seen all the same where
+    /// that ends the connection at once.
     pub fn pause(&mut self, id: ConnId, paused: bool) {
         let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
-        let epoll = self.epoll.as_fd();
+        let (epoll, ends) = (self.epoll.as_fd(), self.limits.ends_at_once);
         let Some(conn) = self.conns.get_mut(id.slot as usize) else { return };
         if conn.generation == id.generation && !conn.connecting && !conn.ended {
-            let wanted = if paused { conn.interest - read } else { conn.interest | read };
+            // Told at each turn, an end that is only noted would have the loop spin.
+            let stops = if ends && conn.accepted { epoll::EventFlags::IN } else { read };
+            let wanted = if paused { conn.interest - stops } else { conn.interest | read };
             set_interest(epoll, conn, id.slot, wanted);
         }
     }
@@ -446,7 +481,12 @@
             (None, Some(_)) => Some(self.limits.linger),
             (wait, None) => wait,
         };
-        self.watch_listeners();
+        let now = monotonic();
+        self.watch_listeners(now);
+        let wait = match self.short_until.saturating_sub(now) {
+            0 => wait,
+            short => Some(wait.map_or(short, |wait| wait.min(short))),
+        };
         let wait = wait
             .map(|w| Timespec { tv_sec: (w / 1_000_000) as i64, tv_nsec: (w % 1_000_000 * 1_000) as i64 });
         let mut space = [MaybeUninit::<epoll::Event>::uninit(); EVENTS];
@@ -511,8 +551,9 @@
     }
 
     /// Connections at the limit are not accepted: they wait in the system's queue.
-    fn watch_listeners(&mut self) {
-        let wanted = !self.held && self.accepted < self.limits.connections;
+    fn watch_listeners(&mut self, now: Micros) {
+        let short = now < self.short_until;
+        let wanted = !self.held && !short && self.accepted < self.limits.connections;
         if wanted != self.accepting {
             self.accepting = wanted;
             let flags = if wanted { epoll::EventFlags::IN } else { epoll::EventFlags::empty() };
@@ -538,13 +579,21 @@
                         out.push(Happened::Accepted { conn, listener: number });
                     }
                 }
-                // No more waiting, or no descriptors left: level-triggered, so this comes again.
-                Err(_) => return,
+                // No more waiting.
+                Err(rustix::io::Errno::WOULDBLOCK) => return,
+                // One that had gone before it was accepted.
+                Err(rustix::io::Errno::CONNABORTED | rustix::io::Errno::INTR) => {}
+                // No descriptor or memory left for one: level-triggered, this would come again at once.
+                Err(_) => {
+                    self.short_until = monotonic() + SHORT_US;
+                    return;
+                }
             }
         }
     }
 
     fn ready(&mut self, id: ConnId, flags: epoll::EventFlags, out: &mut Vec<Happened>) {
+        let ends = self.limits.ends_at_once;
         let Some(conn) = self.get(id).filter(|c| !c.ended) else { return };
         if conn.connecting {
             let failed = flags.intersects(epoll::EventFlags::ERR | epoll::EventFlags::HUP)
@@ -558,11 +607,17 @@
             out.push(Happened::Connected(id));
             return;
         }
+        let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
+        let broken = epoll::EventFlags::ERR | epoll::EventFlags::HUP;
+        let gone = flags.intersects(epoll::EventFlags::RDHUP | broken);
+        // One that was closed here reads our last bytes yet.
+        if gone && ends && conn.accepted && !conn.closing {
+            let how = if flags.intersects(broken) { End::Reset } else { End::Closed };
+            return self.end(id, how, out);
+        }
         if flags.contains(epoll::EventFlags::OUT) && self.write(id.slot, out) {
             return;
         }
-        let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
-        let broken = epoll::EventFlags::ERR | epoll::EventFlags::HUP;
         if flags.intersects(read | broken) {
             self.read(id, out);
         }
