Load orders: the answer to an earlier question no longer ends the order that followed it

A question's answer and an order's come as the same event. Past the patience with the questions an order goes; their answers, which tell of no copy, came after and were taken for the order's failure: a second order went elsewhere for the same call, and the first worker was suspected. Forced by a test in tests/policy.rs: two orders where one is due. By the protocol's page an order that did well says that copies stand, so an answer of none within the usual time of a load belongs to a question. Once a load is late and none is known when asked again, it is taken for lost as before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -592,8 +592,10 @@
         let Some(function) = self.functions.get_mut(name) else { return };
         function.asks_out = function.asks_out.saturating_sub(1);
         self.waiting.get_mut(name).into_iter().for_each(|calls| calls.rests = 0);
-        let Some(place) = function.places.get_mut(worker).filter(|p| p.loading.is_some()) else {
-            // An answer to a question.
+        let early = |since| code == Code::Ok && count == 0 && now < since + function.load;
+        let ends = |p: &&mut Place| p.loading.is_some_and(|since| !early(since));
+        let Some(place) = function.places.get_mut(worker).filter(ends) else {
+            // An answer to a question; of no copy also one to a question from before the order.
             if code == Code::Ok && count > 0 {
                 function.places.entry(worker.clone()).or_default().last = now;
                 self.stand(worker, name, true, count, now);
@@ -710,18 +712,16 @@
             let Some(function) = self.functions.get_mut(&name) else { continue };
             function.moving.take_if(|w| *w == *worker);
             self.waiting.get_mut(&name).into_iter().for_each(|calls| calls.rests = 0);
-            if let Some(place) = function.places.get_mut(worker) {
-                place.loading = None;
-            }
+            function.places.get_mut(worker).into_iter().for_each(|place| place.loading = None);
             function.places.retain(|w, p| w != worker || p.out > 0);
         }
     }
 
     /// Sends accrued for us at a started worker, endless once it is warm: our part of the told multiple of
-    /// its present capacity, guessed from what the fleet serves for us. Where our part is under one a
-    /// window, schedulers begin at fractions of a send spread evenly by their numbers, so that their sum is
-    /// what all have accrued, and what is left unused past a window's worth is lost in whole sends, so that
-    /// they stay spread: saved and accruing, the fleet's sum in a window is twice our share at the most.
+    /// its present capacity, guessed from what the fleet serves for us. Where our part is under one a window,
+    /// schedulers begin at fractions of a send spread evenly by number, so that their sum is what all have
+    /// accrued. What is unused past a window's worth is lost in whole sends, so that they stay spread: with
+    /// what accrues meanwhile the fleet's sum in a window is twice our share at the most.
     fn cold_credit(&self, now: Micros, worker: &Worker) -> f64 {
         let (rules, warmth) = (&self.settings.rules, self.warmth(now, worker));
         if warmth >= 1.0 {
