Links: a connection that ends holds no descriptor any more

An orderly close waited up to 300 ms for its worker, outside the count of links: a scheduler whose worker hung gave connections up at their calls' deadlines and made others beside them. Seen: eight descriptors where four links may stand. What is left is written as far as the socket takes it, and the descriptor goes at once; the system brings the rest.

The stand-in's `plug` took two minutes and failed (once) where a caller's connection had filled the queue before its own.

--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -411,6 +411,15 @@
         self.closing.push_back((until, id));
     }
 
+    /// Writes what the socket takes, then ends the connection without waiting for the peer: it holds no descriptor
+    /// from now on, and the system brings the peer the rest.
+    pub fn leave(&mut self, id: ConnId) {
+        if let Some(conn) = self.get(id).filter(|c| !c.output.is_empty() && !c.connecting && !c.ended) {
+            let _ = (&conn.stream).write(&conn.output);
+        }
+        self.abort(id);
+    }
+
     /// Ends the connection at once; what was not written is lost.
     pub fn abort(&mut self, id: ConnId) {
         if self.get(id).is_some() {
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -210,8 +210,7 @@
         let Some(link) = self.conns.get_mut(&conn) else { return };
         link.retired = true;
         if link.load() == 0 {
-            io.close(conn);
-            self.forget(conn);
+            self.end(io, conn);
         }
     }
 
@@ -370,14 +369,20 @@
         let idle = self.figures.idle_close / 2;
         let Some(link) = self.conns.get_mut(&conn).filter(|l| l.load() == 0) else { return };
         if link.retired {
-            io.close(conn);
-            self.forget(conn);
+            self.end(io, conn);
         } else if idle > 0 && !std::mem::replace(&mut link.armed, true) {
             // Before the worker does: a request that crosses its close may have run.
             self.due.set(now + idle, Due::Conn(conn));
         }
     }
 
+    /// Ends a connection on which nothing is waited for. Its descriptor goes at once: beside those of the connections
+    /// that may stand there is no room for others that wait for their workers.
+    fn end(&mut self, io: &mut Io, conn: ConnId) {
+        io.leave(conn);
+        self.forget(conn);
+    }
+
     /// Drops all that is known of a connection; gives it.
     fn forget(&mut self, conn: ConnId) -> Option<LinkConn> {
         let link = self.conns.remove(&conn)?;
@@ -478,8 +483,7 @@
                     } else if link.load() > 0 || idle == 0 {
                         // Set again once it is idle.
                     } else if link.used + idle <= now {
-                        io.close(conn);
-                        self.forget(conn);
+                        self.end(io, conn);
                     } else {
                         link.armed = true;
                         let at = link.used + idle;
--- a/crates/standins/src/line_worker.rs
+++ b/crates/standins/src/line_worker.rs
@@ -183,8 +183,13 @@
         let held = TcpStream::connect(self.address)?;
         let gate = lock(&self.shared.gate.0);
         drop(self.shared.gate.1.wait_while(gate, |gate| *gate != Gate::Shut));
-        let queued = TcpStream::connect(self.address)?;
-        lock(&self.shared.open).extend([held, queued]);
+        // Where a caller was quicker the queue is full already: its first packet would be dropped, too.
+        let queued = match TcpStream::connect_timeout(&self.address, Duration::from_millis(500)) {
+            Ok(queued) => Some(queued),
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => None,
+            Err(error) => return Err(error),
+        };
+        lock(&self.shared.open).extend([held].into_iter().chain(queued));
         Ok(())
     }
 
