Shutdown: a connection whose answers are not with the system yet isn't closed as idle

Seen: a client that read slowly got 261 of 268 answers: Front::end_idle closed its connection 0.9 s after the signal, and what was closed has 0.3 s (IoLimits::linger).

--- a/crates/cli/tests/stalls.rs
+++ b/crates/cli/tests/stalls.rs
@@ -80,9 +80,10 @@
 
 impl Drop for Bed {
     fn drop(&mut self) {
-        thaw(&self.child);
-        signal(&self.child, Signal::KILL);
-        let _ = self.child.wait();
+        if matches!(self.child.try_wait(), Ok(None)) {
+            signal(&self.child, Signal::KILL);
+            let _ = self.child.wait();
+        }
         let _ = std::fs::remove_file(&self.config);
     }
 }
@@ -202,6 +203,63 @@
     drop(newer);
 }
 
+#[test]
+fn signals_that_meet_in_one_turn_lose_no_one_who_waits_to_be_accepted() {
+    let mut bed = Bed::new("signals", Limits::default(), 1);
+    bed.passes(1);
+    let (mut open, mut halved) = (bed.client(), bed.client());
+    open.heartbeat().and_then(|_| open.read()).expect("alive");
+    let fields = [
+        ("kind", "extract"),
+        ("req", "00000000000000f1"),
+        ("timeout", "2500"),
+        ("subject", "7f3a9c21e0b4d655"),
+        ("props", "memory_mb:64;lanes:8;load_ms:20"),
+    ];
+    let (half, rest) = halved.half(&fields, b"halved").expect("sent");
+    freeze(&bed.child);
+    for sent in [Signal::HUP, Signal::TERM, Signal::TERM, Signal::HUP] {
+        signal(&bed.child, sent);
+    }
+    // Not accepted yet, and with its request; and one on a connection that is open.
+    let mut waits = bed.client();
+    let asked = [submit(&mut waits, &call(2, "extract")), submit(&mut open, &call(3, "extract"))];
+    halved.raw(&rest).expect("sent");
+    for client in [&waits, &open, &halved] {
+        delivered(client.stream().local_addr().expect("it stands"), bed.to, "revoke");
+    }
+    thaw(&bed.child);
+    let asked = [asked[0], asked[1], half];
+    for (client, asked) in [&mut waits, &mut open, &mut halved].into_iter().zip(asked) {
+        let told = client.read().expect("told");
+        // One of several at once may be turned away, which is an answer.
+        let answered = |reply: &FrontReply| matches!(reply, FrontReply::Served(_) | FrontReply::Rejected(_));
+        assert!(told.as_ref().is_some_and(|(id, reply)| *id == asked && answered(reply)), "{told:?}");
+    }
+    assert!(bed.child.wait().expect("ended").success());
+}
+
+#[test]
+fn a_signal_before_it_is_ready_ends_it_and_breaks_nothing() {
+    let worker = LineWorker::start("s-0", Recorder::none(), Exec::serve).expect("a worker");
+    let board = Board::start(2).expect("a bulletin");
+    let targets = target("s-0", worker.address(), "Ready");
+    let config = file("early", &text(Limits::default(), board.address(), &targets));
+    for round in 0..20u64 {
+        let mut child =
+            process::program(&config).stderr(std::process::Stdio::null()).spawn().expect("started");
+        // At another moment of its start each time.
+        std::thread::sleep(Duration::from_micros(round * 500));
+        let began = Instant::now();
+        signal(&child, Signal::TERM);
+        let status = child.wait().expect("ended");
+        let by = std::os::unix::process::ExitStatusExt::signal(&status);
+        assert!(status.success() || by == Some(Signal::TERM.as_raw()), "{round}: {status}");
+        assert!(began.elapsed() < Duration::from_secs(3), "{round}: {:?}", began.elapsed());
+    }
+    std::fs::remove_file(config).expect("removed");
+}
+
 #[test]
 fn calls_whose_time_ran_out_in_a_stall_are_told_so_and_not_sent() {
     let bed = Bed::new("late", Limits::default(), 2);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -475,11 +475,11 @@
         self.leaving = true;
     }
 
-    /// Ends the connections on which nothing is open and nothing has come: they make room for those that still
-    /// wait to be accepted.
+    /// Ends the connections on which nothing is open, nothing has come and all answers are with the system: they
+    /// make room for those that still wait to be accepted. One that is closed has less time to read the rest.
     pub fn end_idle(&mut self, io: &mut Io) {
         let idle = self.idle.iter().map(|(_, conn)| *conn);
-        let idle: Vec<_> = idle.filter(|conn| self.quiet(conn)).collect();
+        let idle: Vec<_> = idle.filter(|conn| self.quiet(conn) && io.unsent(*conn) == 0).collect();
         for conn in idle {
             if !io.is_stale(conn) {
                 self.forget(conn);
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -227,6 +227,20 @@
     (0..asked.len()).filter_map(|_| bed.read(client, &open)).collect()
 }
 
+/// Has calls served on a connection and reads none of the answers, until the scheduler takes no more. Gives how many
+/// were asked; the last of them was turned away.
+pub fn fill(bed: &mut Bed, client: &mut FrontClient) -> usize {
+    for asked in 1..2_000 {
+        let one = Call { body: vec![b'x'; 16 << 10], ..call(1_000 + asked, "view") };
+        bed.submit(client, &one);
+        let ran = |what: &What| matches!(what, What::Ran { event, .. } if *event == one.id);
+        if !bed.recorder.wait(Duration::from_millis(500), |all| all.iter().any(|r| ran(&r.what))) {
+            return asked as usize;
+        }
+    }
+    panic!("its output was never full");
+}
+
 /// How a client stops waiting for a call.
 pub const WAYS: [&str; 3] = ["revoke", "end", "reset"];
 
--- a/crates/node/tests/sockets/gone.rs
+++ b/crates/node/tests/sockets/gone.rs
@@ -3,7 +3,7 @@
 
 use crate::common::*;
 use basaltward_rules::What;
-use basaltward_standins::{Act, Exec, FrontClient, FrontReply, LineWorker, answer};
+use basaltward_standins::{Act, Exec, FrontReply, LineWorker, answer};
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 use std::time::{Duration, Instant};
 
@@ -62,20 +62,6 @@
     }
 }
 
-/// Has calls served on a connection and reads none of the answers, until the scheduler takes no more.
-fn fill(bed: &mut Bed, client: &mut FrontClient) {
-    set_socket_recv_buffer_size(client.stream(), 4 << 10).expect("it stands");
-    for number in 1_000..3_000 {
-        let one = Call { body: vec![b'x'; 16 << 10], ..call(number, "view") };
-        bed.submit(client, &one);
-        let ran = |what: &What| matches!(what, What::Ran { event, .. } if *event == one.id);
-        if !bed.recorder.wait(Duration::from_millis(500), |all| all.iter().any(|r| ran(&r.what))) {
-            return;
-        }
-    }
-    panic!("its output was never full");
-}
-
 #[test]
 fn who_does_not_read_its_answers_is_heard_all_the_same() {
     for way in WAYS {
@@ -84,6 +70,7 @@
         let one = held(1, "extract");
         let asked = bed.submit(&mut client, &one).seqid;
         ran(&bed, &one);
+        set_socket_recv_buffer_size(client.stream(), 4 << 10).expect("it stands");
         fill(&mut bed, &mut client);
         // More than is read ahead of a client, in front of the word that it leaves.
         for number in 5_000..5_004 {
@@ -105,6 +92,7 @@
     let one = held(1, "extract");
     bed.submit(&mut client, &one);
     ran(&bed, &one);
+    set_socket_recv_buffer_size(client.stream(), 4 << 10).expect("it stands");
     fill(&mut bed, &mut client);
     for _ in 0..40 {
         // It may have been ended already.
