An idle connection on which a request lies is looked at before it is closed

Seen: after a stall Front::wake closed a connection whose time was up though its request had lain in the socket for 0.4 s; the client saw an end and no answer. Now it asks the socket first, as Front::spare and Front::end_idle do.

--- a/crates/cli/tests/stalls.rs
+++ b/crates/cli/tests/stalls.rs
@@ -270,6 +270,65 @@
     std::fs::remove_file(config).expect("removed");
 }
 
+#[test]
+fn an_idle_connection_on_which_a_request_lies_is_not_closed() {
+    let bed = Bed::new("idle", Limits::default(), 1);
+    bed.passes(1);
+    // A new one has 2.4 s to ask something, by the scheduler's own clock; then it is closed.
+    let (mut asks, mut silent) = (bed.client(), bed.client());
+    std::thread::sleep(Duration::from_millis(2_200));
+    freeze(&bed.child);
+    let asked = submit(&mut asks, &call(2, "view"));
+    delivered(asks.stream().local_addr().expect("it stands"), bed.to, "revoke");
+    std::thread::sleep(Duration::from_millis(400));
+    thaw(&bed.child);
+    let told = asks.read().expect("told");
+    assert!(matches!(&told, Some((seqid, FrontReply::Served(_))) if *seqid == asked), "{told:?}");
+    assert_eq!(silent.read().expect("an end"), None);
+}
+
+#[test]
+fn a_revoke_and_the_answer_in_one_turn_leave_nothing_to_tell() {
+    let bed = Bed::new("revoke-answer", Limits::default(), 1);
+    bed.passes(1);
+    let mut client = bed.client();
+    for number in 0..5 {
+        let one = held(number, "extract");
+        let seqid = submit(&mut client, &one);
+        let (worker, port) = bed.holder(&one.id);
+        freeze(&bed.child);
+        worker.say(port, &answer(&one.id, "OK", "detail=up", b"late")).expect("it stands");
+        client = leave(client, &[seqid], "revoke").expect("it stands");
+        thaw(&bed.child);
+        // What is asked next is what is answered next.
+        let next = client.heartbeat().expect("sent");
+        assert_eq!(client.read().expect("told").map(|(seqid, _)| seqid), Some(next));
+    }
+}
+
+#[test]
+fn an_answer_that_meets_its_deadline_is_told_once() {
+    for class in ["view", "extract"] {
+        let bed = Bed::new(&format!("deadline-answer-{class}"), Limits::default(), 1);
+        bed.passes(1);
+        let mut client = bed.client();
+        let mut one = held(1, class);
+        one.timeout_ms = 300;
+        let seqid = submit(&mut client, &one);
+        let (worker, port) = bed.holder(&one.id);
+        freeze(&bed.child);
+        worker.say(port, &answer(&one.id, "OK", "detail=up", b"late")).expect("it stands");
+        // Its time has to pass.
+        std::thread::sleep(Duration::from_millis(300));
+        thaw(&bed.child);
+        let told = client.read().expect("told");
+        let answered = |reply: &FrontReply| matches!(reply, FrontReply::Served(_) | FrontReply::Crashed);
+        assert!(told.as_ref().is_some_and(|(id, reply)| *id == seqid && answered(reply)), "{told:?}");
+        let next = client.heartbeat().expect("sent");
+        assert_eq!(client.read().expect("told").map(|(seqid, _)| seqid), Some(next), "a second answer");
+    }
+}
+
 #[test]
 fn calls_whose_time_ran_out_in_a_stall_are_told_so_and_not_sent() {
     let bed = Bed::new("late", Limits::default(), 2);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -24,6 +24,8 @@
 const IDLE_US: Micros = 6_000_000;
 /// While connections are short, one that has been idle for so long may go.
 const SPARE_US: Micros = 300_000;
+/// A connection that would go and on which something has come is asked again after this.
+const LOOKS_US: Micros = 10_000;
 /// Connections looked at for one that may go.
 const SPARES: usize = 64;
 /// Answers that a client does not read, held for it. Past it new requests are turned away: an answer would stand
@@ -501,6 +503,13 @@
                 }
                 continue;
             }
+            // What has come on it is looked at first, though the loop was late to be told; half a request is not
+            // waited for any longer.
+            let (looked, partial) = (!client.ready, client.began.is_some());
+            if !looked || !partial && io.is_stale(conn) {
+                self.arm(conn, now + LOOKS_US);
+                continue;
+            }
             let unread = io.unsent(conn) > 0;
             left.extend(self.forget(conn));
             if unread { io.abort(conn) } else { io.close(conn) }
--- a/crates/node/tests/sockets/descriptors.rs
+++ b/crates/node/tests/sockets/descriptors.rs
@@ -1,1 +1,39 @@
-//! Descriptors and memory at their limits: idle clients fill them, and the scheduler goes on serving.
+//! Clients that fill the descriptors that are theirs, while the bulletin is down and connections to workers break. What the
+//! system's own limit does is in the program's tests and in those of the loop.
+
+use crate::common::*;
+use basaltward_standins::{Exec, FrontReply, LineWorker};
+use std::time::{Duration, Instant};
+
+#[test]
+fn idle_clients_fill_the_descriptors_while_the_bulletin_is_down_and_all_goes_on() {
+    let limits = Limits { sockets: 64, ..Limits::default() };
+    let mut bed = Bed::new(limits, 1, |_, exec| exec.serve());
+    assert!(matches!(bed.call(&call(1, "view")), FrontReply::Served(_)));
+    bed.board.down();
+    // More than may be open, each of them used once as soon as it is accepted, and kept.
+    let crowd: Vec<_> = (0..60).map(|_| bed.client()).collect();
+    let began = Instant::now();
+    for number in 10..30 {
+        bed.workers[0].reset_all();
+        // Its end has come to the scheduler once it answers what was asked after it.
+        let mut client = bed.client();
+        client.heartbeat().and_then(|_| client.read()).expect("alive");
+        assert!(matches!(bed.call(&call(number, "view")), FrontReply::Served(_)), "{number}");
+    }
+    assert!(began.elapsed() < Duration::from_secs(15), "{:?}", began.elapsed());
+    let other = LineWorker::start("s-1", bed.recorder.clone(), Exec::serve).expect("a worker");
+    bed.board.up().expect("it listens");
+    bed.board.tell(&target("s-1", other.address(), "Ready"));
+    let until = Instant::now() + PATIENCE;
+    for number in 100.. {
+        let one = Call { function: format!("{number:016x}"), ..call(number, "view") };
+        assert!(matches!(bed.call(&one), FrontReply::Served(_)), "{number}");
+        if other.lines().iter().any(|line| line.starts_with("exec")) {
+            break;
+        }
+        assert!(Instant::now() < until, "the bulletin was never asked again");
+    }
+    drop(crowd);
+    assert_eq!(bed.judge(), []);
+}
