--- a/crates/cli/tests/stalls.rs
+++ b/crates/cli/tests/stalls.rs
@@ -80,9 +80,10 @@
 
 impl Drop for Bed {
     fn drop(&mut self) {
-        thaw(&self.child);
-        signal(&self.child, Signal::KILL);
-        let _ = self.child.wait();
+        if matches!(self.child.try_wait(), Ok(None)) {
+            signal(&self.child, Signal::KILL);
+            let _ = self.child.wait();
+        }
         let _ = std::fs::remove_file(&self.config);
     }
 }
@@ -202,6 +203,132 @@
     drop(newer);
 }
 
+#[test]
+fn signals_that_meet_in_one_turn_lose_no_one_who_waits_to_be_accepted() {
+    for which in ["waits", "open", "halved"] {
+        let mut bed = Bed::new(&format!("signals-{which}"), Limits::default(), 1);
+        bed.passes(1);
+        // None else stands where one waits to be accepted: its end would be waited for.
+        let mut open = (which != "waits").then(|| bed.client());
+        if let Some(open) = &mut open {
+            open.heartbeat().and_then(|_| open.read()).expect("alive");
+        }
+        let one = call(2, "extract");
+        let fields = [
+            ("kind", one.class),
+            ("req", one.id.as_str()),
+            ("timeout", "2500"),
+            ("subject", one.function.as_str()),
+            ("props", "memory_mb:64;lanes:8;load_ms:20"),
+        ];
+        let halved = open.as_mut().filter(|_| which == "halved");
+        let half = halved.map(|open| open.half(&fields, &one.body).expect("sent"));
+        freeze(&bed.child);
+        for sent in [Signal::HUP, Signal::TERM, Signal::TERM, Signal::HUP] {
+            signal(&bed.child, sent);
+        }
+        // Not accepted yet, and with its request; or on a connection that stands.
+        let mut client = open.unwrap_or_else(|| bed.client());
+        let asked = match half {
+            Some((asked, rest)) => {
+                client.raw(&rest).expect("sent");
+                asked
+            }
+            None => submit(&mut client, &one),
+        };
+        delivered(client.stream().local_addr().expect("it stands"), bed.to, "revoke");
+        thaw(&bed.child);
+        let told = client.read().expect("told");
+        // It may be turned away, which is an answer.
+        let answered = |reply: &FrontReply| matches!(reply, FrontReply::Served(_) | FrontReply::Rejected(_));
+        assert!(
+            told.as_ref().is_some_and(|(id, reply)| *id == asked && answered(reply)),
+            "{which}: {told:?}"
+        );
+        assert!(bed.child.wait().expect("ended").success());
+    }
+}
+
+#[test]
+fn a_signal_before_it_is_ready_ends_it_and_breaks_nothing() {
+    let worker = LineWorker::start("s-0", Recorder::none(), Exec::serve).expect("a worker");
+    let board = Board::start(2).expect("a bulletin");
+    let targets = target("s-0", worker.address(), "Ready");
+    let config = file("early", &text(Limits::default(), board.address(), &targets));
+    for round in 0..20u64 {
+        let mut child =
+            process::program(&config).stderr(std::process::Stdio::null()).spawn().expect("started");
+        // At another moment of its start each time.
+        std::thread::sleep(Duration::from_micros(round * 500));
+        let began = Instant::now();
+        signal(&child, Signal::TERM);
+        let status = child.wait().expect("ended");
+        let by = std::os::unix::process::ExitStatusExt::signal(&status);
+        assert!(status.success() || by == Some(Signal::TERM.as_raw()), "{round}: {status}");
+        assert!(began.elapsed() < Duration::from_secs(3), "{round}: {:?}", began.elapsed());
+    }
+    std::fs::remove_file(config).expect("removed");
+}
+
+#[test]
+fn an_idle_connection_on_which_a_request_lies_is_not_closed() {
+    let bed = Bed::new("idle", Limits::default(), 1);
+    bed.passes(1);
+    // A new one has 2.4 s to ask something, by the scheduler's own clock; then it is closed.
+    let (mut asks, mut silent) = (bed.client(), bed.client());
+    std::thread::sleep(Duration::from_millis(2_200));
+    freeze(&bed.child);
+    let asked = submit(&mut asks, &call(2, "view"));
+    delivered(asks.stream().local_addr().expect("it stands"), bed.to, "revoke");
+    std::thread::sleep(Duration::from_millis(400));
+    thaw(&bed.child);
+    let told = asks.read().expect("told");
+    assert!(matches!(&told, Some((seqid, FrontReply::Served(_))) if *seqid == asked), "{told:?}");
+    assert_eq!(silent.read().expect("an end"), None);
+}
+
+#[test]
+fn a_revoke_and_the_answer_in_one_turn_leave_nothing_to_tell() {
+    let bed = Bed::new("revoke-answer", Limits::default(), 1);
+    bed.passes(1);
+    let mut client = bed.client();
+    for number in 0..5 {
+        let one = held(number, "extract");
+        let seqid = submit(&mut client, &one);
+        let (worker, port) = bed.holder(&one.id);
+        freeze(&bed.child);
+        worker.say(port, &answer(&one.id, "OK", "detail=up", b"late")).expect("it stands");
+        client = leave(client, &[seqid], "revoke").expect("it stands");
+        thaw(&bed.child);
+        // What is asked next is what is answered next.
+        let next = client.heartbeat().expect("sent");
+        assert_eq!(client.read().expect("told").map(|(seqid, _)| seqid), Some(next));
+    }
+}
+
+#[test]
+fn an_answer_that_meets_its_deadline_is_told_once() {
+    for class in ["view", "extract"] {
+        let bed = Bed::new(&format!("deadline-answer-{class}"), Limits::default(), 1);
+        bed.passes(1);
+        let mut client = bed.client();
+        let mut one = held(1, class);
+        one.timeout_ms = 300;
+        let seqid = submit(&mut client, &one);
+        let (worker, port) = bed.holder(&one.id);
+        freeze(&bed.child);
+        worker.say(port, &answer(&one.id, "OK", "detail=up", b"late")).expect("it stands");
+        // Its time has to pass.
+        std::thread::sleep(Duration::from_millis(300));
+        thaw(&bed.child);
+        let told = client.read().expect("told");
+        let answered = |reply: &FrontReply| matches!(reply, FrontReply::Served(_) | FrontReply::Crashed);
+        assert!(told.as_ref().is_some_and(|(id, reply)| *id == seqid && answered(reply)), "{told:?}");
+        let next = client.heartbeat().expect("sent");
+        assert_eq!(client.read().expect("told").map(|(seqid, _)| seqid), Some(next), "a second answer");
+    }
+}
+
 #[test]
 fn calls_whose_time_ran_out_in_a_stall_are_told_so_and_not_sent() {
     let bed = Bed::new("late", Limits::default(), 2);
