--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -178,6 +178,18 @@
     ("\"coldFrom\":0.2", "\"coldFrom\":null", "settings: rules.coldFrom"),
 ];
 
+/// What a program that is to end at its start ends with and says; one that serves is ended and has no code.
+fn refused(config: &PathBuf) -> (Option<i32>, String) {
+    let mut child = program(config).spawn().expect("started");
+    let until = Instant::now() + PATIENCE;
+    while child.try_wait().expect("a child").is_none() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let _ = child.kill();
+    let done = child.wait_with_output().expect("ended");
+    (done.status.code(), String::from_utf8_lossy(&done.stderr).into_owned())
+}
+
 #[test]
 fn whatever_is_wrong_at_the_start_ends_with_2_and_one_line_that_names_the_field() {
     let at = ([127, 0, 0, 1], 12_345).into();
@@ -188,14 +200,13 @@
     wrong.push((String::new(), "configuration"));
     for (wrong, named) in wrong {
         let config = file("start", &wrong);
-        let done = program(&config).output().expect("ran");
-        let said = String::from_utf8_lossy(&done.stderr).into_owned();
-        assert_eq!((done.status.code(), said.lines().count()), (Some(2), 1), "{named}: {said}");
+        let (code, said) = refused(&config);
+        assert_eq!((code, said.lines().count()), (Some(2), 1), "{named}: {said}");
         assert!(said.contains(named), "{named}: {said}");
         std::fs::remove_file(config).expect("removed");
     }
-    let done = program(&PathBuf::from("/nowhere/at/all.json")).output().expect("ran");
-    assert_eq!((done.status.code(), String::from_utf8_lossy(&done.stderr).lines().count()), (Some(2), 1));
+    let (code, said) = refused(&PathBuf::from("/nowhere/at/all.json"));
+    assert_eq!((code, said.lines().count()), (Some(2), 1), "{said}");
 }
 
 #[test]
