Links: tests for a connection that never comes up, and a worker that goes

A connection that never comes up is left after the told time, and an answer of a worker that is Gone comes through while another stands at its address, both told in one event. Both held; the tests are the record.

Planted, each seen to fail: a connection that does not stand is kept; a retired connection ends with requests on it. Planted for tests that were there: an answered id is not remembered; requests of an answer that can't be read count as never run; both found.

--- a/crates/node/tests/sockets/picked.rs
+++ b/crates/node/tests/sockets/picked.rs
@@ -188,6 +188,57 @@
     assert!((1..=links).contains(&most.len()), "{most:?}");
 }
 
+#[test]
+fn an_answer_of_a_worker_that_has_gone_comes_through_while_another_stands_at_its_address() {
+    let (go, wait) = channel::<()>();
+    let wait = Arc::new(Mutex::new(wait));
+    let script = move |_: usize, exec: &Exec| {
+        if exec.body == b"held" {
+            let _ = wait.lock().expect("sound").recv();
+        }
+        exec.serve()
+    };
+    let mut bed = Bed::new(Limits::default(), 1, script);
+    let warm = call(1, "extract");
+    assert_eq!(bed.call(&warm), served(&warm));
+    let mut client = bed.client();
+    let held = Call { body: b"held".to_vec(), ..call(2, "extract") };
+    let open = bed.submit(&mut client, &held);
+    let old = port_of(&bed, &held.id);
+    let at = bed.workers[0].address();
+    bed.board.tell(&format!("{},{}", target("s-0", at, "Gone"), target("s-9", at, "Ready")));
+    bed.wait(|what| matches!(what, What::Told { worker, .. } if worker == "s-9"));
+    let next = call(3, "extract");
+    assert_eq!(bed.call(&next), served(&next));
+    assert_ne!(port_of(&bed, &next.id), old);
+    go.send(()).expect("it waits");
+    assert_eq!(bed.read(&mut client, &[&open]), Some((open.seqid, served(&held))));
+}
+
+const CONNECTING: usize = 2;
+
+#[test]
+fn a_connection_that_never_comes_up_is_left_after_the_told_time() {
+    let limits = Limits { connect_ms: 300, ..Limits::default() };
+    let mut bed = Bed::new(limits, 1, |_, exec| exec.serve());
+    let to = bed.workers[0].address().port();
+    let connecting = || held(to).iter().any(|s| s.state == CONNECTING);
+    let warm = call(1, "view");
+    assert_eq!(bed.call(&warm), served(&warm));
+    bed.workers[0].plug().expect("plugged");
+    bed.workers[0].reset_all();
+    quiet(&bed);
+    let mut client = bed.client();
+    let asked = bed.submit(&mut client, &Call { timeout_ms: 1_500, ..call(2, "extract") });
+    until(connecting);
+    // It never ran, and says so.
+    let told = bed.read(&mut client, &[&asked]).expect("an answer").1;
+    assert!(matches!(told, FrontReply::Rejected(_)), "{told:?}");
+    // The system itself would go on for minutes.
+    until(|| !connecting());
+    assert_eq!(bed.judge(), []);
+}
+
 /// Set in a process of this test's own: the limit on descriptors is that of a process.
 const ALONE: &str = "BASALTWARD_TEST_ALONE";
 
