--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -10,7 +10,7 @@
 use process::{file, program, signal, start, start_heard};
 use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, prlimit};
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Child;
 use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
@@ -146,7 +146,7 @@
 ];
 
 /// What a program that is to end at its start ends with and says; one that serves is ended and has no code.
-fn refused(config: &PathBuf) -> (Option<i32>, String) {
+fn refused(config: &Path) -> (Option<i32>, String) {
     let mut child = program(config).spawn().expect("started");
     let until = Instant::now() + PATIENCE;
     while child.try_wait().expect("a child").is_none() && Instant::now() < until {
