--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -2,9 +2,9 @@
 
 use crate::config::NodeConfig;
 use crate::work::{Served, Work};
-use basaltward::{FunctionId, Micros};
+use basaltward::{Class, FunctionId, Micros, Repeat};
 use basaltward_engine::{Answer, Function, Identity, NewCall, WaiterId};
-use basaltward_net::{ConnId, Io};
+use basaltward_net::{ConnId, Happened, Io};
 use basaltward_thrift::{Asked, Frames, Kind, Submit, Told, next_frame, read_request, write};
 use basaltward_timers::Timers;
 use slab::Slab;
@@ -15,6 +15,8 @@
 const FRAME: usize = 24 << 10;
 /// Most bytes of a body.
 const BODY: usize = 16 << 10;
+/// Most bytes of an effect's key.
+const KEY: usize = 64;
 /// Most requests open on one connection.
 const OPEN: usize = 32;
 /// A connection that has asked nothing whole by then is of no use: whoever comes to no good is owed an end
@@ -24,14 +26,22 @@
 const IDLE_US: Micros = 6_000_000;
 /// While connections are short, one that has been idle for so long may go.
 const SPARE_US: Micros = 300_000;
+/// A connection that would go and on which something has come is asked again after this.
+const LOOKS_US: Micros = 10_000;
+/// Connections kept free for new clients, and how often that is seen to while they are short.
+const ROOM: usize = 4;
+const ROOM_US: Micros = 100_000;
 /// Connections looked at for one that may go.
 const SPARES: usize = 64;
-/// Answers that a client does not read, held for it.
+/// Answers that a client does not read, held for it. Past it new requests are turned away: an answer would stand
+/// behind these. They are read still, for what the client withdraws among them.
 const UNSENT: usize = 64 << 10;
 /// Requests that can't be used, taken from one connection; a usual client sends none.
 const UNUSABLE: u32 = 4;
 /// Frames taken from one connection before others get their turn.
 const TURN: usize = 8;
+/// Frames looked at behind a request before it is begun: as many as may be open, and as many that withdraw them.
+const BEHIND: usize = 2 * OPEN;
 /// No figure of a function or a request is above this.
 const LANES: f64 = 4_096.0;
 const SPAN_MS: f64 = 600_000.0;
@@ -52,6 +62,8 @@
     /// The highest number used.
     last: i32,
     unusable: u32,
+    /// Requests turned away in a row because it does not read its answers.
+    unread: usize,
     /// A whole request has come on it.
     asked: bool,
     ready: bool,
@@ -82,7 +94,8 @@
 pub struct Front {
     frames: Frames,
     most: usize,
-    classes: Vec<(String, Micros)>,
+    classes: Vec<FrontClass>,
+    tenants: Vec<String>,
     memory_mb: f64,
     source: Arc<str>,
     clients: HashMap<ConnId, Client>,
@@ -94,6 +107,8 @@
     given: u64,
     due: Timers<ConnId>,
     ready: VecDeque<(Micros, ConnId)>,
+    /// When room is to be made again.
+    room: Option<Micros>,
     leaving: bool,
 }
 
@@ -102,14 +117,42 @@
     digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
 }
 
+/// An effect's key goes into a line to a worker as it is: nothing in it may end a word or a field there.
+fn usable_key(text: &str) -> Option<&str> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b':');
+    ((1..=KEY).contains(&text.len()) && text.bytes().all(plain)).then_some(text)
+}
+
 fn within(text: &str, most: f64) -> Option<f64> {
     text.parse::<f64>().ok().filter(|x| x.is_finite() && *x > 0.0 && *x <= most)
 }
 
+/// What the front has to know of a class.
+struct FrontClass {
+    name: String,
+    deadline: Micros,
+    /// Its workers discard repeats by a key that comes with each request.
+    keyed: bool,
+}
+
+impl FrontClass {
+    fn new(name: &str, class: &Class) -> Self {
+        let keyed = matches!(class.repeat, Repeat::Keyed { .. });
+        Self { name: name.into(), deadline: class.deadline, keyed }
+    }
+}
+
+/// Where an open request is kept, by the number of who waits for it.
+fn slot(waiter: WaiterId) -> usize {
+    (waiter.0 & 0xf_ffff) as usize
+}
+
 /// What the front takes out of a request.
 struct Read {
     request: u64,
+    tenant: usize,
     class: usize,
+    key: Option<String>,
     timeout: Micros,
     function: Function,
 }
@@ -122,7 +165,8 @@
         Self {
             frames: Frames { most: FRAME },
             most: config.budget.clients,
-            classes: classes.map(|(name, class)| (name.clone(), class.deadline)).collect(),
+            classes: classes.map(|(name, class)| FrontClass::new(name, class)).collect(),
+            tenants: config.told.tenants.clone(),
             memory_mb: memory.fold(0.0, f64::max),
             source: "".into(),
             clients: HashMap::new(),
@@ -132,26 +176,35 @@
             given: 0,
             due: Timers::default(),
             ready: VecDeque::new(),
+            room: None,
             leaving: false,
         }
     }
 
     pub fn next_due(&self) -> Option<Micros> {
-        self.due.next()
+        self.due.next().into_iter().chain(self.room).min()
     }
 
-    /// A client has connected. Where connections run short, the one that has been idle longest makes room.
-    pub fn accepted(&mut self, io: &mut Io, now: Micros, conn: ConnId) {
-        if self.clients.len() + 4 >= self.most
+    /// Where connections run short those that have been idle longest make room. Whether someone waits to be
+    /// accepted is not known once none is, so it is looked after again as long as they are short.
+    fn make_room(&mut self, io: &mut Io, now: Micros) {
+        let short = |front: &Self| front.clients.len() + ROOM >= front.most;
+        while short(self)
             && let Some(idle) = self.spare(io, now)
         {
             self.forget(idle);
             io.abort(idle);
         }
+        self.room = short(self).then_some(now + ROOM_US);
+    }
+
+    /// A client has connected.
+    pub fn accepted(&mut self, io: &mut Io, now: Micros, conn: ConnId) {
+        self.make_room(io, now);
         let until = now + FIRST_US;
         let (open, used, armed) = (Vec::new(), now, Micros::MAX);
-        let (last, unusable, asked, ready, began) = (i32::MIN, 0, false, false, None);
-        let client = Client { open, last, unusable, asked, ready, began, used, until, armed };
+        let (last, unusable, unread, asked, ready, began) = (i32::MIN, 0, 0, false, false, None);
+        let client = Client { open, last, unusable, unread, asked, ready, began, used, until, armed };
         self.clients.insert(conn, client);
         self.idle.insert((now, conn));
         self.arm(conn, until);
@@ -164,7 +217,8 @@
         let idle = self.idle.iter().take_while(|(used, _)| used + SPARE_US <= now).map(|(_, conn)| *conn);
         let silent = |c: &ConnId| self.clients.get(c).is_some_and(|c| !c.asked);
         let mut all: Vec<_> = idle.filter(|conn| self.quiet(conn)).take(SPARES).collect();
-        all.sort_by_key(|conn| !silent(conn));
+        // Before those that have not read their answers.
+        all.sort_by_cached_key(|conn| (!silent(conn), io.unsent(*conn) > 0));
         // While we stop, a request that crosses the end of its connection has nowhere else to go.
         all.retain(|conn| silent(conn) || !self.leaving);
         all.into_iter().find(|conn| !io.is_stale(*conn))
@@ -209,40 +263,72 @@
         self.ready.front().map(|(came, _)| *came)
     }
 
-    /// Looks at the connection that has waited longest; adds what its requests lead to.
-    pub fn look(&mut self, io: &mut Io, now: Micros, steps: &mut Vec<Step>) {
-        let Some((came, conn)) = self.ready.pop_front() else { return };
-        let Some(client) = self.clients.get_mut(&conn) else { return };
-        client.ready = false;
-        for _ in 0..TURN {
-            // A client that does not read its answers is not read either.
-            if io.unsent(conn) > UNSENT {
-                return;
+    /// Whether this is about a client that is known.
+    pub fn concerns(&self, happened: &Happened) -> bool {
+        match happened {
+            Happened::Data(conn) | Happened::Drained(conn) | Happened::Ended(conn, _) => {
+                self.clients.contains_key(conn)
             }
-            let Some(input) = io.input(conn) else { return };
-            match next_frame(self.frames, input) {
-                Ok(Some(frame)) => match self.frame(io, now, (came, conn), &frame) {
-                    Some(step) => steps.push(step),
-                    None => return steps.push(self.break_off(io, conn)),
-                },
+            _ => false,
+        }
+    }
+
+    /// Looks at the connection that has waited longest; gives when its bytes were there, and what its requests
+    /// lead to.
+    pub fn look(&mut self, io: &mut Io, now: Micros) -> (Micros, Vec<Step>) {
+        let Some((came, conn)) = self.ready.pop_front() else { return (now, Vec::new()) };
+        (came, self.look_at(io, now, (came, conn), TURN))
+    }
+
+    /// Looks on where the client who waits for this has sent more, of which not all was looked at.
+    pub fn look_behind(&mut self, io: &mut Io, now: Micros, waiter: WaiterId) -> Option<(Micros, Vec<Step>)> {
+        let conn = self.waiting.get(slot(waiter)).filter(|w| w.id == waiter)?.conn;
+        self.clients.get(&conn).filter(|c| c.ready)?;
+        let at = self.ready.iter().position(|(_, ready)| *ready == conn)?;
+        let (came, _) = self.ready.remove(at)?;
+        Some((came, self.look_at(io, now, (came, conn), BEHIND)))
+    }
+
+    fn look_at(
+        &mut self,
+        io: &mut Io,
+        now: Micros,
+        (came, conn): (Micros, ConnId),
+        most: usize,
+    ) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let Some(client) = self.clients.get_mut(&conn) else { return steps };
+        client.ready = false;
+        for _ in 0..most {
+            let Some(input) = io.input(conn) else { return steps };
+            let step = match next_frame(self.frames, input) {
+                Ok(Some(frame)) => self.frame(io, now, (came, conn), &frame),
                 Ok(None) => {
                     let part = !input.is_empty();
                     io.release_input(conn);
                     io.pause(conn, false);
-                    let Some(client) = self.clients.get_mut(&conn) else { return };
+                    let Some(client) = self.clients.get_mut(&conn) else { return steps };
                     if !part {
                         client.began = None;
                     } else if client.asked {
                         let until = *client.began.get_or_insert(now) + FIRST_US;
                         self.arm(conn, until);
                     }
-                    return;
+                    return steps;
+                }
+                Err(_) => None,
+            };
+            match step {
+                Some(step) => steps.push(step),
+                None => {
+                    steps.push(self.break_off(io, conn));
+                    return steps;
                 }
-                Err(_) => return steps.push(self.break_off(io, conn)),
             }
         }
         // More may be there: at the end of the queue, as old as it is.
         self.came(came, conn);
+        steps
     }
 
     /// What is sent on a connection is not by the protocol: it ends, with all that is open on it.
@@ -264,7 +350,7 @@
         let (name, seqid) = (head.name, head.seqid);
         let oneway = head.kind == Kind::Oneway;
         let told = match asked {
-            Asked::Submit(submit) if !oneway => match self.submit((came, conn), seqid, &submit)? {
+            Asked::Submit(submit) if !oneway => match self.submit(io, (came, conn), seqid, &submit)? {
                 Ok(call) => {
                     self.touch(now, conn);
                     return Some(Step::Call(call));
@@ -281,7 +367,10 @@
                 self.touch(now, conn);
                 return Some(Step::Left(waiter.into_iter().collect()));
             }
-            Asked::Heartbeat if !oneway => Told::Answer(b"", true),
+            Asked::Heartbeat if !oneway => {
+                self.is_read(io, conn)?;
+                Told::Answer(b"", true)
+            }
             Asked::Unknown if !oneway => {
                 self.unusable(conn)?;
                 Told::UnknownMethod
@@ -294,6 +383,14 @@
         Some(Step::Done)
     }
 
+    /// Whether a client reads its answers; `None` where it goes on asking for too long without.
+    fn is_read(&mut self, io: &mut Io, conn: ConnId) -> Option<bool> {
+        let is_read = io.unsent(conn) <= UNSENT;
+        let client = self.clients.get_mut(&conn)?;
+        client.unread = if is_read { 0 } else { client.unread + 1 };
+        (client.unread <= OPEN).then_some(is_read)
+    }
+
     /// One more that can't be used; `None` where it is too many.
     fn unusable(&mut self, conn: ConnId) -> Option<()> {
         let client = self.clients.get_mut(&conn)?;
@@ -319,6 +416,7 @@
     /// can't be trusted any more.
     fn submit(
         &mut self,
+        io: &mut Io,
         (came, conn): (Micros, ConnId),
         seqid: i32,
         submit: &Submit,
@@ -329,6 +427,9 @@
             return None;
         }
         client.last = seqid;
+        if !self.is_read(io, conn)? {
+            return Some(Err(Told::Rejected(None)));
+        }
         let Some(read) = self.read(submit) else {
             self.unusable(conn)?;
             return Some(Err(Told::Rejected(None)));
@@ -347,10 +448,10 @@
         let id = format!("{:016x}", read.request);
         let function = Arc::new(read.function);
         let (name, source) = (function.name.clone(), self.source.clone());
-        let identity = Identity { tenant: 0, function: name, source, id: id.as_str().into() };
+        let identity = Identity { tenant: read.tenant, function: name, source, id: id.as_str().into() };
         let used = Mutex::default();
-        let (number, class, body) = (read.request, read.class, submit.owned_body());
-        let payload = Arc::new(Work { id, number, class, body, used });
+        let (number, class, key, body) = (read.request, read.class, read.key, submit.owned_body());
+        let payload = Arc::new(Work { id, number, class, key, body, used });
         Some(Ok(NewCall { waiter, identity, function, deadline: came + read.timeout, payload }))
     }
 
@@ -361,12 +462,22 @@
         }
         let field = |name| submit.fields.iter().find(|(n, _)| *n == name).map(|(_, value)| *value);
         let kind = field("kind")?;
-        let class = self.classes.iter().position(|(name, _)| name == kind)?;
+        let class = self.classes.iter().position(|class| class.name == kind)?;
+        // Of a platform without tenants all calls count as the first one's.
+        let tenant = match self.tenants.is_empty() {
+            true => 0,
+            false => field("owner").and_then(|owner| self.tenants.iter().position(|name| name == owner))?,
+        };
+        // Without its key an effect could happen twice: such a call is not taken.
+        let key = match (field("opkey"), self.classes[class].keyed) {
+            (Some(key), _) => Some(usable_key(key)?.to_owned()),
+            (None, keyed) => (!keyed).then_some(None)?,
+        };
         let request = hex(field("req")?)?;
         let name: FunctionId = field("subject").filter(|s| hex(s).is_some())?.into();
         let timeout = field("timeout")?.parse::<u64>().ok()?;
         // Nobody waits many times as long as the class allows.
-        let most = self.classes[class].1.saturating_mul(10);
+        let most = self.classes[class].deadline.saturating_mul(10);
         let timeout = timeout.checked_mul(1_000).filter(|t| (1..=most).contains(t))?;
         let mut function = Function { name, class, memory_mb: 0.0, lanes: 0, load: None };
         for (name, value) in field("props")?.split(';').filter_map(|prop| prop.split_once(':')) {
@@ -378,13 +489,12 @@
             }
         }
         let usable = function.memory_mb > 0.0 && function.lanes > 0;
-        usable.then_some(Read { request, class, timeout, function })
+        usable.then_some(Read { request, tenant, class, key, timeout, function })
     }
 
     fn take(&mut self, waiter: WaiterId) -> Option<Waiting> {
-        let slot = (waiter.0 & 0xf_ffff) as usize;
-        self.waiting.get(slot).filter(|w| w.id == waiter)?;
-        let waiting = self.waiting.try_remove(slot)?;
+        self.waiting.get(slot(waiter)).filter(|w| w.id == waiter)?;
+        let waiting = self.waiting.try_remove(slot(waiter))?;
         self.ids.remove(&waiting.request);
         Some(waiting)
     }
@@ -419,11 +529,11 @@
         self.leaving = true;
     }
 
-    /// Ends the connections on which nothing is open and nothing has come: they make room for those that still
-    /// wait to be accepted.
+    /// Ends the connections on which nothing is open, nothing has come and all answers are with the system: they
+    /// make room for those that still wait to be accepted. One that is closed has less time to read the rest.
     pub fn end_idle(&mut self, io: &mut Io) {
         let idle = self.idle.iter().map(|(_, conn)| *conn);
-        let idle: Vec<_> = idle.filter(|conn| self.quiet(conn)).collect();
+        let idle: Vec<_> = idle.filter(|conn| self.quiet(conn) && io.unsent(*conn) == 0).collect();
         for conn in idle {
             if !io.is_stale(conn) {
                 self.forget(conn);
@@ -435,6 +545,9 @@
     /// Ends connections whose patience is over; gives who waited on them.
     pub fn wake(&mut self, io: &mut Io, now: Micros) -> Vec<WaiterId> {
         let mut left = Vec::new();
+        if self.room.is_some_and(|at| at <= now) {
+            self.make_room(io, now);
+        }
         while let Some((at, conn)) = self.due.due(now) {
             let Some(client) = self.clients.get_mut(&conn).filter(|c| c.armed == at) else { continue };
             client.armed = Micros::MAX;
@@ -445,6 +558,13 @@
                 }
                 continue;
             }
+            // What has come on it is looked at first, though the loop was late to be told; half a request is not
+            // waited for any longer.
+            let (looked, partial) = (!client.ready, client.began.is_some());
+            if !looked || !partial && io.is_stale(conn) {
+                self.arm(conn, now + LOOKS_US);
+                continue;
+            }
             let unread = io.unsent(conn) > 0;
             left.extend(self.forget(conn));
             if unread { io.abort(conn) } else { io.close(conn) }
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -4,12 +4,13 @@
 use basaltward_node::{Control, Node};
 use basaltward_rules::{Breach, ClassRule, Final, Record, Recorder, RepeatRule, RuleSettings, What, check};
 use basaltward_standins::{Act, Board, Exec, FrontClient, FrontReply, LineWorker};
+use rustix::net::sockopt::set_socket_linger;
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longer than anything here takes, also on a loaded machine.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -59,6 +60,16 @@
         limits: Limits,
         workers: usize,
         script: impl Fn(usize, &Exec) -> Vec<Act> + Clone + Send + Sync + 'static,
+    ) -> Self {
+        Self::configured(limits, workers, |text| text, script)
+    }
+
+    /// The same, its configuration file being what `edit` makes of the usual one.
+    pub fn configured(
+        limits: Limits,
+        workers: usize,
+        edit: impl Fn(String) -> String,
+        script: impl Fn(usize, &Exec) -> Vec<Act> + Clone + Send + Sync + 'static,
     ) -> Self {
         let recorder = Recorder::memory();
         let worker = |i: usize| {
@@ -76,7 +87,7 @@
             .enumerate()
             .map(|(i, w)| target(&format!("s-{i}"), w.address(), "Ready"))
             .collect();
-        std::fs::write(&config, text(limits, board.address(), &targets.join(","))).expect("written");
+        std::fs::write(&config, edit(text(limits, board.address(), &targets.join(",")))).expect("written");
         let node = Node::new(config.clone(), None, recorder.clone()).expect("a scheduler");
         let (address, control) = (node.address(), node.control());
         let node = Some(std::thread::spawn(move || node.run().expect("it runs")));
@@ -104,16 +115,7 @@
                 deadline: now + (call.timeout_ms + 50) * MS,
             },
         );
-        let timeout = call.timeout_ms.to_string();
-        let fields = [
-            ("kind", call.class),
-            ("req", call.id.as_str()),
-            ("timeout", timeout.as_str()),
-            ("subject", call.function.as_str()),
-            ("props", "memory_mb:64;lanes:8;load_ms:20"),
-        ];
-        let seqid = client.submit(&fields, &call.body).expect("sent");
-        Asked { seqid, tried: self.tried }
+        Asked { seqid: send(client, call), tried: self.tried }
     }
 
     /// Reads one reply and records it for the request it answers.
@@ -162,6 +164,19 @@
     }
 }
 
+/// Sends a call; gives its number.
+pub fn send(client: &mut FrontClient, call: &Call) -> i32 {
+    let timeout = call.timeout_ms.to_string();
+    let fields = [
+        ("kind", call.class),
+        ("req", call.id.as_str()),
+        ("timeout", timeout.as_str()),
+        ("subject", call.function.as_str()),
+        ("props", "memory_mb:64;lanes:8;load_ms:20"),
+    ];
+    client.submit(&fields, &call.body).expect("sent")
+}
+
 pub struct Asked {
     pub seqid: i32,
     pub tried: u64,
@@ -225,3 +240,72 @@
     let open: Vec<_> = asked.iter().collect();
     (0..asked.len()).filter_map(|_| bed.read(client, &open)).collect()
 }
+
+/// Has calls served on a connection and reads none of the answers, until the scheduler takes no more. Gives how many
+/// were asked; the last of them was turned away.
+pub fn fill(bed: &mut Bed, client: &mut FrontClient) -> usize {
+    for asked in 1..2_000 {
+        let one = Call { body: vec![b'x'; 16 << 10], ..call(1_000 + asked, "view") };
+        bed.submit(client, &one);
+        let ran = |what: &What| matches!(what, What::Ran { event, .. } if *event == one.id);
+        if !bed.recorder.wait(Duration::from_millis(1_500), |all| all.iter().any(|r| ran(&r.what))) {
+            return asked as usize;
+        }
+    }
+    panic!("its output was never full");
+}
+
+/// How a client stops waiting for a call.
+pub const WAYS: [&str; 3] = ["revoke", "end", "reset"];
+
+/// The client leaves; once this returns the scheduler's socket has it. Gives what is left of its connection.
+pub fn leave(mut client: FrontClient, asked: &[i32], way: &str) -> Option<FrontClient> {
+    let ends = (client.stream().local_addr(), client.stream().peer_addr());
+    let left = match way {
+        "revoke" => {
+            asked.iter().for_each(|seqid| client.revoke(*seqid).expect("sent"));
+            Some(client)
+        }
+        "end" => {
+            client.stream().shutdown(Shutdown::Write).expect("it stands");
+            Some(client)
+        }
+        _ => {
+            set_socket_linger(client.stream(), Some(Duration::ZERO)).expect("it stands");
+            drop(client);
+            None
+        }
+    };
+    delivered(ends.0.expect("an address"), ends.1.expect("an address"), way);
+    left
+}
+
+/// Waits until all that a client sent, and its end, has come to the other end's socket, by the system's table.
+pub fn delivered(client: SocketAddr, server: SocketAddr, way: &str) {
+    let until = Instant::now() + PATIENCE;
+    let port = |of: &str| of.rsplit_once(':').and_then(|(_, port)| u16::from_str_radix(port, 16).ok());
+    let holds = || {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+        let of = format!(":{:04X} ", client.port());
+        let rows = table
+            .lines()
+            .skip(1)
+            .filter(|row| row.contains(&of))
+            .map(|row| row.split_whitespace().collect::<Vec<_>>());
+        let ends = |row: &Vec<&str>| (port(row[1]).unwrap_or(0), port(row[2]).unwrap_or(0));
+        let rows: Vec<_> = rows.map(|row| (ends(&row), row[3].to_owned(), row[4].to_owned())).collect();
+        let ours = rows.iter().find(|(ends, ..)| *ends == (client.port(), server.port()));
+        let theirs = rows.iter().any(|(ends, ..)| *ends == (server.port(), client.port()));
+        match way {
+            // Nothing unacknowledged; an end is in the state 04 until it is; one reset is gone.
+            "revoke" => ours.is_none_or(|(_, _, queues)| queues.starts_with("00000000:")),
+            "end" => ours.is_none_or(|(_, state, _)| state != "04"),
+            _ => !theirs,
+        }
+    };
+    while !holds() {
+        assert!(Instant::now() < until, "never delivered");
+        // Its table tells no event, and to read it is dear.
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -2,11 +2,13 @@
 mod answers;
 mod clients;
 mod common;
+mod deployments;
 mod descriptors;
 mod fleet;
 mod gone;
 mod late;
 mod link;
+mod picked;
 mod restart;
 mod shutdown;
 mod untold;
--- a/crates/standins/src/front_client.rs
+++ b/crates/standins/src/front_client.rs
@@ -38,6 +38,16 @@
         Ok(Self { stream, input: BytesMut::new(), seqid: 0 })
     }
 
+    /// The port that it comes from; 0 where its connection is over.
+    pub fn port(&self) -> u16 {
+        self.stream.local_addr().map_or(0, |at| at.port())
+    }
+
+    /// Its socket, for tests that end or slow it in ways of their own.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
     fn send(&mut self, write: impl FnOnce(&mut BytesMut, i32)) -> io::Result<i32> {
         self.seqid += 1;
         let mut out = BytesMut::new();
--- a/crates/standins/src/line_worker.rs
+++ b/crates/standins/src/line_worker.rs
@@ -4,7 +4,7 @@
 use basaltward_rules::{Recorder, What};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -81,6 +81,8 @@
     lines: Mutex<Vec<String>>,
     open: Mutex<Vec<TcpStream>>,
     gate: (Mutex<Gate>, Condvar),
+    /// Orders get no answer but by [`LineWorker::say`].
+    holds_orders: AtomicBool,
 }
 
 /// A stand-in worker. Its threads end with their connections, which end when it is dropped.
@@ -125,6 +127,7 @@
             lines: Mutex::default(),
             open: Mutex::default(),
             gate: (Mutex::new(Gate::Open), Condvar::new()),
+            holds_orders: AtomicBool::new(false),
         });
         let (weak, kept) = (Arc::downgrade(&shared), listener.try_clone()?);
         std::thread::spawn(move || {
@@ -161,6 +164,21 @@
         stream.write_all(bytes)
     }
 
+    /// Connections that come from now on hold few bytes that were not read: while the script of a request waits, the
+    /// caller's socket is soon full.
+    ///
+    /// # Errors
+    /// Where the system refuses it.
+    pub fn narrow(&self) -> io::Result<()> {
+        Ok(rustix::net::sockopt::set_socket_recv_buffer_size(&self.listener, 4 << 10)?)
+    }
+
+    /// From now on orders get no answer but by [`LineWorker::say`]. Its line is recorded with the port that it came
+    /// from, as in `ensure TAG path=F,slots_up=1 from=40000`.
+    pub fn hold_orders(&self) {
+        self.shared.holds_orders.store(true, Ordering::SeqCst);
+    }
+
     /// From now on new connections do not come up: the system drops their first packets. Those begun meanwhile come
     /// up a second after their beginning or later, as the caller's system tries again, once [`LineWorker::unplug`] is
     /// called.
@@ -174,8 +192,13 @@
         let held = TcpStream::connect(self.address)?;
         let gate = lock(&self.shared.gate.0);
         drop(self.shared.gate.1.wait_while(gate, |gate| *gate != Gate::Shut));
-        let queued = TcpStream::connect(self.address)?;
-        lock(&self.shared.open).extend([held, queued]);
+        // Where a caller was quicker the queue is full already: its first packet would be dropped, too.
+        let queued = match TcpStream::connect_timeout(&self.address, Duration::from_millis(500)) {
+            Ok(queued) => Some(queued),
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => None,
+            Err(error) => return Err(error),
+        };
+        lock(&self.shared.open).extend([held].into_iter().chain(queued));
         Ok(())
     }
 
@@ -185,6 +208,13 @@
         self.shared.gate.1.notify_all();
     }
 
+    /// Ends every connection that stands, as one that was idle for too long.
+    pub fn close_all(&self) {
+        for stream in lock(&self.shared.open).drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Breaks every connection that stands.
     pub fn reset_all(&self) {
         for stream in lock(&self.shared.open).drain(..) {
@@ -196,9 +226,7 @@
 impl Drop for LineWorker {
     fn drop(&mut self) {
         self.unplug();
-        for stream in lock(&self.shared.open).drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        self.close_all();
         // Wakes the thread that accepts, which then finds nobody left.
         let _ = TcpStream::connect(self.address);
     }
@@ -241,7 +269,9 @@
                 return Ok(());
             }
             let told = line.trim_end().to_owned();
-            lock(&self.lines).push(told.clone());
+            let held = self.holds_orders.load(Ordering::SeqCst) && told.starts_with("ensure ");
+            let noted = if held { format!("{told} from={}", from.port()) } else { told.clone() };
+            lock(&self.lines).push(noted);
             let words: Vec<&str> = told.split(' ').collect();
             match words[..] {
                 ["exec", id, fields, length] => {
@@ -257,6 +287,7 @@
                     }
                 }
                 ["health" | "load", tag] => out.write_all(&answer(tag, "UP", "-", b""))?,
+                ["ensure", ..] if held => {}
                 ["ensure", tag, fields] => {
                     let count = fields.rsplit_once("slots_up=").and_then(|(_, n)| n.parse().ok());
                     let stand = format!("slots_up={}", count.unwrap_or(0u32).max(1));
--- a/crates/told/src/lib.rs
+++ b/crates/told/src/lib.rs
@@ -10,9 +10,9 @@
 /// Why a settings object can't be used.
 #[derive(Debug, Error)]
 pub enum ToldError {
-    /// It is not the JSON that is expected.
+    /// A field is missing or of the wrong form.
     #[error("{0}")]
-    Json(#[from] serde_json::Error),
+    Field(#[from] serde_path_to_error::Error<serde_json::Error>),
     /// A word stands where another is expected.
     #[error("{field} {told:?} is none of {expected}")]
     Word {
@@ -35,6 +35,8 @@
     pub module: Settings,
     /// Names of the classes, in the module's order.
     pub classes: Vec<String>,
+    /// Names of the tenants, in the module's order; none where calls belong to none.
+    pub tenants: Vec<String>,
     /// Names of the kinds of workers, in the module's order.
     pub kinds: Vec<String>,
     /// Names of the zones, in the module's order.
@@ -166,6 +168,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Project {
+    #[serde(default)]
+    name: String,
     quota_per_s: f64,
 }
 
@@ -209,7 +213,7 @@
 /// # Errors
 /// Where it is not JSON of this form, or the module could not decide by it.
 pub fn parse(text: &str) -> Result<Told, ToldError> {
-    let options: Options = serde_json::from_str(text)?;
+    let options: Options = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))?;
     let (family, limits, rules) = (options.family_info, options.limits, options.rules);
     let links = LinkFigures {
         streams: limits.streams_per_conn,
@@ -217,7 +221,8 @@
         connect_timeout: limits.connect_timeout_us as u64,
     };
     let peers = limits.peers;
-    let names = options.request_classes.iter().map(|c| c.name.clone()).collect();
+    let classes = options.request_classes.iter().map(|c| c.name.clone()).collect();
+    let tenants = options.projects.iter().map(|p| p.name.clone()).collect();
     let module = Settings {
         classes: options.request_classes.iter().map(class).collect::<Result<_, _>>()?,
         tenant_quotas: options.projects.iter().map(|p| p.quota_per_s).collect(),
@@ -256,5 +261,5 @@
         must_ask: options.discovery == "ask",
     };
     module.check()?;
-    Ok(Told { module, classes: names, kinds: options.models, zones: options.dcs, links, peers })
+    Ok(Told { module, classes, tenants, kinds: options.models, zones: options.dcs, links, peers })
 }
