--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -116,3 +116,12 @@
     };
     actions.iter().filter_map(pick).collect()
 }
+
+/// The functions that the actions order to be loaded.
+pub fn loads_of(actions: &[Action]) -> Vec<String> {
+    let pick = |a: &Action| match a {
+        Action::Load { function, count: 1.., .. } => Some(function.to_string()),
+        _ => None,
+    };
+    actions.iter().filter_map(pick).collect()
+}
