--- a/crates/engine/src/arrivals.rs
+++ b/crates/engine/src/arrivals.rs
@@ -42,9 +42,9 @@
         self.queue.front().map(|a| a.came)
     }
 
-    /// The call that has waited longest.
-    pub fn next(&self) -> Option<CallId> {
-        self.queue.front().map(|a| a.call)
+    /// The calls that wait, those that have waited longest first.
+    pub fn calls(&self) -> impl Iterator<Item = CallId> {
+        self.queue.iter().map(|a| a.call)
     }
 
     /// Takes the call that has waited longest, to be begun now.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -128,9 +128,9 @@
         self.arrivals.oldest()
     }
 
-    /// Who waits for the call that [`Engine::begin_next`] would begin; none where its clients have left.
+    /// Who waits for the call that [`Engine::begin_next`] would begin, past those whose clients have left.
     pub fn next_waiter(&self) -> Option<WaiterId> {
-        self.calls.get(&self.arrivals.next()?)?.waiters.first().copied()
+        self.arrivals.calls().find_map(|id| self.calls.get(&id))?.waiters.first().copied()
     }
 
     /// Begins the call that has waited longest since [`Input::Arrived`]: the controller is told of it, or it
--- a/crates/engine/tests/calls.rs
+++ b/crates/engine/tests/calls.rs
@@ -202,6 +202,12 @@
         let (now, function) = (bed.now, Arc::new(function()));
         bed.tell(Input::Arrived(new_call(now, 3, "unbegun", function, 2 * S)));
         bed.tell(Input::Left(WaiterId(3)));
+        // Who is next is past those who have left.
+        let function = Arc::new(crate::function());
+        bed.tell(Input::Arrived(new_call(now, 4, "next", function, 2 * S)));
+        assert_eq!(bed.engine.next_waiter(), Some(WaiterId(4)));
+        bed.tell(Input::Left(WaiterId(4)));
+        assert_eq!(bed.engine.next_waiter(), None);
         assert!(!bed.engine.begin_next(bed.now, &mut bed.out));
         assert_eq!((bed.started(), bed.answers(), bed.engine.in_hand()), (vec![], vec![], 0));
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -311,11 +311,13 @@
             if !self.pace.may_begin(now, came) {
                 break;
             }
-            // Its client may have withdrawn it in what it sent behind.
-            if let Some(looked) =
-                self.engine.next_waiter().and_then(|w| self.front.look_behind(&mut self.io, now, w))
+            // Its client may have withdrawn it in what it sent behind, and so may the next one's.
+            let mut looked = None;
+            while let Some(waiter) = self.engine.next_waiter().filter(|w| Some(*w) != looked)
+                && let Some(behind) = self.front.look_behind(&mut self.io, now, waiter)
             {
-                self.asked(now, looked);
+                looked = Some(waiter);
+                self.asked(now, behind);
             }
             let mut outputs = std::mem::take(&mut self.outputs);
             self.engine.begin_next(now, &mut outputs);
