--- a/crates/cli/tests/stalls.rs
+++ b/crates/cli/tests/stalls.rs
@@ -7,7 +7,7 @@
 use basaltward_net::monotonic;
 use basaltward_rules::{Recorder, What};
 use basaltward_standins::{Board, Exec, FrontClient, FrontReply, LineWorker, answer};
-use common::{Call, Limits, PATIENCE, WAYS, call, delivered, leave, target, text};
+use common::{Call, Limits, PATIENCE, WAYS, call, delivered, leave, send, target, text};
 use process::{file, freeze, signal, start, thaw};
 use rustix::process::Signal;
 use std::net::SocketAddr;
@@ -49,7 +49,7 @@
         let until = Instant::now() + PATIENCE;
         for again in 0.. {
             let mut client = self.client();
-            let asked = submit(&mut client, &call(again << 20 | number, "view"));
+            let asked = send(&mut client, &call(again << 20 | number, "view"));
             let (seqid, told) = client.read().expect("a reply").expect("an answer");
             assert_eq!(seqid, asked);
             if matches!(told, FrontReply::Served(_)) {
@@ -96,18 +96,6 @@
     }
 }
 
-fn submit(client: &mut FrontClient, call: &Call) -> i32 {
-    let timeout = call.timeout_ms.to_string();
-    let fields = [
-        ("kind", call.class),
-        ("req", call.id.as_str()),
-        ("timeout", timeout.as_str()),
-        ("subject", call.function.as_str()),
-        ("props", "memory_mb:64;lanes:8;load_ms:20"),
-    ];
-    client.submit(&fields, &call.body).expect("sent")
-}
-
 /// A call that the worker holds, with a client that waits for longer than a test.
 fn held(number: u64, class: &'static str) -> Call {
     Call { id: format!("f{number:015x}"), timeout_ms: 60_000, ..call(number, class) }
@@ -121,7 +109,7 @@
         bed.workers[0].hold_orders();
         let mut client = bed.client();
         let one = Call { function: "00000000000000f0".into(), ..held(2, "extract") };
-        let seqid = submit(&mut client, &one);
+        let seqid = send(&mut client, &one);
         // The worker is asked whether it has a copy.
         let until = Instant::now() + PATIENCE;
         let asked = || bed.lines().into_iter().find(|line| line.contains(&one.function));
@@ -154,7 +142,7 @@
         bed.workers.iter().for_each(LineWorker::reset_all);
         let mut client = bed.client();
         let one = held(number as u64, "extract");
-        let seqid = submit(&mut client, &one);
+        let seqid = send(&mut client, &one);
         // It has been taken once another question on its connection is answered, and begun a turn later.
         for _ in 0..2 {
             client.heartbeat().and_then(|_| client.read()).expect("alive");
@@ -180,7 +168,7 @@
         client.heartbeat().and_then(|_| client.read()).expect("alive");
         freeze(&bed.child);
         let calls: Vec<_> = (0..20).map(|n| held((number as u64 + 1) * 100 + n, "view")).collect();
-        let asked: Vec<_> = calls.iter().map(|one| submit(&mut client, one)).collect();
+        let asked: Vec<_> = calls.iter().map(|one| send(&mut client, one)).collect();
         let left = leave(client, &asked, way);
         thaw(&bed.child);
         (10..13).for_each(|n| bed.passes(100 * (number as u64 + 1) + n));
@@ -202,7 +190,7 @@
     freeze(&bed.child);
     // The new ones first: their event is the first that the scheduler sees. The one idle longest asks behind it.
     let newer: Vec<_> = (0..4).map(|_| bed.client()).collect();
-    let asked = submit(&mut clients[0], &call(1, "view"));
+    let asked = send(&mut clients[0], &call(1, "view"));
     let stream = clients[0].stream();
     delivered(stream.local_addr().expect("it stands"), bed.to, "revoke");
     thaw(&bed.child);
@@ -242,7 +230,7 @@
                 client.raw(&rest).expect("sent");
                 asked
             }
-            None => submit(&mut client, &one),
+            None => send(&mut client, &one),
         };
         delivered(client.stream().local_addr().expect("it stands"), bed.to, "revoke");
         thaw(&bed.child);
@@ -286,7 +274,7 @@
     let (mut asks, mut silent) = (bed.client(), bed.client());
     std::thread::sleep(Duration::from_millis(1_500));
     freeze(&bed.child);
-    let asked = submit(&mut asks, &call(2, "view"));
+    let asked = send(&mut asks, &call(2, "view"));
     delivered(asks.stream().local_addr().expect("it stands"), bed.to, "revoke");
     std::thread::sleep(Duration::from_millis(1_200));
     thaw(&bed.child);
@@ -302,7 +290,7 @@
     let mut client = bed.client();
     for number in 0..5 {
         let one = held(number, "extract");
-        let seqid = submit(&mut client, &one);
+        let seqid = send(&mut client, &one);
         let (worker, port) = bed.holder(&one.id);
         freeze(&bed.child);
         worker.say(port, &answer(&one.id, "OK", "detail=up", b"late")).expect("it stands");
@@ -322,7 +310,7 @@
         let mut client = bed.client();
         let mut one = held(1, class);
         one.timeout_ms = 300;
-        let seqid = submit(&mut client, &one);
+        let seqid = send(&mut client, &one);
         let (worker, port) = bed.holder(&one.id);
         freeze(&bed.child);
         worker.say(port, &answer(&one.id, "OK", "detail=up", b"late")).expect("it stands");
@@ -344,12 +332,12 @@
     let mut client = bed.client();
     let mut one = held(1, "extract");
     one.timeout_ms = 400;
-    submit(&mut client, &one);
+    send(&mut client, &one);
     let (worker, port) = bed.holder(&one.id);
     freeze(&bed.child);
     let (mut unread, mut late) = (bed.client(), held(2, "view"));
     late.timeout_ms = 400;
-    submit(&mut unread, &late);
+    send(&mut unread, &late);
     worker.say(port, &answer(&one.id, "MISS", "-", b"")).expect("it stands");
     let began = monotonic();
     // What stands still has no event to wait for.
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -164,17 +164,21 @@
     }
 }
 
-/// Sends a call; gives its number.
-pub fn send(client: &mut FrontClient, call: &Call) -> i32 {
-    let timeout = call.timeout_ms.to_string();
-    let fields = [
+/// The fields of a call.
+pub fn fields<'a>(call: &'a Call, timeout: &'a str) -> [(&'a str, &'a str); 5] {
+    [
         ("kind", call.class),
         ("req", call.id.as_str()),
-        ("timeout", timeout.as_str()),
+        ("timeout", timeout),
         ("subject", call.function.as_str()),
         ("props", "memory_mb:64;lanes:8;load_ms:20"),
-    ];
-    client.submit(&fields, &call.body).expect("sent")
+    ]
+}
+
+/// Sends a call; gives its number.
+pub fn send(client: &mut FrontClient, call: &Call) -> i32 {
+    let timeout = call.timeout_ms.to_string();
+    client.submit(&fields(call, &timeout), &call.body).expect("sent")
 }
 
 pub struct Asked {
--- a/crates/node/tests/sockets/restart.rs
+++ b/crates/node/tests/sockets/restart.rs
@@ -36,13 +36,7 @@
 
 fn put(client: &mut FrontClient, call: &Call, half: bool) -> std::io::Result<(i32, Vec<u8>)> {
     let timeout = call.timeout_ms.to_string();
-    let fields = [
-        ("kind", call.class),
-        ("req", call.id.as_str()),
-        ("timeout", timeout.as_str()),
-        ("subject", call.function.as_str()),
-        ("props", "memory_mb:64;lanes:8;load_ms:20"),
-    ];
+    let fields = fields(call, &timeout);
     match half {
         true => client.half(&fields, &call.body),
         false => Ok((client.submit(&fields, &call.body)?, Vec::new())),
