Planned restart: no connection is open at SIGKILL, none closed under a request

Cause: Node::wake waited TERM_US whatever the deadlines; Front::end_idle closed connections that had just come; Node::is_over did not look at connections that stand; Io::accepts_all said that none waits while accepting was put off for want of a descriptor. Ruled out by the clients' own times: answers that came late. Change: requests are turned away 0.2 s before SIGKILL may come, 0.65 to 0.9 s after SIGTERM. The process ends once no client has had a connection for 0.1 s.

--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -535,10 +535,11 @@
         self.held = held;
     }
 
-    /// Whether connections are accepted as they come: neither held back nor at the limit. With none accepted in
-    /// a turn none waits in the system's queue then.
+    /// Whether connections are accepted as they come: neither held back nor at the limit, nor refused by the system for
+    /// now. With none accepted in a turn none waits in the system's queue then.
     pub fn accepts_all(&self) -> bool {
-        !self.held && self.accepting && self.accepted < self.limits.connections
+        let short = monotonic() < self.short_until;
+        !self.held && !short && self.accepting && self.accepted < self.limits.connections
     }
 
     /// Connections at the limit are not accepted: they wait in the system's queue.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -28,6 +28,9 @@
 const SPARE_US: Micros = 300_000;
 /// A connection that would go and on which something has come is asked again after this.
 const LOOKS_US: Micros = 10_000;
+/// The rest of a request comes this long after its first bytes at the latest, and a request that crossed the close of its
+/// connection this long after that on a new one: twice what the page says of either. Such a connection is not closed.
+const CROSSING_US: Micros = 100_000;
 /// Connections kept free for new clients, and how often that is seen to while they are short.
 const ROOM: usize = 4;
 const ROOM_US: Micros = 100_000;
@@ -112,6 +115,8 @@
     /// A worker that takes calls has been told of: what a heartbeat says.
     knows_worker: bool,
     leaving: bool,
+    /// When the last client's connection was given up.
+    left_at: Micros,
 }
 
 fn hex(text: &str) -> Option<u64> {
@@ -181,6 +186,7 @@
             room: None,
             knows_worker: false,
             leaving: false,
+            left_at: 0,
         }
     }
 
@@ -546,17 +552,35 @@
 
     /// Ends the connections on which nothing is open, nothing has come and all answers are with the system: they
     /// make room for those that still wait to be accepted. One that is closed has less time to read the rest.
-    pub fn end_idle(&mut self, io: &mut Io) {
-        let idle = self.idle.iter().map(|(_, conn)| *conn);
-        let idle: Vec<_> = idle.filter(|conn| self.quiet(conn) && io.unsent(*conn) == 0).collect();
+    pub fn end_idle(&mut self, io: &mut Io, now: Micros) {
+        let idle: Vec<_> = self.idle.iter().map(|(_, conn)| *conn).collect();
         for conn in idle {
-            if !io.is_stale(conn) {
+            if self.may_close(io, now, conn) {
                 self.forget(conn);
+                self.left_at = now;
                 io.close(conn);
             }
         }
     }
 
+    /// Whether no request is on its way on a connection without an open one: none that was cut off by the close of the
+    /// connection before, and none that has come in part. That one may come in pieces, but not for long.
+    fn may_close(&self, io: &mut Io, now: Micros, conn: ConnId) -> bool {
+        let Some(client) = self.clients.get(&conn) else { return false };
+        let expected = match (client.began, client.asked) {
+            (Some(began), _) => began + CROSSING_US,
+            (None, false) => client.used + CROSSING_US,
+            (None, true) => 0,
+        };
+        !client.ready && expected <= now && io.unsent(conn) == 0 && !io.is_stale(conn)
+    }
+
+    /// Whether no client has had a connection for as long as one whose request crossed the close of its own may take to
+    /// come again.
+    pub fn has_been_empty(&self, now: Micros) -> bool {
+        self.clients.is_empty() && self.left_at + CROSSING_US <= now
+    }
+
     /// Ends connections whose patience is over; gives who waited on them.
     pub fn wake(&mut self, io: &mut Io, now: Micros) -> Vec<WaiterId> {
         let mut left = Vec::new();
@@ -573,10 +597,14 @@
                 }
                 continue;
             }
-            // What has come on it is looked at first, though the loop was late to be told; half a request is not
-            // waited for any longer.
-            let (looked, partial) = (!client.ready, client.began.is_some());
-            if !looked || !partial && io.is_stale(conn) {
+            // What has come on it is looked at first, though the loop was late to be told; the rest of a request that has
+            // only begun to come is waited for, but no longer.
+            let (looked, rest) = (!client.ready, client.began.map(|began| began + CROSSING_US));
+            if let Some(rest) = rest.filter(|rest| *rest > now) {
+                self.arm(conn, rest);
+                continue;
+            }
+            if !looked || rest.is_none() && io.is_stale(conn) {
                 self.arm(conn, now + LOOKS_US);
                 continue;
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,8 +28,12 @@
 use thiserror::Error;
 use tracing::{info, warn};
 
-/// After SIGTERM clients still come for up to 0.6 s; what comes later than this is turned away.
+/// What comes later than this after SIGTERM is turned away, and connections are closed as they have nothing open.
 const TERM_US: Micros = 900_000;
+/// But not before this: clients come for up to 0.6 s, and the page allows 50 ms more.
+const LEAST_TERM_US: Micros = 650_000;
+/// Closing the connections, with what crosses that, takes so long before SIGKILL.
+const CLOSING_US: Micros = 200_000;
 /// What comes later than this after SIGTERM is lost if SIGKILL finds it open.
 const EXCUSED_US: Micros = 700_000;
 /// SIGKILL may come the longest deadline, but no more than this, and [`EXCUSED_US`] after SIGTERM.
@@ -79,6 +83,8 @@
     pace: Pace,
     /// When SIGTERM came.
     term: Option<Micros>,
+    /// How long after SIGTERM requests are turned away.
+    turns_away: Micros,
     /// How long after SIGTERM the last answer has to be given: SIGKILL may come soon after.
     closing: Micros,
     /// When an answer was put out last.
@@ -175,6 +181,7 @@
         let known = std::mem::take(&mut config.known);
         let following = FollowerLimits::where_connecting_takes(config.told.links.connect_timeout);
         let longest = config.told.module.classes.iter().map(|class| class.deadline).max();
+        let kill = longest.unwrap_or(0).min(LONGEST_US) + EXCUSED_US;
         let mut node = Self {
             name: config.name.clone(),
             path,
@@ -189,7 +196,8 @@
             gossip,
             pace: Pace::default(),
             term: None,
-            closing: longest.unwrap_or(0).min(LONGEST_US) + EXCUSED_US - APART_US,
+            turns_away: (kill - CLOSING_US).clamp(LEAST_TERM_US, TERM_US),
+            closing: kill - APART_US,
             last_answer: 0,
             stopped: false,
             accepted: false,
@@ -269,7 +277,7 @@
     }
 
     fn wait(&self, now: Micros) -> Micros {
-        let term = self.term.map(|at| at + TERM_US).filter(|at| *at > now || !self.stopped);
+        let term = self.term.map(|at| at + self.turns_away).filter(|at| *at > now || !self.stopped);
         let last = self.stopped.then_some(now + 5_000);
         let reread = self.reread.map(|(at, _)| at);
         let fleet = self.fleet.as_ref().map(|fleet| fleet.transport.next_due());
@@ -285,11 +293,12 @@
         self.front.oldest().into_iter().chain(self.engine.oldest_arrival()).min()
     }
 
-    /// Whether SIGTERM came, all who may still come have been taken, and nothing is owed.
+    /// Whether SIGTERM came, all who may still come have been taken, and nothing is owed. As long as a client has a
+    /// connection, or lost one a moment ago, a request may be on its way.
     fn is_over(&self, now: Micros) -> bool {
         let Some(term) = self.term.filter(|_| self.stopped) else { return false };
         let none_waits = !self.accepted && self.io.accepts_all() && self.oldest().is_none();
-        let settled = none_waits && self.io.is_settled();
+        let settled = none_waits && self.front.has_been_empty(now) && self.io.is_settled();
         // What was answered as late as SIGKILL allows has half of the time that is left to be read.
         let unread_until = (term + TERM_US + LAST_US).max(self.last_answer + APART_US / 2);
         self.engine.in_hand() == 0 && (settled || unread_until <= now)
@@ -475,13 +484,13 @@
             if self.reread.is_some_and(|(at, _)| at <= now) {
                 self.reread(now);
             }
-            if !self.stopped && self.term.is_some_and(|at| at + TERM_US <= now) {
+            if !self.stopped && self.term.is_some_and(|at| at + self.turns_away <= now) {
                 // The listener stays: whoever waits in the system's queue has been taken, and is owed an answer.
                 self.stopped = true;
                 self.tell(now, Input::Stop);
             }
             if self.stopped {
-                self.front.end_idle(&mut self.io);
+                self.front.end_idle(&mut self.io, now);
             }
             let mut outputs = std::mem::take(&mut self.outputs);
             self.engine.wake(now, &mut outputs);
