A worker start is placed by clocks read as it is told, and doubted where impossible

Cause: Names held one reading of both clocks from the start of the process; after a step, and on a machine whose clock was wrong at the start, boot_ms came to lie an hour or 20 s back, and the ramp counted as over. Ruled out: the budget of a cold worker itself (tests/cold.rs; a start told rightly passes). Change: start_times.rs keeps the readings before and after each step and takes the latest start that is not in the future; a worker not told of by a list that spoke since can't have started 20 s before that: it is taken to start now.

--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -45,6 +45,16 @@
         (self.monotonic + wall).saturating_sub(self.wall)
     }
 
+    /// When the clocks were read, on the monotonic one.
+    pub fn monotonic(&self) -> Micros {
+        self.monotonic
+    }
+
+    /// By how many microseconds the wall clock was stepped between this reading and another, either way.
+    pub fn apart(&self, other: &Self) -> Micros {
+        (self.wall + other.monotonic).abs_diff(other.wall + self.monotonic)
+    }
+
     /// The wall time at which the clocks were read.
     pub fn wall(&self) -> Micros {
         self.wall
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod recent_ids;
 mod recorder;
+mod start_times;
 mod work;
 
 pub use budget::Budget;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -1,7 +1,8 @@
 //! The bulletin's entries as the module's members.
 
 use crate::config::NodeConfig;
-use basaltward::{Member, MembersKind, State};
+use crate::start_times::StartTimes;
+use basaltward::{Member, MembersKind, Micros, State};
 use basaltward_bulletin::{Roster, Standing, Target};
 use basaltward_net::Clock;
 use std::sync::Arc;
@@ -11,20 +12,21 @@
 pub struct Names {
     kinds: Vec<String>,
     zones: Vec<String>,
-    clock: Clock,
+    starts: StartTimes,
+    /// By how many microseconds the machine's wall clock counts as stepped: for tests.
+    wall_step: Arc<AtomicI64>,
 }
 
 impl Names {
     pub fn new(config: &NodeConfig, wall_step: Arc<AtomicI64>) -> Self {
-        let clock = Clock::read_stepped(wall_step.load(Ordering::Relaxed));
-        Self { kinds: config.told.kinds.clone(), zones: config.told.zones.clone(), clock }
+        let starts = StartTimes::new(Clock::read_stepped(wall_step.load(Ordering::Relaxed)));
+        Self { kinds: config.told.kinds.clone(), zones: config.told.zones.clone(), starts, wall_step }
     }
 
     /// A name that the settings don't hold has the place after the last: the module takes it for an average.
-    fn member(&self, target: &Target) -> Member {
+    fn member(&self, target: &Target, started: Micros) -> Member {
         let place =
             |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
-        let started = |ms: u64| self.clock.place(ms.saturating_mul(1_000)).max(1);
         Member {
             worker: target.uid.as_str().into(),
             state: match target.state {
@@ -32,7 +34,7 @@
                 Standing::Terminating => State::Leaving,
                 Standing::Gone => State::Gone,
             },
-            started: if target.boot_ms == 0 { 0 } else { started(target.boot_ms) },
+            started,
             hint: target.capacity_hint,
             kind: place(&self.kinds, &target.model),
             zone: place(&self.zones, &target.az),
@@ -40,8 +42,22 @@
         }
     }
 
-    pub fn members(&self, roster: &Roster) -> (MembersKind, Vec<Member>) {
+    /// The list has said all that it has to say by now.
+    pub fn list_spoke(&mut self, now: Micros) {
+        self.starts.list_spoke(now);
+    }
+
+    pub fn members(&mut self, roster: &Roster) -> (MembersKind, Vec<Member>) {
+        self.starts.list_came(Clock::read_stepped(self.wall_step.load(Ordering::Relaxed)));
         let kind = if roster.all { MembersKind::Whole } else { MembersKind::Changes };
-        (kind, roster.targets.iter().map(|t| self.member(t)).collect())
+        if roster.all {
+            self.starts.only(&roster.targets);
+        }
+        let mut members = Vec::with_capacity(roster.targets.len());
+        for target in &roster.targets {
+            let started = self.starts.started(target);
+            members.push(self.member(target, started));
+        }
+        (kind, members)
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -656,6 +656,7 @@
         let Some(input) = self.io.input(conn) else { return };
         let mut input = std::mem::take(input);
         self.follow(now, |follower, out| follower.lines(now, feed, &mut input, out));
+        self.names.list_spoke(now);
         if let Some(left) = self.io.input(conn) {
             *left = input;
             self.io.release_input(conn);
