A request given up and not read by its worker does not begin later

Cause: Links::give_up wrote drop behind it and left, or closed in order, a connection whose system held the rest; Io::leave has the system go on sending. Change: a connection on which nothing was heard since a request that was given up went out is doubted, and ended by a reset, drop written first. It is looked at 50 ms after (while the socket takes no more), else after the connect time: unread still, it is reset with what else is on it. Test: sockets/withdrawn.rs. What stays: a request given up within the connect time, all of it with our system and none of it read, can begin until the connect time and 50 ms have passed: no safe call tells what the system still holds.

--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -361,6 +361,11 @@
         self.get(id).map_or(0, |c| c.output.len())
     }
 
+    /// Whether a connection's socket takes no more for now.
+    pub fn is_stuck(&mut self, id: ConnId) -> bool {
+        self.get(id).is_some_and(|conn| conn.stuck)
+    }
+
     /// Bounds what the system holds of a connection's output: what it has can't be taken back, and left to itself it
     /// takes megabytes for a peer that does not read.
     pub fn bound_system(&mut self, id: ConnId, bytes: usize) {
@@ -431,10 +436,21 @@
     /// Writes what the socket takes, then ends the connection without waiting for the peer: it holds no descriptor
     /// from now on, and the system brings the peer the rest.
     pub fn leave(&mut self, id: ConnId) {
+        self.write_once(id);
+        self.abort(id);
+    }
+
+    /// As [`Io::leave`], with a reset in place of an orderly end: what the peer's system has not got by then never comes
+    /// to it.
+    pub fn leave_by_reset(&mut self, id: ConnId) {
+        self.write_once(id);
+        self.reset(id);
+    }
+
+    fn write_once(&mut self, id: ConnId) {
         if let Some(conn) = self.get(id).filter(|c| !c.output.is_empty() && !c.connecting && !c.ended) {
             let _ = (&conn.stream).write(&conn.output);
         }
-        self.abort(id);
     }
 
     /// Ends the connection at once; what was not written is lost.
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -33,11 +33,16 @@
 
 /// Things due that are done at once.
 const BATCH: usize = 32;
+/// How long a request that was given up may take to be read: half of what the terms allow an attempt to begin
+/// after its client has gone.
+const REST_US: Micros = 50_000;
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Conn(ConnId),
     Attempt(AttemptId),
+    /// A request was given up that its worker may not have read.
+    Rest(ConnId, Span),
 }
 
 /// A job whose bytes were given to the connection.
@@ -62,6 +67,8 @@
     used: Micros,
     /// Its timer is set: one for each connection, set anew where it comes too early.
     armed: bool,
+    /// Nothing has come on it since a request went out that was given up: the system may hold that request still.
+    doubted: bool,
 }
 
 impl LinkConn {
@@ -283,8 +290,9 @@
         known.conns.push(conn);
         let (worker, decoder) = (worker.clone(), AnswerDecoder::new(ANSWER));
         let (standing, retired, queue, open) = (false, false, VecDeque::new(), HashMap::new());
-        let (given, heard, used, armed) = (Given::default(), now, now, true);
-        let link = LinkConn { worker, decoder, standing, retired, queue, open, given, heard, used, armed };
+        let (given, heard, used, armed, doubted) = (Given::default(), now, now, true, false);
+        let link =
+            LinkConn { worker, decoder, standing, retired, queue, open, given, heard, used, armed, doubted };
         debug!(target: "basaltward::link", worker = %link.worker, held = self.conns.len() + 1, "connect");
         self.conns.insert(conn, link);
         self.due.set(now + self.figures.connect_timeout.max(1), Due::Conn(conn));
@@ -351,9 +359,16 @@
                 code = Code::Moot;
                 open.job
             } else {
-                let job = link.open.remove(&id)?.job;
+                let Open { job, span, .. } = link.open.remove(&id)?;
                 if let Job::Attempt { work, .. } = &job {
                     self.recent_ids.note(now, conn, work.number);
+                    link.doubted |= link.heard < since;
+                    // A socket that takes nothing more tells at once that its worker does not read, else its silence does.
+                    let stuck = io.is_stuck(conn);
+                    if stuck || link.doubted {
+                        let at = if stuck { now } else { since + self.figures.connect_timeout };
+                        self.due.set(at.max(now) + REST_US, Due::Rest(conn, span));
+                    }
                     link.given.write(io, conn, |out| lines::drop_request(out, &id));
                 }
                 job
@@ -381,12 +396,29 @@
     }
 
     /// Ends a connection on which nothing is waited for. Its descriptor goes at once: beside those of the connections
-    /// that may stand there is no room for others that wait for their workers.
+    /// that may stand there is no room for others that wait for their workers. What the system may still hold of a
+    /// request that was given up goes with it, or it would begin whenever the worker is back.
     fn end(&mut self, io: &mut Io, conn: ConnId) {
-        io.leave(conn);
+        match self.conns.get(&conn).is_some_and(|link| link.doubted) {
+            true => io.leave_by_reset(conn),
+            false => io.leave(conn),
+        }
         self.forget(conn);
     }
 
+    /// A request was given up a moment ago that its worker may not have read. Where the socket still has not taken the
+    /// rest of it, or the worker is as silent as before and takes nothing more or has nothing else of ours, the connection
+    /// is reset, and with it what else is on it: that request would begin with nobody waiting for it.
+    fn end_unless_read(&mut self, io: &mut Io, conn: ConnId, of: Span, done: &mut Vec<Done>) {
+        let Some(link) = self.conns.get(&conn) else { return };
+        let has_left = link.given.part(io, conn, of) == Part::Whole;
+        let is_unread = link.doubted && (io.is_stuck(conn) || link.load() == 0);
+        if !has_left || is_unread {
+            debug!(worker = %link.worker, "reset: a request that was given up has not been read");
+            self.cut_off(io, conn, Code::Reset, Io::reset, done);
+        }
+    }
+
     /// Drops all that is known of a connection; gives it.
     fn forget(&mut self, conn: ConnId) -> Option<LinkConn> {
         let link = self.conns.remove(&conn)?;
@@ -417,7 +449,7 @@
         loop {
             let Some(link) = self.conns.get_mut(&conn) else { return };
             let Some(input) = io.input(conn) else { return };
-            link.heard = now;
+            (link.heard, link.doubted) = (now, false);
             match link.decoder.next(input) {
                 Ok(Some(reply)) => {
                     // Under an id that nobody waits for, or no longer: a second copy, or an answer to what was
@@ -458,13 +490,25 @@
 
     /// Ends a connection and all that is on it: what was not written whole never ran.
     fn break_off(&mut self, io: &mut Io, conn: ConnId, code: Code, done: &mut Vec<Done>) {
+        self.cut_off(io, conn, code, Io::abort, done);
+    }
+
+    /// As [`Links::break_off`]; how the socket is closed is told.
+    fn cut_off(
+        &mut self,
+        io: &mut Io,
+        conn: ConnId,
+        code: Code,
+        close: impl FnOnce(&mut Io, ConnId),
+        done: &mut Vec<Done>,
+    ) {
         let Some(link) = self.forget(conn) else { return };
         let never = if code == Code::ConnectFailed { code } else { Code::Moot };
         let mut open: Vec<_> = link.open.into_values().collect();
         open.sort_by_key(|open| open.span);
         let mut how = |of| if link.given.part(io, conn, of) == Part::Whole { code } else { never };
         let ends: Vec<_> = open.into_iter().map(|open| (how(open.span), open.job)).collect();
-        io.abort(conn);
+        close(io, conn);
         for (code, job) in ends.into_iter().chain(link.queue.into_iter().map(|job| (never, job))) {
             name(&job).map(|name| self.jobs.remove(&name));
             done.extend(cut(&job, code));
@@ -478,6 +522,7 @@
             let Some((_, due)) = self.due.due(now) else { return };
             match due {
                 Due::Attempt(id) => done.extend(self.give_up(io, now, Name::Attempt(id), Code::Timeout)),
+                Due::Rest(conn, of) => self.end_unless_read(io, conn, of, done),
                 Due::Conn(conn) => {
                     let idle = self.figures.idle_close / 2;
                     let Some(link) = self.conns.get_mut(&conn) else { continue };
--- a/crates/node/tests/sockets/withdrawn.rs
+++ b/crates/node/tests/sockets/withdrawn.rs
@@ -52,9 +52,13 @@
 
 #[test]
 fn what_a_worker_has_not_read_does_not_begin_once_its_client_has_gone() {
-    for way in WAYS.into_iter().chain(["deadline"]) {
-        let (left, came) = given_up(way);
-        let late = came.map(|at| at.saturating_sub(left));
-        assert!(late.is_none_or(|late| late <= GONE), "{way}: it came whole {late:?} us after");
-    }
+    std::thread::scope(|scope| {
+        for way in WAYS.into_iter().chain(["deadline"]) {
+            scope.spawn(move || {
+                let (left, came) = given_up(way);
+                let late = came.map(|at| at.saturating_sub(left));
+                assert!(late.is_none_or(|late| late <= GONE), "{way}: it came whole {late:?} us after");
+            });
+        }
+    });
 }
