--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -16,7 +16,7 @@
 /// from then on, and most of the work of a day would be theirs.
 const BEFORE: Micros = 20 * S;
 /// The numbers of schedulers that each day is played with.
-const FLEETS: [usize; 5] = [2, 20, 30, 60, 300];
+const FLEETS: [usize; 7] = [1, 2, 3, 20, 30, 60, 300];
 /// Workers before that.
 const WARM: usize = 6;
 
@@ -64,6 +64,10 @@
     refuse: Micros,
     /// When each scheduler is told of the start, from it on.
     told: fn(usize) -> Micros,
+    /// By how much the start as each scheduler places it lies after the true one: no two machines read their clocks alike.
+    apart: fn(usize) -> Micros,
+    /// Connections to the new workers come up so long after the start: what was sent before comes then.
+    up: Micros,
     /// When a scheduler that is killed comes back, from the start on, and knows nothing.
     restart: fn(usize) -> Option<Micros>,
     /// Then, after the start, they have many requests each in one millisecond; until then all are quiet, unless there
@@ -83,6 +87,8 @@
             leave: 1,
             refuse: 0,
             told: |_| 0,
+            apart: |_| 0,
+            up: 0,
             restart: |_| None,
             burst: None,
             settings: |settings| settings,
@@ -152,9 +158,10 @@
         Controller::new(settings, at as u64 + 1).expect("usable settings")
     }
 
-    /// The new workers, and those that they take the place of.
-    fn change(&self) -> Vec<Member> {
-        let fresh = |n| Member { started: STARTS, ..Member::active(&format!("w{}", WARM + n)) };
+    /// The new workers, and those that they take the place of, as one scheduler is told.
+    fn change(&self, at: usize) -> Vec<Member> {
+        let started = STARTS + (self.day.apart)(at);
+        let fresh = |n| Member { started, ..Member::active(&format!("w{}", WARM + n)) };
         let old = |n| Member { state: State::Leaving, ..Member::active(&format!("w{n}")) };
         (0..self.day.fresh).map(fresh).chain((0..self.day.leave).map(old)).collect()
     }
@@ -166,7 +173,7 @@
 
     /// Tells a scheduler that has begun all that holds.
     fn list(&mut self, at: usize) {
-        let change = if self.now < STARTS { Vec::new() } else { self.change() };
+        let change = if self.now < STARTS { Vec::new() } else { self.change(at) };
         let old = (0..WARM).map(|n| Member::active(&format!("w{n}")));
         let gone = |m: &Member| change.iter().any(|c| c.worker == m.worker);
         let members = old.filter(|m| !gone(m)).chain(change.clone()).collect();
@@ -205,7 +212,7 @@
         let served =
             worker >= WARM || now < STARTS + self.day.refuse && (sent.len() as f64) < self.day.capacity;
         if served {
-            sent.push_back(now);
+            sent.push_back(if worker < WARM { now } else { now.max(STARTS + self.day.up) });
         }
         let end = Due::End(at, scheduler.life, Attempt { id, number, worker, served });
         self.put(now + if served { SERVES } else { REFUSES }, end);
@@ -251,7 +258,7 @@
             self.now = now;
             match due {
                 Due::Told(at) => {
-                    let members = self.change();
+                    let members = self.change(at);
                     self.event(at, Event::Members { kind: MembersKind::Changes, members });
                 }
                 Due::Restart(at) => {
@@ -347,6 +354,26 @@
     holds(&[("quiet", Day { burst: QUIET, ..Day::default() }), ("small", lost(10.0)), ("usual", lost(20.0))]);
 }
 
+#[test]
+fn machines_that_read_their_clocks_apart_spare_it_too() {
+    let apart: fn(usize) -> Micros = |at| at as u64 * 7_919 % 5_000;
+    holds(&[
+        ("apart", Day { apart, ..Day::default() }),
+        ("apart, others lost", Day { apart, ..lost(20.0) }),
+        ("apart, quiet", Day { apart, burst: QUIET, ..Day::default() }),
+    ]);
+}
+
+#[test]
+fn what_comes_at_once_as_connections_come_up_a_second_late_stays_under_it_too() {
+    let killed: fn(usize) -> _ = |at| (at % 10 > 2).then_some(300 * MS);
+    holds(&[
+        ("late", Day { up: S, ..Day::default() }),
+        ("late, five of six", Day { up: S, fresh: 5, leave: 5, ..Day::default() }),
+        ("late, killed", Day { up: S, restart: killed, ..Day::default() }),
+    ]);
+}
+
 #[test]
 fn a_large_worker_is_spared_too() {
     holds(&[("large", lost(40.0))]);
