Failing tests: system calls that fail for a moment; soak counts what was served

Held: accept by ECONNABORTED, connect by EADDRNOTAVAIL and EINTR, socket by ENOBUFS, waits and reads by EINTR; connect failures counted as the worker's all the same. The soak no longer takes an end of a connection before SIGTERM for a close that crossed a request.

--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -160,6 +160,16 @@
     Late(Micros),
 }
 
+/// What a client had of its requests.
+#[derive(Default)]
+struct Had {
+    answered: u64,
+    /// Of those before SIGTERM.
+    before: u64,
+    served_before: u64,
+    lost: Vec<String>,
+}
+
 /// Whether the peer has ended this connection, as a client looks before it sends.
 fn has_ended(client: &FrontClient) -> bool {
     let stream = client.stream();
@@ -173,7 +183,7 @@
 }
 
 /// Sends one request, at times in two pieces, and waits for its answer.
-fn ask(client: &mut FrontClient, one: &Call, apart: Option<Duration>) -> (Micros, Told) {
+fn ask(client: &mut FrontClient, one: &Call, apart: Option<Duration>, served: &mut bool) -> (Micros, Told) {
     let timeout = one.timeout_ms.to_string();
     let fields = fields(one, &timeout);
     let written = match apart {
@@ -193,6 +203,7 @@
             if let FrontReply::Served(body) = reply {
                 let turned: Vec<u8> = one.body.iter().rev().copied().collect();
                 assert!(body == turned, "a body that no worker made");
+                *served = true;
             }
             match took.checked_sub(one.timeout_ms * MS) {
                 Some(late) if late > LATE + MACHINE => (sent, Told::Late(late)),
@@ -210,8 +221,7 @@
     to: SocketAddr,
     draw: Draw,
     next: u64,
-    answered: u64,
-    lost: Vec<String>,
+    had: Had,
 }
 
 impl Player<'_> {
@@ -238,17 +248,22 @@
     /// once. Gives whether the connection still stands.
     fn one(&mut self, client: &mut FrontClient) -> bool {
         let (one, apart) = (self.call(), self.draw.one_in(5).then(|| self.draw.below(45)));
-        let (sent, told) = ask(client, &one, apart.map(Duration::from_millis));
+        let mut served = false;
+        let (sent, told) = ask(client, &one, apart.map(Duration::from_millis), &mut served);
+        // Only a scheduler that stops closes connections of clients that use them.
+        let stops = self.phase.since_term(sent).is_some() && !self.phase.killed.load(Ordering::SeqCst);
         match told {
             Told::Answered => {
-                self.answered += 1;
+                self.had.answered += 1;
+                self.had.before += u64::from(!stops);
+                self.had.served_before += u64::from(!stops && served);
                 return true;
             }
-            Told::NotTaken | Told::Ended(0..CROSSING) if !self.phase.killed.load(Ordering::SeqCst) => {
+            Told::NotTaken | Told::Ended(0..CROSSING) if stops => {
                 let Some(mut new) = self.connect() else { return false };
-                let (again, told) = ask(&mut new, &one, None);
+                let (again, told) = ask(&mut new, &one, None, &mut served);
                 match told {
-                    Told::Answered => self.answered += 1,
+                    Told::Answered => self.had.answered += 1,
                     told => self.lose("sent again on a new connection", again, &told),
                 }
             }
@@ -264,10 +279,10 @@
         if by_kill && since.is_none_or(|since| since <= EXCUSED) {
             return;
         }
-        self.lost.push(format!("{what}, {since:?} us after SIGTERM: {told:?}"));
+        self.had.lost.push(format!("{what}, {since:?} us after SIGTERM: {told:?}"));
     }
 
-    fn play(mut self) -> (u64, Vec<String>) {
+    fn play(mut self) -> Had {
         let opens = (200 + self.draw.below(200)) * MS;
         let may_open = |phase: &Phase| phase.since_term(monotonic()).is_none_or(|since| since < opens);
         let mut kept: Option<FrontClient> = None;
@@ -286,7 +301,7 @@
             let pause = if self.draw.one_in(8) { 60 } else { 6 };
             std::thread::sleep(Duration::from_millis(self.draw.below(pause)));
         }
-        (self.answered, self.lost)
+        self.had
     }
 }
 
@@ -335,8 +350,7 @@
             to,
             draw: Draw(seed << 16 | number),
             next: number << 32,
-            answered: 0,
-            lost: Vec::new(),
+            had: Had::default(),
         };
         let players: Vec<_> =
             (1..=scenario.clients).map(player).map(|player| scope.spawn(move || player.play())).collect();
@@ -345,9 +359,14 @@
         (ended, players.into_iter().map(|player| player.join().expect("played")).collect::<Vec<_>>())
     });
     drop(crowd);
-    let answered: u64 = went.iter().map(|(answered, _)| answered).sum();
-    let lost: Vec<_> = went.into_iter().flat_map(|(_, lost)| lost).collect();
-    let told = format!("{answered} answered, ended after {ended:?} of {} us: {scenario:?}", scenario.kill());
+    let sum = |of: fn(&Had) -> u64| went.iter().map(of).sum::<u64>();
+    let (answered, before, served) =
+        (sum(|had| had.answered), sum(|had| had.before), sum(|had| had.served_before));
+    let lost: Vec<_> = went.into_iter().flat_map(|had| had.lost).collect();
+    let told = format!(
+        "{answered} answered, {served} of {before} before SIGTERM served, ended after {ended:?} of {} us: {scenario:?}",
+        scenario.kill()
+    );
     match lost.is_empty() && answered > 0 {
         true => Ok(told),
         false => Err(format!("{} lost {lost:?}; {told}", lost.len())),
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -1,4 +1,5 @@
 use crate::diverted::Diversion;
+use crate::system::{SystemCall, SystemCalls};
 use crate::wake::{Signals, Waker, drain};
 use crate::{Micros, monotonic};
 use bytes::{Buf, BytesMut};
@@ -9,7 +10,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
 use thiserror::Error;
@@ -133,6 +134,7 @@
 /// changes interest, as with edges, while a pause in reading can lose no event.
 pub struct Io {
     pub(crate) epoll: OwnedFd,
+    system: SystemCalls,
     limits: IoLimits,
     conns: Slab<Conn>,
     generation: u32,
@@ -171,6 +173,7 @@
         epoll::add(&epoll, &woken, data(WAKE, 0, 0), epoll::EventFlags::IN)?;
         Ok(Self {
             epoll,
+            system: SystemCalls::default(),
             limits,
             conns: Slab::new(),
             generation: 0,
@@ -192,6 +195,12 @@
         })
     }
 
+    /// Has the next calls of this kind fail so, as many of them.
+    #[doc(hidden)]
+    pub fn plant_failures(&mut self, call: SystemCall, error: rustix::io::Errno, times: usize) {
+        self.system.plant(call, error, times);
+    }
+
     /// Wakes this loop from other threads.
     pub fn waker(&self) -> Waker {
         self.waker.clone()
@@ -257,7 +266,7 @@
             sockopt::set_socket_reuseaddr(&socket, true)?;
             rustix::net::bind(&socket, &from)?;
         }
-        let failed = match rustix::net::connect(&socket, &to) {
+        let failed = match self.system.connect(&socket, &to) {
             Ok(()) | Err(rustix::io::Errno::INPROGRESS) => false,
             Err(_) => true,
         };
@@ -280,7 +289,7 @@
         self.generation = (self.generation + 1) & 0x0fff_ffff;
         let generation = self.generation;
         let slot = self.conns.vacant_key() as u32;
-        epoll::add(&self.epoll, &stream, data(CONN, slot, generation), interest)?;
+        self.system.watch(&self.epoll, &stream, data(CONN, slot, generation), interest)?;
         self.conns.insert(Conn {
             stream,
             generation,
@@ -390,13 +399,13 @@
     /// that ends the connection at once.
     pub fn pause(&mut self, id: ConnId, paused: bool) {
         let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
-        let (epoll, ends) = (self.epoll.as_fd(), self.limits.ends_at_once);
+        let (system, ends) = ((&self.epoll, &mut self.system), self.limits.ends_at_once);
         let Some(conn) = self.conns.get_mut(id.slot as usize) else { return };
         if conn.generation == id.generation && !conn.connecting && !conn.ended {
             // Told at each turn, an end that is only noted would have the loop spin.
             let stops = if ends && conn.accepted { epoll::EventFlags::IN } else { read };
             let wanted = if paused { conn.interest - stops } else { conn.interest | read };
-            set_interest(epoll, conn, id.slot, wanted);
+            set_interest(system, conn, id.slot, wanted);
         }
     }
 
@@ -567,7 +576,8 @@
             let flags = if wanted { epoll::EventFlags::IN } else { epoll::EventFlags::empty() };
             for (number, listener) in self.listeners.iter().enumerate() {
                 if let Some(listener) = listener {
-                    let _ = epoll::modify(&self.epoll, listener, data(LISTENER, number as u32, 0), flags);
+                    let of = data(LISTENER, number as u32, 0);
+                    let _ = self.system.rewatch(&self.epoll, listener, of, flags);
                 }
             }
         }
@@ -579,8 +589,7 @@
                 return;
             }
             let Some(Some(listener)) = self.listeners.get(number) else { return };
-            let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-            match rustix::net::accept_with(listener, flags) {
+            match self.system.accept(listener) {
                 Ok(socket) => {
                     let interest = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
                     if let Ok(conn) = self.add(TcpStream::from(socket), interest, true) {
@@ -666,7 +675,7 @@
 
     /// Writes what the socket takes; true where the connection ended over it.
     fn write(&mut self, slot: u32, out: &mut Vec<Happened>) -> bool {
-        let epoll = self.epoll.as_fd();
+        let system = (&self.epoll, &mut self.system);
         let Some(conn) = self.conns.get_mut(slot as usize) else { return true };
         let id = ConnId { slot, generation: conn.generation };
         if conn.closing && !conn.output.is_empty() {
@@ -681,7 +690,7 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     conn.stuck = true;
                     let wanted = conn.interest | epoll::EventFlags::OUT;
-                    set_interest(epoll, conn, slot, wanted);
+                    set_interest(system, conn, slot, wanted);
                     return false;
                 }
                 Err(_) => {
@@ -694,7 +703,7 @@
         let (stuck, awaited) = (std::mem::take(&mut conn.stuck), std::mem::take(&mut conn.awaited));
         if stuck {
             let wanted = conn.interest - epoll::EventFlags::OUT;
-            set_interest(epoll, conn, slot, wanted);
+            set_interest(system, conn, slot, wanted);
         }
         if stuck || awaited {
             out.push(Happened::Drained(id));
@@ -714,10 +723,15 @@
     }
 }
 
-fn set_interest(epoll: std::os::fd::BorrowedFd, conn: &mut Conn, slot: u32, wanted: epoll::EventFlags) {
+fn set_interest(
+    (epoll, system): (&OwnedFd, &mut SystemCalls),
+    conn: &mut Conn,
+    slot: u32,
+    wanted: epoll::EventFlags,
+) {
     if wanted != conn.interest {
         conn.interest = wanted;
-        let _ = epoll::modify(epoll, &conn.stream, data(CONN, slot, conn.generation), wanted);
+        let _ = system.rewatch(epoll, &conn.stream, data(CONN, slot, conn.generation), wanted);
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,10 +9,15 @@
 mod diverted;
 mod io;
 mod listen;
+mod system;
 mod wake;
 
 pub use clock::{Clock, Micros, monotonic, thread_time};
 pub use diverted::Diverted;
 pub use io::{ConnId, End, Happened, Io, IoLimits, NetError};
 pub use listen::bind;
+#[doc(hidden)]
+pub use rustix::io::Errno;
+#[doc(hidden)]
+pub use system::SystemCall;
 pub use wake::{Signals, Waker};
--- a/crates/net/src/wake.rs
+++ b/crates/net/src/wake.rs
@@ -50,4 +50,20 @@
         }
         Ok(Self { pipes })
     }
+
+    /// What handlers write is lost from now on.
+    ///
+    /// # Errors
+    /// Where the system refuses a pipe.
+    #[doc(hidden)]
+    pub fn lose_wakes(&mut self) -> Result<(), NetError> {
+        for (_, pipe) in &mut self.pipes {
+            let (deaf, never) = UnixStream::pair()?;
+            deaf.set_nonblocking(true)?;
+            // Its other end stays open, so that it is silent.
+            std::mem::forget(never);
+            *pipe = deaf;
+        }
+        Ok(())
+    }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,7 @@
     Answer, Engine, EngineSettings, Input, MarginSettings, Output, Pace, RepeatLimits, Turn,
 };
 use basaltward_net::{
-    ConnId, Happened, Io, IoLimits, NetError, Signals, Waker, bind, monotonic, thread_time,
+    ConnId, Errno, Happened, Io, IoLimits, NetError, Signals, SystemCall, Waker, bind, monotonic, thread_time,
 };
 use basaltward_peers::{Event, PeerError, PeerTransport};
 use basaltward_rules::Recorder;
@@ -232,6 +232,12 @@
         self.fleet.iter_mut().for_each(|fleet| fleet.transport.plant_agreed(fault, monotonic()));
     }
 
+    /// Has the next system calls of this kind fail so, as many of them.
+    #[doc(hidden)]
+    pub fn plant_failures(&mut self, call: SystemCall, error: Errno, times: usize) {
+        self.io.plant_failures(call, error, times);
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/node/tests/sockets/common.rs
+++ b/crates/node/tests/sockets/common.rs
@@ -70,6 +70,26 @@
         workers: usize,
         edit: impl Fn(String) -> String,
         script: impl Fn(usize, &Exec) -> Vec<Act> + Clone + Send + Sync + 'static,
+    ) -> Self {
+        Self::made(limits, workers, edit, |_| (), script)
+    }
+
+    /// As [`Bed::new`]; `plant` has a part of the scheduler fail.
+    pub fn planted(
+        limits: Limits,
+        workers: usize,
+        plant: impl FnOnce(&mut Node),
+        script: impl Fn(usize, &Exec) -> Vec<Act> + Clone + Send + Sync + 'static,
+    ) -> Self {
+        Self::made(limits, workers, |text| text, plant, script)
+    }
+
+    fn made(
+        limits: Limits,
+        workers: usize,
+        edit: impl Fn(String) -> String,
+        plant: impl FnOnce(&mut Node),
+        script: impl Fn(usize, &Exec) -> Vec<Act> + Clone + Send + Sync + 'static,
     ) -> Self {
         let recorder = Recorder::memory();
         let worker = |i: usize| {
@@ -88,7 +108,8 @@
             .map(|(i, w)| target(&format!("s-{i}"), w.address(), "Ready"))
             .collect();
         std::fs::write(&config, edit(text(limits, board.address(), &targets.join(",")))).expect("written");
-        let node = Node::new(config.clone(), None, recorder.clone()).expect("a scheduler");
+        let mut node = Node::new(config.clone(), None, recorder.clone()).expect("a scheduler");
+        plant(&mut node);
         let (address, control) = (node.address(), node.control());
         let node = Some(std::thread::spawn(move || node.run().expect("it runs")));
         Self { recorder, workers, board, address, control, config, node, tried: 0 }
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -8,6 +8,7 @@
 mod gone;
 mod late;
 mod link;
+mod local_failures;
 mod picked;
 mod pieces;
 mod ready;
