System calls that fail for a moment are made again; what waits on them is not forgotten

Cause: Io::accept stopped for 20 ms at each failure; Io::add dropped a socket that could not be watched; set_interest and watch_listeners passed over a failed epoll_ctl, so that what was paused was never read again; Io::connect_from took every error of this machine for a refusal; a signal was known by its handler's write alone; Io::accepts_all said that none waits after a batch that ended early. Ruled out: reads, writes and waits (EINTR and short ones went through under injection).

--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -1,6 +1,7 @@
+use crate::again::{Again, Begun};
 use crate::diverted::Diversion;
 use crate::system::{SystemCall, SystemCalls};
-use crate::wake::{Signals, Waker, drain};
+use crate::wake::{Signal, Signals, Waker, drain};
 use crate::{Micros, monotonic};
 use bytes::{Buf, BytesMut};
 use rustix::event::{Timespec, epoll};
@@ -32,8 +33,8 @@
 /// Names a connection for as long as it lasts; never given to another one later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId {
-    slot: u32,
-    generation: u32,
+    pub(crate) slot: u32,
+    pub(crate) generation: u32,
 }
 
 /// How a connection ended, when the owner did not end it.
@@ -94,13 +95,15 @@
     }
 }
 
-struct Conn {
-    stream: TcpStream,
-    generation: u32,
+pub(crate) struct Conn {
+    pub(crate) stream: TcpStream,
+    pub(crate) generation: u32,
     input: BytesMut,
     output: BytesMut,
-    /// What epoll is asked for.
-    interest: epoll::EventFlags,
+    /// What epoll is to be asked for.
+    pub(crate) wanted: epoll::EventFlags,
+    /// What epoll was asked for, once it was.
+    pub(crate) interest: Option<epoll::EventFlags>,
     connecting: bool,
     /// Output waits for the peer.
     stuck: bool,
@@ -110,12 +113,14 @@
     /// Closed by the owner: what comes in is thrown away.
     closing: bool,
     accepted: bool,
-    ended: bool,
+    pub(crate) ended: bool,
 }
 
+/// What a connection that is read is watched for.
+const READ: epoll::EventFlags = epoll::EventFlags::IN.union(epoll::EventFlags::RDHUP);
 const KIND: u64 = 60;
-const CONN: u64 = 0;
-const LISTENER: u64 = 1;
+pub(crate) const CONN: u64 = 0;
+pub(crate) const LISTENER: u64 = 1;
 const SIGNAL: u64 = 2;
 const WAKE: u64 = 3;
 const DATAGRAMS: u64 = 4;
@@ -125,8 +130,6 @@
 const EVENTS: usize = 256;
 /// Connections accepted from one listener before others get their turn.
 const ACCEPT_BATCH: usize = 64;
-/// Without a descriptor for it a connection waits in the system's queue, where it is told at every turn.
-const SHORT_US: Micros = 20_000;
 
 /// The loop.
 ///
@@ -134,22 +137,23 @@
 /// changes interest, as with edges, while a pause in reading can lose no event.
 pub struct Io {
     pub(crate) epoll: OwnedFd,
-    system: SystemCalls,
+    pub(crate) system: SystemCalls,
+    pub(crate) again: Again,
     limits: IoLimits,
-    conns: Slab<Conn>,
+    pub(crate) conns: Slab<Conn>,
     generation: u32,
-    listeners: Vec<Option<TcpListener>>,
+    pub(crate) listeners: Vec<Option<TcpListener>>,
     /// By number; none where it was closed.
     pub(crate) sockets: Vec<Option<UdpSocket>>,
     /// Where the owner carries datagrams in place of the system.
     pub(crate) diversion: Option<Diversion>,
-    accepting: bool,
-    /// The system had no descriptor for a new connection: it is not asked again before this.
-    short_until: Micros,
+    pub(crate) accepting: bool,
+    /// The last turn may have left connections in the system's queue.
+    may_wait: bool,
     /// The owner wants no new connections for now.
     held: bool,
     accepted: usize,
-    signals: Vec<(i32, UnixStream)>,
+    signals: Vec<Signal>,
     waker: Waker,
     woken: UnixStream,
     scratch: Box<[u8]>,
@@ -174,6 +178,7 @@
         Ok(Self {
             epoll,
             system: SystemCalls::default(),
+            again: Again::default(),
             limits,
             conns: Slab::new(),
             generation: 0,
@@ -181,7 +186,7 @@
             sockets: Vec::new(),
             diversion: None,
             accepting: true,
-            short_until: 0,
+            may_wait: false,
             held: false,
             accepted: 0,
             signals: Vec::new(),
@@ -211,14 +216,10 @@
     /// # Errors
     /// Where the system refuses them.
     pub fn watch_signals(&mut self, signals: Signals) -> Result<(), NetError> {
-        for (signal, pipe) in signals.pipes {
-            epoll::add(
-                &self.epoll,
-                &pipe,
-                data(SIGNAL, self.signals.len() as u32, 0),
-                epoll::EventFlags::IN,
-            )?;
-            self.signals.push((signal, pipe));
+        for signal in signals.taken {
+            let of = data(SIGNAL, self.signals.len() as u32, 0);
+            epoll::add(&self.epoll, &signal.pipe, of, epoll::EventFlags::IN)?;
+            self.signals.push(signal);
         }
         Ok(())
     }
@@ -266,36 +267,35 @@
             sockopt::set_socket_reuseaddr(&socket, true)?;
             rustix::net::bind(&socket, &from)?;
         }
-        let failed = match self.system.connect(&socket, &to) {
-            Ok(()) | Err(rustix::io::Errno::INPROGRESS) => false,
-            Err(_) => true,
-        };
-        let interest = if failed { epoll::EventFlags::empty() } else { epoll::EventFlags::OUT };
-        let conn = self.add(TcpStream::from(socket), interest, false)?;
+        let conn = self.add(TcpStream::from(socket), false);
         self.conns[conn.slot as usize].connecting = true;
-        if failed {
-            self.failed.push(conn);
+        let begun = self.begin(conn, to);
+        // Without an interest a connection is told of when it breaks: not one that has not begun.
+        let wanted = match begun {
+            Begun::UnderWay => epoll::EventFlags::OUT,
+            Begun::Later | Begun::Failed => epoll::EventFlags::empty(),
+        };
+        self.conns[conn.slot as usize].wanted = wanted;
+        match begun {
+            Begun::UnderWay => self.watch(conn.slot),
+            Begun::Later => self.begin_later(conn, to),
+            Begun::Failed => self.failed.push(conn),
         }
         Ok(conn)
     }
 
-    fn add(
-        &mut self,
-        stream: TcpStream,
-        interest: epoll::EventFlags,
-        accepted: bool,
-    ) -> Result<ConnId, NetError> {
+    /// Takes a connection in, which is watched for nothing yet.
+    fn add(&mut self, stream: TcpStream, accepted: bool) -> ConnId {
         let _ = sockopt::set_tcp_nodelay(&stream, true);
         self.generation = (self.generation + 1) & 0x0fff_ffff;
         let generation = self.generation;
-        let slot = self.conns.vacant_key() as u32;
-        self.system.watch(&self.epoll, &stream, data(CONN, slot, generation), interest)?;
-        self.conns.insert(Conn {
+        let slot = self.conns.insert(Conn {
             stream,
             generation,
             input: BytesMut::new(),
             output: BytesMut::new(),
-            interest,
+            wanted: epoll::EventFlags::empty(),
+            interest: None,
             connecting: false,
             stuck: false,
             awaited: false,
@@ -305,7 +305,7 @@
             ended: false,
         });
         self.accepted += usize::from(accepted);
-        Ok(ConnId { slot, generation })
+        ConnId { slot: slot as u32, generation }
     }
 
     fn get(&mut self, id: ConnId) -> Option<&mut Conn> {
@@ -398,15 +398,12 @@
     /// Stops or resumes reading: with it stopped the peer soon can't send on. Its end is seen all the same where
     /// that ends the connection at once.
     pub fn pause(&mut self, id: ConnId, paused: bool) {
-        let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
-        let (system, ends) = ((&self.epoll, &mut self.system), self.limits.ends_at_once);
-        let Some(conn) = self.conns.get_mut(id.slot as usize) else { return };
-        if conn.generation == id.generation && !conn.connecting && !conn.ended {
-            // Told at each turn, an end that is only noted would have the loop spin.
-            let stops = if ends && conn.accepted { epoll::EventFlags::IN } else { read };
-            let wanted = if paused { conn.interest - stops } else { conn.interest | read };
-            set_interest(system, conn, id.slot, wanted);
-        }
+        let ends = self.limits.ends_at_once;
+        let Some(conn) = self.get(id).filter(|conn| !conn.connecting && !conn.ended) else { return };
+        // Told at each turn, an end that is only noted would have the loop spin.
+        let stops = if ends && conn.accepted { epoll::EventFlags::IN } else { READ };
+        conn.wanted = if paused { conn.wanted - stops } else { conn.wanted | READ };
+        self.watch(id.slot);
     }
 
     /// Whether the peer has ended an idle connection, or sent what nobody asked for, without this having
@@ -498,11 +495,10 @@
             (wait, None) => wait,
         };
         let now = monotonic();
+        self.try_again(now, out);
         self.watch_listeners(now);
-        let wait = match self.short_until.saturating_sub(now) {
-            0 => wait,
-            short => Some(wait.map_or(short, |wait| wait.min(short))),
-        };
+        let again = self.again.next_due(now).map(|at| at.saturating_sub(now));
+        let wait = again.into_iter().chain(wait).min();
         let wait = wait
             .map(|w| Timespec { tv_sec: (w / 1_000_000) as i64, tv_nsec: (w % 1_000_000 * 1_000) as i64 });
         let mut space = [MaybeUninit::<epoll::Event>::uninit(); EVENTS];
@@ -514,15 +510,18 @@
         for id in std::mem::take(&mut self.failed) {
             self.end(id, End::ConnectFailed, out);
         }
+        let (mut listener_told, all_told) = (false, events.len() < EVENTS);
         for event in events {
             let (data, flags) = (event.data.u64(), event.flags);
             let (slot, generation) = (data as u32, (data >> 32) as u32 & 0x0fff_ffff);
             match data >> KIND {
-                LISTENER => self.accept(slot as usize, out),
+                LISTENER => {
+                    listener_told = true;
+                    self.accept(slot as usize, out);
+                }
                 SIGNAL => {
-                    if let Some((signal, pipe)) = self.signals.get(slot as usize) {
-                        drain(pipe);
-                        out.push(Happened::Signal(*signal));
+                    if let Some(signal) = self.signals.get(slot as usize) {
+                        drain(&signal.pipe);
                     }
                 }
                 WAKE => {
@@ -533,6 +532,11 @@
                 _ => self.ready(ConnId { slot, generation }, flags, out),
             }
         }
+        if !listener_told {
+            self.may_wait = !all_told;
+        }
+        // By the mark that its handler made: what it wrote to wake the loop may be lost.
+        out.extend(self.signals.iter().filter(|signal| signal.take()).map(|s| Happened::Signal(s.number)));
         Ok(())
     }
 
@@ -544,7 +548,7 @@
         }
     }
 
-    fn end(&mut self, id: ConnId, how: End, out: &mut Vec<Happened>) {
+    pub(crate) fn end(&mut self, id: ConnId, how: End, out: &mut Vec<Happened>) {
         let Some(conn) = self.get(id).filter(|c| !c.ended) else { return };
         if conn.closing {
             return self.remove(id.slot);
@@ -563,27 +567,23 @@
     /// Whether connections are accepted as they come: neither held back nor at the limit, nor refused by the system for
     /// now. With none accepted in a turn none waits in the system's queue then.
     pub fn accepts_all(&self) -> bool {
-        let short = monotonic() < self.short_until;
-        !self.held && !short && self.accepting && self.accepted < self.limits.connections
+        let put_off = self.may_wait || self.again.holds_accepting(monotonic());
+        !self.held && !put_off && self.accepting && self.accepted < self.limits.connections
     }
 
     /// Connections at the limit are not accepted: they wait in the system's queue.
     fn watch_listeners(&mut self, now: Micros) {
-        let short = now < self.short_until;
-        let wanted = !self.held && !short && self.accepted < self.limits.connections;
+        let put_off = self.again.holds_accepting(now);
+        let wanted = !self.held && !put_off && self.accepted < self.limits.connections;
         if wanted != self.accepting {
             self.accepting = wanted;
-            let flags = if wanted { epoll::EventFlags::IN } else { epoll::EventFlags::empty() };
-            for (number, listener) in self.listeners.iter().enumerate() {
-                if let Some(listener) = listener {
-                    let of = data(LISTENER, number as u32, 0);
-                    let _ = self.system.rewatch(&self.epoll, listener, of, flags);
-                }
-            }
+            self.watch_all_listeners(wanted);
         }
     }
 
     fn accept(&mut self, number: usize, out: &mut Vec<Happened>) {
+        self.may_wait = true;
+        let mut failed = false;
         for _ in 0..ACCEPT_BATCH {
             if self.accepted >= self.limits.connections {
                 return;
@@ -591,20 +591,23 @@
             let Some(Some(listener)) = self.listeners.get(number) else { return };
             match self.system.accept(listener) {
                 Ok(socket) => {
-                    let interest = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
-                    if let Ok(conn) = self.add(TcpStream::from(socket), interest, true) {
-                        out.push(Happened::Accepted { conn, listener: number });
-                    }
+                    failed = false;
+                    self.again.accepted();
+                    let conn = self.add(TcpStream::from(socket), true);
+                    self.conns[conn.slot as usize].wanted = READ;
+                    self.watch(conn.slot);
+                    out.push(Happened::Accepted { conn, listener: number });
                 }
                 // No more waiting.
-                Err(rustix::io::Errno::WOULDBLOCK) => return,
-                // One that had gone before it was accepted.
-                Err(rustix::io::Errno::CONNABORTED | rustix::io::Errno::INTR) => {}
-                // No descriptor or memory left for one: level-triggered, this would come again at once.
-                Err(_) => {
-                    self.short_until = monotonic() + SHORT_US;
+                Err(rustix::io::Errno::WOULDBLOCK) => {
+                    self.may_wait = false;
                     return;
                 }
+                // One that had gone before it was accepted.
+                Err(rustix::io::Errno::CONNABORTED | rustix::io::Errno::INTR) => {}
+                // No descriptor or memory left for one, or an error that waited on it: the next may go through.
+                Err(_) if !std::mem::replace(&mut failed, true) => {}
+                Err(_) => return self.again.not_accepted(),
             }
         }
     }
@@ -619,12 +622,11 @@
                 return self.end(id, End::ConnectFailed, out);
             }
             conn.connecting = false;
-            conn.interest = epoll::EventFlags::empty();
+            conn.wanted = epoll::EventFlags::empty();
             self.pause(id, false);
             out.push(Happened::Connected(id));
             return;
         }
-        let read = epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
         let broken = epoll::EventFlags::ERR | epoll::EventFlags::HUP;
         let gone = flags.intersects(epoll::EventFlags::RDHUP | broken);
         // One that was closed here reads our last bytes yet.
@@ -635,7 +637,7 @@
         if flags.contains(epoll::EventFlags::OUT) && self.write(id.slot, out) {
             return;
         }
-        if flags.intersects(read | broken) {
+        if flags.intersects(READ | broken) {
             self.read(id, out);
         }
     }
@@ -675,7 +677,6 @@
 
     /// Writes what the socket takes; true where the connection ended over it.
     fn write(&mut self, slot: u32, out: &mut Vec<Happened>) -> bool {
-        let system = (&self.epoll, &mut self.system);
         let Some(conn) = self.conns.get_mut(slot as usize) else { return true };
         let id = ConnId { slot, generation: conn.generation };
         if conn.closing && !conn.output.is_empty() {
@@ -689,8 +690,8 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     conn.stuck = true;
-                    let wanted = conn.interest | epoll::EventFlags::OUT;
-                    set_interest(system, conn, slot, wanted);
+                    conn.wanted |= epoll::EventFlags::OUT;
+                    self.watch(slot);
                     return false;
                 }
                 Err(_) => {
@@ -701,16 +702,16 @@
         }
         conn.output = BytesMut::new();
         let (stuck, awaited) = (std::mem::take(&mut conn.stuck), std::mem::take(&mut conn.awaited));
+        if conn.closing {
+            let _ = rustix::net::shutdown(&conn.stream, Shutdown::Write);
+        }
         if stuck {
-            let wanted = conn.interest - epoll::EventFlags::OUT;
-            set_interest(system, conn, slot, wanted);
+            conn.wanted -= epoll::EventFlags::OUT;
+            self.watch(slot);
         }
         if stuck || awaited {
             out.push(Happened::Drained(id));
         }
-        if conn.closing {
-            let _ = rustix::net::shutdown(&conn.stream, Shutdown::Write);
-        }
         false
     }
 
@@ -723,19 +724,7 @@
     }
 }
 
-fn set_interest(
-    (epoll, system): (&OwnedFd, &mut SystemCalls),
-    conn: &mut Conn,
-    slot: u32,
-    wanted: epoll::EventFlags,
-) {
-    if wanted != conn.interest {
-        conn.interest = wanted;
-        let _ = system.rewatch(epoll, &conn.stream, data(CONN, slot, conn.generation), wanted);
-    }
-}
-
-fn data(kind: u64, slot: u32, generation: u32) -> epoll::EventData {
+pub(crate) fn data(kind: u64, slot: u32, generation: u32) -> epoll::EventData {
     epoll::EventData::new_u64(kind << KIND | u64::from(generation) << 32 | u64::from(slot))
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Io::input`] and puts bytes to send into [`Io::output`], which are written together at the next turn.
 #![warn(missing_docs)]
 
+mod again;
 mod clock;
 mod datagram;
 mod diverted;
--- a/crates/net/src/wake.rs
+++ b/crates/net/src/wake.rs
@@ -2,6 +2,7 @@
 use std::io::{Read, Write};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Wakes a loop from another thread.
 #[derive(Clone, Debug)]
@@ -28,11 +29,28 @@
     while matches!(from.read(&mut bytes), Ok(n) if n == bytes.len()) {}
 }
 
+/// A signal that comes to a loop.
+#[derive(Debug)]
+pub(crate) struct Signal {
+    pub number: i32,
+    /// Its handler writes to the other end: this wakes the loop.
+    pub pipe: UnixStream,
+    /// Its handler sets it: this says that the signal came.
+    came: Arc<AtomicBool>,
+}
+
+impl Signal {
+    /// Whether it has come since this was last asked.
+    pub fn take(&self) -> bool {
+        self.came.swap(false, Ordering::AcqRel)
+    }
+}
+
 /// Signals that come to a loop as [`Happened::Signal`](crate::Happened::Signal) in place of their default
 /// action.
 #[derive(Debug)]
 pub struct Signals {
-    pub(crate) pipes: Vec<(i32, UnixStream)>,
+    pub(crate) taken: Vec<Signal>,
 }
 
 impl Signals {
@@ -41,14 +59,17 @@
     /// # Errors
     /// Where the system refuses the pipe or the handler.
     pub fn take(signals: &[i32]) -> Result<Self, NetError> {
-        let mut pipes = Vec::new();
-        for signal in signals {
-            let (write, read) = UnixStream::pair()?;
-            read.set_nonblocking(true)?;
-            signal_hook::low_level::pipe::register(*signal, write)?;
-            pipes.push((*signal, read));
+        let mut taken = Vec::new();
+        for number in signals.iter().copied() {
+            let (write, pipe) = UnixStream::pair()?;
+            pipe.set_nonblocking(true)?;
+            let came = Arc::<AtomicBool>::default();
+            // In this order: whoever is woken finds the mark.
+            signal_hook::flag::register(number, came.clone())?;
+            signal_hook::low_level::pipe::register(number, write)?;
+            taken.push(Signal { number, pipe, came });
         }
-        Ok(Self { pipes })
+        Ok(Self { taken })
     }
 
     /// What handlers write is lost from now on.
@@ -57,12 +78,12 @@
     /// Where the system refuses a pipe.
     #[doc(hidden)]
     pub fn lose_wakes(&mut self) -> Result<(), NetError> {
-        for (_, pipe) in &mut self.pipes {
+        for signal in &mut self.taken {
             let (deaf, never) = UnixStream::pair()?;
             deaf.set_nonblocking(true)?;
             // Its other end stays open, so that it is silent.
             std::mem::forget(never);
-            *pipe = deaf;
+            signal.pipe = deaf;
         }
         Ok(())
     }
