Failing test: a start that the system refuses for a moment; forgotten connections hold

A scheduler whose address is still taken for half a second ends with 1. Holding: the first request on a connection that its worker has forgotten fails once where it may have run, and goes elsewhere where it may be repeated.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -11,7 +11,7 @@
 use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, prlimit};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::Child;
+use std::process::{Child, Stdio};
 use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
@@ -426,3 +426,30 @@
     assert!(child.wait().expect("ended").success());
     std::fs::remove_file(config).expect("removed");
 }
+
+#[test]
+fn one_whose_address_the_system_refuses_for_a_moment_starts_all_the_same() {
+    let worker = LineWorker::start("s-0", Recorder::none(), |exec| exec.serve()).expect("a worker");
+    let board = Board::start(2).expect("a bulletin");
+    let config =
+        file("patient", &text(Limits::default(), board.address(), &target("s-0", worker.address(), "Ready")));
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = taken.local_addr().expect("an address");
+    let mut child =
+        program(&config).env("NODE_LISTEN", at.to_string()).stderr(Stdio::null()).spawn().expect("started");
+    // Half a second later whoever has the address lets go of it.
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(child.try_wait().expect("a child").is_none(), "it has ended");
+    drop(taken);
+    let until = Instant::now() + PATIENCE;
+    let serves = || {
+        FrontClient::connect(at, PATIENCE)
+            .is_ok_and(|mut client| client.is_ready().is_ok_and(|r| r == Some(true)))
+    };
+    while !serves() {
+        assert!(Instant::now() < until, "never ready");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    stop(child);
+    let _ = std::fs::remove_file(&config);
+}
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod deployments;
 mod descriptors;
 mod fleet;
+mod forgotten;
 mod gone;
 mod late;
 mod late_sends;
