A start that the system refuses for a moment is tried again for five seconds

Change: opened again each 50 ms, 100 times at the most; what is wrong with the configuration ends it at once as before.

--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -3,6 +3,24 @@
 use crate::records::Records;
 use basaltward_node::{Node, NodeError};
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What the system refuses at the start is asked for again after this, so many times: within the 10 s in which a
+/// restarted scheduler has to be ready.
+const AGAIN: Duration = Duration::from_millis(50);
+const TRIES: u32 = 100;
+
+/// Opens a scheduler, though the system refuses it for a moment.
+fn patiently(open: impl Fn() -> Result<Node, NodeError>) -> Result<Node, NodeError> {
+    for _ in 1..TRIES {
+        match open() {
+            Err(NodeError::Net(error)) => tracing::warn!(%error, "not started yet"),
+            told => return told,
+        }
+        std::thread::sleep(AGAIN);
+    }
+    open()
+}
 
 /// Runs as the live scheduler of a platform until SIGTERM.
 pub fn run(options: &Options) -> Result<(), Failed> {
@@ -11,11 +29,11 @@
     let listen = std::env::var("NODE_LISTEN").ok().map(|text| text.parse::<SocketAddr>());
     let listen = listen.transpose().map_err(|_| Failed::Input("NODE_LISTEN is not an address".into()))?;
     let records = Records::open(options.records.as_deref())?;
-    let mut node =
-        Node::new_as(path, listen, records.recorder.clone(), options.view).map_err(|error| match error {
-            NodeError::Net(error) => Failed::Run(error.to_string()),
-            error => Failed::Input(error.to_string()),
-        })?;
+    let open = || Node::new_as(path.clone(), listen, records.recorder.clone(), options.view);
+    let mut node = patiently(open).map_err(|error| match error {
+        NodeError::Net(error) => Failed::Run(error.to_string()),
+        error => Failed::Input(error.to_string()),
+    })?;
     node.take_signals()?;
     node.run()?;
     records.close()
