--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -14,10 +14,12 @@
 use common::{Call, Limits, fields, target, text};
 use process::{file, signal, start};
 use rustix::process::Signal;
+use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Child;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -26,6 +28,8 @@
 const CROSSING: Micros = 50 * MS;
 /// An answer that comes later than this after the request's time is lost.
 const LATE: Micros = 500 * MS;
+/// A worker is told no more than its client has left, and this.
+const SLACK: Micros = 150 * MS;
 /// What a loaded machine may add between a client's clock and its socket.
 const MACHINE: Micros = 250 * MS;
 /// A request that came later than this after SIGTERM has to be answered before SIGKILL.
@@ -93,12 +97,33 @@
     }
 }
 
+/// What workers were told of the time that clients have.
+#[derive(Default)]
+struct Budgets {
+    /// When the client of a request stops waiting.
+    until: Mutex<HashMap<String, Micros>>,
+    /// By how much the most that a worker was told went past that.
+    past: AtomicU64,
+}
+
+impl Budgets {
+    fn told(&self, exec: &Exec) {
+        let until = self.until.lock().expect("sound").get(&exec.id).copied();
+        let budget =
+            exec.fields.split("budget=").nth(1).and_then(|rest| rest.split(',').next()?.parse().ok());
+        let (Some(until), Some(budget)): (_, Option<Micros>) = (until, budget) else { return };
+        let told = monotonic() + budget * MS;
+        self.past.fetch_max(told.saturating_sub(until), Ordering::SeqCst);
+    }
+}
+
 /// The program under test with its surroundings.
 struct Cluster {
     child: Child,
     to: SocketAddr,
     config: PathBuf,
     hang: &'static AtomicBool,
+    budgets: &'static Budgets,
     board: Board,
     _workers: Vec<LineWorker>,
 }
@@ -106,9 +131,13 @@
 impl Cluster {
     fn new(scenario: &Scenario) -> Self {
         let hang: &'static AtomicBool = Box::leak(Box::default());
-        let script = move |exec: &Exec| match hang.load(Ordering::SeqCst) || exec.nth % 16 == 15 {
-            true => vec![Act::Run],
-            false => [vec![Act::Wait(Duration::from_millis(2))], exec.serve()].concat(),
+        let budgets: &'static Budgets = Box::leak(Box::default());
+        let script = move |exec: &Exec| {
+            budgets.told(exec);
+            match hang.load(Ordering::SeqCst) || exec.nth % 16 == 15 {
+                true => vec![Act::Run],
+                false => [vec![Act::Wait(Duration::from_millis(2))], exec.serve()].concat(),
+            }
         };
         let start_one = |n| LineWorker::start(&format!("s-{n}"), Recorder::none(), script).expect("a worker");
         let workers: Vec<_> = (0..4).map(start_one).collect();
@@ -120,7 +149,7 @@
         let text = text(limits, board.address(), &targets).replace("\"onTimeUs\":2000000", &aim);
         let config = file(&format!("soak-{}", scenario.seed), &text);
         let (child, to) = start(&config);
-        Self { child, to, config, hang, board, _workers: workers }
+        Self { child, to, config, hang, budgets, board, _workers: workers }
     }
 }
 
@@ -218,6 +247,7 @@
 struct Player<'a> {
     scenario: &'a Scenario,
     phase: &'a Phase,
+    budgets: &'a Budgets,
     to: SocketAddr,
     draw: Draw,
     next: u64,
@@ -249,6 +279,10 @@
     fn one(&mut self, client: &mut FrontClient) -> bool {
         let (one, apart) = (self.call(), self.draw.one_in(5).then(|| self.draw.below(45)));
         let mut served = false;
+        if apart.is_none() {
+            let until = monotonic() + one.timeout_ms * MS;
+            self.budgets.until.lock().expect("sound").insert(one.id.clone(), until);
+        }
         let (sent, told) = ask(client, &one, apart.map(Duration::from_millis), &mut served);
         // Only a scheduler that stops closes connections of clients that use them.
         let stops = self.phase.since_term(sent).is_some() && !self.phase.killed.load(Ordering::SeqCst);
@@ -342,11 +376,12 @@
     let phase = Phase::default();
     let crowd: Vec<_> =
         (0..scenario.crowd).filter_map(|_| std::net::TcpStream::connect(cluster.to).ok()).collect();
-    let to = cluster.to;
+    let (to, budgets) = (cluster.to, cluster.budgets);
     let (ended, went) = std::thread::scope(|scope| {
         let player = |number: u64| Player {
             scenario: &scenario,
             phase: &phase,
+            budgets,
             to,
             draw: Draw(seed << 16 | number),
             next: number << 32,
@@ -367,7 +402,9 @@
         "{answered} answered, {served} of {before} before SIGTERM served, ended after {ended:?} of {} us: {scenario:?}",
         scenario.kill()
     );
-    match lost.is_empty() && answered > 0 {
+    let past = budgets.past.load(Ordering::SeqCst);
+    let told = format!("budgets {past} us past, {told}");
+    match lost.is_empty() && answered > 0 && past <= SLACK {
         true => Ok(told),
         false => Err(format!("{} lost {lost:?}; {told}", lost.len())),
     }
@@ -400,3 +437,47 @@
     });
     assert!(failed.is_empty(), "{} of {count} seeds failed:\n{}", failed.len(), failed.join("\n"));
 }
+
+/// How long a process gets its core for, and how long not, for so many times.
+const RUNS: Duration = Duration::from_millis(8);
+const STANDS: Duration = Duration::from_millis(72);
+const TIMES: usize = 40;
+
+#[test]
+fn one_that_has_its_core_for_a_tenth_of_the_time_answers_whoever_comes() {
+    let scenario = Scenario { deadline_ms: 2_000, clients: 24, crowd: 0, ..Scenario::new(0) };
+    let cluster = Cluster::new(&scenario);
+    let (phase, over, to) = (Phase::default(), AtomicBool::new(false), cluster.to);
+    let budgets = cluster.budgets;
+    let lost: Vec<_> = std::thread::scope(|scope| {
+        let one = |number: u64| {
+            let (phase, over, scenario) = (&phase, &over, &scenario);
+            scope.spawn(move || {
+                let draw = Draw(number);
+                let (next, had) = (number << 32, Had::default());
+                let mut player = Player { scenario, phase, budgets, to, draw, next, had };
+                while !over.load(Ordering::SeqCst) {
+                    // Each request on a connection of its own, which the loop may hold back while it is late.
+                    if let Some(mut client) = player.connect() {
+                        player.one(&mut client);
+                    }
+                }
+                player.had
+            })
+        };
+        let players: Vec<_> = (1..=scenario.clients).map(one).collect();
+        for _ in 0..TIMES {
+            process::freeze(&cluster.child);
+            std::thread::sleep(STANDS);
+            process::thaw(&cluster.child);
+            std::thread::sleep(RUNS);
+        }
+        over.store(true, Ordering::SeqCst);
+        let all: Vec<_> = players.into_iter().map(|player| player.join().expect("played")).collect();
+        println!("{} answered", all.iter().map(|had| had.answered).sum::<u64>());
+        all.into_iter().flat_map(|had| had.lost).collect()
+    });
+    assert!(lost.is_empty(), "{} lost: {lost:?}", lost.len());
+    let past = budgets.past.load(Ordering::SeqCst);
+    assert!(past <= SLACK, "a worker was told {past} us more than its client had");
+}
