--- a/crates/net/tests/system_calls.rs
+++ b/crates/net/tests/system_calls.rs
@@ -74,6 +74,12 @@
             assert!(monotonic() < began + 500 * MS, "{call:?} {error:?}: {heard} of {CLIENTS} were heard");
         }
     }
+    // One that can't be watched at all for now is read all the same.
+    let (mut io, at) = listening();
+    io.plant_failures(SystemCall::Watch, Errno::NOMEM, 40);
+    let _clients = clients(at, 1);
+    let (_, took) = turn_until(&mut io, |all| brought(all) == 1);
+    assert!(took < 100 * MS, "read after {took} us");
     // What a connection is watched for can't be changed for a moment: what was paused is read on.
     let (mut io, at) = listening();
     let mut clients = clients(at, 1);
