A connection that can't be watched for now is read at each try

Cause: Io::accept left a connection unread until epoll_ctl went through, and by then nobody knew since when its bytes had been there. Change: watch_or_read.

--- a/crates/net/src/again.rs
+++ b/crates/net/src/again.rs
@@ -71,28 +71,40 @@
 }
 
 impl Io {
-    /// Has a connection watched for what it should be.
-    pub(crate) fn watch(&mut self, slot: u32) {
-        let Some(conn) = self.conns.get_mut(slot as usize).filter(|conn| !conn.ended) else { return };
+    /// Has a connection watched for what it should be. False where that fails for now.
+    pub(crate) fn watch(&mut self, slot: u32) -> bool {
+        let Some(conn) = self.conns.get_mut(slot as usize).filter(|conn| !conn.ended) else { return true };
         let Conn { wanted, generation, .. } = *conn;
         let of = data(CONN, slot, generation);
         let told = match conn.interest {
-            Some(interest) if interest == wanted => return,
+            Some(interest) if interest == wanted => return true,
             Some(_) => self.system.rewatch(&self.epoll, &conn.stream, of, wanted),
             None => self.system.watch(&self.epoll, &conn.stream, of, wanted),
         };
         match told {
-            Ok(()) => conn.interest = Some(wanted),
+            Ok(()) => {
+                conn.interest = Some(wanted);
+                true
+            }
             Err(_) => {
                 let id = ConnId { slot, generation };
                 if !self.again.unwatched.contains(&id) {
                     self.again.unwatched.push(id);
                 }
                 self.again.later();
+                false
             }
         }
     }
 
+    /// As [`Io::watch`]; what is not told of a connection that can't be watched is asked of it.
+    pub(crate) fn watch_or_read(&mut self, id: ConnId, out: &mut Vec<Happened>) {
+        let reads = |conn: &Conn| conn.wanted.contains(EventFlags::IN);
+        if !self.watch(id.slot) && self.conns.get(id.slot as usize).is_some_and(reads) {
+            self.read(id, out);
+        }
+    }
+
     /// Has all listeners watched for new connections, or for none.
     pub(crate) fn watch_all_listeners(&mut self, accepting: bool) {
         let flags = if accepting { EventFlags::IN } else { EventFlags::empty() };
@@ -138,7 +150,7 @@
         }
         for id in std::mem::take(&mut self.again.unwatched) {
             if self.conns.get(id.slot as usize).is_some_and(|conn| conn.generation == id.generation) {
-                self.watch(id.slot);
+                self.watch_or_read(id, out);
             }
         }
         for (id, to) in std::mem::take(&mut self.again.unbegun) {
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -277,7 +277,7 @@
         };
         self.conns[conn.slot as usize].wanted = wanted;
         match begun {
-            Begun::UnderWay => self.watch(conn.slot),
+            Begun::UnderWay => drop(self.watch(conn.slot)),
             Begun::Later => self.begin_later(conn, to),
             Begun::Failed => self.failed.push(conn),
         }
@@ -595,8 +595,8 @@
                     self.again.accepted();
                     let conn = self.add(TcpStream::from(socket), true);
                     self.conns[conn.slot as usize].wanted = READ;
-                    self.watch(conn.slot);
                     out.push(Happened::Accepted { conn, listener: number });
+                    self.watch_or_read(conn, out);
                 }
                 // No more waiting.
                 Err(rustix::io::Errno::WOULDBLOCK) => {
@@ -642,7 +642,7 @@
         }
     }
 
-    fn read(&mut self, id: ConnId, out: &mut Vec<Happened>) {
+    pub(crate) fn read(&mut self, id: ConnId, out: &mut Vec<Happened>) {
         let most = self.limits.input;
         let Some(conn) = self.conns.get_mut(id.slot as usize).filter(|c| c.generation == id.generation)
         else {
