--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -63,6 +63,8 @@
     crowd: usize,
     workers_hang: bool,
     discovery_down: bool,
+    /// Clients send the next request as soon as they have an answer.
+    hurried: bool,
     /// Signals and when they come; SIGTERM at 0 is among them.
     signals: Vec<(Micros, Signal)>,
 }
@@ -87,6 +89,7 @@
             crowd: if draw.one_in(3) { 20 + draw.below(100) as usize } else { 0 },
             workers_hang: draw.one_in(3),
             discovery_down: draw.one_in(3),
+            hurried: draw.one_in(3),
             signals,
         }
     }
@@ -333,7 +336,9 @@
                 kept = Some(client);
             }
             let pause = if self.draw.one_in(8) { 60 } else { 6 };
-            std::thread::sleep(Duration::from_millis(self.draw.below(pause)));
+            if !self.scenario.hurried {
+                std::thread::sleep(Duration::from_millis(self.draw.below(pause)));
+            }
         }
         self.had
     }
