While stopping a connection is closed once its last answer has left

Cause: Node::wake looked for connections to close before the turn's answers were written; a client that answers at once had its next request there by the following turn, so that its connection was never without one. Change: connections are closed behind the turn's last write.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -365,6 +365,10 @@
             self.carry_out(now, outputs);
         }
         self.flush();
+        if self.stopped {
+            // Once its answer is with the system, and before a client that never pauses has sent the next request.
+            self.front.end_idle(&mut self.io, monotonic());
+        }
         std::mem::swap(happened, &mut self.later);
         let Turn { began, lag, .. } = self.pace.end(monotonic(), thread_time());
         self.engine.note_late(monotonic(), began);
@@ -499,9 +503,6 @@
                 self.stopped = true;
                 self.tell(now, Input::Stop);
             }
-            if self.stopped {
-                self.front.end_idle(&mut self.io, now);
-            }
             let mut outputs = std::mem::take(&mut self.outputs);
             self.engine.wake(now, &mut outputs);
             self.carry_out(now, outputs);
