--- a/crates/node/tests/sockets/shutdown.rs
+++ b/crates/node/tests/sockets/shutdown.rs
@@ -4,8 +4,8 @@
 use crate::common::*;
 use basaltward_net::{Micros, monotonic};
 use basaltward_rules::What;
-use basaltward_standins::{Act, Exec, FrontReply};
-use std::time::Duration;
+use basaltward_standins::{Act, Exec, FrontClient, FrontReply};
+use std::time::{Duration, Instant};
 
 const MS: Micros = 1_000;
 /// The scheduler accepts for so long after the signal, and waits so long for its last answers to be read.
@@ -88,3 +88,30 @@
     let took = down - stopping;
     assert!((ENDS..ENDS + 300 * MS + LATE).contains(&took), "{took}");
 }
+
+/// The earliest SIGKILL after SIGTERM, where the longest deadline is 3 s or more.
+const KILL: Duration = Duration::from_millis(3_700);
+
+#[test]
+fn clients_that_never_stop_coming_do_not_keep_the_scheduler() {
+    let mut bed = Bed::new(Limits::default(), 1, |_, exec| exec.serve());
+    serves(&mut bed);
+    let (to, began) = (bed.address, Instant::now());
+    let comes = move |number: u64| {
+        for next in 0.. {
+            let asked = FrontClient::connect(to, PATIENCE).and_then(|mut client| {
+                send(&mut client, &call(number << 32 | next, "view"));
+                client.read()
+            });
+            if asked.is_err() || began.elapsed() > PATIENCE {
+                return;
+            }
+        }
+    };
+    let clients: Vec<_> = (1..=4).map(|number| std::thread::spawn(move || comes(number))).collect();
+    let stopped = Instant::now();
+    bed.finish();
+    let took = stopped.elapsed();
+    assert!(took < KILL + Duration::from_millis(500), "it ended after {took:?}");
+    clients.into_iter().for_each(|client| client.join().expect("it asked"));
+}
