A scheduler that stops ends though clients go on coming; only who stood is waited for

Cause: Node::is_over waited for an instant without any client's connection, and its last time moved on with each refusal.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -28,9 +28,9 @@
 const SPARE_US: Micros = 300_000;
 /// A connection that would go and on which something has come is asked again after this.
 const LOOKS_US: Micros = 10_000;
-/// The rest of a request comes this long after its first bytes at the latest, and a request that crossed the close of its
-/// connection this long after that on a new one: twice what the page says of either. Such a connection is not closed.
-const CROSSING_US: Micros = 100_000;
+/// The rest of a request comes within 50 ms of its first bytes, and one that crossed the close of its connection within 50
+/// ms of that on a new one; some more for the way. Until then such a connection is not closed.
+const CROSSING_US: Micros = 60_000;
 /// Connections kept free for new clients, and how often that is seen to while they are short.
 const ROOM: usize = 4;
 const ROOM_US: Micros = 100_000;
@@ -73,6 +73,8 @@
     /// When the first byte of the request now arriving came.
     began: Option<Micros>,
     used: Micros,
+    /// When it was accepted.
+    opened: Micros,
     /// When patience with it ends, and the timer that is set for it, which is moved only to an earlier time.
     until: Micros,
     armed: Micros,
@@ -115,7 +117,7 @@
     /// A worker that takes calls has been told of: what a heartbeat says.
     knows_worker: bool,
     leaving: bool,
-    /// When the last client's connection was given up.
+    /// When the last connection was closed that stood before the scheduler turned requests away.
     left_at: Micros,
 }
 
@@ -213,7 +215,8 @@
         let until = now + FIRST_US;
         let (open, used, armed) = (Vec::new(), now, Micros::MAX);
         let (last, unusable, unread, asked, ready, began) = (i32::MIN, 0, 0, false, false, None);
-        let client = Client { open, last, unusable, unread, asked, ready, began, used, until, armed };
+        let opened = now;
+        let client = Client { open, last, unusable, unread, asked, ready, began, used, opened, until, armed };
         self.clients.insert(conn, client);
         self.idle.insert((now, conn));
         self.arm(conn, until);
@@ -553,12 +556,14 @@
 
     /// Ends the connections on which nothing is open, nothing has come and all answers are with the system: they
     /// make room for those that still wait to be accepted. One that is closed has less time to read the rest.
-    pub fn end_idle(&mut self, io: &mut Io, now: Micros) {
+    pub fn end_idle(&mut self, io: &mut Io, now: Micros, stopped: Micros) {
         let idle: Vec<_> = self.idle.iter().map(|(_, conn)| *conn).collect();
         for conn in idle {
             if self.may_close(io, now, conn) {
+                if self.clients.get(&conn).is_some_and(|client| client.opened <= stopped) {
+                    self.left_at = now;
+                }
                 self.forget(conn);
-                self.left_at = now;
                 io.close(conn);
             }
         }
@@ -576,10 +581,12 @@
         !client.ready && expected <= now && io.unsent(conn) == 0 && !io.is_stale(conn)
     }
 
-    /// Whether no client has had a connection for as long as one whose request crossed the close of its own may take to
-    /// come again.
-    pub fn has_been_empty(&self, now: Micros) -> bool {
-        self.clients.is_empty() && self.left_at + CROSSING_US <= now
+    /// Whether all connections that stood as the scheduler began to turn requests away have been closed, and for so long
+    /// that a request that crossed this would have come again. Of those opened since only what has not been asked on a
+    /// new one is waited for: clients that go on coming would keep it.
+    pub fn has_been_left(&self, now: Micros, stopped: Micros) -> bool {
+        let waits = |c: &Client| c.opened <= stopped || !c.asked && now < c.opened + CROSSING_US;
+        !self.clients.values().any(waits) && self.left_at + CROSSING_US <= now
     }
 
     /// Ends connections whose patience is over; gives who waited on them.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -303,12 +303,13 @@
         self.front.oldest().into_iter().chain(self.engine.oldest_arrival()).min()
     }
 
-    /// Whether SIGTERM came, all who may still come have been taken, and nothing is owed. As long as a client has a
-    /// connection, or lost one a moment ago, a request may be on its way.
+    /// Whether SIGTERM came, all who may still come have been taken, and nothing is owed. As long as a client has its
+    /// connection, or lost it a moment ago, a request may be on its way.
     fn is_over(&self, now: Micros) -> bool {
         let Some(term) = self.term.filter(|_| self.stopped) else { return false };
         let none_waits = !self.accepted && self.io.accepts_all() && self.oldest().is_none();
-        let settled = none_waits && self.front.has_been_empty(now) && self.io.is_settled();
+        let settled =
+            none_waits && self.front.has_been_left(now, term + self.turns_away) && self.io.is_settled();
         // What was answered as late as SIGKILL allows has half of the time that is left to be read.
         let unread_until = (term + TERM_US + LAST_US).max(self.last_answer + APART_US / 2);
         self.engine.in_hand() == 0 && (settled || unread_until <= now)
@@ -365,9 +366,9 @@
             self.carry_out(now, outputs);
         }
         self.flush();
-        if self.stopped {
+        if let Some(term) = self.term.filter(|_| self.stopped) {
             // Once its answer is with the system, and before a client that never pauses has sent the next request.
-            self.front.end_idle(&mut self.io, monotonic());
+            self.front.end_idle(&mut self.io, monotonic(), term + self.turns_away);
         }
         std::mem::swap(happened, &mut self.later);
         let Turn { began, lag, .. } = self.pace.end(monotonic(), thread_time());
