Begun connections have one place; what a retry brings is told without waiting

Read again: Io::connect_from and try_again had the same three ends of a connect; they are one function now. A turn reckoned how long to wait before it tried again, so that a connect that failed then was told only after that wait (the test asks for a second and fails without the change). Tests: one way to end a program under test in place of three, one count of sends to a cold worker for two.

--- a/crates/cli/tests/crossings/restarts.rs
+++ b/crates/cli/tests/crossings/restarts.rs
@@ -1,7 +1,7 @@
 //! A planned restart of the program under many clients: every request that it takes gets its final answer, and it ends
 //! by itself before SIGKILL may come.
 use crate::common::{Call, Limits, PATIENCE, call, send, target, text};
-use crate::process::{file, signal, start};
+use crate::process::{end, file, signal, start};
 use basaltward_net::{Micros, monotonic};
 use basaltward_rules::Recorder;
 use basaltward_standins::{Act, Board, Exec, FrontClient, FrontReply, LineWorker};
@@ -90,11 +90,7 @@
 
 impl Drop for Bed {
     fn drop(&mut self) {
-        if matches!(self.child.try_wait(), Ok(None)) {
-            signal(&self.child, Signal::KILL);
-            let _ = self.child.wait();
-        }
-        let _ = std::fs::remove_file(&self.config);
+        end(&mut self.child, &self.config);
     }
 }
 
--- a/crates/cli/tests/process/mod.rs
+++ b/crates/cli/tests/process/mod.rs
@@ -55,3 +55,13 @@
 pub fn thaw(child: &Child) {
     signal(child, Signal::CONT);
 }
+
+/// Ends the process where it still runs, and removes its configuration.
+#[allow(dead_code)]
+pub fn end(child: &mut Child, config: &Path) {
+    if matches!(child.try_wait(), Ok(None)) {
+        signal(child, Signal::KILL);
+        let _ = child.wait();
+    }
+    let _ = std::fs::remove_file(config);
+}
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -158,11 +158,7 @@
 
 impl Drop for Cluster {
     fn drop(&mut self) {
-        if matches!(self.child.try_wait(), Ok(None)) {
-            signal(&self.child, Signal::KILL);
-            let _ = self.child.wait();
-        }
-        let _ = std::fs::remove_file(&self.config);
+        process::end(&mut self.child, &self.config);
     }
 }
 
--- a/crates/cli/tests/stalls.rs
+++ b/crates/cli/tests/stalls.rs
@@ -8,7 +8,7 @@
 use basaltward_rules::{Recorder, What};
 use basaltward_standins::{Board, Exec, FrontClient, FrontReply, LineWorker, answer};
 use common::{Call, Limits, PATIENCE, WAYS, call, delivered, leave, send, target, text};
-use process::{file, freeze, signal, start, thaw};
+use process::{end, file, freeze, signal, start, thaw};
 use rustix::process::Signal;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -88,11 +88,7 @@
 
 impl Drop for Bed {
     fn drop(&mut self) {
-        if matches!(self.child.try_wait(), Ok(None)) {
-            signal(&self.child, Signal::KILL);
-            let _ = self.child.wait();
-        }
-        let _ = std::fs::remove_file(&self.config);
+        end(&mut self.child, &self.config);
     }
 }
 
--- a/crates/net/src/again.rs
+++ b/crates/net/src/again.rs
@@ -1,7 +1,7 @@
 //! System calls that fail for a moment on this machine are made again: what a connection is watched for, connections
 //! that are begun, connections that wait to be accepted.
 
-use crate::io::{CONN, Conn, ConnId, End, Happened, Io, LISTENER, data};
+use crate::io::{CONN, Conn, ConnId, Happened, Io, LISTENER, data};
 use crate::{Micros, monotonic};
 use rustix::event::epoll::EventFlags;
 use rustix::io::Errno;
@@ -15,16 +15,6 @@
 /// wait would be told at every turn.
 const ACCEPT_AGAIN_US: (Micros, Micros) = (1_000, 20_000);
 
-/// How a connection begins.
-pub(crate) enum Begun {
-    /// It is on its way.
-    UnderWay,
-    /// This machine refused it for now.
-    Later,
-    /// The other end refused it, or it can't be.
-    Failed,
-}
-
 /// What failed and is tried again.
 #[derive(Debug, Default)]
 pub(crate) struct Again {
@@ -121,49 +111,50 @@
         }
     }
 
-    /// Begins a connection whose socket is there.
-    pub(crate) fn begin(&mut self, id: ConnId, to: SocketAddr) -> Begun {
-        let Some(conn) = self.conns.get(id.slot as usize).filter(|c| c.generation == id.generation) else {
-            return Begun::Failed;
+    /// Begins a connection whose socket is there. One that this machine refuses for now is begun later, for as long as
+    /// its owner waits for it; one that fails is told by the next turn.
+    pub(crate) fn begin(&mut self, id: ConnId, to: SocketAddr) {
+        let Some(conn) = self.conns.get_mut(id.slot as usize).filter(|c| c.generation == id.generation)
+        else {
+            return;
         };
         let connect = || self.system.connect(&conn.stream, &to);
         // Interrupted it may have begun or not: asked again the system says which.
         let told = std::iter::repeat_with(connect).take(INTERRUPTS).find(|told| *told != Err(Errno::INTR));
         match told.unwrap_or(Err(Errno::AGAIN)) {
-            Ok(()) | Err(Errno::INPROGRESS | Errno::ALREADY | Errno::ISCONN) => Begun::UnderWay,
-            Err(Errno::ADDRNOTAVAIL | Errno::NETUNREACH | Errno::NETDOWN) => Begun::Later,
-            Err(Errno::NOBUFS | Errno::NOMEM | Errno::AGAIN | Errno::ADDRINUSE) => Begun::Later,
-            Err(_) => Begun::Failed,
+            Ok(()) | Err(Errno::INPROGRESS | Errno::ALREADY | Errno::ISCONN) => {
+                conn.wanted = EventFlags::OUT;
+                self.watch(id.slot);
+            }
+            Err(
+                Errno::ADDRNOTAVAIL
+                | Errno::NETUNREACH
+                | Errno::NETDOWN
+                | Errno::NOBUFS
+                | Errno::NOMEM
+                | Errno::AGAIN
+                | Errno::ADDRINUSE,
+            ) => {
+                self.again.unbegun.push((id, to));
+                self.again.later();
+            }
+            Err(_) => self.failed.push(id),
         }
     }
 
-    /// A connection could not be begun: it is tried again for as long as its owner waits for it.
-    pub(crate) fn begin_later(&mut self, id: ConnId, to: SocketAddr) {
-        self.again.unbegun.push((id, to));
-        self.again.later();
-    }
-
     /// Tries again what failed, where it is time.
     pub(crate) fn try_again(&mut self, now: Micros, out: &mut Vec<Happened>) {
         if now < self.again.at {
             return;
         }
         for id in std::mem::take(&mut self.again.unwatched) {
-            if self.conns.get(id.slot as usize).is_some_and(|conn| conn.generation == id.generation) {
+            if self.get(id).is_some() {
                 self.watch_or_read(id, out);
             }
         }
         for (id, to) in std::mem::take(&mut self.again.unbegun) {
-            if !self.is_open(id) {
-                continue;
-            }
-            match self.begin(id, to) {
-                Begun::UnderWay => {
-                    self.conns[id.slot as usize].wanted = EventFlags::OUT;
-                    self.watch(id.slot);
-                }
-                Begun::Later => self.begin_later(id, to),
-                Begun::Failed => self.end(id, End::ConnectFailed, out),
+            if self.is_open(id) {
+                self.begin(id, to);
             }
         }
         if self.again.listeners {
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -1,4 +1,4 @@
-use crate::again::{Again, Begun};
+use crate::again::Again;
 use crate::diverted::Diversion;
 use crate::system::{SystemCall, SystemCalls};
 use crate::wake::{Signal, Signals, Waker, drain};
@@ -161,7 +161,7 @@
     /// Connections whose end has been told, to be freed once the owner has handled it.
     ended: Vec<ConnId>,
     /// Connections that failed when they were begun, to be told by the next turn.
-    failed: Vec<ConnId>,
+    pub(crate) failed: Vec<ConnId>,
     /// Connections closed here, by the time at which their patience ends.
     closing: VecDeque<(Micros, ConnId)>,
 }
@@ -269,18 +269,7 @@
         }
         let conn = self.add(TcpStream::from(socket), false);
         self.conns[conn.slot as usize].connecting = true;
-        let begun = self.begin(conn, to);
-        // Without an interest a connection is told of when it breaks: not one that has not begun.
-        let wanted = match begun {
-            Begun::UnderWay => epoll::EventFlags::OUT,
-            Begun::Later | Begun::Failed => epoll::EventFlags::empty(),
-        };
-        self.conns[conn.slot as usize].wanted = wanted;
-        match begun {
-            Begun::UnderWay => drop(self.watch(conn.slot)),
-            Begun::Later => self.begin_later(conn, to),
-            Begun::Failed => self.failed.push(conn),
-        }
+        self.begin(conn, to);
         Ok(conn)
     }
 
@@ -308,7 +297,7 @@
         ConnId { slot: slot as u32, generation }
     }
 
-    fn get(&mut self, id: ConnId) -> Option<&mut Conn> {
+    pub(crate) fn get(&mut self, id: ConnId) -> Option<&mut Conn> {
         let conn = self.conns.get_mut(id.slot as usize)?;
         (conn.generation == id.generation).then_some(conn)
     }
@@ -487,15 +476,16 @@
     /// Where waiting itself fails.
     pub fn turn(&mut self, wait: Option<Micros>, out: &mut Vec<Happened>) -> Result<(), NetError> {
         self.flush(out);
-        self.expire(monotonic());
+        let now = monotonic();
+        self.expire(now);
+        // Before it is known how long to wait: what this brings is not to wait.
+        self.try_again(now, out);
         let wait = if out.is_empty() && self.failed.is_empty() { wait } else { Some(0) };
         let wait = match (wait, self.closing.front()) {
             (Some(wait), Some(_)) => Some(wait.min(self.limits.linger)),
             (None, Some(_)) => Some(self.limits.linger),
             (wait, None) => wait,
         };
-        let now = monotonic();
-        self.try_again(now, out);
         self.watch_listeners(now);
         let again = self.again.next_due(now).map(|at| at.saturating_sub(now));
         let wait = again.into_iter().chain(wait).min();
--- a/crates/net/tests/system_calls.rs
+++ b/crates/net/tests/system_calls.rs
@@ -129,6 +129,17 @@
     let conn = io.connect(gone).expect("begun");
     let (all, _) = turn_until(&mut io, |all| !all.is_empty());
     assert_eq!(all, [Happened::Ended(conn, End::ConnectFailed)]);
+    // One that fails as it is begun again is told at once, however long the turn may wait.
+    let mut io = Io::new(IoLimits::default()).expect("a loop");
+    io.plant_failures(SystemCall::Connect, Errno::ADDRNOTAVAIL, 1);
+    io.plant_failures(SystemCall::Connect, Errno::ACCESS, 1);
+    let conn = io.connect(at).expect("begun");
+    let (mut all, began) = (Vec::new(), monotonic());
+    while all.is_empty() {
+        io.turn(Some(2_000 * MS), &mut all).expect("a turn");
+    }
+    assert_eq!(all, [Happened::Ended(conn, End::ConnectFailed)]);
+    assert!(monotonic() < began + 1_000 * MS, "told after {} us", monotonic() - began);
     // One that is given up while it waits is begun no more.
     io.plant_failures(SystemCall::Connect, Errno::ADDRNOTAVAIL, 1_000);
     let conn = io.connect(at).expect("begun");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -84,6 +84,20 @@
         self.event(Event::Loaded { worker, function, count, code, latency: 2 * MS })
     }
 
+    /// Requests come for one function, each 5 ms after the one before it, and each is served at once. Gives how many went
+    /// to this worker.
+    pub fn served_by(&mut self, worker: &str, ids: std::ops::Range<u64>) -> usize {
+        let mut count = 0;
+        for id in ids {
+            for (sent, to) in sends(&self.request(id, "f", 300 * MS)) {
+                count += usize::from(to == worker);
+                self.outcome(sent, 0, &to, Code::Ok, 5 * MS);
+            }
+            self.advance(5 * MS);
+        }
+        count
+    }
+
     /// Answers every question among the actions with `count` copies at `holder`, none elsewhere.
     pub fn answer_asks(&mut self, actions: &[Action], holder: &str, count: u32) -> Vec<Action> {
         let mut out = Vec::new();
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -125,14 +125,7 @@
     let mut bed = Bed::new(settings, 2);
     let members = vec![member("w0", State::Active, bed.now)];
     bed.event(Event::Members { kind: MembersKind::Changes, members });
-    let mut cold = 0;
-    for id in 0..400 {
-        for (sent, worker) in sends(&bed.request(id, "f", 300 * MS)) {
-            cold += usize::from(worker == "w0");
-            bed.outcome(sent, 0, &worker, Code::Ok, 5 * MS);
-        }
-        bed.advance(5 * MS);
-    }
+    let cold = bed.served_by("w0", 0..400);
     // Two seconds of 200 a second: half of 3 x (0.2 rising to 0.31) x the warm one's share is 120 at the most.
     assert!(cold < 125, "{cold} sends to a worker that had just started");
 }
--- a/tests/quiet.rs
+++ b/tests/quiet.rs
@@ -55,14 +55,7 @@
         members: vec![member("w0", State::Active, started)],
     });
     // Nothing was served for an hour: nobody knows what a warm one serves, so that nothing may be taken for granted.
-    let mut cold = 0;
-    for id in 10..410 {
-        for (sent, worker) in sends(&bed.request(id, "f", 300 * MS)) {
-            cold += usize::from(worker == "w0");
-            bed.outcome(sent, 0, &worker, Code::Ok, 5 * MS);
-        }
-        bed.advance(5 * MS);
-    }
+    let cold = bed.served_by("w0", 10..410);
     assert!(cold < 125, "{cold} sends to a worker that had just started");
 }
 
