--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -8,21 +8,22 @@
 for file in "$judge" "$program"; do
     [ -x "$file" ] || { echo "$file is missing: build the deploy file, then review/build.sh" >&2; exit 2; }
 done
-pids=$(mktemp) || exit 2
+work=$(mktemp -d) || exit 2
 child=
 finish() {
     [ -z "$child" ] || kill "$child" 2>/dev/null
     # What the judge started and could not end itself.
     while read -r pid; do
-        if tr '\0' ' ' 2>/dev/null <"/proc/$pid/cmdline" | grep -q basaltward; then
+        if tr '\0' ' ' 2>/dev/null <"/proc/$pid/cmdline" | grep -q "$work"; then
             kill -KILL "$pid" 2>/dev/null
         fi
-    done <"$pids"
-    rm -f "$pids"
+    done 2>/dev/null <"$work/pids"
+    rm -rf "$work"
 }
 trap finish EXIT
 trap 'exit 2' INT TERM HUP
-REVIEW_PIDS=$pids timeout 118 "$judge" "$folder" "$program" &
+: >"$work/pids"
+TMPDIR=$work REVIEW_PIDS=$work/pids timeout 118 "$judge" "$folder" "$program" &
 child=$!
 wait "$child"
 code=$?
--- a/review/standin/src/bin/lost_with_site.rs
+++ b/review/standin/src/bin/lost_with_site.rs
@@ -2,6 +2,7 @@
 //! Their clients repeat them at a gateway of another site.
 
 use review_standin::*;
+use std::net::SocketAddr;
 use std::process::exit;
 use std::thread;
 use std::time::Duration;
@@ -16,26 +17,23 @@
 
 /// Sends an event to `first`, and where that does not answer it for good, again to `second` until the time is over.
 /// Returns the statuses of all answers, 0 for a broken connection.
-fn client(record: &Record, first: &Gate, second: &Gate, id: &str) -> Vec<u16> {
+fn client(record: &Record, first: SocketAddr, second: SocketAddr, id: &str) -> Vec<u16> {
     let until = record.now() + PATIENCE_MS;
     let mut statuses = Vec::new();
     let mut to = first;
     while let left @ 500.. = until.saturating_sub(record.now()) {
-        let answer = recorded_call(record, to.0, "register", id, left);
+        let answer = recorded_call(record, to, "register", id, left);
+        let pause = pause_after(&answer);
         statuses.push(answer.map_or(0, |(status, _)| status));
         if matches!(statuses.last(), Some(200 | 500)) {
             break;
         }
         to = second;
-        thread::sleep(Duration::from_millis(500));
+        thread::sleep(pause);
     }
     statuses
 }
 
-/// The address of a gateway.
-#[derive(Clone, Copy)]
-struct Gate(std::net::SocketAddr);
-
 fn main() {
     let (own_folder, program, calm) = arguments();
     let record = Record::create(&own_folder.join("record.txt")).expect("the record can be written");
@@ -56,20 +54,20 @@
         attributes: " shed=\"false\"",
         workers: &addresses,
     };
-    let (mut gateways, _) = spec.start(&program, &folder);
+    let mut gateways = spec.start(&program, &folder);
     if !wait_until_served(&record, &gateways, "certify", 60_000) {
         record.put("kept events were not taken within 60 s");
         drop((gateways, folder));
         exit(2);
     }
-    let (first, second) = (Gate(gateways[0].front), Gate(gateways[1].front));
+    let (first, second) = (gateways[0].front, gateways[1].front);
     let ids: Vec<String> = (0..EVENTS).map(|_| new_id("deed")).collect();
     let clients: Vec<_> = ids
         .iter()
         .map(|id| {
             thread::sleep(Duration::from_millis(20));
             let (record, id) = (record.clone(), id.clone());
-            thread::spawn(move || client(&record, &first, &second, &id))
+            thread::spawn(move || client(&record, first, second, &id))
         })
         .collect();
     thread::sleep(Duration::from_millis(1_000));
@@ -80,7 +78,7 @@
     let statuses: Vec<_> = clients.into_iter().map(|client| client.join().expect("a client ends")).collect();
     // New events at the gateway that turned the others away.
     let new: Vec<_> = (0..10)
-        .map(|_| recorded_call(&record, second.0, "register", &new_id("new"), 2_000))
+        .map(|_| recorded_call(&record, second, "register", &new_id("new"), 2_000))
         .filter(|answer| matches!(answer, Ok((200, _))))
         .collect();
     let runs = workers.runs();
--- a/review/standin/src/bin/restart_forgets.rs
+++ b/review/standin/src/bin/restart_forgets.rs
@@ -33,7 +33,7 @@
         attributes: "",
         workers: &addresses,
     };
-    let (mut gateways, _) = spec.start(&program, &folder);
+    let mut gateways = spec.start(&program, &folder);
     if !wait_until_served(&record, &gateways, "certify", 45_000) {
         record.put("kept events were not taken within 45 s");
         drop((gateways, folder));
@@ -68,14 +68,17 @@
         record.put("started again: l0");
     }
     // The client repeats each event at gateway l0 until it gets an answer by which it is done: 200, or 500.
-    let repeat_until = last_answer + REMEMBER_MS - 3_000;
+    let repeat_until = last_answer + REMEMBER_MS - 10_000;
     let mut open = owned.clone();
     while !open.is_empty() && record.now() < repeat_until {
+        let mut pause = Duration::ZERO;
         open.retain(|id| {
             let answer = recorded_call(&record, gateways[0].front, "certify", id, PATIENCE_MS);
-            !matches!(answer, Ok((200 | 500, _)))
+            let is_open = !matches!(answer, Ok((200 | 500, _)));
+            pause = if is_open { pause.max(pause_after(&answer)) } else { pause };
+            is_open
         });
-        thread::sleep(Duration::from_millis(if open.is_empty() { 0 } else { 500 }));
+        thread::sleep(pause);
     }
     let mut counts = BTreeMap::<String, usize>::new();
     workers.runs().iter().for_each(|run| *counts.entry(run.event.clone()).or_default() += 1);
--- a/review/standin/src/bin/run_again.rs
+++ b/review/standin/src/bin/run_again.rs
@@ -27,7 +27,7 @@
             return;
         }
         to = second;
-        thread::sleep(Duration::from_millis(500));
+        thread::sleep(pause_after(&answer));
     }
 }
 
@@ -46,7 +46,7 @@
         attributes: "",
         workers: &addresses,
     };
-    let (mut gateways, _) = spec.start(&program, &folder);
+    let mut gateways = spec.start(&program, &folder);
     if !wait_until_served(&record, &gateways, "certify", 60_000) {
         record.put("kept events were not taken within 60 s");
         drop((gateways, folder));
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -1,13 +1,13 @@
-//! What the cases of the review share: processes of the project, a worker, clients, a delaying relay and the record.
+//! What the cases of the review share: processes of the project, workers, clients and the record.
 //! Standard library only.
 
 use std::collections::HashMap;
 use std::fs::{self, File};
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -82,30 +82,22 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        if std::env::var_os("KEEP").is_none() {
-            let _ = fs::remove_dir_all(&self.0);
-        }
+        let _ = fs::remove_dir_all(&self.0);
     }
 }
 
 /// A process of the project; killed when it is dropped.
 pub struct Process {
     command: Vec<String>,
-    environment: Vec<(String, String)>,
     log: PathBuf,
     child: Option<Child>,
 }
 
 impl Process {
     /// Starts it. Its output goes to the file `log`.
-    pub fn start(command: &[&str], environment: &[(&str, &str)], log: PathBuf) -> io::Result<Self> {
-        let own = |text: &&str| (*text).to_owned();
-        let mut process = Self {
-            command: command.iter().map(own).collect(),
-            environment: environment.iter().map(|(n, v)| (own(n), own(v))).collect(),
-            log,
-            child: None,
-        };
+    pub fn start(command: &[&str], log: PathBuf) -> io::Result<Self> {
+        let command = command.iter().map(|word| (*word).to_owned()).collect();
+        let mut process = Self { command, log, child: None };
         process.restart()?;
         Ok(process)
     }
@@ -115,7 +107,6 @@
         let log = File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new(&self.command[0])
             .args(&self.command[1..])
-            .envs(self.environment.iter().cloned())
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
@@ -128,18 +119,6 @@
         Ok(())
     }
 
-    /// Its process id.
-    pub fn pid(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
-    }
-
-    /// Sends a signal, such as `STOP`.
-    pub fn signal(&self, name: &str) {
-        if self.child.is_some() {
-            let _ = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.pid())).status();
-        }
-    }
-
     /// Kills it and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -147,16 +126,10 @@
             let _ = child.wait();
         }
     }
-
-    /// Whether it has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|status| status.is_some()))
-    }
 }
 
 impl Drop for Process {
     fn drop(&mut self) {
-        self.signal("CONT");
         self.kill();
     }
 }
@@ -210,18 +183,10 @@
     pub attempt: String,
 }
 
-/// What a keyed event has come to at the workers.
-struct Key {
-    first: Instant,
-    window: Duration,
-    done: Arc<(Mutex<bool>, std::sync::Condvar)>,
-}
-
-/// State that all stand-in workers share: they remember keys together (group `all`).
+/// Stand-in workers by the worker protocol. They answer `miss` until a load was ordered, and run each call that comes.
 pub struct Workers {
     record: Record,
     runs: Mutex<Vec<Run>>,
-    keys: Mutex<HashMap<String, Key>>,
     loaded: Mutex<HashMap<(SocketAddr, String), u32>>,
     work: Mutex<Duration>,
     load: Duration,
@@ -233,7 +198,6 @@
         let workers = Arc::new(Self {
             record: record.clone(),
             runs: Mutex::default(),
-            keys: Mutex::default(),
             loaded: Mutex::default(),
             work: Mutex::new(work),
             load,
@@ -317,39 +281,11 @@
         }
         let event = format!("{}#{}", field("ce-source"), field("ce-id"));
         let attempt = field("basaltward-attempt");
-        let mut done = None;
-        if field("basaltward-repeat") == "keyed" {
-            let window = field("basaltward-window-ms").parse().unwrap_or(0);
-            let mut keys = self.keys.lock().expect("not poisoned");
-            match keys.get(&event).filter(|key| key.first.elapsed() < key.window) {
-                Some(key) => {
-                    let first = key.done.clone();
-                    drop(keys);
-                    self.record
-                        .put(format!("dropped {event} at {worker} attempt {attempt}: its key is known"));
-                    let mut ended = first.0.lock().expect("not poisoned");
-                    while !*ended {
-                        ended = first.1.wait(ended).expect("not poisoned");
-                    }
-                    return response(200, "ok", "basaltward-copy: stood\r\n", &request.body);
-                }
-                None => {
-                    let flag: Arc<(Mutex<bool>, std::sync::Condvar)> = Arc::default();
-                    done = Some(flag.clone());
-                    let (first, window) = (Instant::now(), Duration::from_millis(window));
-                    keys.insert(event.clone(), Key { first, window, done: flag });
-                }
-            }
-        }
         let at = self.record.now();
         self.record.put(format!("ran {event} at {worker} attempt {attempt}"));
         self.runs.lock().expect("not poisoned").push(Run { at, worker, event, attempt });
         let work = *self.work.lock().expect("not poisoned");
         thread::sleep(work);
-        if let Some(done) = done {
-            *done.0.lock().expect("not poisoned") = true;
-            done.1.notify_all();
-        }
         response(200, "ok", "basaltward-copy: stood\r\n", &request.body)
     }
 }
@@ -370,7 +306,7 @@
 pub type Answer = Result<(u16, Message), String>;
 
 /// Sends an event in binary mode and waits for the answer, at most `patience` and a second.
-pub fn call(to: SocketAddr, function: &str, id: &str, patience: Ms, body: &[u8]) -> Answer {
+fn call(to: SocketAddr, function: &str, id: &str, patience: Ms, body: &[u8]) -> Answer {
     let run = || -> io::Result<Message> {
         let stream = TcpStream::connect_timeout(&to, Duration::from_millis(1_000))?;
         stream.set_nodelay(true)?;
@@ -390,6 +326,12 @@
     Ok((status, message))
 }
 
+/// How long a client waits before it sends an event again: what `Retry-After` says, and half a second at least.
+pub fn pause_after(answer: &Answer) -> Duration {
+    let told = answer.as_ref().ok().and_then(|(_, message)| message.field("retry-after")?.parse().ok());
+    Duration::from_secs(told.unwrap_or(0)).max(Duration::from_millis(500))
+}
+
 /// Like [`call`], with its sending and its answer in the record.
 pub fn recorded_call(record: &Record, to: SocketAddr, function: &str, id: &str, patience: Ms) -> Answer {
     record.put(format!("sent /review#{id} to {to} for {patience} ms"));
@@ -404,100 +346,8 @@
     answer
 }
 
-/// The ways between gateways. While one is cut off, its connections break, new ones are closed at once and its datagrams
-/// are lost, in both directions; its clients and workers reach it as before.
-#[derive(Clone)]
-pub struct Ways {
-    cut: Arc<Vec<AtomicBool>>,
-    open: Arc<Mutex<Vec<(usize, usize, TcpStream)>>>,
-}
-
-impl Ways {
-    fn new(count: usize) -> Self {
-        Self { cut: Arc::new((0..count).map(|_| AtomicBool::new(false)).collect()), open: Arc::default() }
-    }
-
-    fn is_cut(&self, from: usize, to: usize) -> bool {
-        self.cut[from].load(Ordering::Acquire) || self.cut[to].load(Ordering::Acquire)
-    }
-
-    /// Cuts a gateway off, or joins it again.
-    pub fn set_cut(&self, gateway: usize, cut: bool) {
-        self.cut[gateway].store(cut, Ordering::Release);
-        if cut {
-            self.open.lock().expect("not poisoned").retain(|(from, to, stream)| {
-                let ends = *from == gateway || *to == gateway;
-                if ends {
-                    let _ = stream.shutdown(std::net::Shutdown::Both);
-                }
-                !ends
-            });
-        }
-    }
-
-    /// A relay of connections from one gateway to the address `at` of another.
-    fn connections(&self, from: usize, to: usize, at: SocketAddr) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("its address");
-        let ways = self.clone();
-        thread::spawn(move || {
-            for client in listener.incoming().flatten() {
-                if ways.is_cut(from, to) {
-                    continue;
-                }
-                let Ok(server) = TcpStream::connect(at) else { continue };
-                let _ = (client.set_nodelay(true), server.set_nodelay(true));
-                for (input, output) in [(&client, &server), (&server, &client)] {
-                    let (Ok(input), Ok(output)) = (input.try_clone(), output.try_clone()) else { continue };
-                    thread::spawn(move || pump(input, output));
-                }
-                let mut open = ways.open.lock().expect("not poisoned");
-                open.extend([(from, to, client), (from, to, server)]);
-            }
-        });
-        address
-    }
-
-    /// A relay of datagrams between two gateways that listen at these addresses. Returns the addresses at which the first
-    /// reaches the second, and the second the first; each is also the sender that it sees.
-    fn datagrams(&self, pair: (usize, usize), at: (SocketAddr, SocketAddr)) -> (SocketAddr, SocketAddr) {
-        let bind = || UdpSocket::bind("127.0.0.1:0").expect("a free port");
-        let (of_first, of_second) = (bind(), bind());
-        let address = |socket: &UdpSocket| socket.local_addr().expect("its address");
-        let addresses = (address(&of_first), address(&of_second));
-        let clone = |socket: &UdpSocket| socket.try_clone().expect("a second handle");
-        let ways = [(clone(&of_first), clone(&of_second), at.0, at.1), (of_second, of_first, at.1, at.0)];
-        for (input, output, sender, receiver) in ways {
-            let ways = self.clone();
-            thread::spawn(move || {
-                let mut buffer = [0; 2_048];
-                loop {
-                    // An error tells of an earlier datagram that nobody took.
-                    let Ok((length, from)) = input.recv_from(&mut buffer) else { continue };
-                    if from == sender && !ways.is_cut(pair.0, pair.1) {
-                        let _ = output.send_to(&buffer[..length], receiver);
-                    }
-                }
-            });
-        }
-        addresses
-    }
-}
-
-/// Carries one direction of a connection until it ends.
-fn pump(mut from: TcpStream, mut to: TcpStream) {
-    let mut buffer = vec![0; 64 << 10];
-    while let Ok(count) = from.read(&mut buffer) {
-        if count == 0 || to.write_all(&buffer[..count]).is_err() {
-            break;
-        }
-    }
-    let _ = (to.shutdown(std::net::Shutdown::Both), from.shutdown(std::net::Shutdown::Both));
-}
-
-/// A gateway of a site.
+/// A gateway of a site: its address for clients and its process.
 pub struct Gateway {
-    pub name: String,
     pub front: SocketAddr,
     pub process: Process,
 }
@@ -517,25 +367,10 @@
 }
 
 impl SitesSpec<'_> {
-    /// Starts the gateways, with relays on all ways between them.
-    pub fn start(&self, program: &str, folder: &Folder) -> (Vec<Gateway>, Ways) {
-        let count = self.gateways.len();
-        let ways = Ways::new(count);
-        let own: Vec<[SocketAddr; 3]> =
-            (0..count).map(|_| [free_address(), free_address(), free_address()]).collect();
-        // By the gateway that reaches and the one that is reached: front, datagrams, journal.
-        let mut reached: Vec<Vec<[SocketAddr; 3]>> = vec![own.clone(); count];
-        for first in 0..count {
-            for second in first + 1..count {
-                let (to_second, to_first) = ways.datagrams((first, second), (own[first][1], own[second][1]));
-                (reached[first][second][1], reached[second][first][1]) = (to_second, to_first);
-            }
-            for other in (0..count).filter(|other| *other != first) {
-                for place in [0, 2] {
-                    reached[first][other][place] = ways.connections(first, other, own[other][place]);
-                }
-            }
-        }
+    /// Starts the gateways.
+    pub fn start(&self, program: &str, folder: &Folder) -> Vec<Gateway> {
+        let addresses: Vec<[SocketAddr; 3]> =
+            self.gateways.iter().map(|_| [free_address(), free_address(), free_address()]).collect();
         let mut gateways = Vec::new();
         for (number, (site, name)) in self.gateways.iter().enumerate() {
             let workers = self.workers.iter().filter(|(of, _)| of == site).flat_map(|(_, all)| all);
@@ -543,27 +378,23 @@
                 workers.map(|address| format!("  <worker address=\"{address}\"/>\n")).collect();
             let roster = format!("<roster xmlns=\"urn:basaltward:roster:1\">\n{roster}</roster>\n");
             folder.write(&format!("{name}.roster.xml"), &roster);
-            let settings = self.settings((number, site, name), own[number], &reached[number]);
+            let settings = self.settings((number, site, name), &addresses);
             let path = folder.write(&format!("{name}.xml"), &settings);
             let log = folder.0.join(format!("{name}.log"));
             let path = path.to_string_lossy().into_owned();
             let command = [program, "serve", "--config", &path, "--log", "info"];
-            let process = Process::start(&command, &[], log).expect("the gateway starts");
-            gateways.push(Gateway { name: (*name).to_owned(), front: own[number][0], process });
+            let process = Process::start(&command, log).expect("the gateway starts");
+            gateways.push(Gateway { front: addresses[number][0], process });
         }
-        (gateways, ways)
+        gateways
     }
 
-    fn settings(
-        &self,
-        (number, site, name): (usize, &str, &str),
-        [front, tell, journal]: [SocketAddr; 3],
-        reached: &[[SocketAddr; 3]],
-    ) -> String {
+    fn settings(&self, (number, site, name): (usize, &str, &str), addresses: &[[SocketAddr; 3]]) -> String {
+        let [front, tell, journal] = addresses[number];
         let of_site = |site: &str| self.gateways.iter().filter(move |(of, _)| *of == site).count();
         let index = number - self.gateways.iter().position(|(of, _)| *of == site).unwrap_or(0);
         let (mut peers, mut last) = (String::new(), "");
-        for ((of, peer), [front, tell, journal]) in self.gateways.iter().zip(reached) {
+        for ((of, peer), [front, tell, journal]) in self.gateways.iter().zip(addresses) {
             if *of != last {
                 peers += if last.is_empty() { "" } else { "    </site>\n" };
                 peers += &format!("    <site name=\"{of}\">\n");
@@ -589,7 +420,7 @@
 }
 
 /// Numbers events.
-pub static SEQUENCE: AtomicU64 = AtomicU64::new(1);
+static SEQUENCE: AtomicU64 = AtomicU64::new(1);
 
 /// A new event id.
 pub fn new_id(prefix: &str) -> String {
@@ -603,7 +434,7 @@
     while record.now() < until {
         for gateway in gateways {
             let id = new_id("warm");
-            let answer = call(gateway.front, function, &id, 2_000, id.as_bytes());
+            let answer = recorded_call(record, gateway.front, function, &id, 2_000);
             in_a_row = if matches!(answer, Ok((200, _))) { in_a_row + 1 } else { 0 };
         }
         if in_a_row >= 30 {
@@ -614,7 +445,7 @@
     false
 }
 
-/// Arguments of a case: its folder and the program; and whether the disruption takes place (`TROUBLE` is not `0`).
+/// Arguments of a case: its folder and the program; and whether the disruption is left out (`TROUBLE` is `0`).
 pub fn arguments() -> (PathBuf, String, bool) {
     let mut arguments = std::env::args().skip(1);
     let (Some(folder), Some(program)) = (arguments.next(), arguments.next()) else {
