--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,12 +1,15 @@
 #!/bin/sh
-# run-case.sh NAME FOLDER: runs the stand-ins and the judge of a case, and ends whatever it started.
+# run-case.sh NAME RECORD: runs the stand-ins and the judge of a case, which add to the file RECORD, and ends whatever it
+# started.
 # Exit code 1: the rule was broken, 0: it held, 2: the case could not run.
 cd "$(dirname "$0")/.." || exit 2
-name=$1 folder=$2
+name=$1 record=$2
 judge=target/review/release/$name
 program=target/release/basaltward
 for file in "$judge" "$program"; do
-    [ -x "$file" ] || { echo "$file is missing: build the deploy file, then review/build.sh" >&2; exit 2; }
+    [ -x "$file" ] && continue
+    echo "$file is missing: build the deploy file, then review/build.sh" | tee -a "$record" >&2
+    exit 2
 done
 work=$(mktemp -d) || exit 2
 child=
@@ -23,7 +26,7 @@
 trap finish EXIT
 trap 'exit 2' INT TERM HUP
 : >"$work/pids"
-TMPDIR=$work REVIEW_PIDS=$work/pids timeout 118 "$judge" "$folder" "$program" &
+TMPDIR=$work REVIEW_PIDS=$work/pids timeout 118 "$judge" "$record" "$program" &
 child=$!
 wait "$child"
 code=$?
--- a/review/standin/src/bin/run_again.rs
+++ b/review/standin/src/bin/run_again.rs
@@ -32,8 +32,8 @@
 }
 
 fn main() {
-    let (own_folder, program, calm) = arguments();
-    let record = Record::create(&own_folder.join("record.txt")).expect("the record can be written");
+    let (record, program, calm) = arguments();
+    let record = Record::open(&record).expect("the record can be written");
     let folder = Folder::new("again");
     let addresses = ["lima", "cusco", "arequipa"].map(|site| (site, vec![free_address(), free_address()]));
     let all: Vec<_> = addresses.iter().flat_map(|(_, all)| all.clone()).collect();
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -23,9 +23,10 @@
 }
 
 impl Record {
-    /// Begins the record file.
-    pub fn create(path: &Path) -> io::Result<Self> {
-        Ok(Self { began: Instant::now(), file: Arc::new(Mutex::new(File::create(path)?)) })
+    /// Adds to the record file.
+    pub fn open(path: &Path) -> io::Result<Self> {
+        let file = File::options().create(true).append(true).open(path)?;
+        Ok(Self { began: Instant::now(), file: Arc::new(Mutex::new(file)) })
     }
 
     /// Milliseconds since the start.
@@ -445,12 +446,12 @@
     false
 }
 
-/// Arguments of a case: its folder and the program; and whether the disruption is left out (`TROUBLE` is `0`).
+/// Arguments of a case: its record and the program; and whether the disruption is left out (`TROUBLE` is `0`).
 pub fn arguments() -> (PathBuf, String, bool) {
     let mut arguments = std::env::args().skip(1);
-    let (Some(folder), Some(program)) = (arguments.next(), arguments.next()) else {
-        eprintln!("usage: CASE FOLDER PROGRAM");
+    let (Some(record), Some(program)) = (arguments.next(), arguments.next()) else {
+        eprintln!("usage: CASE RECORD PROGRAM");
         std::process::exit(2);
     };
-    (folder.into(), program, std::env::var("TROUBLE").is_ok_and(|value| value == "0"))
+    (record.into(), program, std::env::var("TROUBLE").is_ok_and(|value| value == "0"))
 }
