Review: kept events of a lost site never run, owed events are dropped

Need: an independent review of the promise that accepted work is not lost.

Adds review/8 (a gateway is killed; its kept and owed events never run anywhere, as a deadline wraps around in the release build) and review/9 (clients leave; owed events are given up by the gateway that accepted them).

--- a/review/standin-2/src/killed_owner.rs
+++ b/review/standin-2/src/killed_owner.rs
@@ -25,6 +25,7 @@
                         load-ms=\"300\"/>"
                 .into(),
             further: "<repeats remember-ms=\"30000\"/>".into(),
+            sites_attributes: "",
             load_ms: 300,
             work_ms: 20,
         },
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,6 +3,8 @@
 
 mod http;
 mod killed_owner;
+mod lost_site;
+mod owed;
 mod restarted_owner;
 mod sites;
 mod util;
@@ -37,6 +39,8 @@
     let verdict = match case.as_str() {
         "killed-owner" => killed_owner::run(&record, program, trouble),
         "restarted-owner" => restarted_owner::run(&record, program, trouble),
+        "lost-site" => lost_site::run(&record, program, trouble),
+        "owed" => owed::run(&record, program, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let (code, text) = match verdict {
--- a/review/standin-2/src/sites.rs
+++ b/review/standin-2/src/sites.rs
@@ -17,6 +17,8 @@
     pub functions: String,
     /// `repeats`, `margin` and so on, between `functions` and `sites`.
     pub further: String,
+    /// Further attributes of `sites`.
+    pub sites_attributes: &'static str,
     pub load_ms: u64,
     pub work_ms: u64,
 }
@@ -63,8 +65,8 @@
             );
             text += &format!(
                 "  <sites fleet=\"review\" listen=\"127.0.0.1:{}\" journal-listen=\"127.0.0.1:{}\" \
-                 operators=\"127.0.0.1\">\n",
-                tells[own], journals[own]
+                 operators=\"127.0.0.1\"{}>\n",
+                tells[own], journals[own], plan.sites_attributes
             );
             for site in 0..site_count {
                 text += &format!("    <site name=\"s{site}\">\n");
@@ -77,7 +79,7 @@
                 }
                 text += "    </site>\n";
             }
-            text += "  </sites>\n</basaltward>\n";
+            text += &format!("  </sites>\n  <records file=\"n{own}.records\"/>\n</basaltward>\n");
             std::fs::write(folder.0.join(format!("n{own}.xml")), text)?;
         }
         let gateways = (0..count).map(|_| None).collect();
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -73,6 +73,10 @@
         Ok(Self { port, state })
     }
 
+    pub fn set_load_ms(&self, ms: u64) {
+        self.state.load_ms.store(ms, Ordering::Relaxed);
+    }
+
     pub fn set_work_ms(&self, ms: u64) {
         self.state.work_ms.store(ms, Ordering::Relaxed);
     }
