Review: a worker drained before a scheduler reads of it gets that scheduler's calls

Adds review/10: discovery is out of reach for one of three schedulers while a new worker is listed and drained by permit; once it reads of the worker it sends calls there, though it shows the permit. Stand-ins of the platform's protocol are added for it.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,8 +3,10 @@
 
 mod http;
 mod killed_owner;
+mod late_list;
 mod lost_site;
 mod owed;
+mod platform;
 mod restarted_owner;
 mod sites;
 mod util;
@@ -40,6 +42,7 @@
         "killed-owner" => killed_owner::run(&record, program, trouble),
         "restarted-owner" => restarted_owner::run(&record, program, trouble),
         "lost-site" => lost_site::run(&record, program, trouble),
+        "late-list" => late_list::run(&record, program, trouble),
         "owed" => owed::run(&record, program, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
