Review: a returned gateway runs again what others served in its place

Need: an independent review of the promise that no effect happens twice.

Adds review/10 for it: a gateway is killed and returns; unsafe events that another one served meanwhile run again while they are still remembered.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review: `review-standin-2 CASE PROGRAM RECORD`. Exit code 0: the rule held; 1: it was
 //! broken; 2: the case could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
+mod full_links;
 mod http;
 mod killed_owner;
 mod late_list;
@@ -8,6 +9,7 @@
 mod owed;
 mod platform;
 mod restarted_owner;
+mod returned_owner;
 mod sites;
 mod util;
 mod worker;
@@ -42,6 +44,8 @@
         "killed-owner" => killed_owner::run(&record, program, trouble),
         "restarted-owner" => restarted_owner::run(&record, program, trouble),
         "lost-site" => lost_site::run(&record, program, trouble),
+        "full-links" => full_links::run(&record, program, trouble),
+        "returned-owner" => returned_owner::run(&record, program, trouble),
         "late-list" => late_list::run(&record, program, trouble),
         "owed" => owed::run(&record, program, trouble),
         _ => Err(std::io::Error::other("no such case")),
