--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -90,9 +90,18 @@
 }
 
 /// Sends one event in binary mode over a connection of its own, and waits for `wait_ms`.
-pub fn call(port: u16, call: &Call, wait_ms: u64) -> Seen {
+pub fn call(port: u16, event: &Call, wait_ms: u64) -> Seen {
+    match exchange(port, event, wait_ms) {
+        Ok(m) => Seen::Status(m.status(), String::from_utf8_lossy(&m.body).into_owned()),
+        Err(End::Closed) => Seen::Closed,
+        Err(End::Time) => Seen::GaveUp,
+    }
+}
+
+/// As [`call`], with the whole response.
+pub fn exchange(port: u16, call: &Call, wait_ms: u64) -> Result<Message, End> {
     let until = Instant::now() + Duration::from_millis(wait_ms);
-    let Ok(mut stream) = TcpStream::connect(("127.0.0.1", port)) else { return Seen::Closed };
+    let mut stream = TcpStream::connect(("127.0.0.1", port)).map_err(|_| End::Closed)?;
     let _ = stream.set_nodelay(true);
     let body = format!("data of {}", call.id);
     let text = format!(
@@ -105,12 +114,6 @@
         call.extra,
         body.len()
     );
-    if stream.write_all(text.as_bytes()).is_err() {
-        return Seen::Closed;
-    }
-    match read(&mut stream, &mut Vec::new(), Some(until)) {
-        Ok(m) => Seen::Status(m.status(), String::from_utf8_lossy(&m.body).into_owned()),
-        Err(End::Closed) => Seen::Closed,
-        Err(End::Time) => Seen::GaveUp,
-    }
+    stream.write_all(text.as_bytes()).map_err(|_| End::Closed)?;
+    read(&mut stream, &mut Vec::new(), Some(until))
 }
--- a/review/standin-2/src/late_list.rs
+++ b/review/standin-2/src/late_list.rs
@@ -34,7 +34,8 @@
     let (_, status) = fleet.command(&["status"], 0);
     record.line(&format!("status: {status}"));
     // A scheduler that is not the leader, which has to know the worker that it permits to drain.
-    let leader = (0..3).find(|i| status.contains(&format!("leader n{i}"))).ok_or(Error::other("no leader"))?;
+    let leader =
+        (0..3).find(|i| status.contains(&format!("leader n{i}"))).ok_or(Error::other("no leader"))?;
     let (late, asked) = ((leader + 1) % 3, leader);
     if trouble {
         record.line(&format!("discovery of n{late} goes down"));
@@ -42,7 +43,8 @@
         sleep_ms(500);
     }
     let new = LineWorker::start(record, "w9", 20, true)?;
-    let boot = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis());
+    let boot =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis());
     record.line("w9 is listed as Ready");
     fleet.bulletin.tell(|number| event(number, false, &[target(&new, "Ready", boot as u64)]));
     sleep_ms(2_500);
@@ -86,7 +88,10 @@
     }
     let (_, status) = fleet.command(&["status"], late);
     record.line(&format!("n{late} at the end: {status}"));
-    record.line(&format!("{} calls served, {before} calls at w9 before its drain", served.load(Ordering::Relaxed)));
+    record.line(&format!(
+        "{} calls served, {before} calls at w9 before its drain",
+        served.load(Ordering::Relaxed)
+    ));
     if served.load(Ordering::Relaxed) < 100 {
         return Err(Error::other("hardly any call was served"));
     }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,14 +1,14 @@
 //! The cases of the second review: `review-standin-2 CASE PROGRAM RECORD`. Exit code 0: the rule held; 1: it was
 //! broken; 2: the case could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
-mod full_links;
+mod cut_owner;
+mod handed_reply;
 mod http;
-mod killed_owner;
+mod keyed_window;
 mod late_list;
-mod lost_site;
 mod owed;
 mod platform;
-mod restarted_owner;
+mod relay;
 mod returned_owner;
 mod sites;
 mod util;
@@ -41,11 +41,10 @@
     util::limit_time(&record, 110_000);
     let program = Path::new(program);
     let verdict = match case.as_str() {
-        "killed-owner" => killed_owner::run(&record, program, trouble),
-        "restarted-owner" => restarted_owner::run(&record, program, trouble),
-        "lost-site" => lost_site::run(&record, program, trouble),
-        "full-links" => full_links::run(&record, program, trouble),
         "returned-owner" => returned_owner::run(&record, program, trouble),
+        "handed-reply" => handed_reply::run(&record, program, trouble),
+        "cut-owner" => cut_owner::run(&record, program, trouble),
+        "keyed-window" => keyed_window::run(&record, program, trouble),
         "late-list" => late_list::run(&record, program, trouble),
         "owed" => owed::run(&record, program, trouble),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/standin-2/src/owed.rs
+++ b/review/standin-2/src/owed.rs
@@ -34,6 +34,7 @@
             sites_attributes: "",
             load_ms: 3_000,
             work_ms: 100,
+            relays: false,
         },
     )?;
     let warm = format!("f{EVENTS}");
--- a/review/standin-2/src/platform.rs
+++ b/review/standin-2/src/platform.rs
@@ -63,7 +63,9 @@
     if down.load(Ordering::SeqCst) || BufReader::new(stream).read_line(&mut line).is_err() {
         return;
     }
-    let Some(mut told) = line.trim().strip_prefix("after ").and_then(|n| n.parse::<usize>().ok()) else { return };
+    let Some(mut told) = line.trim().strip_prefix("after ").and_then(|n| n.parse::<usize>().ok()) else {
+        return;
+    };
     for turn in 0.. {
         if down.load(Ordering::SeqCst) {
             return;
@@ -283,7 +285,12 @@
 }
 
 impl Fleet {
-    pub fn start(record: &Record, program: &Path, schedulers: usize, workers: usize) -> std::io::Result<Self> {
+    pub fn start(
+        record: &Record,
+        program: &Path,
+        schedulers: usize,
+        workers: usize,
+    ) -> std::io::Result<Self> {
         let (folder, mut ports) = (Folder::create()?, Ports::default());
         let workers: std::io::Result<Vec<_>> =
             (0..workers).map(|w| LineWorker::start(record, &format!("w{w}"), 20, true)).collect();
--- a/review/standin-2/src/returned_owner.rs
+++ b/review/standin-2/src/returned_owner.rs
@@ -2,7 +2,7 @@
 //! served are sent again once the first one takes its events back.
 
 use crate::Verdict;
-use crate::http::{Call, Seen};
+use crate::http::Call;
 use crate::sites::{Cluster, Plan, try_at};
 use crate::util::{Record, sleep_ms};
 use std::io::Error;
@@ -30,6 +30,7 @@
             sites_attributes: "",
             load_ms: 300,
             work_ms: 20,
+            relays: false,
         },
     )?;
     for gateway in 0..3 {
@@ -84,7 +85,6 @@
             twice += 1;
         }
     }
-    let _ = Seen::Closed;
     Ok(match twice {
         0 => Verdict::Held,
         count => Verdict::Broken(format!("{count} unsafe events ran more than once")),
--- a/review/standin-2/src/sites.rs
+++ b/review/standin-2/src/sites.rs
@@ -1,9 +1,10 @@
 //! Gateways of several sites, each a process, each site with stand-in workers of its own.
 
 use crate::http::{Call, Seen, call};
+use crate::relay::{self, Cut};
 use crate::util::{Folder, Ports, Process, Record, sleep_ms};
 use crate::worker::{Runs, Worker};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// What a case wants.
 pub struct Plan {
@@ -21,6 +22,8 @@
     pub sites_attributes: &'static str,
     pub load_ms: u64,
     pub work_ms: u64,
+    /// Gateway 0 reaches the others, and they it, by relays that can be cut.
+    pub relays: bool,
 }
 
 pub struct Cluster {
@@ -32,6 +35,7 @@
     pub gateways: Vec<Option<Process>>,
     /// By site.
     pub workers: Vec<Vec<Worker>>,
+    pub cut: Cut,
 }
 
 impl Cluster {
@@ -50,12 +54,18 @@
         }
         let mut take = || (0..count).map(|_| ports.take()).collect::<std::io::Result<Vec<u16>>>();
         let (fronts, tells, journals) = (take()?, take()?, take()?);
+        let cut = Cut::default();
+        // By who looks and at whom: datagrams, front and journal.
+        let mut reached =
+            vec![(0..count).map(|p| (tells[p], fronts[p], journals[p])).collect::<Vec<_>>(); count];
+        for other in (1..count).filter(|_| plan.relays) {
+            let (to_other, to_first) = relay::datagrams(tells[0], tells[other], &cut)?;
+            let connections = |port| relay::connections(port, &cut);
+            reached[0][other] = (to_other, connections(fronts[other])?, connections(journals[other])?);
+            reached[other][0] = (to_first, connections(fronts[0])?, connections(journals[0])?);
+        }
         for own in 0..count {
-            let mut roster = String::from("<roster xmlns=\"urn:basaltward:roster:1\">\n");
-            for worker in &workers[plan.sites[own]] {
-                roster += &format!("  <worker address=\"127.0.0.1:{}\" kind=\"std\"/>\n", worker.port);
-            }
-            std::fs::write(folder.0.join(format!("n{own}.roster.xml")), roster + "</roster>\n")?;
+            write_roster(&folder.0, own, &workers[plan.sites[own]], "active")?;
             let mut text = format!(
                 "<basaltward xmlns=\"urn:basaltward:config:1\">\n  <gateway name=\"n{own}\" threads=\"{}\"/>\n  \
                  <listen address=\"127.0.0.1:{}\"/>\n  <roster file=\"n{own}.roster.xml\"/>\n  \
@@ -71,10 +81,10 @@
             for site in 0..site_count {
                 text += &format!("    <site name=\"s{site}\">\n");
                 for peer in (0..count).filter(|p| plan.sites[*p] == site) {
+                    let (tell, front, journal) = reached[own][peer];
                     text += &format!(
-                        "      <peer name=\"n{peer}\" tell=\"127.0.0.1:{}\" front=\"127.0.0.1:{}\" \
-                         journal=\"127.0.0.1:{}\"/>\n",
-                        tells[peer], fronts[peer], journals[peer]
+                        "      <peer name=\"n{peer}\" tell=\"127.0.0.1:{tell}\" front=\"127.0.0.1:{front}\" \
+                         journal=\"127.0.0.1:{journal}\"/>\n"
                     );
                 }
                 text += "    </site>\n";
@@ -83,8 +93,7 @@
             std::fs::write(folder.0.join(format!("n{own}.xml")), text)?;
         }
         let gateways = (0..count).map(|_| None).collect();
-        let mut cluster =
-            Self { record: record.clone(), folder, plan, runs, fronts, gateways, workers };
+        let mut cluster = Self { record: record.clone(), folder, plan, runs, fronts, gateways, workers, cut };
         for own in 0..count {
             cluster.start_gateway(own)?;
         }
@@ -132,6 +141,18 @@
     }
 }
 
+/// Writes the roster of a gateway beside and renames it over; all of its workers have this state.
+pub fn write_roster(folder: &Path, gateway: usize, workers: &[Worker], state: &str) -> std::io::Result<()> {
+    let mut roster = String::from("<roster xmlns=\"urn:basaltward:roster:1\">\n");
+    for worker in workers {
+        roster +=
+            &format!("  <worker address=\"127.0.0.1:{}\" kind=\"std\" state=\"{state}\"/>\n", worker.port);
+    }
+    let (beside, name) = (folder.join("roster.new"), folder.join(format!("n{gateway}.roster.xml")));
+    std::fs::write(&beside, roster + "</roster>\n")?;
+    std::fs::rename(beside, name)
+}
+
 pub fn try_at(record: &Record, port: u16, gateway: usize, event: &Call, wait_ms: u64) -> Seen {
     record.line(&format!("client sends {} to n{gateway}", event.id));
     let seen = call(port, event, wait_ms);
--- a/review/standin-2/src/util.rs
+++ b/review/standin-2/src/util.rs
@@ -106,20 +106,6 @@
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
-
-    /// Waits for its end; false if it did not come in time.
-    pub fn wait(&mut self, ms: u64) -> bool {
-        let until = Instant::now() + Duration::from_millis(ms);
-        while Instant::now() < until {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                RUNNING.lock().iter_mut().for_each(|pids| _ = pids.remove(&self.child.id()));
-                self.record.line(&format!("end {} {status}", self.name));
-                return true;
-            }
-            sleep_ms(10);
-        }
-        false
-    }
 }
 
 impl Drop for Process {
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -9,6 +9,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// How much longer than the window workers remember a key.
+const KEY_SLACK_MS: u64 = 50;
+
 /// One run of an event.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -17,9 +20,12 @@
     pub event: String,
 }
 
-/// What all workers of a case ran.
+/// What all workers of a case ran, and the keys that they share as one group.
 #[derive(Clone, Default)]
-pub struct Runs(Arc<Mutex<Vec<Run>>>);
+pub struct Runs(Arc<Mutex<Vec<Run>>>, Keys);
+
+/// By key: when it came first, and when its answer stands.
+type Keys = Arc<Mutex<HashMap<String, (Instant, Instant)>>>;
 
 impl Runs {
     pub fn of(&self, event: &str) -> Vec<Run> {
@@ -38,8 +44,8 @@
     copies: Mutex<HashMap<String, (u32, Instant)>>,
     /// Calls of a function that are held.
     held: Mutex<HashMap<String, u32>>,
-    /// Keys that are remembered, with the time at which the answer stands.
-    keys: Mutex<HashMap<String, Instant>>,
+    /// If above 0, a first run's connection is closed without an answer this long after the call came.
+    break_after_ms: AtomicU64,
 }
 
 /// A worker; its threads end with the process.
@@ -50,7 +56,13 @@
 }
 
 impl Worker {
-    pub fn start(record: &Record, runs: &Runs, name: &str, load_ms: u64, work_ms: u64) -> std::io::Result<Self> {
+    pub fn start(
+        record: &Record,
+        runs: &Runs,
+        name: &str,
+        load_ms: u64,
+        work_ms: u64,
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let port = listener.local_addr()?.port();
         let state = Arc::new(State {
@@ -61,7 +73,7 @@
             work_ms: AtomicU64::new(work_ms),
             copies: Mutex::default(),
             held: Mutex::default(),
-            keys: Mutex::default(),
+            break_after_ms: AtomicU64::new(0),
         });
         let own = state.clone();
         std::thread::spawn(move || {
@@ -73,8 +85,8 @@
         Ok(Self { port, state })
     }
 
-    pub fn set_load_ms(&self, ms: u64) {
-        self.state.load_ms.store(ms, Ordering::Relaxed);
+    pub fn set_break_after_ms(&self, ms: u64) {
+        self.state.break_after_ms.store(ms, Ordering::Relaxed);
     }
 
     pub fn set_work_ms(&self, ms: u64) {
@@ -127,7 +139,11 @@
             "GET" => {
                 let stand = stand_at(state, function).filter(|(_, at)| *at <= Instant::now());
                 let count = stand.map_or(0, |(n, _)| n);
-                response("200 OK", &format!("basaltward-outcome: ok\r\nbasaltward-copies: {count}\r\n{load}"), "")
+                response(
+                    "200 OK",
+                    &format!("basaltward-outcome: ok\r\nbasaltward-copies: {count}\r\n{load}"),
+                    "",
+                )
             }
             "PUT" => {
                 let count = target.split("count=").nth(1).and_then(|c| c.parse().ok()).unwrap_or(1u32);
@@ -142,7 +158,11 @@
                 };
                 state.record.line(&format!("{} order {function} count {count}", state.name));
                 std::thread::sleep(at.saturating_duration_since(Instant::now()));
-                response("200 OK", &format!("basaltward-outcome: ok\r\nbasaltward-copies: {stand}\r\n{load}"), "")
+                response(
+                    "200 OK",
+                    &format!("basaltward-outcome: ok\r\nbasaltward-copies: {stand}\r\n{load}"),
+                    "",
+                )
             }
             // Idle copies may be unloaded; this worker keeps them.
             _ => response("204 No Content", "basaltward-outcome: ok\r\n", ""),
@@ -166,14 +186,22 @@
         *n - 1
     });
     let work = Duration::from_millis(state.work_ms.load(Ordering::Relaxed));
-    let mut stands = Instant::now() + work;
+    let came = Instant::now();
+    let mut stands = came + work;
     let mut repeated = false;
     if request.field("basaltward-repeat") == Some("keyed")
-        && let Ok(mut keys) = state.keys.lock()
+        && let Ok(mut keys) = state.runs.1.lock()
     {
         let key = format!("{} {event}", request.field("ce-source").unwrap_or_default());
-        repeated = keys.contains_key(&key);
-        stands = *keys.entry(key).or_insert(stands);
+        // Remembered for as long as the protocol's page asks, and a little longer.
+        let window = request.field("basaltward-window-ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+        let window = Duration::from_millis(window + KEY_SLACK_MS);
+        let first =
+            keys.get(&key).filter(|(first, _)| came.saturating_duration_since(*first) < window).copied();
+        match first {
+            Some((_, at)) => (repeated, stands) = (true, at),
+            None => _ = keys.insert(key, (came, stands)),
+        }
     }
     let attempt = request.field("basaltward-attempt").unwrap_or_default();
     if repeated {
@@ -185,6 +213,17 @@
         }
     }
     std::thread::sleep(stands.saturating_duration_since(Instant::now()));
+    let break_after = state.break_after_ms.load(Ordering::Relaxed);
+    if break_after > 0 && !repeated {
+        let at = came + Duration::from_millis(break_after);
+        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+        state.record.line(&format!("{} closes the connection of {event} without an answer", state.name));
+        if let Ok(mut h) = state.held.lock() {
+            h.entry(function.to_owned()).and_modify(|n| *n -= 1);
+        }
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+        return String::new();
+    }
     if let Ok(mut h) = state.held.lock() {
         h.entry(function.to_owned()).and_modify(|n| *n -= 1);
     }
