Review: ports of the cases lie below those that systems give to connections

The port that it was to listen on had been picked among those that the system gives to connections; that another process had taken it by then is likely, not proven.

Change: ports are looked for from 20,000 on, at another place for each process.

--- a/review/standin-2/src/util.rs
+++ b/review/standin-2/src/util.rs
@@ -37,16 +37,20 @@
     std::thread::sleep(Duration::from_millis(ms));
 }
 
-/// Ports that are free on 127.0.0.1 for TCP and UDP; each is given out once.
+/// Ports that are free on 127.0.0.1 for TCP and UDP; each is given out once. They lie below those that systems usually
+/// give to connections, so that none is taken before its process has started, and begin at another place for each
+/// process, as cases may run side by side.
 #[derive(Default)]
-pub struct Ports(BTreeSet<u16>);
+pub struct Ports(u16);
 
 impl Ports {
     pub fn take(&mut self) -> std::io::Result<u16> {
+        let first = 20_000 + (std::process::id() % 120) as u16 * 100;
         for _ in 0..1_000 {
-            let listener = TcpListener::bind("127.0.0.1:0")?;
-            let port = listener.local_addr()?.port();
-            if UdpSocket::bind(("127.0.0.1", port)).is_ok() && self.0.insert(port) {
+            let port = first + self.0;
+            self.0 += 1;
+            if TcpListener::bind(("127.0.0.1", port)).is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok()
+            {
                 return Ok(port);
             }
         }
