Review: the case of a returned gateway waits until it was taken over

Change: the case waits until twenty events in a row are served, for 20 s at most, before it goes on.

--- a/review/standin-2/src/returned_owner.rs
+++ b/review/standin-2/src/returned_owner.rs
@@ -41,7 +41,11 @@
     if trouble {
         cluster.gateways[0].iter().for_each(|gateway| gateway.signal("KILL"));
         cluster.gateways[0] = None;
-        sleep_ms(6_000);
+        // Until the others take its events as well: so many in a row are served that some of them were its own.
+        sleep_ms(5_000);
+        if !cluster.warm_up(1, "certify", 20, record.ms() + 15_000) {
+            return Err(Error::other("the lost gateway is not taken over"));
+        }
     }
     cluster.workers.iter().flatten().for_each(|worker| worker.set_work_ms(WORK_MS));
     let event = |n: usize| Call {
